--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Decides when a request starts: queue order, reserved slots and early refusal.
--- /dev/null
+++ b/crates/core/src/claims/mod.rs
@@ -0,0 +1,1 @@
+//! Runs every non-idempotent request at most once.
--- /dev/null
+++ b/crates/core/src/lists/mod.rs
@@ -0,0 +1,1 @@
+//! Holds the accepted lists and never goes back to a lower version.
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Tracks live, suspect, leaving and dead nodes and answers entry discovery.
--- /dev/null
+++ b/crates/core/src/prefix/mod.rs
@@ -0,0 +1,1 @@
+//! Knows which backend server holds which prompt prefix.
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Chooses a backend server by explicit cost in milliseconds.
--- /dev/null
+++ b/crates/core/src/streams/mod.rs
@@ -0,0 +1,1 @@
+//! Assembles answer streams: in order, complete, resumable at an offset.
--- /dev/null
+++ b/crates/core/src/suspects/mod.rs
@@ -0,0 +1,1 @@
+//! Recognises requests that crash backend servers.
--- /dev/null
+++ b/crates/lists/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
