--- /dev/null
+++ b/crates/host/src/settings/entry.rs
@@ -0,0 +1,167 @@
+//! Settings of `carobvane-entry`.
+
+use std::net::SocketAddr;
+
+use carobvane_core::ids::NodeId;
+use url::Url;
+
+use super::{SettingFinding, SettingsReader};
+use crate::peer::FleetKey;
+
+/// Default of `--max-body-bytes`, in bytes.
+const DEFAULT_BODY_BYTES: usize = 8 << 20;
+/// Default of `--piece-bytes`: about 2,000 tokens of 4 bytes.
+const DEFAULT_PIECE_BYTES: usize = 8_000;
+/// Default of `--piece-tokens`.
+const DEFAULT_PIECE_TOKENS: u32 = 2_000;
+/// Default of `--workers`, in threads.
+const DEFAULT_WORKERS: usize = 4;
+
+xflags::xflags! {
+    /// Serves callers: routes completions to model engines and calls to plain services.
+    ///
+    /// Each flag can be given as a variable: --max-body-bytes as CAROBVANE_MAX_BODY_BYTES.
+    /// The flag takes precedence.
+    cmd entry-flags {
+        /// Number of this node, unique among entries and stewards. Required.
+        optional --node number: String
+        /// Name of the data centre this VM is in. Required.
+        optional --data-centre name: String
+        /// Address for callers, such as 127.0.0.1:8080. Required.
+        optional --listen address: String
+        /// Address for operators and metrics, such as 127.0.0.1:9080. Required.
+        optional --admin address: String
+        /// Address for other carobvane processes (UDP), such as 127.0.0.1:7080. Required.
+        optional --peer address: String
+        /// Addresses of other carobvane processes to join, separated by commas. Default: none.
+        optional --join addresses: String
+        /// Secret that all processes of the fleet share: 64 hexadecimal digits. Required;
+        /// prefer the variable, since flags show in process lists.
+        optional --fleet-key key: String
+        /// URL of the key-value service, such as http://127.0.0.1:2379. Required.
+        optional --keyvalue url: String
+        /// URL that callers use to reach this entry. Default: http://<listen>.
+        optional --advertise url: String
+        /// Largest request body, in bytes. Default: 8388608.
+        optional --max-body-bytes bytes: String
+        /// Size of a prompt piece, in bytes of text. Default: 8000.
+        optional --piece-bytes bytes: String
+        /// Size of a prompt piece, in tokens. Default: 2000.
+        optional --piece-tokens tokens: String
+        /// Threads that serve callers. Default: 4.
+        optional --workers threads: String
+        /// Least severe log level: error, warn, info or debug. Default: info.
+        optional --log-level level: String
+        /// Prints the version.
+        optional --version
+    }
+}
+
+/// Checked settings of an entry.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Number of this node.
+    pub node: NodeId,
+    /// Data centre of this VM.
+    pub data_centre: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators and metrics.
+    pub admin: SocketAddr,
+    /// Address for other carobvane processes.
+    pub peer: SocketAddr,
+    /// Processes to join.
+    pub join: Vec<SocketAddr>,
+    /// Secret of the fleet.
+    pub fleet_key: FleetKey,
+    /// Key-value service.
+    pub keyvalue: Url,
+    /// URL for callers; absent means that it follows from the bound address.
+    pub advertise: Option<Url>,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Size of a prompt piece, in bytes.
+    pub piece_bytes: usize,
+    /// Size of a prompt piece, in tokens.
+    pub piece_tokens: u32,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Least severe log level.
+    pub log_level: log::LevelFilter,
+}
+
+impl EntrySettings {
+    /// Reads the flags of this process and its variables; exits on findings.
+    pub fn from_env_or_exit() -> EntrySettings {
+        let flags = EntryFlags::from_env_or_exit();
+        if flags.version {
+            println!("carobvane-entry {}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        EntrySettings::read(flags, |name| std::env::var(name).ok())
+            .unwrap_or_else(|findings| super::exit_with_findings(&findings))
+    }
+
+    /// Reads flags with `lookup` as the source of variables.
+    ///
+    /// # Errors
+    ///
+    /// Every finding of every setting.
+    pub fn read(
+        flags: EntryFlags,
+        lookup: impl Fn(&str) -> Option<String>,
+    ) -> Result<EntrySettings, Vec<SettingFinding>> {
+        let mut reader = SettingsReader::new(lookup);
+        let node = reader.required("node", flags.node).map(NodeId);
+        let data_centre = reader.required("data-centre", flags.data_centre);
+        let listen = reader.required("listen", flags.listen);
+        let admin = reader.required("admin", flags.admin);
+        let peer = reader.required("peer", flags.peer);
+        let join = reader.list("join", flags.join);
+        let fleet_key = reader.required("fleet-key", flags.fleet_key);
+        let keyvalue = reader.required("keyvalue", flags.keyvalue);
+        let advertise = reader.optional("advertise", flags.advertise);
+        let max_body_bytes =
+            reader.or_default("max-body-bytes", flags.max_body_bytes, DEFAULT_BODY_BYTES);
+        let piece_bytes = reader.or_default("piece-bytes", flags.piece_bytes, DEFAULT_PIECE_BYTES);
+        let piece_tokens =
+            reader.or_default("piece-tokens", flags.piece_tokens, DEFAULT_PIECE_TOKENS);
+        let workers = reader.or_default("workers", flags.workers, DEFAULT_WORKERS);
+        let log_level = reader.or_default("log-level", flags.log_level, log::LevelFilter::Info);
+        for (flag, value) in [
+            ("max-body-bytes", max_body_bytes),
+            ("piece-bytes", piece_bytes),
+            ("piece-tokens", piece_tokens as usize),
+            ("workers", workers),
+        ] {
+            if value == 0 {
+                reader.report(flag, "must be at least 1");
+            }
+        }
+        reader.finish()?;
+        let (Some(node), Some(data_centre), Some(listen), Some(admin), Some(peer)) =
+            (node, data_centre, listen, admin, peer)
+        else {
+            unreachable!("a missing required setting is a finding");
+        };
+        let (Some(fleet_key), Some(keyvalue)) = (fleet_key, keyvalue) else {
+            unreachable!("a missing required setting is a finding");
+        };
+        Ok(EntrySettings {
+            node,
+            data_centre,
+            listen,
+            admin,
+            peer,
+            join,
+            fleet_key,
+            keyvalue,
+            advertise,
+            max_body_bytes,
+            piece_bytes,
+            piece_tokens,
+            workers,
+            log_level,
+        })
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings/mod.rs
@@ -0,0 +1,23 @@
+//! Settings of the programs: flags and `CAROBVANE_*` variables, checked as a whole.
+//!
+//! A flag takes precedence over its variable. All findings are reported together, so that one
+//! start shows everything that has to be mended.
+
+mod entry;
+mod reader;
+mod steward;
+
+pub use entry::EntrySettings;
+pub use reader::{SettingFinding, SettingsReader};
+pub use steward::StewardSettings;
+
+/// Exit code of a program whose settings are not usable.
+pub const SETTINGS_EXIT_CODE: i32 = 2;
+
+/// Prints all findings to standard error and exits with [`SETTINGS_EXIT_CODE`].
+pub fn exit_with_findings(findings: &[SettingFinding]) -> ! {
+    for finding in findings {
+        eprintln!("error: {finding}");
+    }
+    std::process::exit(SETTINGS_EXIT_CODE);
+}
--- /dev/null
+++ b/crates/host/src/settings/reader.rs
@@ -0,0 +1,108 @@
+//! Reads single settings and collects what is wrong with them.
+
+use std::{fmt, str::FromStr};
+
+/// What is wrong with one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingFinding {
+    /// The flag without dashes.
+    pub flag: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for SettingFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "--{} ({}): {}", self.flag, variable_name(&self.flag), self.message)
+    }
+}
+
+/// The variable of a flag: `listen` has `CAROBVANE_LISTEN`.
+pub fn variable_name(flag: &str) -> String {
+    format!("CAROBVANE_{}", flag.replace('-', "_").to_uppercase())
+}
+
+/// Reads settings from flags and a source of variables.
+pub struct SettingsReader<F> {
+    lookup: F,
+    findings: Vec<SettingFinding>,
+}
+
+impl<F: Fn(&str) -> Option<String>> SettingsReader<F> {
+    /// Creates a reader; `lookup` returns the value of a variable.
+    pub fn new(lookup: F) -> SettingsReader<F> {
+        SettingsReader { lookup, findings: Vec::new() }
+    }
+
+    /// Reads a setting that has no default.
+    pub fn required<T>(&mut self, flag: &str, value: Option<String>) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let value = self.optional(flag, value);
+        if value.is_none() && !self.findings.iter().any(|finding| finding.flag == flag) {
+            self.report(flag, "is required");
+        }
+        value
+    }
+
+    /// Reads a setting with a default.
+    pub fn or_default<T>(&mut self, flag: &str, value: Option<String>, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        self.optional(flag, value).unwrap_or(default)
+    }
+
+    /// Reads a setting that may be absent.
+    pub fn optional<T>(&mut self, flag: &str, value: Option<String>) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.text(flag, value)?;
+        self.parse(flag, &text)
+    }
+
+    /// Reads a comma-separated list; absent means empty.
+    pub fn list<T>(&mut self, flag: &str, value: Option<String>) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.text(flag, value).unwrap_or_default();
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
+        items.filter_map(|item| self.parse(flag, item)).collect()
+    }
+
+    /// Adds a finding about a setting.
+    pub fn report(&mut self, flag: &str, message: impl Into<String>) {
+        self.findings.push(SettingFinding { flag: flag.to_string(), message: message.into() });
+    }
+
+    /// Ends the reading: the findings, if there are any.
+    pub fn finish(self) -> Result<(), Vec<SettingFinding>> {
+        if self.findings.is_empty() { Ok(()) } else { Err(self.findings) }
+    }
+
+    fn text(&self, flag: &str, value: Option<String>) -> Option<String> {
+        value.or_else(|| (self.lookup)(&variable_name(flag)))
+    }
+
+    fn parse<T>(&mut self, flag: &str, text: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                // The fleet key is a secret, so values are never echoed.
+                self.report(flag, format!("failed to read the value: {error}"));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/settings/steward.rs
@@ -0,0 +1,114 @@
+//! Settings of `carobvane-steward`.
+
+use std::net::SocketAddr;
+
+use carobvane_core::ids::NodeId;
+use url::Url;
+
+use super::{SettingFinding, SettingsReader};
+use crate::peer::FleetKey;
+
+xflags::xflags! {
+    /// Keeps the accepted lists, the members and the orders to backend servers on an entry VM.
+    ///
+    /// Each flag can be given as a variable: --data-centre as CAROBVANE_DATA_CENTRE.
+    /// The flag takes precedence.
+    cmd steward-flags {
+        /// Number of this node, unique among entries and stewards. Required.
+        optional --node number: String
+        /// Name of the data centre this VM is in. Required.
+        optional --data-centre name: String
+        /// Address for operators and metrics, such as 127.0.0.1:9090. Required.
+        optional --admin address: String
+        /// Address for other carobvane processes (UDP), such as 127.0.0.1:7090. Required.
+        optional --peer address: String
+        /// Addresses of other carobvane processes to join, separated by commas. Default: none.
+        optional --join addresses: String
+        /// Secret that all processes of the fleet share: 64 hexadecimal digits. Required;
+        /// prefer the variable, since flags show in process lists.
+        optional --fleet-key key: String
+        /// URL of the key-value service, such as http://127.0.0.1:2379. Required.
+        optional --keyvalue url: String
+        /// URL of the list of live and leaving VMs. Default: none.
+        optional --vm-list url: String
+        /// Least severe log level: error, warn, info or debug. Default: info.
+        optional --log-level level: String
+        /// Prints the version.
+        optional --version
+    }
+}
+
+/// Checked settings of a steward.
+#[derive(Debug, Clone)]
+pub struct StewardSettings {
+    /// Number of this node.
+    pub node: NodeId,
+    /// Data centre of this VM.
+    pub data_centre: String,
+    /// Address for operators and metrics.
+    pub admin: SocketAddr,
+    /// Address for other carobvane processes.
+    pub peer: SocketAddr,
+    /// Processes to join.
+    pub join: Vec<SocketAddr>,
+    /// Secret of the fleet.
+    pub fleet_key: FleetKey,
+    /// Key-value service.
+    pub keyvalue: Url,
+    /// List of live and leaving VMs.
+    pub vm_list: Option<Url>,
+    /// Least severe log level.
+    pub log_level: log::LevelFilter,
+}
+
+impl StewardSettings {
+    /// Reads the flags of this process and its variables; exits on findings.
+    pub fn from_env_or_exit() -> StewardSettings {
+        let flags = StewardFlags::from_env_or_exit();
+        if flags.version {
+            println!("carobvane-steward {}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        StewardSettings::read(flags, |name| std::env::var(name).ok())
+            .unwrap_or_else(|findings| super::exit_with_findings(&findings))
+    }
+
+    /// Reads flags with `lookup` as the source of variables.
+    ///
+    /// # Errors
+    ///
+    /// Every finding of every setting.
+    pub fn read(
+        flags: StewardFlags,
+        lookup: impl Fn(&str) -> Option<String>,
+    ) -> Result<StewardSettings, Vec<SettingFinding>> {
+        let mut reader = SettingsReader::new(lookup);
+        let node = reader.required("node", flags.node).map(NodeId);
+        let data_centre = reader.required("data-centre", flags.data_centre);
+        let admin = reader.required("admin", flags.admin);
+        let peer = reader.required("peer", flags.peer);
+        let join = reader.list("join", flags.join);
+        let fleet_key = reader.required("fleet-key", flags.fleet_key);
+        let keyvalue = reader.required("keyvalue", flags.keyvalue);
+        let vm_list = reader.optional("vm-list", flags.vm_list);
+        let log_level = reader.or_default("log-level", flags.log_level, log::LevelFilter::Info);
+        reader.finish()?;
+        let (Some(node), Some(data_centre), Some(admin)) = (node, data_centre, admin) else {
+            unreachable!("a missing required setting is a finding");
+        };
+        let (Some(peer), Some(fleet_key), Some(keyvalue)) = (peer, fleet_key, keyvalue) else {
+            unreachable!("a missing required setting is a finding");
+        };
+        Ok(StewardSettings {
+            node,
+            data_centre,
+            admin,
+            peer,
+            join,
+            fleet_key,
+            keyvalue,
+            vm_list,
+            log_level,
+        })
+    }
+}
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -1,6 +1,7 @@
 //! Frames between our own processes.
 
-use serde::{Serialize, de::DeserializeOwned};
+use carobvane_core::ids::NodeLife;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// The version of the frame format that this build speaks.
 pub const FRAME_VERSION: u8 = 1;
@@ -56,3 +57,30 @@
     }
     postcard::from_bytes(body).map_err(|error| FrameError::Malformed(error.to_string()))
 }
+
+/// What a process does in the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PeerRole {
+    /// Serves callers.
+    Entry,
+    /// Keeps lists, members and orders.
+    Steward,
+}
+
+/// A message with its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// The sender.
+    pub from: NodeLife,
+    /// The sender's role.
+    pub role: PeerRole,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// Messages between processes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Opens a link.
+    Hello,
+}
