Add the list document, versions and deltas

Cause: the steward and the TOML reader need the accepted lists as plain data before the parts that spread them. Ruled out: std::hash::Hash for the digest, whose bytes are not stable across compiler versions and targets.

--- a/crates/core/src/lists/mod.rs
+++ b/crates/core/src/lists/mod.rs
@@ -1,1 +1,16 @@
-//! Holds the accepted lists and never goes back to a lower version.
+//! The accepted lists: what is active, and how a new version reaches every node.
+//!
+//! Operators' lists become one [`ListDocument`]. Each accepted change has a [`ListVersion`] and a
+//! [`ListDelta`] against its parent. A holder accepts only a higher version, so an accepted
+//! change is never reverted by a late or repeated message.
+
+mod delta;
+mod document;
+mod version;
+
+pub use delta::{DeltaError, ListDelta, MapDelta};
+pub use document::{
+    BackendServer, DataCentre, EntryVm, GrantEntry, ListDocument, ModelWeights, PlanEntry,
+    ServerRole, WorkspaceEntry,
+};
+pub use version::{KeyHash, ListDigest, ListSnapshot, ListVersion};
--- a/crates/core/src/plans/mod.rs
+++ b/crates/core/src/plans/mod.rs
@@ -1,1 +1,5 @@
-//! Decides what each plan may use; the fleet-wide sum never exceeds the limit.
+//! What each plan may spend, fleet-wide, in any window.
+
+mod limits;
+
+pub use limits::{LimitKind, PlanLimits};
