Add ListHolder and ListSpread

Cause: a new version must reach every node within seconds with few calls to the key-value service, and a late message must never revert it. Ruled out: resolving two documents of one number by the service's head, which nodes without the service cannot read.

--- a/crates/core/src/lists/mod.rs
+++ b/crates/core/src/lists/mod.rs
@@ -6,6 +6,10 @@
 
 mod delta;
 mod document;
+mod holder;
+mod spread;
+#[cfg(test)]
+mod tests;
 mod version;
 
 pub use delta::{DeltaError, ListDelta, MapDelta};
@@ -13,4 +17,8 @@
     BackendServer, DataCentre, EntryVm, GrantEntry, ListDocument, ModelWeights, PlanEntry,
     ServerRole, WorkspaceEntry,
 };
-pub use version::{KeyHash, ListDigest, ListSnapshot, ListVersion};
+pub use holder::{ListHolder, OfferOutcome};
+pub use spread::{
+    ListMessage, ListSpread, REPAIR_TIMEOUT, SERVICE_READ_JITTER, ServiceReport, SpreadEffect,
+};
+pub use version::{KeyHash, ListDigest, ListSnapshot, ListVersion, VersionSummary};
--- a/crates/core/src/lists/version.rs
+++ b/crates/core/src/lists/version.rs
@@ -100,3 +100,33 @@
         self.version.digest == self.document.digest()
     }
 }
+
+impl ListVersion {
+    /// Whether this version replaces `other`: a higher number, or for one number the higher
+    /// digest.
+    ///
+    /// Two documents with one number exist only when the key-value service was restored from an
+    /// old copy and changed before a steward wrote the held version back. Every node then keeps
+    /// the same one of the two without asking anybody.
+    pub fn outranks(&self, other: &ListVersion) -> bool {
+        (self.number, self.digest) > (other.number, other.digest)
+    }
+
+    /// The summary that rides on probes.
+    pub fn summary(&self) -> VersionSummary {
+        let mut digest = [0; 8];
+        digest.copy_from_slice(&self.digest.0[..8]);
+        VersionSummary { number: self.number, digest }
+    }
+}
+
+/// What a probe says of the sender's version, in at most 18 bytes.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct VersionSummary {
+    /// The version's number.
+    pub number: u64,
+    /// First bytes of its digest.
+    pub digest: [u8; 8],
+}
