--- /dev/null
+++ b/crates/host/src/entry/attempt.rs
@@ -0,0 +1,225 @@
+//! One attempt at a completion on one engine.
+
+use std::{pin::Pin, time::Duration};
+
+use actix_web::http::StatusCode;
+use bytes::Bytes;
+use carobvane_proto::{
+    engine::ChunkPosition,
+    headers,
+    openai::TokenUsage,
+};
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// Longest time to connect to a backend server.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time without a byte from an engine before the attempt counts as failed.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest error body that is read from an engine, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
+/// A completion to send to an engine.
+#[derive(Debug, Clone)]
+pub struct AttemptRequest {
+    /// URL of the completion endpoint.
+    pub url: String,
+    /// Name of the request and of this attempt.
+    pub attempt: String,
+    /// Name of the request.
+    pub request: String,
+    /// The weights version that the answer must come from.
+    pub weights: u64,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A chunk of an engine's answer.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct EngineChunk {
+    /// Where the chunk stands in the stream.
+    #[serde(default, skip_serializing)]
+    pub position: Option<ChunkPosition>,
+    /// Token counts, in the last chunk.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<TokenUsage>,
+    /// Choices; one in each chunk with text.
+    #[serde(default)]
+    pub choices: Vec<ChunkChoice>,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// A choice of a chunk.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ChunkChoice {
+    /// Text of a completion.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
+    /// Message part of a chat completion.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delta: Option<ChatDelta>,
+    /// Why the answer ended, in its last chunk with text.
+    #[serde(default)]
+    pub finish_reason: Option<String>,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+/// A part of a chat message.
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct ChatDelta {
+    /// Text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<String>,
+    /// All other fields.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+impl ChunkChoice {
+    /// The text of this choice, wherever the endpoint puts it.
+    pub fn content(&self) -> &str {
+        let delta = self.delta.as_ref().and_then(|delta| delta.content.as_deref());
+        self.text.as_deref().or(delta).unwrap_or_default()
+    }
+}
+
+impl EngineChunk {
+    /// The text of the first choice.
+    pub fn content(&self) -> &str {
+        self.choices.first().map_or("", ChunkChoice::content)
+    }
+
+    /// Why the answer ended, if this chunk ends it.
+    pub fn finish_reason(&self) -> Option<&str> {
+        self.choices.first().and_then(|choice| choice.finish_reason.as_deref())
+    }
+}
+
+/// What an engine sends next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AttemptEvent {
+    /// A chunk.
+    Chunk(EngineChunk),
+    /// The engine has ended its stream with `[DONE]`.
+    Done,
+}
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptError {
+    /// No connection, so no byte of the request has left.
+    NotSent(String),
+    /// The engine refused the request, which proves that it did not run.
+    Rejected {
+        /// HTTP status.
+        status: u16,
+        /// The engine's reason.
+        message: String,
+    },
+    /// The connection broke, or the stream ended without `[DONE]`.
+    Broken(String),
+    /// The engine sent something that is no chunk.
+    Garbage(String),
+    /// The engine sent nothing for [`SILENCE_TIMEOUT`].
+    Silent,
+}
+
+impl std::fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            AttemptError::NotSent(cause) => write!(f, "failed to connect: {cause}"),
+            AttemptError::Rejected { status, message } => {
+                write!(f, "engine refused with status {status}: {message}")
+            }
+            AttemptError::Broken(cause) => write!(f, "stream broke: {cause}"),
+            AttemptError::Garbage(cause) => write!(f, "engine sent an invalid chunk: {cause}"),
+            AttemptError::Silent => write!(f, "engine sent nothing for {SILENCE_TIMEOUT:?}"),
+        }
+    }
+}
+
+type EventStream =
+    Pin<Box<dyn Stream<Item = Result<AttemptEvent, AttemptError>>>>;
+
+/// The answer of an engine. Dropping it closes the connection, which cancels the engine's work.
+pub struct EngineStream {
+    /// The engine's life, as it says in the answer.
+    pub incarnation: Option<u64>,
+    events: EventStream,
+}
+
+impl EngineStream {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells apart a request that was not sent, one that the engine refused, and one that may run.
+    pub async fn open(
+        client: &awc::Client,
+        request: &AttemptRequest,
+    ) -> Result<EngineStream, AttemptError> {
+        let sending = client
+            .post(&request.url)
+            .insert_header(("content-type", "application/json"))
+            .insert_header((headers::REQUEST_ID, request.request.as_str()))
+            .insert_header((headers::ATTEMPT_ID, request.attempt.as_str()))
+            .insert_header((headers::WEIGHTS_VERSION, request.weights.to_string()))
+            .timeout(SILENCE_TIMEOUT)
+            .send_body(request.body.clone());
+        let mut response = sending.await.map_err(send_error)?;
+        if response.status() != StatusCode::OK {
+            let status = response.status().as_u16();
+            let body = response.body().limit(MAX_ERROR_BYTES).await.unwrap_or_default();
+            let message = String::from_utf8_lossy(&body).into_owned();
+            return Err(if response.status().is_client_error() || status == 503 {
+                AttemptError::Rejected { status, message }
+            } else {
+                AttemptError::Broken(format!("status {status}"))
+            });
+        }
+        let incarnation = response
+            .headers()
+            .get(headers::INCARNATION)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let events = response.eventsource().map(|event| match event {
+            Ok(event) if event.data == "[DONE]" => Ok(AttemptEvent::Done),
+            Ok(event) => serde_json::from_str(&event.data)
+                .map(AttemptEvent::Chunk)
+                .map_err(|error| AttemptError::Garbage(error.to_string())),
+            Err(error) => Err(AttemptError::Broken(error.to_string())),
+        });
+        Ok(EngineStream { incarnation, events: Box::pin(events) })
+    }
+
+    /// The next event.
+    ///
+    /// # Errors
+    ///
+    /// The stream broke, was silent for too long, or sent something that is no chunk.
+    pub async fn next(&mut self) -> Result<AttemptEvent, AttemptError> {
+        match tokio::time::timeout(SILENCE_TIMEOUT, self.events.next()).await {
+            Ok(Some(event)) => event,
+            Ok(None) => Err(AttemptError::Broken("ended without [DONE]".to_string())),
+            Err(_) => Err(AttemptError::Silent),
+        }
+    }
+}
+
+fn send_error(error: awc::error::SendRequestError) -> AttemptError {
+    use awc::error::SendRequestError;
+    match error {
+        SendRequestError::Connect(error) => AttemptError::NotSent(error.to_string()),
+        SendRequestError::Url(error) => AttemptError::NotSent(error.to_string()),
+        SendRequestError::Timeout => AttemptError::Silent,
+        other => AttemptError::Broken(other.to_string()),
+    }
+}
