--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a completion on one engine.
 
-use std::{pin::Pin, time::Duration};
+use std::time::Duration;
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
@@ -147,26 +147,25 @@
     }
 }
 
-type EventStream =
-    Pin<Box<dyn Stream<Item = Result<AttemptEvent, AttemptError>>>>;
-
 /// The answer of an engine. Dropping it closes the connection, which cancels the engine's work.
-pub struct EngineStream {
+pub struct EngineStream<S> {
     /// The engine's life, as it says in the answer.
     pub incarnation: Option<u64>,
-    events: EventStream,
+    events: S,
 }
 
-impl EngineStream {
-    /// Sends a request and waits for the head of the answer.
-    ///
-    /// # Errors
-    ///
-    /// Tells apart a request that was not sent, one that the engine refused, and one that may run.
-    pub async fn open(
-        client: &awc::Client,
-        request: &AttemptRequest,
-    ) -> Result<EngineStream, AttemptError> {
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Tells apart a request that was not sent, one that the engine refused, and one that may run.
+pub async fn open_attempt(
+    client: &awc::Client,
+    request: &AttemptRequest,
+) -> Result<
+    EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
+    AttemptError,
+> {
         let sending = client
             .post(&request.url)
             .insert_header(("content-type", "application/json"))
@@ -200,6 +199,10 @@
         Ok(EngineStream { incarnation, events: Box::pin(events) })
     }
 
+impl<S> EngineStream<S>
+where
+    S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
+{
     /// The next event.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/host/src/node/source.rs
@@ -0,0 +1,158 @@
+//! Reads and writes the accepted lists in the key-value service.
+
+use carobvane_core::lists::{ListDelta, ListDigest, ListSnapshot, ListVersion, ServiceReport};
+use eyre::{Result, WrapErr, eyre};
+
+use crate::keyvalue::{KeyvalueClient, StoredValue, Transaction, prefix_end};
+
+/// Key of the head: the latest accepted version.
+pub const HEAD_KEY: &str = "carobvane/lists/head";
+/// Prefix of the deltas; the version follows in 12 digits.
+pub const CHANGE_PREFIX: &str = "carobvane/lists/change/";
+/// Prefix of the snapshots; the version follows in 12 digits.
+pub const SNAPSHOT_PREFIX: &str = "carobvane/lists/snapshot/";
+/// A snapshot is written every so many versions, and for version 1.
+pub const SNAPSHOT_INTERVAL: u64 = 64;
+
+/// The key of a version's delta.
+pub fn change_key(number: u64) -> String {
+    format!("{CHANGE_PREFIX}{number:012}")
+}
+
+/// The key of a version's snapshot.
+pub fn snapshot_key(number: u64) -> String {
+    format!("{SNAPSHOT_PREFIX}{number:012}")
+}
+
+/// The lists in the key-value service.
+#[derive(Clone)]
+pub struct ListSource {
+    client: KeyvalueClient,
+}
+
+impl ListSource {
+    /// Creates a source.
+    pub fn new(client: KeyvalueClient) -> ListSource {
+        ListSource { client }
+    }
+
+    /// The client behind the source.
+    pub fn client(&self) -> &KeyvalueClient {
+        &self.client
+    }
+
+    /// Reads the head and what leads from `held` to it.
+    ///
+    /// # Errors
+    ///
+    /// The service does not answer, or holds values that are not lists.
+    pub async fn read(&self, held: &ListVersion) -> Result<Vec<ServiceReport>> {
+        let Some(head) = self.client.get(HEAD_KEY).await.wrap_err("failed to read the head")?
+        else {
+            return Ok(vec![ServiceReport::Head { version: ListVersion::default(), revision: 0 }]);
+        };
+        let version: ListVersion = parse(&head)?;
+        let report = ServiceReport::Head { version, revision: head.mod_revision };
+        if !version.outranks(held) {
+            return Ok(vec![report]);
+        }
+        let mut reports = self.read_since(held, &version).await?;
+        reports.push(report);
+        Ok(reports)
+    }
+
+    async fn read_since(
+        &self,
+        held: &ListVersion,
+        head: &ListVersion,
+    ) -> Result<Vec<ServiceReport>> {
+        let behind = head.number.saturating_sub(held.number);
+        if held.number > 0 && behind < SNAPSHOT_INTERVAL {
+            let deltas = self.read_deltas(held.number, head.number).await?;
+            if deltas.first().is_some_and(|delta| delta.from.digest == held.digest) {
+                return Ok(deltas.into_iter().map(|d| ServiceReport::Change(Box::new(d))).collect());
+            }
+        }
+        let snapshot = self.read_snapshot(head).await?;
+        Ok(vec![ServiceReport::Snapshot(Box::new(snapshot))])
+    }
+
+    async fn read_deltas(&self, after: u64, last: u64) -> Result<Vec<ListDelta>> {
+        let end = change_key(last + 1);
+        let values = self
+            .client
+            .range(&change_key(after + 1), end.as_bytes(), 0)
+            .await
+            .wrap_err("failed to read the changes")?;
+        values.iter().map(parse).collect()
+    }
+
+    /// Builds the document of `version` from the latest snapshot and the deltas after it.
+    ///
+    /// # Errors
+    ///
+    /// The service does not answer, or its values do not lead to the digest of `version`.
+    pub async fn read_snapshot(&self, version: &ListVersion) -> Result<ListSnapshot> {
+        let number = version.number;
+        let base = if number < SNAPSHOT_INTERVAL { 1 } else { number - number % SNAPSHOT_INTERVAL };
+        let value = self.client.get(&snapshot_key(base)).await;
+        let value = match value.wrap_err("failed to read the snapshot")? {
+            Some(value) => value,
+            None => self.latest_snapshot(number).await?,
+        };
+        let mut snapshot: ListSnapshot = parse(&value)?;
+        if snapshot.version.number < number {
+            for delta in self.read_deltas(snapshot.version.number, number).await? {
+                snapshot = delta.apply(&snapshot).wrap_err("failed to apply a stored change")?;
+            }
+        }
+        if snapshot.version.digest != version.digest || version.digest == ListDigest::default() {
+            return Err(eyre!("stored changes do not lead to version {number}"));
+        }
+        Ok(snapshot)
+    }
+
+    /// A repaired service may hold a snapshot at any number.
+    async fn latest_snapshot(&self, number: u64) -> Result<StoredValue> {
+        let end = snapshot_key(number + 1);
+        let values = self
+            .client
+            .range(SNAPSHOT_PREFIX, end.as_bytes(), 0)
+            .await
+            .wrap_err("failed to read the snapshots")?;
+        values.into_iter().next_back().ok_or_else(|| eyre!("no snapshot up to version {number}"))
+    }
+
+    /// Writes `snapshot` as the head if the head's revision is still `revision`. Returns whether
+    /// it was written.
+    ///
+    /// # Errors
+    ///
+    /// The service does not answer; the write may have taken effect.
+    pub async fn write_back(&self, snapshot: &ListSnapshot, revision: i64) -> Result<bool> {
+        let transaction = if revision == 0 {
+            Transaction::new().require_absent(HEAD_KEY)
+        } else {
+            Transaction::new().require_revision(HEAD_KEY, revision)
+        };
+        let transaction = transaction
+            .put(&snapshot_key(snapshot.version.number), &serde_json::to_vec(snapshot)?)
+            .put(HEAD_KEY, &serde_json::to_vec(&snapshot.version)?);
+        let result = self.client.txn(transaction).await.wrap_err("failed to write the lists back")?;
+        Ok(result.succeeded)
+    }
+
+    /// End of the range of deltas, for a watch.
+    pub fn change_end() -> Vec<u8> {
+        prefix_end(CHANGE_PREFIX.as_bytes())
+    }
+}
+
+/// Decodes a stored JSON value.
+///
+/// # Errors
+///
+/// The value is not the JSON of `T`.
+pub fn parse<T: serde::de::DeserializeOwned>(value: &StoredValue) -> Result<T> {
+    serde_json::from_slice(&value.value).wrap_err_with(|| format!("failed to decode {}", value.key))
+}
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -1,6 +1,9 @@
 //! Frames between our own processes.
 
-use carobvane_core::ids::NodeLife;
+use carobvane_core::{
+    ids::NodeLife,
+    lists::{ListMessage, VersionSummary},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// The version of the frame format that this build speaks.
@@ -83,4 +86,8 @@
 pub enum PeerMessage {
     /// Opens a link.
     Hello,
+    /// The list version that the sender holds.
+    Summary(VersionSummary),
+    /// Spread of the lists.
+    Lists(ListMessage),
 }
