Serve completions, plain services and discovery in the entry; lists in the steward

Cause: the first thin path from a caller to an engine. Change: the entry admits by bearer key and grant, relays engine streams with offset checks, retries and resumes on another engine, passes plain idempotent calls through, and answers discovery; the steward watches the lists. Ruled out: a dyn stream in the attempt, since the request path stays generic.

--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -4,11 +4,7 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
-use carobvane_proto::{
-    engine::ChunkPosition,
-    headers,
-    openai::TokenUsage,
-};
+use carobvane_proto::{engine::ChunkPosition, headers, openai::TokenUsage};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -37,8 +33,7 @@
 }
 
 /// A chunk of an engine's answer.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineChunk {
     /// Where the chunk stands in the stream.
     #[serde(default, skip_serializing)]
@@ -55,8 +50,7 @@
 }
 
 /// A choice of a chunk.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ChunkChoice {
     /// Text of a completion.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -73,8 +67,7 @@
 }
 
 /// A part of a chat message.
-#[derive(Debug, Clone, PartialEq, Default)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct ChatDelta {
     /// Text.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -166,38 +159,38 @@
     EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
     AttemptError,
 > {
-        let sending = client
-            .post(&request.url)
-            .insert_header(("content-type", "application/json"))
-            .insert_header((headers::REQUEST_ID, request.request.as_str()))
-            .insert_header((headers::ATTEMPT_ID, request.attempt.as_str()))
-            .insert_header((headers::WEIGHTS_VERSION, request.weights.to_string()))
-            .timeout(SILENCE_TIMEOUT)
-            .send_body(request.body.clone());
-        let mut response = sending.await.map_err(send_error)?;
-        if response.status() != StatusCode::OK {
-            let status = response.status().as_u16();
-            let body = response.body().limit(MAX_ERROR_BYTES).await.unwrap_or_default();
-            let message = String::from_utf8_lossy(&body).into_owned();
-            return Err(if response.status().is_client_error() || status == 503 {
-                AttemptError::Rejected { status, message }
-            } else {
-                AttemptError::Broken(format!("status {status}"))
-            });
-        }
-        let incarnation = response
-            .headers()
-            .get(headers::INCARNATION)
-            .and_then(|value| value.to_str().ok()?.parse().ok());
-        let events = response.eventsource().map(|event| match event {
-            Ok(event) if event.data == "[DONE]" => Ok(AttemptEvent::Done),
-            Ok(event) => serde_json::from_str(&event.data)
-                .map(AttemptEvent::Chunk)
-                .map_err(|error| AttemptError::Garbage(error.to_string())),
-            Err(error) => Err(AttemptError::Broken(error.to_string())),
+    let sending = client
+        .post(&request.url)
+        .insert_header(("content-type", "application/json"))
+        .insert_header((headers::REQUEST_ID, request.request.as_str()))
+        .insert_header((headers::ATTEMPT_ID, request.attempt.as_str()))
+        .insert_header((headers::WEIGHTS_VERSION, request.weights.to_string()))
+        .timeout(SILENCE_TIMEOUT)
+        .send_body(request.body.clone());
+    let mut response = sending.await.map_err(send_error)?;
+    if response.status() != StatusCode::OK {
+        let status = response.status().as_u16();
+        let body = response.body().limit(MAX_ERROR_BYTES).await.unwrap_or_default();
+        let message = String::from_utf8_lossy(&body).into_owned();
+        return Err(if response.status().is_client_error() || status == 503 {
+            AttemptError::Rejected { status, message }
+        } else {
+            AttemptError::Broken(format!("status {status}"))
         });
-        Ok(EngineStream { incarnation, events: Box::pin(events) })
     }
+    let incarnation = response
+        .headers()
+        .get(headers::INCARNATION)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let events = response.eventsource().map(|event| match event {
+        Ok(event) if event.data == "[DONE]" => Ok(AttemptEvent::Done),
+        Ok(event) => serde_json::from_str(&event.data)
+            .map(AttemptEvent::Chunk)
+            .map_err(|error| AttemptError::Garbage(error.to_string())),
+        Err(error) => Err(AttemptError::Broken(error.to_string())),
+    });
+    Ok(EngineStream { incarnation, events: Box::pin(events) })
+}
 
 impl<S> EngineStream<S>
 where
--- /dev/null
+++ b/crates/host/src/entry/completions.rs
@@ -0,0 +1,216 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::{sync::Arc, time::Duration};
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::{Bytes, BytesMut};
+use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
+use futures::{StreamExt, stream::unfold};
+use serde_json::{Map, Value};
+
+use super::{
+    active::{ActiveLists, CallerWorkspace},
+    error::{CallerError, ErrorCode},
+    relay::{RelayRequest, relay},
+    shared::EntryShared,
+    sink::{BodySink, StreamSink},
+};
+
+/// Longest pause between two parts of a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Adds the endpoints.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/completions", web::post().to(text_completion))
+        .route("/v1/chat/completions", web::post().to(chat_completion));
+}
+
+async fn text_completion(
+    request: HttpRequest,
+    body: web::Payload,
+    shared: web::Data<EntryShared>,
+    client: web::Data<awc::Client>,
+) -> HttpResponse {
+    respond("/v1/completions", request, body, shared.into_inner(), &client).await
+}
+
+async fn chat_completion(
+    request: HttpRequest,
+    body: web::Payload,
+    shared: web::Data<EntryShared>,
+    client: web::Data<awc::Client>,
+) -> HttpResponse {
+    respond("/v1/chat/completions", request, body, shared.into_inner(), &client).await
+}
+
+async fn respond(
+    path: &'static str,
+    request: HttpRequest,
+    body: web::Payload,
+    shared: Arc<EntryShared>,
+    client: &awc::Client,
+) -> HttpResponse {
+    let id = shared.request_id(&request);
+    let mut response = match complete(path, &id, request, body, shared, client).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::info!(request = id, code = error.code.as_str(), outcome = error.outcome.as_str();
+                "request refused");
+            actix_web::ResponseError::error_response(&error)
+        }
+    };
+    if let Ok(value) = id.parse() {
+        let name = actix_web::http::header::HeaderName::from_static(headers::REQUEST_ID);
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+async fn complete(
+    path: &'static str,
+    id: &str,
+    request: HttpRequest,
+    body: web::Payload,
+    shared: Arc<EntryShared>,
+    client: &awc::Client,
+) -> Result<HttpResponse, CallerError> {
+    let (lists, workspace) = shared.admit(&request)?;
+    let body = read_body(body, shared.settings.max_body_bytes).await?;
+    let fields: Map<String, Value> = parse_body(&body)?;
+    let completion: CompletionRequest = parse_body(&body)?;
+    check_model(&lists, &workspace, &completion.model)?;
+    let is_chat = path == "/v1/chat/completions";
+    let include_usage = completion.stream_options.is_some_and(|options| options.include_usage);
+    let relayed = relay_request(path, id, &shared, lists, workspace, &completion, fields)?;
+    if completion.stream {
+        let (sink, head) = StreamSink::new(include_usage);
+        actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
+        let receiver = head.await.map_err(|_| relay_ended())??;
+        let stream = unfold(receiver, |mut receiver| async move {
+            receiver.recv().await.map(|data| (Ok::<Bytes, actix_web::Error>(data), receiver))
+        });
+        return Ok(HttpResponse::Ok()
+            .content_type("text/event-stream")
+            .insert_header(("cache-control", "no-cache"))
+            .streaming(stream));
+    }
+    let (sink, answer) = BodySink::new(is_chat);
+    actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
+    Ok(HttpResponse::Ok().json(answer.await.map_err(|_| relay_ended())??))
+}
+
+fn relay_ended() -> CallerError {
+    CallerError::unknown(ErrorCode::BackendFailed, "the request ended without an answer")
+}
+
+fn relay_request(
+    path: &'static str,
+    id: &str,
+    shared: &EntryShared,
+    lists: Arc<ActiveLists>,
+    workspace: CallerWorkspace,
+    completion: &CompletionRequest,
+    mut body: Map<String, Value>,
+) -> Result<RelayRequest, CallerError> {
+    let weights = lists.weights(&completion.model);
+    let salt = format!("{}/{weights}", workspace.name);
+    let prompt = prompt_text(completion)?;
+    let piece_hashes = chain_hashes(&salt, prompt.as_bytes(), shared.settings.piece_bytes);
+    body.insert("stream".to_string(), true.into());
+    body.insert("stream_options".to_string(), serde_json::json!({ "include_usage": true }));
+    Ok(RelayRequest {
+        id: id.to_string(),
+        workspace: workspace.name,
+        model: completion.model.clone(),
+        path,
+        body,
+        extension: EngineExtension { cache_salt: salt, piece_hashes, ..Default::default() },
+        weights,
+        lists,
+    })
+}
+
+fn chain_hashes(salt: &str, prompt: &[u8], piece_bytes: usize) -> Vec<u64> {
+    let mut parent = *blake3::hash(salt.as_bytes()).as_bytes();
+    let mut hashes = Vec::with_capacity(prompt.len() / piece_bytes);
+    for piece in prompt.chunks_exact(piece_bytes) {
+        let mut hasher = blake3::Hasher::new_keyed(&parent);
+        hasher.update(piece);
+        parent = *hasher.finalize().as_bytes();
+        let mut short = [0; 8];
+        short.copy_from_slice(&parent[..8]);
+        hashes.push(u64::from_le_bytes(short));
+    }
+    hashes
+}
+
+/// The text whose pieces engines cache.
+fn prompt_text(completion: &CompletionRequest) -> Result<String, CallerError> {
+    if let Some(prompt) = &completion.prompt {
+        return Ok(prompt.clone());
+    }
+    let messages = completion.messages.as_ref().ok_or_else(|| {
+        CallerError::not_run(ErrorCode::InvalidBody, "prompt or messages is required")
+            .with_param("messages")
+    })?;
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(&message.role);
+        text.push('\n');
+        match &message.content {
+            Value::String(content) => text.push_str(content),
+            other => text.push_str(&other.to_string()),
+        }
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+fn check_model(
+    lists: &ActiveLists,
+    workspace: &CallerWorkspace,
+    model: &str,
+) -> Result<(), CallerError> {
+    let granted = lists.grant(workspace).is_some_and(|grant| grant.models.contains(model));
+    if granted && !lists.engines(model).is_empty() {
+        return Ok(());
+    }
+    // One answer for both cases, so that a workspace cannot find out which models others use.
+    let message = format!("model {model:?} does not exist or the plan may not use it");
+    Err(CallerError::not_run(ErrorCode::ModelNotFound, message).with_param("model"))
+}
+
+fn parse_body<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CallerError> {
+    serde_json::from_slice(body).map_err(|error| {
+        CallerError::not_run(ErrorCode::InvalidBody, format!("failed to read the body: {error}"))
+    })
+}
+
+/// Reads a request body up to `limit` bytes.
+///
+/// # Errors
+///
+/// The body is too large, broken, or stalls.
+pub async fn read_body(mut body: web::Payload, limit: usize) -> Result<Bytes, CallerError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let part = match tokio::time::timeout(BODY_TIMEOUT, body.next()).await {
+            Ok(Some(Ok(part))) => part,
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(error))) => {
+                let message = format!("failed to read the body: {error}");
+                return Err(CallerError::not_run(ErrorCode::InvalidBody, message));
+            }
+            Err(_) => {
+                let message = format!("no part of the body came for {BODY_TIMEOUT:?}");
+                return Err(CallerError::not_run(ErrorCode::BodyTimeout, message));
+            }
+        };
+        if bytes.len() + part.len() > limit {
+            let message = format!("the body is larger than {limit} bytes");
+            return Err(CallerError::not_run(ErrorCode::BodyTooLarge, message));
+        }
+        bytes.extend_from_slice(&part);
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry/mod.rs
@@ -0,0 +1,152 @@
+//! The entry: serves callers, routes completions to engines and calls to plain services.
+
+mod active;
+mod admin;
+mod attempt;
+mod completions;
+mod discovery;
+mod error;
+mod host;
+mod relay;
+mod servers;
+mod services;
+mod shared;
+mod sink;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use carobvane_core::ids::NodeLife;
+use carobvane_proto::peer::PeerRole;
+use eyre::{Result, WrapErr};
+
+pub use error::{CallerError, ErrorCode};
+use shared::EntryShared;
+
+use crate::{
+    clock,
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    node::{ListSource, NodeActor},
+    peer::PeerLinks,
+    settings::EntrySettings,
+};
+
+/// Longest time to read the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for open connections after a drain.
+const SHUTDOWN_SECONDS: u64 = 30;
+
+/// A running entry.
+pub struct EntryHandle {
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for operators and metrics.
+    pub admin: SocketAddr,
+    /// Address for other carobvane processes.
+    pub peer: SocketAddr,
+    shared: Arc<EntryShared>,
+    callers: ServerHandle,
+    operators: ServerHandle,
+}
+
+impl EntryHandle {
+    /// Whether lists are in force here.
+    pub fn is_ready(&self) -> bool {
+        self.shared.lists().is_some()
+    }
+
+    /// Leaves gracefully: out of discovery, then redirects, then ends when nothing is in progress.
+    pub async fn drain(&self) {
+        self.shared.begin_drain();
+        tokio::time::sleep(shared::DISCOVERY_LIFETIME).await;
+        self.shared.refuse_new();
+        while self.shared.in_progress() > 0 {
+            tokio::time::sleep(shared::DRAIN_POLL).await;
+        }
+        self.callers.stop(true).await;
+        self.operators.stop(true).await;
+    }
+
+    /// Ends at once, without finishing requests.
+    pub async fn stop(&self) {
+        self.callers.stop(false).await;
+        self.operators.stop(false).await;
+    }
+}
+
+/// Starts an entry on the current actix arbiter.
+///
+/// # Errors
+///
+/// An address cannot be bound, or TLS between processes cannot be configured.
+pub fn start(settings: EntrySettings) -> Result<EntryHandle> {
+    let incarnation = clock::new_incarnation();
+    let own = NodeLife { node: settings.node, incarnation };
+    let listener = bind(settings.listen)?;
+    let address = listener.local_addr()?;
+    let admin_listener = bind(settings.admin)?;
+    let admin = admin_listener.local_addr()?;
+    let (peer, sender, inputs) =
+        PeerLinks::start(own, PeerRole::Entry, settings.peer, &settings.join, &settings.fleet_key)?;
+    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.keyvalue.as_str()));
+    let shared = Arc::new(EntryShared::new(settings, own, sender.clone()));
+    let source = ListSource::new(keyvalue);
+    let host = host::EntryHost::new(Arc::clone(&shared));
+    NodeActor::launch(host, source, sender, inputs, false, incarnation.0);
+    let callers = serve_callers(&shared, listener)?;
+    let operators = serve_operators(&shared, admin_listener)?;
+    log::info!(
+        node = own.node.0, incarnation = incarnation.0, address:% = address, admin:% = admin,
+        peer:% = peer; "entry started"
+    );
+    Ok(EntryHandle { address, admin, peer, shared, callers, operators })
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| format!("failed to bind {address}"))
+}
+
+fn serve_callers(shared: &Arc<EntryShared>, listener: TcpListener) -> Result<ServerHandle> {
+    let workers = shared.settings.workers;
+    let data = web::Data::from(Arc::clone(shared));
+    let server = HttpServer::new(move || {
+        let client = awc::Client::builder()
+            .connector(awc::Connector::new().timeout(attempt::CONNECT_TIMEOUT).limit(0))
+            .disable_timeout()
+            .finish();
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::Data::new(client))
+            .configure(completions::configure)
+            .configure(services::configure)
+            .configure(discovery::configure)
+    })
+    .workers(workers)
+    .client_request_timeout(HEAD_TIMEOUT)
+    .shutdown_timeout(SHUTDOWN_SECONDS)
+    .disable_signals()
+    .listen(listener)
+    .wrap_err("failed to listen for callers")?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+fn serve_operators(shared: &Arc<EntryShared>, listener: TcpListener) -> Result<ServerHandle> {
+    let data = web::Data::from(Arc::clone(shared));
+    let server =
+        HttpServer::new(move || App::new().app_data(data.clone()).configure(admin::configure))
+            .workers(1)
+            .disable_signals()
+            .listen(listener)
+            .wrap_err("failed to listen for operators")?
+            .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
--- a/crates/host/src/node/actor.rs
+++ b/crates/host/src/node/actor.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, StreamHandler, WrapFuture};
+use actix::{
+    Actor, ActorContext, AsyncContext, Context, Handler, Message, StreamHandler, WrapFuture,
+};
 use carobvane_core::{
     clock::ClockTime,
-    lists::{ListSnapshot, ListSpread, ListVersion, ServiceReport, SpreadEffect},
     ids::NodeLife,
+    lists::{ListSnapshot, ListSpread, ListVersion, ServiceReport, SpreadEffect},
 };
 use carobvane_proto::peer::{PeerMessage, PeerRole};
 use futures::stream::unfold;
@@ -24,6 +26,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of version summaries to peers.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// A watch without a change for this long is opened again, in case its connection is dead.
+const WATCH_IDLE: Duration = Duration::from_secs(60);
 /// Pause before a broken watch is opened again.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
@@ -179,7 +183,7 @@
 }
 
 async fn watch_changes<H: NodeHost>(source: &ListSource, address: &actix::Addr<NodeActor<H>>) {
-    let mut stream = match source.client().watch_prefix(CHANGE_PREFIX, 0).await {
+    let mut stream = match source.client().watch_prefix(CHANGE_PREFIX, 0, WATCH_IDLE).await {
         Ok(stream) => stream,
         Err(error) => {
             log::warn!(error:% = error; "failed to watch the lists");
@@ -202,7 +206,7 @@
 fn changes_of(batch: &WatchBatch) -> Vec<ServiceReport> {
     let values = batch.changes.iter().filter_map(|change| match change {
         KeyChange::Put(value) => Some(value),
-        KeyChange::Delete { .. } => None,
+        KeyChange::Deleted(_) => None,
     });
     values
         .filter_map(|value| match parse(value) {
--- a/crates/host/src/node/source.rs
+++ b/crates/host/src/node/source.rs
@@ -70,7 +70,10 @@
         if held.number > 0 && behind < SNAPSHOT_INTERVAL {
             let deltas = self.read_deltas(held.number, head.number).await?;
             if deltas.first().is_some_and(|delta| delta.from.digest == held.digest) {
-                return Ok(deltas.into_iter().map(|d| ServiceReport::Change(Box::new(d))).collect());
+                return Ok(deltas
+                    .into_iter()
+                    .map(|d| ServiceReport::Change(Box::new(d)))
+                    .collect());
             }
         }
         let snapshot = self.read_snapshot(head).await?;
@@ -84,7 +87,7 @@
             .range(&change_key(after + 1), end.as_bytes(), 0)
             .await
             .wrap_err("failed to read the changes")?;
-        values.iter().map(parse).collect()
+        values.0.iter().map(parse).collect()
     }
 
     /// Builds the document of `version` from the latest snapshot and the deltas after it.
@@ -120,7 +123,7 @@
             .range(SNAPSHOT_PREFIX, end.as_bytes(), 0)
             .await
             .wrap_err("failed to read the snapshots")?;
-        values.into_iter().next_back().ok_or_else(|| eyre!("no snapshot up to version {number}"))
+        values.0.into_iter().next_back().ok_or_else(|| eyre!("no snapshot up to version {number}"))
     }
 
     /// Writes `snapshot` as the head if the head's revision is still `revision`. Returns whether
@@ -138,7 +141,8 @@
         let transaction = transaction
             .put(&snapshot_key(snapshot.version.number), &serde_json::to_vec(snapshot)?)
             .put(HEAD_KEY, &serde_json::to_vec(&snapshot.version)?);
-        let result = self.client.txn(transaction).await.wrap_err("failed to write the lists back")?;
+        let result =
+            self.client.txn(transaction).await.wrap_err("failed to write the lists back")?;
         Ok(result.succeeded)
     }
 
--- a/crates/host/src/settings/entry.rs
+++ b/crates/host/src/settings/entry.rs
@@ -40,8 +40,6 @@
         optional --fleet-key key: String
         /// URL of the key-value service, such as http://127.0.0.1:2379. Required.
         optional --keyvalue url: String
-        /// URL that callers use to reach this entry. Default: http://<listen>.
-        optional --advertise url: String
         /// Largest request body, in bytes. Default: 8388608.
         optional --max-body-bytes bytes: String
         /// Size of a prompt piece, in bytes of text. Default: 8000.
@@ -76,8 +74,6 @@
     pub fleet_key: FleetKey,
     /// Key-value service.
     pub keyvalue: Url,
-    /// URL for callers; absent means that it follows from the bound address.
-    pub advertise: Option<Url>,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
     /// Size of a prompt piece, in bytes.
@@ -120,7 +116,6 @@
         let join = reader.list("join", flags.join);
         let fleet_key = reader.required("fleet-key", flags.fleet_key);
         let keyvalue = reader.required("keyvalue", flags.keyvalue);
-        let advertise = reader.optional("advertise", flags.advertise);
         let max_body_bytes =
             reader.or_default("max-body-bytes", flags.max_body_bytes, DEFAULT_BODY_BYTES);
         let piece_bytes = reader.or_default("piece-bytes", flags.piece_bytes, DEFAULT_PIECE_BYTES);
@@ -156,7 +151,6 @@
             join,
             fleet_key,
             keyvalue,
-            advertise,
             max_body_bytes,
             piece_bytes,
             piece_tokens,
