Add the prefix index and the router

Cause: entries need a backend server for each request, by what is cached where. Ruled out: plain rendezvous hashing over all servers, because its cost grows with the fleet; open addressing with tombstones, because a full table would have to be rebuilt.

--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -94,6 +94,12 @@
         slot.value.as_mut().filter(|_| slot.generation == key.generation())
     }
 
+    /// The key of the value in a slot, if the slot has one.
+    pub fn key_at(&self, index: u32) -> Option<K> {
+        let slot = self.slots.get(index as usize)?;
+        slot.value.as_ref().map(|_| K::new(index, slot.generation))
+    }
+
     /// Removes and returns the value of `key`.
     pub fn remove(&mut self, key: K) -> Option<V> {
         let slot = self.slots.get_mut(key.index() as usize)?;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -35,3 +35,28 @@
     /// Its life.
     pub incarnation: IncarnationId,
 }
+
+define_key!(
+    /// A model in the local table.
+    ModelKey
+);
+
+/// A version of a model's weights; a later version has a higher number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct WeightsVersion(pub u64);
+
+/// The network address of a backend server, as a number that all entries derive alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AddressId(pub u64);
+
+impl AddressId {
+    /// Derives the number from the address text, such as `127.0.0.1:8000`.
+    pub fn of(address: &str) -> AddressId {
+        let digest = blake3::hash(address.as_bytes());
+        let mut first = [0; 8];
+        first.copy_from_slice(&digest.as_bytes()[..8]);
+        AddressId(u64::from_le_bytes(first))
+    }
+}
--- /dev/null
+++ b/crates/core/src/prefix/scratch.rs
@@ -0,0 +1,79 @@
+//! Working memory of a prefix lookup, reused between lookups.
+
+/// How much of a prefix one server holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PrefixHolder {
+    /// The server's index in the table.
+    pub server: u16,
+    /// Leading pieces that the server holds without a hole.
+    pub pieces: u16,
+    /// Those of `pieces` whose records are uncertain.
+    pub uncertain: u16,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct HolderMark {
+    stamp: u32,
+    position: u32,
+}
+
+/// Working memory of [`BlockIndex::lookup`](super::BlockIndex::lookup).
+#[derive(Debug, Clone, Default)]
+pub struct HolderScratch {
+    /// By server index: where the server is in `holders`. A mark of an earlier lookup has an
+    /// older stamp, so nothing is cleared between lookups.
+    marks: Vec<HolderMark>,
+    stamp: u32,
+    holders: Vec<PrefixHolder>,
+}
+
+impl HolderScratch {
+    /// Creates memory for `servers` servers.
+    pub fn new(servers: usize) -> HolderScratch {
+        let mut scratch = HolderScratch::default();
+        scratch.reserve(servers);
+        scratch
+    }
+
+    /// Makes room for `servers` servers.
+    pub fn reserve(&mut self, servers: usize) {
+        if self.marks.len() < servers {
+            self.marks.resize(servers, HolderMark::default());
+        }
+        self.holders.reserve(super::MAX_HOLDERS);
+    }
+
+    /// The servers found by the last lookup, in no particular order.
+    pub fn holders(&self) -> &[PrefixHolder] {
+        &self.holders
+    }
+
+    pub(super) fn begin(&mut self) {
+        self.holders.clear();
+        self.stamp = self.stamp.wrapping_add(1);
+        if self.stamp == 0 {
+            self.marks.fill(HolderMark::default());
+            self.stamp = 1;
+        }
+    }
+
+    /// Notes that `server` holds piece number `piece`. Returns whether that extends its prefix.
+    pub(super) fn extend(&mut self, server: u16, piece: usize, uncertain: bool) -> bool {
+        let Some(mark) = self.marks.get_mut(server as usize) else { return false };
+        if mark.stamp == self.stamp {
+            let holder = &mut self.holders[mark.position as usize];
+            if holder.pieces as usize != piece {
+                return false;
+            }
+            holder.pieces += 1;
+            holder.uncertain += u16::from(uncertain);
+            return true;
+        }
+        if piece != 0 {
+            return false;
+        }
+        *mark = HolderMark { stamp: self.stamp, position: self.holders.len() as u32 };
+        self.holders.push(PrefixHolder { server, pieces: 1, uncertain: u16::from(uncertain) });
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/baselines.rs
@@ -0,0 +1,202 @@
+//! Simple policies, for comparison in replays.
+
+use rand::Rng;
+
+use super::{
+    CandidateList, CandidateSource, RouteDecision, RouteReason, RouteRefusal, RouteRequest,
+    RouterState, RoutingPolicy, ring::MAX_HOMES,
+};
+use crate::{clock::ClockTime, ids::ServerKey};
+
+/// Each server in turn.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+/// The server with the fewest requests.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastLoaded;
+
+/// The server with the fewest requests, less a bonus for the part of the prompt that it holds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastLoadedPrefix {
+    settings: PrefixBonus,
+}
+
+/// Weight of a prefix hit.
+#[derive(Debug, Clone, Copy)]
+pub struct PrefixBonus {
+    /// Requests that a hit of the whole prompt weighs as much as.
+    pub requests: f32,
+}
+
+impl Default for PrefixBonus {
+    fn default() -> PrefixBonus {
+        PrefixBonus { requests: 4.0 }
+    }
+}
+
+/// Consistent hashing of the prompt's first pieces, with bounded loads.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PrefixHashing {
+    settings: HashedPrefix,
+}
+
+/// How much of a prompt is hashed, and the load bound.
+#[derive(Debug, Clone, Copy)]
+pub struct HashedPrefix {
+    /// Leading pieces that are hashed.
+    pub pieces: usize,
+    /// A server is skipped when it has this many times the mean load, plus one request.
+    pub load_bound: f32,
+}
+
+impl Default for HashedPrefix {
+    fn default() -> HashedPrefix {
+        HashedPrefix { pieces: 4, load_bound: 1.25 }
+    }
+}
+
+impl RoutingPolicy for RoundRobin {
+    type Settings = ();
+
+    fn new((): ()) -> RoundRobin {
+        RoundRobin::default()
+    }
+
+    fn choose<R: Rng>(
+        &mut self,
+        state: &mut RouterState,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        _rng: &mut R,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        self.next = self.next.wrapping_add(1);
+        let start = self.next;
+        choose_lowest(state, now, request, |_, _, place, count| {
+            ((place + count - start % count) % count) as f32
+        })
+    }
+}
+
+impl RoutingPolicy for LeastLoaded {
+    type Settings = ();
+
+    fn new((): ()) -> LeastLoaded {
+        LeastLoaded
+    }
+
+    fn choose<R: Rng>(
+        &mut self,
+        state: &mut RouterState,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        rng: &mut R,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        choose_lowest(state, now, request, |state, server, _, _| {
+            load_of(state, now, server) + rng.random::<f32>() * TIE_BREAK
+        })
+    }
+}
+
+impl RoutingPolicy for LeastLoadedPrefix {
+    type Settings = PrefixBonus;
+
+    fn new(settings: PrefixBonus) -> LeastLoadedPrefix {
+        LeastLoadedPrefix { settings }
+    }
+
+    fn choose<R: Rng>(
+        &mut self,
+        state: &mut RouterState,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        rng: &mut R,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        let pieces = request.chain.len().max(1) as f32;
+        let bonus = self.settings.requests;
+        choose_lowest(state, now, request, |state, server, _, _| {
+            let share = f32::from(state.hit_of(server).pieces) / pieces;
+            load_of(state, now, server) - bonus * share + rng.random::<f32>() * TIE_BREAK
+        })
+    }
+}
+
+impl RoutingPolicy for PrefixHashing {
+    type Settings = HashedPrefix;
+
+    fn new(settings: HashedPrefix) -> PrefixHashing {
+        PrefixHashing { settings }
+    }
+
+    fn choose<R: Rng>(
+        &mut self,
+        state: &mut RouterState,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        rng: &mut R,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        state.lookup(now, request);
+        let pieces = request.chain.pieces();
+        let key = match pieces.get(self.settings.pieces.min(pieces.len()).wrapping_sub(1)) {
+            Some(piece) => piece.as_raw(),
+            None => rng.random(),
+        };
+        let bound = self.settings.load_bound * (state.table.mean_in_flight() + 1.0);
+        let ring = state.table.ring(request.model).ok_or(RouteRefusal::NoServer)?;
+        let homes = ring.homes(key, MAX_HOMES, |server| {
+            state.serves(request, server) && state.has_slot(now, request, server)
+        });
+        let within = |server: &&ServerKey| {
+            let load = state.table.get(**server).map_or(0, |record| record.in_flight.total());
+            load as f32 + 1.0 <= bound
+        };
+        let chosen = homes.iter().find(within).or(homes.first()).copied();
+        finish(state, now, request, chosen)
+    }
+}
+
+/// Breaks ties between servers with the same number of requests.
+const TIE_BREAK: f32 = 0.5;
+
+fn load_of(state: &RouterState, now: ClockTime, server: ServerKey) -> f32 {
+    state.table.get(server).map_or(0.0, |record| record.load_at(now).requests)
+}
+
+/// Scans all servers of the model for the lowest score.
+fn choose_lowest(
+    state: &mut RouterState,
+    now: ClockTime,
+    request: &RouteRequest<'_>,
+    mut score: impl FnMut(&RouterState, ServerKey, usize, usize) -> f32,
+) -> Result<RouteDecision, RouteRefusal> {
+    state.lookup(now, request);
+    let ring = state.table.ring(request.model).ok_or(RouteRefusal::NoServer)?;
+    let mut best: Option<(f32, ServerKey)> = None;
+    for place in 0..ring.len() {
+        let Some(server) = ring.at(place) else { continue };
+        if !state.serves(request, server) || !state.has_slot(now, request, server) {
+            continue;
+        }
+        let value = score(state, server, place, ring.len());
+        if best.is_none_or(|(lowest, _)| value < lowest) {
+            best = Some((value, server));
+        }
+    }
+    finish(state, now, request, best.map(|(_, server)| server))
+}
+
+fn finish(
+    state: &RouterState,
+    now: ClockTime,
+    request: &RouteRequest<'_>,
+    chosen: Option<ServerKey>,
+) -> Result<RouteDecision, RouteRefusal> {
+    let chosen = chosen
+        .and_then(|server| state.evaluate(now, request, server, CandidateSource::Random, &[]))
+        .ok_or_else(|| state.refusal(request, true))?;
+    let mut candidates = CandidateList::default();
+    candidates.push(chosen);
+    state.decide_for(&chosen, RouteReason::Baseline, candidates)
+}
--- /dev/null
+++ b/crates/core/src/routing/hedge.rs
@@ -0,0 +1,74 @@
+//! One budget for all extra attempts.
+
+use std::time::Duration;
+
+use super::CostParts;
+use crate::clock::ClockTime;
+
+/// Seconds over which the budget is counted, one bucket each.
+const BUDGET_SECONDS: usize = 10;
+/// Extra attempts allowed for each request.
+const EXTRA_SHARE: f32 = 0.05;
+/// Extra attempts always allowed in the window, so that a quiet entry can still retry.
+const EXTRA_FLOOR: u32 = 3;
+/// A hedge starts when the first token takes this many times the expected time.
+const HEDGE_FACTOR: f32 = 2.5;
+/// Shortest time in ms before a hedge starts.
+const HEDGE_MIN_MS: f32 = 50.0;
+
+/// The shared budget of retries, hedges and resumes: 5 % of the requests of the last 10 s.
+#[derive(Debug, Clone, Default)]
+pub struct HedgeBudget {
+    buckets: [BudgetBucket; BUDGET_SECONDS],
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct BudgetBucket {
+    second: u64,
+    requests: u32,
+    extra: u32,
+}
+
+impl HedgeBudget {
+    /// Creates an unused budget.
+    pub fn new() -> HedgeBudget {
+        HedgeBudget::default()
+    }
+
+    /// Counts a request, not its extra attempts.
+    pub fn request_started(&mut self, now: ClockTime) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one extra attempt from the budget. Returns false, and takes nothing, when the budget
+    /// is used up.
+    pub fn try_extra(&mut self, now: ClockTime) -> bool {
+        let second = now.as_micros() / 1_000_000;
+        let recent =
+            self.buckets.iter().filter(|bucket| bucket.second + BUDGET_SECONDS as u64 > second);
+        let (requests, extra) = recent.fold((0, 0), |(requests, extra), bucket| {
+            (requests + bucket.requests, extra + bucket.extra)
+        });
+        let allowed = EXTRA_FLOOR.max((requests as f32 * EXTRA_SHARE) as u32);
+        if extra >= allowed {
+            return false;
+        }
+        self.bucket(now).extra += 1;
+        true
+    }
+
+    fn bucket(&mut self, now: ClockTime) -> &mut BudgetBucket {
+        let second = now.as_micros() / 1_000_000;
+        let bucket = &mut self.buckets[(second % BUDGET_SECONDS as u64) as usize];
+        if bucket.second != second {
+            *bucket = BudgetBucket { second, ..BudgetBucket::default() };
+        }
+        bucket
+    }
+}
+
+/// How long to wait for the first token before hedging a request with this expected cost.
+pub fn hedge_delay(cost: &CostParts) -> Duration {
+    let delay_ms = (cost.first_token() * HEDGE_FACTOR).max(HEDGE_MIN_MS);
+    Duration::from_secs_f32(delay_ms / 1_000.0)
+}
--- /dev/null
+++ b/crates/core/src/routing/ring.rs
@@ -0,0 +1,78 @@
+//! Homes of a prefix at any fleet size.
+//!
+//! Plain rendezvous hashing scores every server. Here the servers stand on a ring in the order of
+//! their addresses' hashes, a key selects a window of successors, and rendezvous hashing orders the
+//! window. A server that joins or leaves moves only the keys whose window contains it.
+
+use smallvec::SmallVec;
+
+use crate::{
+    ids::{AddressId, ServerKey},
+    prefix::mix,
+};
+
+/// Successors that rendezvous hashing orders. Up to this many servers the window is the whole
+/// fleet, so the method is plain rendezvous hashing there.
+pub(super) const WINDOW_SERVERS: usize = 24;
+/// Homes returned at most.
+pub(super) const MAX_HOMES: usize = 6;
+
+/// Servers in the order of their addresses' hashes.
+#[derive(Debug, Clone, Default)]
+pub struct ServerRing {
+    /// Invariant: sorted by position, each server once.
+    places: Vec<(u64, ServerKey)>,
+}
+
+impl ServerRing {
+    /// Number of servers.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether there is no server.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// The server at a place, counted around the ring.
+    pub fn at(&self, place: usize) -> Option<ServerKey> {
+        self.places.get(place % self.places.len().max(1)).map(|&(_, server)| server)
+    }
+
+    pub(super) fn insert(&mut self, address: AddressId, server: ServerKey) {
+        let place = (mix(address.0), server);
+        if let Err(index) = self.places.binary_search(&place) {
+            self.places.insert(index, place);
+        }
+    }
+
+    pub(super) fn remove(&mut self, address: AddressId, server: ServerKey) {
+        if let Ok(index) = self.places.binary_search(&(mix(address.0), server)) {
+            self.places.remove(index);
+        }
+    }
+
+    /// The first `width` servers for `key`, best first, among those that `admits` accepts.
+    pub fn homes(
+        &self,
+        key: u64,
+        width: usize,
+        mut admits: impl FnMut(ServerKey) -> bool,
+    ) -> SmallVec<[ServerKey; MAX_HOMES]> {
+        let mut best: SmallVec<[(u64, ServerKey); MAX_HOMES + 1]> = SmallVec::new();
+        let width = width.min(MAX_HOMES);
+        let point = mix(key);
+        let start = self.places.partition_point(|&(position, _)| position < point);
+        for step in 0..self.places.len().min(WINDOW_SERVERS) {
+            let (position, server) = self.places[(start + step) % self.places.len()];
+            let score = mix(position ^ point);
+            let rank = best.partition_point(|&(other, _)| other >= score);
+            if rank < width && admits(server) {
+                best.insert(rank, (score, server));
+                best.truncate(width);
+            }
+        }
+        best.into_iter().map(|(_, server)| server).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,340 @@
+//! The router: typed inputs, and decisions by a policy.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{
+    CostPolicy, ReportedLoad, RequestClass, RouteDecision, RouteRefusal, RouteRequest,
+    RouterSettings, RouterState, RoutingPolicy, ServerSeen, ServerTable,
+    state::{STORE_INDEX, server_number},
+    table::TableChange,
+};
+use crate::{
+    arena::KeyArena,
+    clock::ClockTime,
+    define_key,
+    ids::{IncarnationId, ServerKey},
+    prefix::{BlockSource, FeedVerdict, PieceHash},
+};
+
+define_key!(
+    /// A request that was sent to a server.
+    DispatchKey
+);
+
+/// A change of a server's cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheUpdate<'a> {
+    /// Pieces entered the cache.
+    Stored(&'a [PieceHash]),
+    /// Pieces left the cache.
+    Removed(&'a [PieceHash]),
+    /// The whole cache was dropped.
+    Cleared,
+}
+
+/// Why an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureKind {
+    /// The server refused the request before it ran.
+    Refused,
+    /// The connection broke or the server died.
+    Broken,
+    /// The entry gave the attempt up, for example because a hedge won.
+    Cancelled,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Dispatch {
+    server: ServerKey,
+    incarnation: IncarnationId,
+    class: RequestClass,
+    at: ClockTime,
+    /// Expected time to the first token in ms.
+    expected_ms: f32,
+    /// Prefill tokens still counted as waiting; zero after the first token.
+    waiting_tokens: u32,
+    alone: bool,
+}
+
+/// Chooses servers, and learns from what happens to the requests.
+#[derive(Debug, Clone)]
+pub struct PrefixRouter<P: RoutingPolicy = CostPolicy> {
+    state: RouterState,
+    policy: P,
+    /// Requests that are in flight.
+    dispatches: KeyArena<DispatchKey, Dispatch>,
+}
+
+impl<P: RoutingPolicy> PrefixRouter<P> {
+    /// Creates a router without servers.
+    pub fn new(settings: RouterSettings, policy: P::Settings) -> PrefixRouter<P> {
+        PrefixRouter {
+            state: RouterState::new(settings),
+            policy: P::new(policy),
+            dispatches: KeyArena::new(),
+        }
+    }
+
+    /// The servers.
+    pub fn table(&self) -> &ServerTable {
+        &self.state.table
+    }
+
+    /// What the router knows.
+    pub fn state(&self) -> &RouterState {
+        &self.state
+    }
+
+    /// Chooses a server. The caller then sends the request and calls
+    /// [`PrefixRouter::dispatched`].
+    pub fn decide<R: Rng>(
+        &mut self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        rng: &mut R,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        self.policy.choose(&mut self.state, now, request, rng)
+    }
+
+    /// Notes that a request was sent. Its pieces count as held by the server until an event
+    /// corrects that. The caller ends the dispatch by [`PrefixRouter::finished`] or
+    /// [`PrefixRouter::failed`].
+    pub fn dispatched(
+        &mut self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        decision: &RouteDecision,
+    ) -> DispatchKey {
+        let server = decision.server;
+        let expected_ms = decision.cost.first_token();
+        let held = decision.hit_pieces + decision.transfer_pieces;
+        let missing =
+            self.state.cost.missing_tokens(request.prompt_tokens, held, decision.uncertain_pieces)
+                as u32;
+        let dispatch = Dispatch {
+            server,
+            incarnation: decision.incarnation,
+            class: request.class,
+            at: now,
+            expected_ms,
+            waiting_tokens: missing,
+            alone: request.alone,
+        };
+        let current = self.record_of(&dispatch);
+        if current {
+            let state = &mut self.state;
+            if let Some(record) = state.table.get_mut(server) {
+                record.straggler.dispatched(now, record.in_flight.total(), expected_ms);
+                record.waiting_tokens += u64::from(missing);
+                record.exclusive |= request.alone;
+            }
+            state.table.count_in(server, request.class);
+            if let Some(number) = server_number(server) {
+                for &piece in request.chain.pieces() {
+                    state.index.insert(now, number, piece, BlockSource::Decision);
+                }
+            }
+        }
+        self.dispatches.insert(dispatch)
+    }
+
+    /// Notes the first token of an attempt.
+    pub fn first_token(&mut self, now: ClockTime, key: DispatchKey) {
+        let Some(dispatch) = self.dispatches.get_mut(key) else { return };
+        let waiting = std::mem::take(&mut dispatch.waiting_tokens);
+        let dispatch = *dispatch;
+        if !self.record_of(&dispatch) {
+            return;
+        }
+        let Some(record) = self.state.table.get_mut(dispatch.server) else { return };
+        record.waiting_tokens = record.waiting_tokens.saturating_sub(u64::from(waiting));
+        let observed_ms = millis(now.since(dispatch.at));
+        let expected_ms = dispatch.expected_ms;
+        self.state.detector.first_token(now, &mut record.straggler, observed_ms, expected_ms);
+    }
+
+    /// Notes the mean gap between tokens since the last report of this attempt.
+    pub fn token_gap(&mut self, now: ClockTime, key: DispatchKey, gap: Duration) {
+        let Some(dispatch) = self.dispatches.get(key).copied() else { return };
+        if !self.record_of(&dispatch) {
+            return;
+        }
+        if let Some(record) = self.state.table.get_mut(dispatch.server) {
+            self.state.detector.token_gap(now, &mut record.straggler, millis(gap));
+        }
+    }
+
+    /// Notes that an attempt is complete.
+    pub fn finished(&mut self, now: ClockTime, key: DispatchKey) {
+        if let Some(dispatch) = self.end(now, key) {
+            self.state.cost.observe_service(millis(now.since(dispatch.at)));
+        }
+    }
+
+    /// Notes that an attempt failed or was given up.
+    pub fn failed(&mut self, now: ClockTime, key: DispatchKey, kind: FailureKind) {
+        let Some(dispatch) = self.end(now, key) else { return };
+        if kind == FailureKind::Cancelled && dispatch.waiting_tokens > 0 {
+            // A loser without a first token took at least this long, which is an observation too.
+            let observed_ms = millis(now.since(dispatch.at));
+            if observed_ms > dispatch.expected_ms
+                && self.record_of(&dispatch)
+                && let Some(record) = self.state.table.get_mut(dispatch.server)
+            {
+                let straggler = &mut record.straggler;
+                self.state.detector.first_token(now, straggler, observed_ms, dispatch.expected_ms);
+            }
+        }
+    }
+
+    /// Applies an event of a server's cache.
+    pub fn cache_event(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        incarnation: IncarnationId,
+        sequence: u64,
+        update: CacheUpdate<'_>,
+    ) -> FeedVerdict {
+        let verdict = match self.state.table.get_mut(server) {
+            Some(record) if incarnation > record.incarnation => {
+                self.new_life(server, incarnation);
+                self.accept(server, incarnation, sequence);
+                FeedVerdict::ApplyInNewLife
+            }
+            Some(record) => record.feed.accept(incarnation, sequence),
+            None => FeedVerdict::OldIncarnation,
+        };
+        let Some(number) = server_number(server) else { return verdict };
+        match verdict {
+            FeedVerdict::Duplicate | FeedVerdict::OldIncarnation => return verdict,
+            FeedVerdict::ApplyAfterGap { .. } => self.state.index.mark_uncertain(number),
+            FeedVerdict::Apply | FeedVerdict::ApplyInNewLife => {}
+        }
+        self.apply(now, number, update);
+        verdict
+    }
+
+    /// Notes that events of a server were lost, for example because its stream broke.
+    pub fn event_gap(&mut self, server: ServerKey) {
+        if let Some(number) =
+            server_number(server).filter(|_| self.state.table.get(server).is_some())
+        {
+            self.state.index.mark_uncertain(number);
+        }
+    }
+
+    /// Applies a change of the KV cache store's content.
+    pub fn store_event(&mut self, now: ClockTime, update: CacheUpdate<'_>) {
+        self.apply(now, STORE_INDEX, update);
+    }
+
+    /// Takes a load report. Reports of an earlier life are ignored.
+    pub fn load_report(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        incarnation: IncarnationId,
+        load: ReportedLoad,
+    ) {
+        if let Some(record) = self.state.table.get_mut(server)
+            && record.incarnation == incarnation
+        {
+            record.report(now, load);
+        }
+    }
+
+    /// Takes a sighting of a server: new, known, with other weights or in a new life. Returns
+    /// nothing for an earlier life, and when the table is full.
+    pub fn server_seen(&mut self, seen: &ServerSeen<'_>) -> Option<ServerKey> {
+        match self.state.table.seen(seen) {
+            TableChange::Ignored => None,
+            TableChange::Known(server) => Some(server),
+            TableChange::NewLife(server) => {
+                self.forget_cache(server);
+                Some(server)
+            }
+        }
+    }
+
+    /// Takes the life that a response of a server carries.
+    pub fn incarnation_seen(&mut self, server: ServerKey, incarnation: IncarnationId) {
+        self.new_life(server, incarnation);
+    }
+
+    /// Stops new work for a server that is to be shut down, or allows it again.
+    pub fn server_leaving(&mut self, server: ServerKey, leaving: bool) {
+        if let Some(record) = self.state.table.get_mut(server) {
+            record.leaving = leaving;
+        }
+    }
+
+    /// Removes a server. Its attempts in flight still end by [`PrefixRouter::failed`].
+    pub fn server_dead(&mut self, server: ServerKey) {
+        if self.state.table.remove(server) {
+            self.forget_cache(server);
+        }
+    }
+
+    fn accept(&mut self, server: ServerKey, incarnation: IncarnationId, sequence: u64) {
+        if let Some(record) = self.state.table.get_mut(server) {
+            record.feed.accept(incarnation, sequence);
+        }
+    }
+
+    fn new_life(&mut self, server: ServerKey, incarnation: IncarnationId) {
+        if self.state.table.advance(server, incarnation) {
+            self.forget_cache(server);
+        }
+    }
+
+    fn forget_cache(&mut self, server: ServerKey) {
+        if let Some(number) = server_number(server) {
+            self.state.index.invalidate(number);
+            self.state.scratch.reserve(usize::from(number) + 1);
+        }
+    }
+
+    fn apply(&mut self, now: ClockTime, number: u16, update: CacheUpdate<'_>) {
+        let index = &mut self.state.index;
+        match update {
+            CacheUpdate::Stored(pieces) => {
+                for &piece in pieces {
+                    index.insert(now, number, piece, BlockSource::Event);
+                }
+            }
+            CacheUpdate::Removed(pieces) => {
+                for &piece in pieces {
+                    index.remove(number, piece);
+                }
+            }
+            CacheUpdate::Cleared => index.invalidate(number),
+        }
+    }
+
+    /// Whether the server of a dispatch is still in the life that it was sent to.
+    fn record_of(&self, dispatch: &Dispatch) -> bool {
+        let record = self.state.table.get(dispatch.server);
+        record.is_some_and(|record| record.incarnation == dispatch.incarnation)
+    }
+
+    fn end(&mut self, now: ClockTime, key: DispatchKey) -> Option<Dispatch> {
+        let dispatch = self.dispatches.remove(key)?;
+        if self.record_of(&dispatch) {
+            self.state.table.count_out(dispatch.server, dispatch.class);
+            if let Some(record) = self.state.table.get_mut(dispatch.server) {
+                let waiting = u64::from(dispatch.waiting_tokens);
+                record.waiting_tokens = record.waiting_tokens.saturating_sub(waiting);
+                record.exclusive &= !dispatch.alone;
+                record.straggler.progressed(now);
+            }
+        }
+        Some(dispatch)
+    }
+}
+
+fn millis(duration: Duration) -> f32 {
+    duration.as_secs_f32() * 1_000.0
+}
--- /dev/null
+++ b/crates/core/src/routing/state.rs
@@ -0,0 +1,210 @@
+//! What the entry knows when it decides, shared by all policies.
+
+use std::time::Duration;
+
+use super::{
+    CandidateCost, CandidateList, CandidateSource, CostModel, CostSettings, HeatTracker,
+    RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest, ServerTable,
+    StragglerDetector,
+    cost::{CostDemand, PrefixHit},
+};
+use crate::{
+    admission::SlotLimits,
+    clock::ClockTime,
+    ids::ServerKey,
+    prefix::{BlockIndex, HolderScratch, record_index},
+};
+
+/// Index number of the KV cache store. Servers follow it, so a server's number is its table index
+/// plus one.
+pub(super) const STORE_INDEX: u16 = 0;
+
+/// Settings of a router.
+#[derive(Debug, Clone, Copy)]
+pub struct RouterSettings {
+    /// Speeds for the cost model.
+    pub cost: CostSettings,
+    /// Shares of a server's slots.
+    pub limits: SlotLimits,
+    /// Records in the block index.
+    pub block_capacity: usize,
+    /// Entries that share the servers. A prefix's rate over the fleet is the entry's own rate
+    /// times this number.
+    pub entries: u32,
+    /// Whether a KV cache store exists.
+    pub store: bool,
+}
+
+impl Default for RouterSettings {
+    fn default() -> RouterSettings {
+        RouterSettings {
+            cost: CostSettings::default(),
+            limits: SlotLimits::default(),
+            block_capacity: 2_600_000,
+            entries: 9,
+            store: true,
+        }
+    }
+}
+
+/// What the entry knows when it decides.
+#[derive(Debug, Clone)]
+pub struct RouterState {
+    /// The settings.
+    pub settings: RouterSettings,
+    /// The servers.
+    pub table: ServerTable,
+    /// Which server holds which piece.
+    pub index: BlockIndex,
+    /// Expected times.
+    pub cost: CostModel,
+    /// How often prefixes are requested.
+    pub heat: HeatTracker,
+    /// The fleet's typical speed.
+    pub detector: StragglerDetector,
+    /// Result of the last index lookup.
+    pub(super) scratch: HolderScratch,
+}
+
+impl RouterState {
+    /// Creates a state without servers.
+    pub fn new(settings: RouterSettings) -> RouterState {
+        RouterState {
+            settings,
+            table: ServerTable::default(),
+            index: BlockIndex::with_capacity(settings.block_capacity),
+            cost: CostModel::new(settings.cost),
+            heat: HeatTracker::default(),
+            detector: StragglerDetector::default(),
+            scratch: HolderScratch::new(1),
+        }
+    }
+
+    /// Looks up the chain. [`RouterState::evaluate`] then uses the result.
+    pub(super) fn lookup(&mut self, now: ClockTime, request: &RouteRequest<'_>) {
+        self.index.lookup(now, request.chain.pieces(), &mut self.scratch);
+    }
+
+    /// The prefix that a server is believed to hold, by the last lookup.
+    pub(super) fn hit_of(&self, server: ServerKey) -> PrefixHit {
+        let mut hit = PrefixHit::default();
+        let number = server_number(server);
+        for holder in self.scratch.holders() {
+            if Some(holder.server) == number {
+                hit.pieces = holder.pieces;
+                hit.uncertain = holder.uncertain;
+            } else if holder.server == STORE_INDEX {
+                hit.stored = holder.pieces;
+            }
+        }
+        hit
+    }
+
+    /// Whether a server may answer the request at all, apart from its load.
+    pub(super) fn serves(&self, request: &RouteRequest<'_>, server: ServerKey) -> bool {
+        let Some(record) = self.table.get(server) else { return false };
+        !record.leaving
+            && record.weights_of(request.model) == Some(request.weights)
+            && !request.excluded.contains(&server)
+    }
+
+    /// Whether a server has a slot for the request now.
+    pub(super) fn has_slot(
+        &self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        server: ServerKey,
+    ) -> bool {
+        let Some(record) = self.table.get(server) else { return false };
+        if record.exclusive || (request.alone && record.in_flight.total() > 0) {
+            return false;
+        }
+        if record.straggler.is_straggler()
+            && (record.in_flight.total() > 0 || !record.straggler.probe_due(now))
+        {
+            return false;
+        }
+        let total = record.load_at(now).requests;
+        self.settings.limits.admits(request.class, record.in_flight, total, record.slots)
+    }
+
+    /// The costs of one server; absent if it cannot answer the request at all.
+    pub(super) fn evaluate(
+        &self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        server: ServerKey,
+        source: CandidateSource,
+        homes: &[ServerKey],
+    ) -> Option<CandidateCost> {
+        if !self.serves(request, server) {
+            return None;
+        }
+        let record = self.table.get(server)?;
+        let home_rank = homes.iter().position(|&home| home == server).unwrap_or(homes.len());
+        let mut hit = self.hit_of(server);
+        hit.home = home_rank < homes.len();
+        let demand = CostDemand {
+            now,
+            model: request.model,
+            weights: request.weights,
+            prompt_tokens: request.prompt_tokens,
+        };
+        let (cost, transfer_pieces) = self.cost.cost(&demand, record, hit, &self.detector);
+        Some(CandidateCost {
+            server,
+            source,
+            eligible: self.has_slot(now, request, server),
+            home_rank: home_rank as u8,
+            hit_pieces: hit.pieces,
+            uncertain_pieces: hit.uncertain,
+            transfer_pieces,
+            cost,
+        })
+    }
+
+    /// Turns a chosen candidate into a decision.
+    pub(super) fn decide_for(
+        &self,
+        chosen: &CandidateCost,
+        reason: RouteReason,
+        candidates: CandidateList,
+    ) -> Result<RouteDecision, RouteRefusal> {
+        let record = self.table.get(chosen.server).ok_or(RouteRefusal::NoServer)?;
+        Ok(RouteDecision {
+            server: chosen.server,
+            incarnation: record.incarnation,
+            reason,
+            hit_pieces: chosen.hit_pieces,
+            uncertain_pieces: chosen.uncertain_pieces,
+            transfer_pieces: chosen.transfer_pieces,
+            cost: chosen.cost,
+            candidates,
+        })
+    }
+
+    /// The refusal when no candidate may be chosen.
+    pub(super) fn refusal(&self, request: &RouteRequest<'_>, any: bool) -> RouteRefusal {
+        match self.table.ring(request.model) {
+            None => RouteRefusal::NoServer,
+            Some(ring) if ring.is_empty() => RouteRefusal::NoServer,
+            Some(_) if !any => RouteRefusal::NoneEligible,
+            Some(_) => RouteRefusal::Saturated { retry_after: self.slot_wait(request.class) },
+        }
+    }
+
+    /// Expected time until some slot is free.
+    fn slot_wait(&self, class: RequestClass) -> Duration {
+        let servers = self.table.len().max(1) as f32;
+        let share = match class {
+            RequestClass::Short => 1.0,
+            RequestClass::Long => self.settings.limits.long_cap.max(0.1),
+        };
+        Duration::from_secs_f32(self.cost.service_ms() / servers / share / 1_000.0)
+    }
+}
+
+/// The number of a server in index records.
+pub(super) fn server_number(server: ServerKey) -> Option<u16> {
+    record_index(server)?.checked_add(1)
+}
--- /dev/null
+++ b/crates/core/src/routing/straggler.rs
@@ -0,0 +1,165 @@
+//! Finds slow servers from the entry's own observations.
+//!
+//! Load reports show a straggler late, so they are not used. Each observation is compared with the
+//! fleet's typical one, which removes a general error of the cost model.
+
+use std::time::Duration;
+
+use crate::clock::ClockTime;
+
+/// Weight of the newest observation of a server.
+const SERVER_WEIGHT: f32 = 0.3;
+/// Weight of the newest observation in the fleet's typical value.
+const FLEET_WEIGHT: f32 = 0.02;
+/// A single observation moves the estimates by at most this factor, as a natural logarithm.
+const MAX_LOG: f32 = 3.0;
+/// Slowdown from which a server is a straggler.
+const STRAGGLER_FACTOR: f32 = 2.0;
+/// Slowdown below which a probe counts as good; lower than the limit above, against flapping.
+const RECOVERED_FACTOR: f32 = 1.4;
+/// Observations before a server can be a straggler.
+const MIN_OBSERVATIONS: u32 = 3;
+/// Good probes in a row after which a straggler is normal again.
+const GOOD_PROBES: u8 = 3;
+/// Time between probes of a straggler.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence is suspicious from this multiple of the longest expected first token.
+const SILENCE_FACTOR: f32 = 2.0;
+/// Silence in ms that is never suspicious.
+const SILENCE_MIN_MS: f32 = 200.0;
+/// Largest slowdown that a cost is multiplied with.
+const MAX_SLOWDOWN: f32 = 20.0;
+/// Predicted times in ms below which the ratio of observation to prediction is mostly noise.
+const MIN_PREDICTION_MS: f32 = 5.0;
+
+/// What is known about the speed of one server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StragglerState {
+    /// Natural logarithm of observed by predicted time to first token.
+    first_token: f32,
+    /// Natural logarithm of the inter-token gap in ms.
+    gap: Option<f32>,
+    observations: u32,
+    /// Present while the server is a straggler: when the next probe is due.
+    next_probe: Option<ClockTime>,
+    good_probes: u8,
+    /// Last sign of progress while a request was in flight.
+    progress: ClockTime,
+    /// Longest expected first token in ms since the server was last idle.
+    expected_ms: f32,
+}
+
+impl StragglerState {
+    /// Whether the server is a straggler.
+    pub fn is_straggler(&self) -> bool {
+        self.next_probe.is_some()
+    }
+
+    /// Whether a straggler is due for a probe.
+    pub fn probe_due(&self, now: ClockTime) -> bool {
+        self.next_probe.is_some_and(|due| due <= now)
+    }
+
+    pub(super) fn dispatched(&mut self, now: ClockTime, in_flight: u32, expected_ms: f32) {
+        if in_flight == 0 {
+            self.progress = now;
+            self.expected_ms = 0.0;
+        }
+        self.expected_ms = self.expected_ms.max(expected_ms);
+        if let Some(due) = &mut self.next_probe {
+            *due = now + PROBE_INTERVAL;
+        }
+    }
+
+    pub(super) fn progressed(&mut self, now: ClockTime) {
+        self.progress = now;
+    }
+
+    fn silence_factor(&self, now: ClockTime, in_flight: u32) -> f32 {
+        if in_flight == 0 {
+            return 1.0;
+        }
+        let silent_ms = now.since(self.progress).as_secs_f32() * 1_000.0;
+        silent_ms / (self.expected_ms * SILENCE_FACTOR).max(SILENCE_MIN_MS)
+    }
+}
+
+/// The fleet's typical speed, and the rules that use it.
+#[derive(Debug, Clone, Default)]
+pub struct StragglerDetector {
+    first_token: f32,
+    gap: Option<f32>,
+}
+
+impl StragglerDetector {
+    /// How many times slower than its peers a server is; at least 1.
+    pub fn slowdown(&self, now: ClockTime, state: &StragglerState, in_flight: u32) -> f32 {
+        let mut factor = self.observed_factor(state);
+        // A probe is judged as if the server were normal, or no probe would ever be sent.
+        if state.probe_due(now) && in_flight == 0 {
+            factor = 1.0;
+        }
+        factor.max(state.silence_factor(now, in_flight)).clamp(1.0, MAX_SLOWDOWN)
+    }
+
+    fn observed_factor(&self, state: &StragglerState) -> f32 {
+        if state.observations < MIN_OBSERVATIONS {
+            return 1.0;
+        }
+        let first_token = state.first_token - self.first_token;
+        let gap = match (state.gap, self.gap) {
+            (Some(server), Some(fleet)) => server - fleet,
+            _ => 0.0,
+        };
+        first_token.max(gap).exp().clamp(1.0, MAX_SLOWDOWN)
+    }
+
+    pub(super) fn first_token(
+        &mut self,
+        now: ClockTime,
+        state: &mut StragglerState,
+        observed_ms: f32,
+        predicted_ms: f32,
+    ) {
+        let ratio = (observed_ms.max(MIN_PREDICTION_MS) / predicted_ms.max(MIN_PREDICTION_MS)).ln();
+        let ratio = ratio.clamp(-MAX_LOG, MAX_LOG);
+        state.progressed(now);
+        state.observations = state.observations.saturating_add(1);
+        state.first_token += (ratio - state.first_token) * SERVER_WEIGHT;
+        if !state.is_straggler() {
+            self.first_token += (ratio - self.first_token) * FLEET_WEIGHT;
+        }
+        let good = (ratio - self.first_token).exp() < RECOVERED_FACTOR;
+        self.judge(now, state, good);
+    }
+
+    pub(super) fn token_gap(&mut self, now: ClockTime, state: &mut StragglerState, gap_ms: f32) {
+        let value = gap_ms.max(0.1).ln();
+        state.progressed(now);
+        let fleet = self.gap.get_or_insert(value);
+        let server = state.gap.get_or_insert(*fleet);
+        *server += (value - *server).clamp(-MAX_LOG, MAX_LOG) * SERVER_WEIGHT;
+        if state.next_probe.is_none() {
+            *fleet += (value - *fleet).clamp(-MAX_LOG, MAX_LOG) * FLEET_WEIGHT;
+        }
+        if state.next_probe.is_none() {
+            self.judge(now, state, false);
+        }
+    }
+
+    fn judge(&self, now: ClockTime, state: &mut StragglerState, good: bool) {
+        if state.next_probe.is_none() {
+            if self.observed_factor(state) >= STRAGGLER_FACTOR {
+                state.next_probe = Some(now + PROBE_INTERVAL);
+                state.good_probes = 0;
+            }
+            return;
+        }
+        state.good_probes = if good { state.good_probes + 1 } else { 0 };
+        if state.good_probes >= GOOD_PROBES {
+            state.next_probe = None;
+            state.first_token = self.first_token;
+            state.gap = self.gap;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,276 @@
+//! Decisions of the prefix router.
+
+use std::time::Duration;
+
+use carobvane_core::{
+    arena::ArenaKey,
+    clock::ClockTime,
+    ids::{AddressId, IncarnationId, ModelKey, ServerKey, WeightsVersion},
+    prefix::{ChainSalt, FeedVerdict, PrefixChain},
+    routing::{
+        CacheUpdate, CostPolicy, FailureKind, LeastLoaded, LeastLoadedPrefix, PrefixHashing,
+        PrefixRouter, ReportedLoad, RequestClass, RoundRobin, RouteDecision, RouteReason,
+        RouteRefusal, RouteRequest, RouterSettings, RoutingPolicy, ServerSeen,
+    },
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const PIECE_BYTES: usize = 64;
+const PIECE_TOKENS: u32 = 2_000;
+const WEIGHTS: WeightsVersion = WeightsVersion(7);
+
+struct Fleet<P: RoutingPolicy = CostPolicy> {
+    router: PrefixRouter<P>,
+    servers: Vec<ServerKey>,
+    model: ModelKey,
+    now: ClockTime,
+    rng: SmallRng,
+}
+
+impl<P: RoutingPolicy> Fleet<P> {
+    fn new(servers: usize) -> Fleet<P> {
+        let settings = RouterSettings { block_capacity: 10_000, ..RouterSettings::default() };
+        let mut router = PrefixRouter::new(settings, P::Settings::default());
+        let model = ModelKey::new(0, 0);
+        let servers = (0..servers).map(|n| see(&mut router, model, n, 1, WEIGHTS)).collect();
+        let rng = SmallRng::seed_from_u64(1);
+        Fleet { router, servers, model, now: ClockTime::from_millis(1_000), rng }
+    }
+
+    fn decide(&mut self, chain: &PrefixChain) -> Result<RouteDecision, RouteRefusal> {
+        let request = self.request(chain, RequestClass::Short);
+        self.router.decide(self.now, &request, &mut self.rng)
+    }
+
+    fn request<'a>(&self, chain: &'a PrefixChain, class: RequestClass) -> RouteRequest<'a> {
+        RouteRequest {
+            model: self.model,
+            weights: WEIGHTS,
+            chain,
+            class,
+            prompt_tokens: chain.len() as u32 * PIECE_TOKENS + 100,
+            decode_tokens: 50,
+            excluded: &[],
+            alone: false,
+        }
+    }
+
+    fn wait(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+}
+
+fn see<P: RoutingPolicy>(
+    router: &mut PrefixRouter<P>,
+    model: ModelKey,
+    number: usize,
+    incarnation: u64,
+    weights: WeightsVersion,
+) -> ServerKey {
+    let seen = ServerSeen {
+        address: AddressId::of(&format!("127.0.0.1:{}", 8_000 + number)),
+        incarnation: IncarnationId(incarnation),
+        models: &[(model, weights)],
+        slots: 16,
+    };
+    router.server_seen(&seen).expect("the table has room and the life is not an earlier one")
+}
+
+fn chain(workspace: &str, weights: WeightsVersion, pieces: usize) -> PrefixChain {
+    let prompt: Vec<u8> = (0..pieces * PIECE_BYTES).map(|n| (n / PIECE_BYTES) as u8).collect();
+    PrefixChain::from_prompt(&ChainSalt::new(workspace, "m", weights), &prompt, PIECE_BYTES)
+}
+
+/// Guards against prefixes being recomputed on a second server while the first is idle.
+#[test]
+fn a_repeated_prefix_returns_to_its_server() {
+    let mut fleet = Fleet::<CostPolicy>::new(18);
+    let chain = chain("a", WEIGHTS, 8);
+    let first = fleet.decide(&chain).expect("servers are idle");
+    assert_eq!((first.reason, first.hit_pieces), (RouteReason::PrefixHome, 0));
+    let request = fleet.request(&chain, RequestClass::Short);
+    let key = fleet.router.dispatched(fleet.now, &request, &first);
+    fleet.wait(300);
+    fleet.router.first_token(fleet.now, key);
+    fleet.router.finished(fleet.now, key);
+    let second = fleet.decide(&chain).expect("servers are idle");
+    assert_eq!(second.server, first.server);
+    assert_eq!((second.reason, second.hit_pieces), (RouteReason::PrefixHit, 8));
+}
+
+/// Guards against hits that would use cache entries of a dead engine, another workspace, older
+/// weights, or a cache that was cleared.
+#[test]
+fn hits_end_with_life_workspace_and_weights() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Fleet, ServerKey),
+        workspace: &'static str,
+        weights: WeightsVersion,
+        hit: u16,
+    }
+    let newer = WeightsVersion(8);
+    let cases = [
+        Case { name: "same", change: |_, _| {}, workspace: "a", weights: WEIGHTS, hit: 6 },
+        Case { name: "workspace", change: |_, _| {}, workspace: "b", weights: WEIGHTS, hit: 0 },
+        Case { name: "weights", change: |_, _| {}, workspace: "a", weights: newer, hit: 0 },
+        Case {
+            name: "restart",
+            change: |fleet, _| {
+                let model = fleet.model;
+                see(&mut fleet.router, model, 0, 2, WEIGHTS);
+            },
+            workspace: "a",
+            weights: WEIGHTS,
+            hit: 0,
+        },
+        Case {
+            name: "death",
+            change: |fleet, server| {
+                let model = fleet.model;
+                fleet.router.server_dead(server);
+                see(&mut fleet.router, model, 0, 1, WEIGHTS);
+            },
+            workspace: "a",
+            weights: WEIGHTS,
+            hit: 0,
+        },
+        Case {
+            name: "cleared",
+            change: |fleet, server| {
+                let (now, life) = (fleet.now, IncarnationId(1));
+                fleet.router.cache_event(now, server, life, 2, CacheUpdate::Cleared);
+            },
+            workspace: "a",
+            weights: WEIGHTS,
+            hit: 0,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(1);
+        let server = fleet.servers[0];
+        let stored = chain("a", WEIGHTS, 6);
+        let update = CacheUpdate::Stored(stored.pieces());
+        let verdict = fleet.router.cache_event(fleet.now, server, IncarnationId(1), 1, update);
+        assert_eq!(verdict, FeedVerdict::Apply, "{}", case.name);
+        (case.change)(&mut fleet, server);
+        let chain = chain(case.workspace, case.weights, 6);
+        let decision = fleet.decide(&chain).expect("the server is idle");
+        assert_eq!(decision.hit_pieces, case.hit, "{}", case.name);
+    }
+}
+
+/// Guards against new work for servers that leave, are excluded or hold other weights, and against
+/// wrong refusals.
+#[test]
+fn refusals_name_their_cause() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&mut Fleet),
+        expected: RouteRefusal,
+    }
+    let cases = [
+        Case {
+            name: "dead",
+            prepare: |fleet| fleet.router.server_dead(fleet.servers[0]),
+            expected: RouteRefusal::NoServer,
+        },
+        Case {
+            name: "leaving",
+            prepare: |fleet| fleet.router.server_leaving(fleet.servers[0], true),
+            expected: RouteRefusal::NoneEligible,
+        },
+        Case {
+            name: "older weights",
+            prepare: |fleet| {
+                let model = fleet.model;
+                see(&mut fleet.router, model, 0, 1, WeightsVersion(6));
+            },
+            expected: RouteRefusal::NoneEligible,
+        },
+        Case {
+            name: "full",
+            prepare: |fleet| {
+                let load = ReportedLoad { running: 16, waiting: 40, waiting_tokens: 0 };
+                let server = fleet.servers[0];
+                fleet.router.load_report(fleet.now, server, IncarnationId(1), load);
+            },
+            expected: RouteRefusal::Saturated { retry_after: Duration::from_secs(1) },
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(1);
+        (case.prepare)(&mut fleet);
+        let refusal = fleet.decide(&chain("a", WEIGHTS, 3)).err();
+        assert_eq!(refusal, Some(case.expected), "{}", case.name);
+    }
+}
+
+/// Guards against a slow server that keeps its share of the traffic until its load report shows
+/// the slowness, and against one that never gets traffic again.
+#[test]
+fn a_straggler_loses_its_traffic_and_recovers_by_probes() {
+    let mut fleet = Fleet::<CostPolicy>::new(6);
+    let slow = fleet.servers[2];
+    let mut counts = [0u32; 3];
+    for round in 0..900u64 {
+        let phase = (round / 300) as usize;
+        let prompt: Vec<u8> = round.to_le_bytes().repeat(32);
+        let salt = ChainSalt::new("a", "m", WEIGHTS);
+        let chain = PrefixChain::from_prompt(&salt, &prompt, PIECE_BYTES);
+        let decision = fleet.decide(&chain).expect("five servers are fast");
+        let request = fleet.request(&chain, RequestClass::Short);
+        let key = fleet.router.dispatched(fleet.now, &request, &decision);
+        counts[phase] += u32::from(decision.server == slow);
+        let slowed = decision.server == slow && phase == 1;
+        let took = decision.cost.first_token() * if slowed { 6.0 } else { 1.0 };
+        fleet.wait(took.max(1.0) as u64);
+        fleet.router.first_token(fleet.now, key);
+        fleet.wait(20);
+        fleet.router.finished(fleet.now, key);
+    }
+    let [before, during, after] = counts;
+    assert!(during * 2 < before, "straggler got {during} of 300, normally {before}");
+    assert!(after > during, "recovered server got {after} of 300, as straggler {during}");
+}
+
+/// Guards against lost attempts holding a slot for ever, and against counting them twice.
+#[test]
+fn ended_attempts_release_their_slots() {
+    let mut fleet = Fleet::<CostPolicy>::new(1);
+    let chain = chain("a", WEIGHTS, 2);
+    let request = fleet.request(&chain, RequestClass::Long);
+    let decision = fleet.decide(&chain).expect("the server is idle");
+    let keys: Vec<_> =
+        (0..4).map(|_| fleet.router.dispatched(fleet.now, &request, &decision)).collect();
+    let server = fleet.servers[0];
+    fleet.router.finished(fleet.now, keys[0]);
+    fleet.router.finished(fleet.now, keys[0]);
+    fleet.router.failed(fleet.now, keys[1], FailureKind::Broken);
+    let long = |fleet: &Fleet| fleet.router.table().get(server).map(|r| r.in_flight.long);
+    assert_eq!(long(&fleet), Some(2));
+    fleet.router.incarnation_seen(server, IncarnationId(2));
+    assert_eq!(long(&fleet), Some(0));
+    fleet.router.finished(fleet.now, keys[2]);
+    assert_eq!(long(&fleet), Some(0));
+}
+
+/// Guards against baselines that fail or ignore a server, which would make comparisons void.
+#[test]
+fn baselines_spread_over_all_servers() {
+    fn servers_used<P: RoutingPolicy>() -> usize {
+        let mut fleet = Fleet::<P>::new(6);
+        let mut used = std::collections::HashSet::new();
+        for number in 0..200u32 {
+            let chain = chain(&format!("w{number}"), WEIGHTS, 4);
+            let decision = fleet.decide(&chain).expect("servers are idle");
+            assert_eq!(decision.reason, RouteReason::Baseline);
+            used.insert(decision.server);
+        }
+        used.len()
+    }
+    assert_eq!(servers_used::<RoundRobin>(), 6);
+    assert_eq!(servers_used::<LeastLoaded>(), 6);
+    assert_eq!(servers_used::<LeastLoadedPrefix>(), 6);
+    assert_eq!(servers_used::<PrefixHashing>(), 6);
+}
