Add work prediction and the fair queue

Cause: short requests must not wait behind long ones, and a request that cannot start in time must be refused at once. Change: answer lengths learned by workspace and kind, self-clocked fair queueing between workspaces with a latest start for each entry, slot limits by class, and refusals with a retry time. Ruled out: one queue for both classes, because a long request at its head would block short ones that have free slots. Long requests have no guaranteed share while short ones fill all slots; they are refused by their latest start.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,5 +1,15 @@
 //! Decides when a request starts: queue order, reserved slots and early refusal.
+//!
+//! A request that finds a free slot starts at once and never enters the queue. One that waits has a
+//! time by which it must start; if the estimated wait exceeds it, the request is refused at once
+//! with a retry time instead of being held until it fails.
 
 mod limits;
+mod predictor;
+mod queue;
 
-pub use self::limits::SlotLimits;
+pub use self::{
+    limits::SlotLimits,
+    predictor::{SHORT_WORK_MS, WorkFeatures, WorkPrediction, WorkPredictor, WorkSpeeds},
+    queue::{FairQueue, QueueEntry, QueueRefusal, QueueSettings, RefusalCause},
+};
