Add the key-value client and the admin message shapes

Steward, entries and the operators' program all call the key-value service and need to know after a failure whether a write can have taken effect.

The client wraps range, transaction, lease calls and watches of the JSON gateway over awc. Each call has a timeout, is counted by operation and outcome, and is held under separate read and write rates. Errors separate 'refused' and 'not sent' (no effect) from 'outcome unknown'. The admin shapes define status, decision and drain answers.

Ruled out: treating 5xx answers as refusals, because a gateway reports its own timeouts so after a commit; awc's timeout, because it also ends the body of an idle watch.

--- /dev/null
+++ b/crates/host/src/keyvalue/transaction.rs
@@ -0,0 +1,136 @@
+//! Compare-and-swap transactions.
+
+use carobvane_proto::keyvalue::{
+    Compare, PutRequest, RangeRequest, RequestOp, TxnRequest, TxnResponse, decode, encode,
+};
+
+use super::{KeyvalueError, MAX_VALUE_BYTES, client::StoredValue};
+
+/// Conditions and writes that take effect together or not at all.
+#[derive(Debug, Clone, Default)]
+pub struct Transaction {
+    request: TxnRequest,
+    largest: usize,
+}
+
+/// What a transaction did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TransactionResult {
+    /// Whether the conditions held and the writes took effect.
+    pub succeeded: bool,
+    /// The store's revision; the revision of the written keys on success.
+    pub revision: i64,
+    /// Keys read by the branch that ran, in order of the reads.
+    pub values: Vec<StoredValue>,
+}
+
+impl Transaction {
+    /// Creates a transaction without conditions and writes.
+    pub fn new() -> Transaction {
+        Transaction::default()
+    }
+
+    /// Requires that `key` does not exist.
+    pub fn require_absent(mut self, key: &str) -> Transaction {
+        self.request.compare.push(Compare {
+            result: "EQUAL".into(),
+            target: "CREATE".into(),
+            key: encode(key.as_bytes()),
+            create_revision: Some(0),
+            ..Compare::default()
+        });
+        self
+    }
+
+    /// Requires that `key` was last written at `revision`.
+    pub fn require_revision(mut self, key: &str, revision: i64) -> Transaction {
+        self.request.compare.push(Compare {
+            result: "EQUAL".into(),
+            target: "MOD".into(),
+            key: encode(key.as_bytes()),
+            mod_revision: Some(revision),
+            ..Compare::default()
+        });
+        self
+    }
+
+    /// Requires that `key` was created at `revision`; the fencing condition of a lease holder.
+    pub fn require_creation(mut self, key: &str, revision: i64) -> Transaction {
+        self.request.compare.push(Compare {
+            result: "EQUAL".into(),
+            target: "CREATE".into(),
+            key: encode(key.as_bytes()),
+            create_revision: Some(revision),
+            ..Compare::default()
+        });
+        self
+    }
+
+    /// Requires that `key` holds `value`.
+    pub fn require_value(mut self, key: &str, value: &[u8]) -> Transaction {
+        self.request.compare.push(Compare {
+            result: "EQUAL".into(),
+            target: "VALUE".into(),
+            key: encode(key.as_bytes()),
+            value: Some(encode(value)),
+            ..Compare::default()
+        });
+        self
+    }
+
+    /// Writes `value` to `key` when the conditions hold.
+    pub fn put(self, key: &str, value: &[u8]) -> Transaction {
+        self.put_with_lease(key, value, 0)
+    }
+
+    /// Writes `value` to `key` for the life of `lease` when the conditions hold.
+    pub fn put_with_lease(mut self, key: &str, value: &[u8], lease: i64) -> Transaction {
+        self.largest = self.largest.max(value.len());
+        self.request.success.push(RequestOp {
+            request_put: Some(PutRequest {
+                key: encode(key.as_bytes()),
+                value: encode(value),
+                lease,
+            }),
+            ..RequestOp::default()
+        });
+        self
+    }
+
+    /// Reads `key` when the conditions do not hold.
+    pub fn read_on_failure(mut self, key: &str) -> Transaction {
+        self.request.failure.push(RequestOp {
+            request_range: Some(RangeRequest {
+                key: encode(key.as_bytes()),
+                ..RangeRequest::default()
+            }),
+            ..RequestOp::default()
+        });
+        self
+    }
+
+    /// The gateway's request.
+    pub(super) fn into_request(self) -> Result<TxnRequest, KeyvalueError> {
+        if self.largest > MAX_VALUE_BYTES {
+            return Err(KeyvalueError::ValueTooLarge(self.largest));
+        }
+        Ok(self.request)
+    }
+}
+
+impl TransactionResult {
+    pub(super) fn from_response(response: TxnResponse) -> Result<TransactionResult, KeyvalueError> {
+        let mut values = Vec::new();
+        for range in response.responses.into_iter().filter_map(|operation| operation.response_range)
+        {
+            for stored in range.kvs {
+                values.push(StoredValue::from_wire(stored, decode)?);
+            }
+        }
+        Ok(TransactionResult {
+            succeeded: response.succeeded,
+            revision: response.header.revision,
+            values,
+        })
+    }
+}
--- /dev/null
+++ b/crates/host/src/keyvalue/watch.rs
@@ -0,0 +1,97 @@
+//! Watches: a stream of changes in order.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use carobvane_proto::keyvalue::{StreamResult, WatchEvent, WatchResponse, decode};
+use futures::{StreamExt, stream::LocalBoxStream};
+use tokio::time::timeout;
+
+use super::{KeyvalueError, client::StoredValue};
+
+/// One change of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyChange {
+    /// The key was written.
+    Put(StoredValue),
+    /// The key was deleted or its lease ended.
+    Deleted(String),
+}
+
+/// Changes of one revision, or a progress notice without changes.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WatchBatch {
+    /// The store's revision.
+    pub revision: i64,
+    /// The changes in order.
+    pub changes: Vec<KeyChange>,
+}
+
+/// An open watch. Dropping it closes the connection.
+pub struct WatchStream {
+    chunks: LocalBoxStream<'static, Result<Bytes, KeyvalueError>>,
+    buffer: BytesMut,
+    idle: Duration,
+}
+
+/// Largest line of a watch, in bytes: a value of 1 MB in base64, several in one revision.
+const MAX_LINE_BYTES: usize = 8 << 20;
+
+impl WatchStream {
+    pub(super) fn new(
+        chunks: LocalBoxStream<'static, Result<Bytes, KeyvalueError>>,
+        idle: Duration,
+    ) -> WatchStream {
+        metrics::gauge!(WATCHES_METRIC).increment(1.0);
+        WatchStream { chunks, buffer: BytesMut::new(), idle }
+    }
+
+    /// Waits for the next batch. After an error the watch is over; reopen it from the revision
+    /// after the last batch. Cancelling the wait loses nothing.
+    pub async fn next(&mut self) -> Result<WatchBatch, KeyvalueError> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                return decode_line(&line);
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                return Err(lost("watch line is too long"));
+            }
+            let chunk = timeout(self.idle, self.chunks.next())
+                .await
+                .map_err(|_| lost("watch is idle for too long"))?
+                .ok_or_else(|| lost("watch was closed"))??;
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+}
+
+impl Drop for WatchStream {
+    fn drop(&mut self) {
+        metrics::gauge!(WATCHES_METRIC).decrement(1.0);
+    }
+}
+
+/// Open watches; the service counts each as one pending call.
+pub const WATCHES_METRIC: &str = "carobvane_keyvalue_watches";
+
+fn lost(cause: &str) -> KeyvalueError {
+    KeyvalueError::OutcomeUnknown(cause.into())
+}
+
+fn decode_line(line: &[u8]) -> Result<WatchBatch, KeyvalueError> {
+    let response: StreamResult<WatchResponse> = serde_json::from_slice(line)
+        .map_err(|error| lost(&format!("failed to decode watch line: {error}")))?;
+    let changes: Result<Vec<KeyChange>, KeyvalueError> =
+        response.result.events.into_iter().map(decode_event).collect();
+    Ok(WatchBatch { revision: response.result.header.revision, changes: changes? })
+}
+
+fn decode_event(event: WatchEvent) -> Result<KeyChange, KeyvalueError> {
+    let deleted = event.r#type.as_deref() == Some("DELETE");
+    let stored = StoredValue::from_wire(event.kv, decode)?;
+    Ok(if deleted { KeyChange::Deleted(stored.key) } else { KeyChange::Put(stored) })
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Hosts of the decision library: sockets, settings, logs and metrics.
+
+pub mod keyvalue;
