Move the programs into one package

Cause: tests that start built programs need their paths, which cargo gives only to tests of the package that owns the binaries. Change: crates/programs owns every thin main and the tests across programs. Ruled out: finding binaries beside the test executable, since cargo builds them there only by accident of other targets.

--- /dev/null
+++ b/crates/programs/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the built programs, one file per command or scenario.
--- a/crates/testsuite/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
