Add simulated outside systems

Cause: the programs and the trace replay need engines, a key-value service, plain services, a weight store and a VM list to talk to.

Change: carobvane-standin starts each of them in the caller's actix system on a port of the system's choice, with faults settable through a handle or POST /faults. The engine models continuous batching with chunked prefill, a bounded LRU prefix cache, numbered cache events with delay and loss, lagging load reports, fencing and weights loads.

Ruled out: a header middleware with a fixed incarnation, because an answer that spanned a crash carried the earlier incarnation with a body of the next life; such answers are now dropped.

Not done: VERSION compares, because the message type has no field for them.

--- /dev/null
+++ b/crates/standin/src/bin/carobvane-standin.rs
@@ -0,0 +1,143 @@
+//! Starts simulated outside systems and prints one JSON line for each listening address.
+
+use std::net::SocketAddr;
+
+use carobvane_standin::{engine, keyvalue, service, store, vmlist};
+use eyre::WrapErr;
+use log4rs::{
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Config, Root},
+    encode::json::JsonEncoder,
+};
+
+mod flags {
+    xflags::xflags! {
+        /// Starts simulated outside systems on 127.0.0.1.
+        cmd carobvane-standin {
+            /// Number of model engines.
+            optional --engines count: usize
+            /// Starts a key-value service.
+            optional --keyvalue
+            /// Number of plain services.
+            optional --services count: usize
+            /// Starts a weight store.
+            optional --weight-store
+            /// Starts a VM list.
+            optional --vm-list
+            /// First port; without it the system chooses ports.
+            optional --ports-from port: u16
+            /// Simulated milliseconds that pass in one real millisecond.
+            optional --time-scale factor: f64
+            /// Tokens of one prompt piece.
+            optional --piece-tokens tokens: u32
+            /// Pieces that an engine's prefix cache holds.
+            optional --cache-pieces pieces: usize
+            /// Name of the model that the engines hold.
+            optional --model name: String
+            /// Weights version that the engines hold.
+            optional --weights-version version: u64
+            /// Largest batch of an engine.
+            optional --slots slots: usize
+            /// Share of cache events that engines lose.
+            optional --event-loss share: f64
+            /// Engines that ignore fencing numbers, counted from the last.
+            optional --ignore-fencing count: usize
+            /// Seed of random losses.
+            optional --seed seed: u64
+        }
+    }
+}
+
+/// Gives consecutive ports, or port 0 for the system's choice.
+struct PortRange(Option<u16>);
+
+impl PortRange {
+    fn next(&mut self) -> SocketAddr {
+        let port = self.0.unwrap_or(0);
+        self.0 = self.0.map(|port| port + 1);
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+}
+
+fn announce(kind: &str, index: usize, addr: SocketAddr) {
+    println!("{}", serde_json::json!({"kind": kind, "index": index, "addr": addr.to_string()}));
+}
+
+fn engine_settings(flags: &flags::CarobvaneStandin) -> engine::EngineSettings {
+    let mut settings = engine::EngineSettings::default();
+    settings.time_scale = flags.time_scale.unwrap_or(settings.time_scale);
+    settings.piece_tokens = flags.piece_tokens.unwrap_or(settings.piece_tokens);
+    settings.cache_pieces = flags.cache_pieces.unwrap_or(settings.cache_pieces);
+    settings.slots = flags.slots.unwrap_or(settings.slots);
+    settings.event_loss = flags.event_loss.unwrap_or(settings.event_loss);
+    if let Some(model) = &flags.model {
+        settings.models[0].model = model.clone();
+    }
+    settings.models[0].version = flags.weights_version.unwrap_or(settings.models[0].version);
+    settings
+}
+
+async fn start_all(flags: flags::CarobvaneStandin) -> eyre::Result<()> {
+    let mut ports = PortRange(flags.ports_from);
+    let mut engine_settings = engine_settings(&flags);
+    if flags.weight_store {
+        let settings = store::WeightStoreSettings {
+            addr: ports.next(),
+            ..store::WeightStoreSettings::default()
+        };
+        let weights = store::start(settings).await.wrap_err("failed to start weight store")?;
+        engine_settings.weight_store = Some(weights.addr());
+        announce("weight_store", 0, weights.addr());
+    }
+    let engines = flags.engines.unwrap_or(0);
+    for index in 0..engines {
+        let settings = engine::EngineSettings {
+            addr: ports.next(),
+            seed: flags.seed.unwrap_or(1) + index as u64,
+            check_fencing: index + flags.ignore_fencing.unwrap_or(0) < engines,
+            ..engine_settings.clone()
+        };
+        let engine = engine::start(settings).await.wrap_err("failed to start engine")?;
+        announce("engine", index, engine.addr());
+    }
+    if flags.keyvalue {
+        let settings = keyvalue::KeyValueSettings {
+            addr: ports.next(),
+            ..keyvalue::KeyValueSettings::default()
+        };
+        let keyvalue =
+            keyvalue::start(settings).await.wrap_err("failed to start key-value service")?;
+        announce("keyvalue", 0, keyvalue.addr());
+    }
+    for index in 0..flags.services.unwrap_or(0) {
+        let settings =
+            service::ServiceSettings { addr: ports.next(), ..service::ServiceSettings::default() };
+        let service = service::start(settings).await.wrap_err("failed to start service")?;
+        announce("service", index, service.addr());
+    }
+    if flags.vm_list {
+        let settings =
+            vmlist::VmListSettings { addr: ports.next(), ..vmlist::VmListSettings::default() };
+        let list = vmlist::start(settings).await.wrap_err("failed to start VM list")?;
+        announce("vm_list", 0, list.addr());
+    }
+    tokio::signal::ctrl_c().await.wrap_err("failed to wait for a signal")
+}
+
+fn start_logging() -> eyre::Result<()> {
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(JsonEncoder::new()))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(console)))
+        .build(Root::builder().appender("stderr").build(log::LevelFilter::Info))?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
+
+fn main() -> eyre::Result<()> {
+    let flags = flags::CarobvaneStandin::from_env_or_exit();
+    start_logging()?;
+    actix_web::rt::System::new().block_on(start_all(flags))
+}
--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,136 @@
+//! Deterministic answers and their SSE chunks.
+//!
+//! A token depends on the model, the weights version, the prompt and its position only, so that an
+//! answer resumed on another engine continues with identical text.
+
+use actix_web::web::Bytes;
+use carobvane_proto::{engine::ChunkPosition, openai::TokenUsage};
+use serde_json::{Value, json};
+
+use crate::util::{hash_parts, mix};
+
+/// Which endpoint's shape the answer has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerShape {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// What one answer says and how its chunks are named.
+#[derive(Debug, Clone)]
+pub struct AnswerText {
+    /// The endpoint's shape.
+    pub shape: AnswerShape,
+    /// The attempt in each chunk.
+    pub attempt: String,
+    /// The model in each chunk.
+    pub model: String,
+    /// Seed of the tokens.
+    pub seed: u64,
+}
+
+/// Seed of an answer's tokens.
+pub fn answer_seed(model: &str, version: u64, prompt: &str) -> u64 {
+    hash_parts(&[model.as_bytes(), &version.to_le_bytes(), prompt.as_bytes()])
+}
+
+/// Text of the token at `index` of the answer with `seed`.
+pub fn token_text(seed: u64, index: u32) -> String {
+    format!("{:05x} ", mix(seed ^ mix(u64::from(index))) & 0xf_ffff)
+}
+
+/// Text of the tokens in `from..to`.
+pub fn answer_text(seed: u64, from: u32, to: u32) -> String {
+    (from..to).map(|index| token_text(seed, index)).collect()
+}
+
+impl AnswerText {
+    /// A chunk with the tokens in `from..to`.
+    pub fn tokens(&self, from: u32, to: u32, hit_pieces: Option<u32>) -> Bytes {
+        let text = answer_text(self.seed, from, to);
+        let position = ChunkPosition {
+            attempt: self.attempt.clone(),
+            offset: from,
+            tokens: to - from,
+            hit_pieces,
+        };
+        frame(&self.chunk(json!([self.choice(&text, None)]), &position, None))
+    }
+
+    /// The chunks after the last token: the finish reason, the usage and `[DONE]`.
+    pub fn ending(&self, offset: u32, prompt_tokens: u32, hit_pieces: Option<u32>) -> Vec<Bytes> {
+        let position =
+            ChunkPosition { attempt: self.attempt.clone(), offset, tokens: 0, hit_pieces };
+        let usage = usage(prompt_tokens, offset);
+        vec![
+            frame(&self.chunk(json!([self.choice("", Some("length"))]), &position, None)),
+            frame(&self.chunk(json!([]), &position, Some(usage))),
+            Bytes::from_static(b"data: [DONE]\n\n"),
+        ]
+    }
+
+    /// The whole answer as one document.
+    pub fn document(&self, tokens: u32, prompt_tokens: u32) -> Value {
+        let text = answer_text(self.seed, 0, tokens);
+        let (object, choice) = match self.shape {
+            AnswerShape::Text => {
+                ("text_completion", json!({"index": 0, "text": text, "finish_reason": "length"}))
+            }
+            AnswerShape::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "length",
+                }),
+            ),
+        };
+        json!({
+            "id": format!("cmpl-{}", self.attempt),
+            "object": object,
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage(prompt_tokens, tokens),
+        })
+    }
+
+    fn choice(&self, text: &str, finish: Option<&str>) -> Value {
+        match self.shape {
+            AnswerShape::Text => json!({"index": 0, "text": text, "finish_reason": finish}),
+            AnswerShape::Chat => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": finish})
+            }
+        }
+    }
+
+    fn chunk(&self, choices: Value, position: &ChunkPosition, usage: Option<TokenUsage>) -> Value {
+        let object = match self.shape {
+            AnswerShape::Text => "text_completion",
+            AnswerShape::Chat => "chat.completion.chunk",
+        };
+        let mut chunk = json!({
+            "id": format!("cmpl-{}", self.attempt),
+            "object": object,
+            "created": 0,
+            "model": self.model,
+            "choices": choices,
+            "position": position,
+        });
+        if let Some(usage) = usage {
+            chunk["usage"] = json!(usage);
+        }
+        chunk
+    }
+}
+
+fn usage(prompt_tokens: u32, completion_tokens: u32) -> TokenUsage {
+    TokenUsage { prompt_tokens, completion_tokens, total_tokens: prompt_tokens + completion_tokens }
+}
+
+/// Frames a JSON value as one SSE event.
+pub fn frame(value: &Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,229 @@
+//! A simulated model engine with continuous batching and a bounded prefix cache.
+
+pub mod answer;
+pub mod batch;
+pub mod cache;
+mod http;
+pub mod settings;
+pub mod state;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use actix_web::{App, middleware::from_fn, web};
+use carobvane_proto::engine::LoadReport;
+use tokio::sync::Notify;
+
+pub use self::settings::{EngineCounters, EngineFaults, EngineSettings, FaultUpdate};
+use self::{batch::StepPlan, state::EngineCore};
+use crate::util::{self, RunningServer, lock};
+
+/// How often a stalled engine looks whether the stall is over.
+const STALL_POLL: Duration = Duration::from_millis(5);
+
+/// What the HTTP handlers, the compute loop and the supervisor share.
+#[derive(Debug)]
+pub(crate) struct EngineShared {
+    core: Mutex<EngineCore>,
+    /// A job arrived or the engine stops.
+    work: Notify,
+    /// The engine crashed.
+    crash: Notify,
+    stopped: AtomicBool,
+}
+
+/// A running engine. Clones refer to the same engine.
+#[derive(Debug, Clone)]
+pub struct EngineHandle {
+    addr: SocketAddr,
+    shared: Arc<EngineShared>,
+    server: Arc<Mutex<Option<RunningServer>>>,
+}
+
+/// Starts an engine inside the caller's actix system.
+pub async fn start(settings: EngineSettings) -> io::Result<EngineHandle> {
+    let listener = util::listen(settings.addr)?;
+    let addr = listener.local_addr()?;
+    let incarnation = settings.incarnation.unwrap_or_else(clock_incarnation);
+    let shared = Arc::new(EngineShared {
+        core: Mutex::new(EngineCore::new(settings, incarnation)),
+        work: Notify::new(),
+        crash: Notify::new(),
+        stopped: AtomicBool::new(false),
+    });
+    let server = serve_life(&listener, &shared)?;
+    let handle = EngineHandle { addr, shared, server: Arc::new(Mutex::new(Some(server))) };
+    actix_rt::spawn(compute(handle.shared.clone()));
+    actix_rt::spawn(supervise(handle.clone(), listener));
+    Ok(handle)
+}
+
+/// Milliseconds since 1970: higher in each later process.
+fn clock_incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |age| age.as_millis() as u64)
+}
+
+impl EngineHandle {
+    /// The address on which it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes faults.
+    pub fn faults(&self, update: &FaultUpdate) {
+        self.shared.change_faults(update);
+    }
+
+    /// What the engine did so far.
+    pub fn counters(&self) -> EngineCounters {
+        lock(&self.shared.core).counters
+    }
+
+    /// The life of the engine.
+    pub fn incarnation(&self) -> u64 {
+        lock(&self.shared.core).state.incarnation
+    }
+
+    /// The true load, without the lag of `GET /load`.
+    pub fn true_load(&self) -> LoadReport {
+        lock(&self.shared.core).current_load()
+    }
+
+    /// Number of leading pieces in the cache, without the lag of cache events.
+    pub fn true_hit(&self, cache_salt: &str, hashes: &[u64]) -> usize {
+        let salt = util::hash_parts(&[cache_salt.as_bytes()]);
+        lock(&self.shared.core).cache.hit(salt, hashes)
+    }
+
+    /// The slow factor in force.
+    pub fn true_slow_factor(&self) -> f64 {
+        lock(&self.shared.core).faults.slow_factor
+    }
+
+    /// Stops the engine for good and breaks its connections.
+    pub async fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        self.shared.work.notify_one();
+        self.shared.crash.notify_one();
+        let server = lock(&self.server).take();
+        if let Some(server) = server {
+            server.stop().await;
+        }
+    }
+}
+
+impl EngineShared {
+    fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    fn change_faults(&self, update: &FaultUpdate) {
+        let mut core = lock(&self.core);
+        core.faults.update(update);
+        if update.crash == Some(true) && !core.down {
+            core.crash();
+            self.crash.notify_one();
+        }
+    }
+}
+
+fn serve_life(listener: &TcpListener, shared: &Arc<EngineShared>) -> io::Result<RunningServer> {
+    let data = web::Data::from(shared.clone());
+    let app = move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::PayloadConfig::new(util::MAX_BODY_BYTES))
+            .app_data(web::JsonConfig::default().limit(util::MAX_BODY_BYTES))
+            .wrap(from_fn(http::within_one_life))
+            .configure(http::routes)
+    };
+    Ok(crate::serve!(listener.try_clone()?, app))
+}
+
+/// Runs the batch until the engine stops. Steps follow each other without drift: a late wake-up
+/// shortens the next wait.
+async fn compute(shared: Arc<EngineShared>) {
+    let mut next = Instant::now();
+    while !shared.is_stopped() {
+        if lock(&shared.core).faults.stall {
+            tokio::time::sleep(STALL_POLL).await;
+            next = Instant::now();
+            continue;
+        }
+        let (plan, incarnation) = {
+            let mut core = lock(&shared.core);
+            core.sample_load();
+            (core.begin_step(), core.state.incarnation)
+        };
+        match plan {
+            StepPlan::Idle => {
+                shared.work.notified().await;
+                next = Instant::now();
+            }
+            StepPlan::Crash => {
+                lock(&shared.core).crash();
+                shared.crash.notify_one();
+                next = Instant::now();
+            }
+            StepPlan::Compute(cost) => {
+                next += lock(&shared.core).real(cost);
+                tokio::time::sleep_until(next.into()).await;
+                let mut core = lock(&shared.core);
+                if core.state.incarnation == incarnation {
+                    core.finish_step();
+                }
+            }
+        }
+    }
+}
+
+/// Carries out crashes: breaks all connections, drops new ones while down, then serves again.
+async fn supervise(handle: EngineHandle, listener: TcpListener) {
+    loop {
+        handle.shared.crash.notified().await;
+        if handle.shared.is_stopped() {
+            return;
+        }
+        let down = {
+            let core = lock(&handle.shared.core);
+            core.real(core.faults.restart_ms)
+        };
+        log::info!("engine {} crashed", handle.addr);
+        let server = lock(&handle.server).take();
+        if let Some(server) = server {
+            server.stop().await;
+        }
+        if let Err(error) = drop_connections(&listener, down).await {
+            log::error!("failed to drop connections of {}: {error}", handle.addr);
+        }
+        if handle.shared.is_stopped() {
+            return;
+        }
+        lock(&handle.shared.core).down = false;
+        match serve_life(&listener, &handle.shared) {
+            Ok(server) => *lock(&handle.server) = Some(server),
+            Err(error) => log::error!("failed to restart {}: {error}", handle.addr),
+        }
+    }
+}
+
+/// Accepts and drops connections for `down`; a crashed process would refuse them.
+async fn drop_connections(listener: &TcpListener, down: Duration) -> io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener.try_clone()?)?;
+    let accept = async {
+        loop {
+            if listener.accept().await.is_err() {
+                tokio::time::sleep(STALL_POLL).await;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(down, accept).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/engine/settings.rs
@@ -0,0 +1,201 @@
+//! Settings, faults and counters of a simulated engine.
+
+use std::net::SocketAddr;
+
+use carobvane_proto::engine::LoadedModel;
+use serde::{Deserialize, Serialize};
+
+/// How a simulated engine behaves without faults. Times are simulated milliseconds.
+#[derive(Debug, Clone)]
+pub struct EngineSettings {
+    /// Where to listen; port 0 lets the system choose.
+    pub addr: SocketAddr,
+    /// First incarnation; taken from the clock if absent, so that a later process counts higher.
+    pub incarnation: Option<u64>,
+    /// Models held at start.
+    pub models: Vec<LoadedModel>,
+    /// Versions of one model held at once; the oldest is replaced.
+    pub held_versions: usize,
+    /// Largest batch.
+    pub slots: usize,
+    /// Tokens of one prompt piece.
+    pub piece_tokens: u32,
+    /// Pieces that the prefix cache holds.
+    pub cache_pieces: usize,
+    /// Prefill cost of an uncached token; 0.04 ms makes 2,000 tokens take 80 ms.
+    pub prefill_ms_per_token: f64,
+    /// Prompt tokens computed between two decode steps.
+    pub prefill_chunk_tokens: u32,
+    /// Decode step of a batch of none.
+    pub decode_base_ms: f64,
+    /// Additional decode step time for each sequence of the batch.
+    pub decode_ms_per_sequence: f64,
+    /// Tokens in one chunk; the first chunk always has one.
+    pub chunk_tokens: u32,
+    /// Simulated milliseconds that pass in one real millisecond.
+    pub time_scale: f64,
+    /// Delay of cache events.
+    pub event_delay_ms: f64,
+    /// Share of cache events lost.
+    pub event_loss: f64,
+    /// Age of load reports.
+    pub load_lag_ms: f64,
+    /// Whether orders with a stale fencing number are rejected; otherwise the number is ignored.
+    pub check_fencing: bool,
+    /// The weight store; without it a load takes `load_ms`.
+    pub weight_store: Option<SocketAddr>,
+    /// Time of a weights load without a weight store.
+    pub load_ms: f64,
+    /// Transfer time of one token of KV cache.
+    pub transfer_ms_per_token: f64,
+    /// Seed of random losses.
+    pub seed: u64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> EngineSettings {
+        EngineSettings {
+            addr: crate::util::any_port(),
+            incarnation: None,
+            models: vec![LoadedModel { model: "carob".to_string(), version: 1, adapters: vec![] }],
+            held_versions: 1,
+            slots: 16,
+            piece_tokens: 2_000,
+            cache_pieces: 512,
+            prefill_ms_per_token: 0.04,
+            prefill_chunk_tokens: 512,
+            decode_base_ms: 8.0,
+            decode_ms_per_sequence: 0.25,
+            chunk_tokens: 1,
+            time_scale: 1.0,
+            event_delay_ms: 20.0,
+            event_loss: 0.0,
+            load_lag_ms: 200.0,
+            check_fencing: true,
+            weight_store: None,
+            load_ms: 400.0,
+            transfer_ms_per_token: 0.004,
+            seed: 1,
+        }
+    }
+}
+
+/// Faults in force.
+#[derive(Debug, Clone)]
+pub struct EngineFaults {
+    /// Factor on all compute times.
+    pub slow_factor: f64,
+    /// Share of cache events lost.
+    pub event_loss: f64,
+    /// Sends chunks that are no JSON.
+    pub garbage: bool,
+    /// Adds chunks of other attempts and repeats chunks.
+    pub mix_up: bool,
+    /// Ends streams without `[DONE]` after this many tokens.
+    pub short_stream: Option<u32>,
+    /// Computes nothing.
+    pub stall: bool,
+    /// A prompt with this text crashes the engine.
+    pub poison: Option<String>,
+    /// How long the engine stays down after a crash, in simulated milliseconds.
+    pub restart_ms: f64,
+}
+
+/// A change of faults (`POST /faults`); absent fields stay as they are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultUpdate {
+    /// Factor on all compute times.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_factor: Option<f64>,
+    /// Share of cache events lost.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub event_loss: Option<f64>,
+    /// Sends chunks that are no JSON.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub garbage: Option<bool>,
+    /// Adds chunks of other attempts and repeats chunks.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub mix_up: Option<bool>,
+    /// Ends streams without `[DONE]` after this many tokens; 0 ends the fault.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub short_stream: Option<u32>,
+    /// Computes nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stall: Option<bool>,
+    /// A prompt with this text crashes the engine; empty text ends the fault.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub poison: Option<String>,
+    /// How long the engine stays down after a crash, in simulated milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub restart_ms: Option<f64>,
+    /// Crashes now: connections drop, the cache is lost, a new incarnation follows.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub crash: Option<bool>,
+}
+
+/// Down time after a crash unless a fault says otherwise, in simulated milliseconds.
+const RESTART_MS: f64 = 500.0;
+
+impl EngineFaults {
+    /// No faults beyond those of the settings.
+    pub fn none(settings: &EngineSettings) -> EngineFaults {
+        EngineFaults {
+            slow_factor: 1.0,
+            event_loss: settings.event_loss,
+            garbage: false,
+            mix_up: false,
+            short_stream: None,
+            stall: false,
+            poison: None,
+            restart_ms: RESTART_MS,
+        }
+    }
+
+    /// Applies a change.
+    pub fn update(&mut self, update: &FaultUpdate) {
+        self.slow_factor = update.slow_factor.unwrap_or(self.slow_factor).max(0.01);
+        self.event_loss = update.event_loss.unwrap_or(self.event_loss);
+        self.garbage = update.garbage.unwrap_or(self.garbage);
+        self.mix_up = update.mix_up.unwrap_or(self.mix_up);
+        self.stall = update.stall.unwrap_or(self.stall);
+        self.restart_ms = update.restart_ms.unwrap_or(self.restart_ms);
+        if let Some(tokens) = update.short_stream {
+            self.short_stream = (tokens > 0).then_some(tokens);
+        }
+        if let Some(marker) = &update.poison {
+            self.poison = (!marker.is_empty()).then(|| marker.clone());
+        }
+    }
+}
+
+/// What an engine did since its process started, over all its lives (`GET /counters`).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounters {
+    /// Completion requests accepted.
+    pub requests: u64,
+    /// Completion requests answered to the end.
+    pub completed: u64,
+    /// Requests cancelled or abandoned by the client.
+    pub cancelled: u64,
+    /// Requests lost in a crash.
+    pub lost: u64,
+    /// Prompt tokens of requests whose prefill began.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in the cache.
+    pub hit_tokens: u64,
+    /// Prompt tokens computed.
+    pub prefill_tokens: u64,
+    /// Answer tokens computed.
+    pub decode_tokens: u64,
+    /// Cache events published.
+    pub events: u64,
+    /// Cache events lost on purpose.
+    pub events_lost: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Orders rejected for a stale fencing number.
+    pub stale_orders: u64,
+    /// Weights loads finished.
+    pub loads: u64,
+}
--- /dev/null
+++ b/crates/standin/src/keyvalue/mod.rs
@@ -0,0 +1,290 @@
+//! A simulated key-value service with the JSON gateway of etcd v3.
+
+mod http;
+pub mod store;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use actix_web::{App, web};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use self::store::KeyStore;
+use crate::util::{self, RunningServer, lock};
+
+/// How often expired leases are looked for.
+const LEASE_POLL: Duration = Duration::from_millis(20);
+
+/// How a simulated key-value service behaves.
+#[derive(Debug, Clone)]
+pub struct KeyValueSettings {
+    /// Where to listen; port 0 lets the system choose.
+    pub addr: SocketAddr,
+    /// Writes allowed in one second; more are answered with 429.
+    pub writes_per_second: u32,
+    /// Reads allowed in one second; more are answered with 429.
+    pub reads_per_second: u32,
+    /// Time of each answer in milliseconds.
+    pub answer_ms: f64,
+}
+
+impl Default for KeyValueSettings {
+    fn default() -> KeyValueSettings {
+        KeyValueSettings {
+            addr: util::any_port(),
+            writes_per_second: 400,
+            reads_per_second: 2_000,
+            answer_ms: 2.0,
+        }
+    }
+}
+
+/// How an outage shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutageKind {
+    /// Answers 503.
+    Refuse,
+    /// Answers nothing until the outage ends, then breaks the connection.
+    Silent,
+}
+
+/// A change of faults (`POST /faults`); absent fields stay as they are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeyValueFaults {
+    /// Begins an outage.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outage: Option<OutageKind>,
+    /// Ends an outage.
+    pub recover: bool,
+    /// Additional time of each answer in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_ms: Option<f64>,
+    /// The next so many writes take effect and then lose their acknowledgement.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lose_acknowledgements: Option<u32>,
+    /// Keeps a copy of the data for `restore`.
+    pub snapshot: bool,
+    /// Replaces the data by the copy; watches break.
+    pub restore: bool,
+}
+
+/// Calls by kind since the start (`GET /counters`).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyValueCounters {
+    /// Range reads, and transactions without writes.
+    pub reads: u64,
+    /// Transactions with writes.
+    pub writes: u64,
+    /// Lease grants, keep-alives and revocations.
+    pub leases: u64,
+    /// Watches opened; a pending watch is one call.
+    pub watches: u64,
+    /// Calls answered with 429.
+    pub limited: u64,
+    /// Calls refused or left unanswered in an outage.
+    pub refused: u64,
+    /// Writes whose acknowledgement was lost.
+    pub lost_acknowledgements: u64,
+    /// Most writes and lease calls in one second.
+    pub peak_writes_per_second: u64,
+    /// Most reads and watches in one second.
+    pub peak_reads_per_second: u64,
+}
+
+/// Calls in the current second of one kind.
+#[derive(Debug, Clone, Copy)]
+struct RateWindow {
+    start: Instant,
+    calls: u64,
+}
+
+impl RateWindow {
+    fn count(&mut self, now: Instant) -> u64 {
+        if now.duration_since(self.start) >= Duration::from_secs(1) {
+            *self = RateWindow { start: now, calls: 0 };
+        }
+        self.calls += 1;
+        self.calls
+    }
+}
+
+#[derive(Debug)]
+struct KeyValueCore {
+    settings: KeyValueSettings,
+    store: KeyStore,
+    snapshot: KeyStore,
+    counters: KeyValueCounters,
+    outage: Option<OutageKind>,
+    slow_ms: f64,
+    lose_acknowledgements: u32,
+    reads: RateWindow,
+    writes: RateWindow,
+}
+
+/// What wakes watches and calls that wait for the end of an outage.
+#[derive(Debug, Clone, Copy, Default)]
+struct ChangeSignal {
+    /// Changes with each write.
+    revision: i64,
+    /// Changes with each outage and restore; watches of an earlier generation break.
+    generation: u64,
+    /// Whether the service is silent.
+    silent: bool,
+}
+
+#[derive(Debug)]
+struct KeyValueShared {
+    core: Mutex<KeyValueCore>,
+    signal: watch::Sender<ChangeSignal>,
+}
+
+/// A running key-value service.
+#[derive(Debug, Clone)]
+pub struct KeyValueHandle {
+    shared: Arc<KeyValueShared>,
+    server: RunningServer,
+}
+
+/// Starts a key-value service inside the caller's actix system.
+pub async fn start(settings: KeyValueSettings) -> io::Result<KeyValueHandle> {
+    let listener = util::listen(settings.addr)?;
+    let window = RateWindow { start: Instant::now(), calls: 0 };
+    let core = KeyValueCore {
+        settings,
+        store: KeyStore::default(),
+        snapshot: KeyStore::default(),
+        counters: KeyValueCounters::default(),
+        outage: None,
+        slow_ms: 0.0,
+        lose_acknowledgements: 0,
+        reads: window,
+        writes: window,
+    };
+    let signal = watch::Sender::new(ChangeSignal::default());
+    let shared = Arc::new(KeyValueShared { core: Mutex::new(core), signal });
+    let data = web::Data::from(shared.clone());
+    let app = move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::PayloadConfig::new(util::MAX_BODY_BYTES))
+            .configure(http::routes)
+    };
+    let server = crate::serve!(listener, app);
+    let weak = Arc::downgrade(&shared);
+    actix_rt::spawn(async move {
+        loop {
+            tokio::time::sleep(LEASE_POLL).await;
+            let Some(shared) = weak.upgrade() else { return };
+            shared.expire_leases();
+        }
+    });
+    Ok(KeyValueHandle { shared, server })
+}
+
+impl KeyValueHandle {
+    /// The address on which it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Changes faults.
+    pub fn faults(&self, update: &KeyValueFaults) {
+        self.shared.change_faults(update);
+    }
+
+    /// Calls by kind so far.
+    pub fn counters(&self) -> KeyValueCounters {
+        lock(&self.shared.core).counters
+    }
+
+    /// Stops the service and breaks its connections.
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+}
+
+impl KeyValueShared {
+    fn expire_leases(&self) {
+        let mut core = lock(&self.core);
+        // A service that is down expires no leases; it does so when it is back.
+        if core.outage.is_none() && core.store.expire(Instant::now()) > 0 {
+            self.wake(&core);
+        }
+    }
+
+    /// Wakes watches after a write.
+    fn wake(&self, core: &KeyValueCore) {
+        let revision = core.store.revision();
+        self.signal.send_modify(|signal| signal.revision = revision);
+    }
+
+    fn change_faults(&self, update: &KeyValueFaults) {
+        let mut core = lock(&self.core);
+        core.slow_ms = update.slow_ms.unwrap_or(core.slow_ms);
+        core.lose_acknowledgements =
+            update.lose_acknowledgements.unwrap_or(core.lose_acknowledgements);
+        if update.snapshot {
+            core.snapshot = core.store.clone();
+        }
+        if update.restore {
+            core.store = core.snapshot.clone();
+        }
+        if update.recover {
+            core.outage = None;
+        }
+        core.outage = update.outage.or(core.outage);
+        let breaks_watches = update.restore || update.outage.is_some();
+        let silent = core.outage == Some(OutageKind::Silent);
+        self.signal.send_modify(|signal| {
+            signal.silent = silent;
+            signal.generation += u64::from(breaks_watches);
+        });
+    }
+}
+
+/// Kinds of calls with their own rate limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallKind {
+    Read,
+    Write,
+    Lease,
+    Watch,
+}
+
+impl KeyValueCore {
+    /// Counts a call; `false` if it exceeds the rate limit.
+    fn admit(&mut self, kind: CallKind) -> bool {
+        let now = Instant::now();
+        let counters = &mut self.counters;
+        let counter = match kind {
+            CallKind::Read => &mut counters.reads,
+            CallKind::Write => &mut counters.writes,
+            CallKind::Lease => &mut counters.leases,
+            CallKind::Watch => &mut counters.watches,
+        };
+        *counter += 1;
+        let (calls, peak, limit) = match kind {
+            CallKind::Read | CallKind::Watch => (
+                self.reads.count(now),
+                &mut counters.peak_reads_per_second,
+                self.settings.reads_per_second,
+            ),
+            CallKind::Write | CallKind::Lease => (
+                self.writes.count(now),
+                &mut counters.peak_writes_per_second,
+                self.settings.writes_per_second,
+            ),
+        };
+        *peak = calls.max(*peak);
+        let admitted = calls <= u64::from(limit);
+        counters.limited += u64::from(!admitted);
+        admitted
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,221 @@
+//! A simulated plain service whose bookings must not run twice.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use actix_web::{
+    App, HttpRequest, HttpResponse, http::StatusCode, middleware::DefaultHeaders, web,
+};
+use carobvane_proto::headers;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::util::{self, RunningServer, dropped_connection, lock, millis};
+
+/// How a simulated plain service behaves.
+#[derive(Debug, Clone)]
+pub struct ServiceSettings {
+    /// Where to listen; port 0 lets the system choose.
+    pub addr: SocketAddr,
+    /// Time of each call in milliseconds.
+    pub answer_ms: f64,
+    /// The incarnation that each answer carries.
+    pub incarnation: u64,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> ServiceSettings {
+        ServiceSettings { addr: util::any_port(), answer_ms: 5.0, incarnation: 1 }
+    }
+}
+
+/// A change of faults (`POST /faults`); absent fields stay as they are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// The next so many bookings run, and then their connection drops.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub die_mid_call: Option<u32>,
+    /// The next so many calls are refused with 503 before they run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub refuse: Option<u32>,
+    /// Additional time of each call in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_ms: Option<f64>,
+}
+
+/// What a service did so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCounters {
+    /// Runs by booking.
+    pub bookings: BTreeMap<String, u64>,
+    /// Calls of any kind.
+    pub calls: u64,
+    /// Bookings that ran and then lost their connection.
+    pub died: u64,
+}
+
+#[derive(Debug)]
+struct ServiceCore {
+    settings: ServiceSettings,
+    faults: ServiceFaults,
+    counters: ServiceCounters,
+}
+
+type Shared = web::Data<Mutex<ServiceCore>>;
+
+/// A running plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceHandle {
+    core: Arc<Mutex<ServiceCore>>,
+    server: RunningServer,
+}
+
+/// Starts a plain service inside the caller's actix system.
+pub async fn start(settings: ServiceSettings) -> io::Result<ServiceHandle> {
+    let listener = util::listen(settings.addr)?;
+    let incarnation = settings.incarnation.to_string();
+    let core = ServiceCore {
+        settings,
+        faults: ServiceFaults::default(),
+        counters: ServiceCounters::default(),
+    };
+    let core = Arc::new(Mutex::new(core));
+    let data = web::Data::from(core.clone());
+    let app = move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::PayloadConfig::new(util::MAX_BODY_BYTES))
+            .wrap(DefaultHeaders::new().add((headers::INCARNATION, incarnation.clone())))
+            .route("/bookings", web::post().to(book))
+            .route("/bookings", web::get().to(bookings))
+            .route("/faults", web::post().to(faults))
+            .route("/counters", web::get().to(counters))
+            .default_service(web::to(echo))
+    };
+    Ok(ServiceHandle { core, server: crate::serve!(listener, app) })
+}
+
+impl ServiceHandle {
+    /// The address on which it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Changes faults.
+    pub fn faults(&self, update: &ServiceFaults) {
+        lock(&self.core).change_faults(update);
+    }
+
+    /// What the service did so far.
+    pub fn counters(&self) -> ServiceCounters {
+        lock(&self.core).counters.clone()
+    }
+
+    /// Stops the service and breaks its connections.
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+}
+
+impl ServiceCore {
+    fn change_faults(&mut self, update: &ServiceFaults) {
+        let faults = &mut self.faults;
+        faults.die_mid_call = update.die_mid_call.or(faults.die_mid_call);
+        faults.refuse = update.refuse.or(faults.refuse);
+        faults.slow_ms = update.slow_ms.or(faults.slow_ms);
+    }
+
+    /// Whether the call is to be refused.
+    fn begin_call(&mut self) -> bool {
+        self.counters.calls += 1;
+        take_one(&mut self.faults.refuse)
+    }
+}
+
+fn take_one(left: &mut Option<u32>) -> bool {
+    match left {
+        Some(count) if *count > 0 => {
+            *count -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
+async fn wait_for_answer(shared: &Shared) {
+    let wait = {
+        let core = lock(shared);
+        millis(core.settings.answer_ms + core.faults.slow_ms.unwrap_or(0.0))
+    };
+    tokio::time::sleep(wait).await;
+}
+
+fn refusal() -> HttpResponse {
+    HttpResponse::build(StatusCode::SERVICE_UNAVAILABLE)
+        .insert_header((headers::OUTCOME, "not_run"))
+        .json(json!({"error": "service takes no calls"}))
+}
+
+async fn book(shared: Shared, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    if lock(&shared).begin_call() {
+        return refusal();
+    }
+    let header = request.headers().get(headers::IDEMPOTENCY_KEY);
+    let header = header.and_then(|value| value.to_str().ok()).map(str::to_string);
+    let field = || {
+        let value = serde_json::from_slice::<Value>(&body).ok()?;
+        value.get("booking")?.as_str().map(str::to_string)
+    };
+    let booking = header.or_else(field).unwrap_or_else(|| "unnamed".to_string());
+    let (runs, died) = {
+        let mut core = lock(&shared);
+        let runs = core.counters.bookings.entry(booking.clone()).or_default();
+        *runs += 1;
+        let runs = *runs;
+        let died = take_one(&mut core.faults.die_mid_call);
+        core.counters.died += u64::from(died);
+        (runs, died)
+    };
+    wait_for_answer(&shared).await;
+    if died {
+        return dropped_connection();
+    }
+    HttpResponse::Created().json(json!({"booking": booking, "runs": runs}))
+}
+
+async fn bookings(shared: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(&shared).counters.bookings)
+}
+
+async fn echo(shared: Shared, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    if lock(&shared).begin_call() {
+        return refusal();
+    }
+    wait_for_answer(&shared).await;
+    let headers: BTreeMap<String, String> = request
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into()))
+        .collect();
+    HttpResponse::Ok().json(json!({
+        "method": request.method().as_str(),
+        "path": request.path(),
+        "query": request.query_string(),
+        "headers": headers,
+        "body": String::from_utf8_lossy(&body),
+    }))
+}
+
+async fn faults(shared: Shared, update: web::Json<ServiceFaults>) -> HttpResponse {
+    lock(&shared).change_faults(&update);
+    HttpResponse::Ok().json(json!({}))
+}
+
+async fn counters(shared: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(&lock(&shared).counters)
+}
