--- /dev/null
+++ b/crates/host/src/bin/carobvane-entry.rs
@@ -0,0 +1,17 @@
+//! Serves callers.
+
+use carobvane_host::{entry, logging, settings::EntrySettings, telemetry};
+use eyre::{Result, WrapErr};
+
+fn main() -> Result<()> {
+    let settings = EntrySettings::from_env_or_exit();
+    logging::start_logging(settings.log_level)?;
+    telemetry::start_metrics();
+    actix_rt::System::new().block_on(async {
+        let handle = entry::start(settings).wrap_err("failed to start the entry")?;
+        carobvane_host::signals::wait_for_stop().await?;
+        handle.drain().await;
+        log::info!("entry has drained");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/host/src/steward/mod.rs
@@ -0,0 +1,118 @@
+//! The steward: keeps the accepted lists for the processes of its VM.
+
+use std::net::SocketAddr;
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use carobvane_core::{clock::ClockTime, ids::NodeLife, lists::ListSnapshot};
+use carobvane_proto::{
+    admin::{NodeRole, NodeStatus},
+    peer::{PeerMessage, PeerRole},
+};
+use eyre::{Result, WrapErr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use crate::{
+    clock,
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    node::{ListSource, NodeActor, NodeHost},
+    peer::{PeerLinks, PeerSender},
+    settings::StewardSettings,
+    telemetry,
+};
+
+/// A running steward.
+pub struct StewardHandle {
+    /// Address for operators and metrics.
+    pub admin: SocketAddr,
+    /// Address for other carobvane processes.
+    pub peer: SocketAddr,
+    operators: actix_web::dev::ServerHandle,
+}
+
+impl StewardHandle {
+    /// Ends the steward.
+    pub async fn stop(&self) {
+        self.operators.stop(true).await;
+    }
+}
+
+/// Starts a steward on the current actix arbiter.
+///
+/// # Errors
+///
+/// An address cannot be bound, or TLS between processes cannot be configured.
+pub fn start(settings: StewardSettings) -> Result<StewardHandle> {
+    let incarnation = clock::new_incarnation();
+    let own = NodeLife { node: settings.node, incarnation };
+    let listener = std::net::TcpListener::bind(settings.admin)
+        .wrap_err_with(|| format!("failed to bind {}", settings.admin))?;
+    let admin = listener.local_addr()?;
+    let (peer, sender, inputs) = PeerLinks::start(
+        own,
+        PeerRole::Steward,
+        settings.peer,
+        &settings.join,
+        &settings.fleet_key,
+    )?;
+    let status = Arc::new(Mutex::new(NodeStatus {
+        node: own.node.0,
+        role: NodeRole::Steward,
+        incarnation: incarnation.0,
+        data_centre: settings.data_centre.clone(),
+        build: env!("CARGO_PKG_VERSION").to_string(),
+        ..NodeStatus::default()
+    }));
+    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.keyvalue.as_str()));
+    let host = StewardHost { sender: sender.clone(), status: Arc::clone(&status) };
+    NodeActor::launch(host, ListSource::new(keyvalue), sender, inputs, true, incarnation.0);
+    let data = web::Data::from(status);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .route("/healthz", web::get().to(async || HttpResponse::Ok().body("ok\n")))
+            .route("/metrics", web::get().to(async || telemetry::render()))
+            .route("/admin/status", web::get().to(status_page))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)
+    .wrap_err("failed to listen for operators")?
+    .run();
+    let operators = server.handle();
+    actix_rt::spawn(server);
+    log::info!(node = own.node.0, admin:% = admin, peer:% = peer; "steward started");
+    Ok(StewardHandle { admin, peer, operators })
+}
+
+async fn status_page(status: web::Data<Mutex<NodeStatus>>) -> HttpResponse {
+    let status = status.lock().unwrap_or_else(PoisonError::into_inner);
+    HttpResponse::Ok().json(&*status)
+}
+
+struct StewardHost {
+    sender: PeerSender,
+    status: Arc<Mutex<NodeStatus>>,
+}
+
+impl NodeHost for StewardHost {
+    fn activate(&mut self, snapshot: &ListSnapshot) {
+        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        status.list_version = Some(snapshot.version.number);
+        status.list_digest = snapshot.version.digest.to_string();
+        for entry in snapshot.document.entries.values() {
+            if let Ok(address) = entry.peer_address.parse() {
+                self.sender.dial(address);
+            }
+        }
+    }
+
+    fn peer_joined(&mut self, _now: ClockTime, _life: NodeLife, _role: PeerRole) {}
+
+    fn peer_left(&mut self, _now: ClockTime, _life: NodeLife) {}
+
+    fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
+        log::debug!(node = life.node.0; "message without a receiver");
+    }
+
+    fn tick(&mut self, _now: ClockTime) {}
+}
