--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod orders;
 pub mod plans;
 pub mod prefix;
+pub mod rendezvous;
 pub mod routing;
 pub mod streams;
 pub mod suspects;
--- a/crates/core/src/plans/limits.rs
+++ b/crates/core/src/plans/limits.rs
@@ -4,6 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest time a stream stays open, after which the entry ends it with an error event.
+///
+/// A lender of a stream unit hears nothing from a borrower that died. It may use the unit again
+/// only when no stream that began under the loan can still be open, so streams need a bound.
+pub const MAX_STREAM_TIME: Duration = Duration::from_secs(600);
+
 /// Fleet-wide limits of one plan. A limit of 0 allows nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct PlanLimits {
@@ -40,12 +46,12 @@
         }
     }
 
-    /// The window in which use counts; zero for streams, which count while they are open.
+    /// How long one use can count against the limit: the window, or the longest stream.
     pub const fn window(self) -> Duration {
         match self {
             LimitKind::Requests => Duration::from_secs(1),
             LimitKind::Tokens => Duration::from_secs(60),
-            LimitKind::Streams => Duration::ZERO,
+            LimitKind::Streams => MAX_STREAM_TIME,
         }
     }
 
