--- a/crates/core/src/plans/kind.rs
+++ b/crates/core/src/plans/kind.rs
@@ -192,8 +192,10 @@
         let target = self.target(now, draining);
         self.give_back(now, target);
         let missing = target.saturating_sub(self.cap(now));
-        let wet: Vec<NodeId> =
-            lenders.iter().copied().filter(|&id| !self.is_dry(now, id)).collect();
+        let mut wet: Vec<NodeId> = lenders.to_vec();
+        wet.retain(|id| self.dry_until(*id) <= now);
+        // The lender that ran short longest ago first, so that all of them are tried in turn.
+        wet.sort_by_key(|id| self.dry_until(*id));
         // Few lenders for a small need: each is asked for at least half a home's share.
         let share = (self.amount / (lenders.len() as u64 + 1)).div_ceil(2).max(1);
         let count = (missing.div_ceil(share) as usize).min(wet.len());
@@ -248,8 +250,9 @@
         }
     }
 
-    fn is_dry(&self, now: ClockTime, lender: NodeId) -> bool {
-        self.borrowed.iter().any(|share| share.from == lender && share.dry_until > now)
+    fn dry_until(&self, lender: NodeId) -> ClockTime {
+        let share = self.borrowed.iter().find(|share| share.from == lender);
+        share.map_or(ClockTime::ZERO, |share| share.dry_until)
     }
 
     /// Takes an answer to the request sent at `asked_at`. Returns whether units arrived.
