--- a/crates/host/src/node/mod.rs
+++ b/crates/host/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! What entries and stewards have in common: the actor that hosts list spread and membership.
 
 mod actor;
-mod source;
+pub mod source;
 
 pub use actor::{NodeActor, NodeHost};
 pub use source::ListSource;
--- a/crates/standin/src/bin/carobvane-standin.rs
+++ b/crates/programs/src/bin/carobvane-standin.rs
@@ -139,5 +139,5 @@
 fn main() -> eyre::Result<()> {
     let flags = flags::CarobvaneStandin::from_env_or_exit();
     start_logging()?;
-    actix_web::rt::System::new().block_on(start_all(flags))
+    actix_rt::System::new().block_on(start_all(flags))
 }
--- /dev/null
+++ b/crates/replay/src/fleet.rs
@@ -0,0 +1,272 @@
+//! Stand-ins, entries and a steward in one process, connected through real sockets.
+//!
+//! The demonstration, the comparison of policies and the benchmarks all run on it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use carobvane_core::{
+    ids::NodeId,
+    lists::{
+        BackendServer, EntryVm, GrantEntry, KeyHash, ListDocument, ListSnapshot, ListVersion,
+        ModelWeights, PlanEntry, ServerRole, WorkspaceEntry,
+    },
+    plans::PlanLimits,
+};
+use carobvane_host::{
+    entry::{self, EntryHandle},
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    node::ListSource,
+    peer::FleetKey,
+    settings::{EntrySettings, StewardSettings},
+    steward::{self, StewardHandle},
+};
+use carobvane_standin::{engine, keyvalue, service};
+use eyre::{Result, WrapErr, ensure};
+
+/// Model that the engines hold.
+pub const MODEL: &str = "carob";
+/// Plain service of the fleet.
+pub const SERVICE: &str = "bookings";
+/// Plan of every workspace.
+pub const PLAN: &str = "standard";
+/// Weights version at the start.
+const FIRST_WEIGHTS: u64 = 1;
+/// Longest wait for all entries to hold their lists.
+const READY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which readiness is checked.
+const READY_POLL: Duration = Duration::from_millis(10);
+/// Limits that no run reaches, so that runs measure the engines and not the plan.
+const AMPLE_LIMITS: PlanLimits = PlanLimits {
+    requests_per_second: 1_000_000,
+    tokens_per_minute: 10_000_000_000,
+    concurrent_streams: 1_000_000,
+};
+
+/// Shape of a fleet.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Number of entries.
+    pub entries: usize,
+    /// Settings of each engine; the address is ignored.
+    pub engines: Vec<engine::EngineSettings>,
+    /// Number of plain servers.
+    pub services: usize,
+    /// Workspace names.
+    pub workspaces: Vec<String>,
+    /// Limits of the plan.
+    pub limits: PlanLimits,
+    /// Size of a prompt piece, in bytes of text.
+    pub piece_bytes: usize,
+    /// Size of a prompt piece, in tokens.
+    pub piece_tokens: u32,
+    /// Threads of each entry.
+    pub workers: usize,
+}
+
+impl Default for FleetSettings {
+    fn default() -> FleetSettings {
+        FleetSettings {
+            entries: 3,
+            engines: vec![engine::EngineSettings::default(); 3],
+            services: 1,
+            workspaces: vec!["workspace-1".to_string()],
+            limits: AMPLE_LIMITS,
+            piece_bytes: 64,
+            piece_tokens: 2_000,
+            workers: 1,
+        }
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The key-value service.
+    pub keyvalue: keyvalue::KeyValueHandle,
+    /// The engines, in the order of their settings.
+    pub engines: Vec<engine::EngineHandle>,
+    /// The plain servers.
+    pub services: Vec<service::ServiceHandle>,
+    /// The entries.
+    pub entries: Vec<EntryHandle>,
+    /// The steward.
+    pub steward: StewardHandle,
+    /// The first accepted lists.
+    pub snapshot: ListSnapshot,
+}
+
+/// The bearer key of a workspace.
+pub fn key_of(workspace: &str) -> String {
+    format!("key-{workspace}")
+}
+
+impl Fleet {
+    /// Starts a fleet on free ports of the loopback interface and waits until all entries serve.
+    ///
+    /// # Errors
+    ///
+    /// A part cannot be started, or an entry does not get its lists.
+    pub async fn start(settings: &FleetSettings) -> Result<Fleet> {
+        let keyvalue = keyvalue::start(keyvalue::KeyValueSettings::default()).await?;
+        let mut engines = Vec::new();
+        for engine in &settings.engines {
+            let engine = engine::EngineSettings { addr: any_port(), ..engine.clone() };
+            engines.push(engine::start(engine).await.wrap_err("failed to start an engine")?);
+        }
+        let mut services = Vec::new();
+        for _ in 0..settings.services {
+            let service = service::start(service::ServiceSettings::default()).await;
+            services.push(service.wrap_err("failed to start a plain service")?);
+        }
+        let url = format!("http://{}", keyvalue.addr());
+        let (steward, entries) = start_nodes(settings, &url)?;
+        let document = document(settings, &engines, &services, &entries);
+        let snapshot = write_first_version(&url, document).await?;
+        wait_until_ready(&entries).await?;
+        Ok(Fleet { keyvalue, engines, services, entries, steward, snapshot })
+    }
+
+    /// Base URL of an entry, by position; positions wrap around.
+    pub fn entry_url(&self, position: usize) -> String {
+        format!("http://{}", self.entries[position % self.entries.len()].address)
+    }
+
+    /// Ends everything at once.
+    pub async fn stop(self) {
+        for entry in &self.entries {
+            entry.stop().await;
+        }
+        self.steward.stop().await;
+        for engine in &self.engines {
+            engine.stop().await;
+        }
+        for service in &self.services {
+            service.stop().await;
+        }
+        self.keyvalue.stop().await;
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn start_nodes(settings: &FleetSettings, url: &str) -> Result<(StewardHandle, Vec<EntryHandle>)> {
+    let fleet_key = FleetKey::new([7; 32]);
+    let keyvalue: url::Url = url.parse()?;
+    let steward = steward::start(StewardSettings {
+        node: NodeId(100),
+        data_centre: "dc-1".to_string(),
+        admin: any_port(),
+        peer: any_port(),
+        join: Vec::new(),
+        fleet_key: fleet_key.clone(),
+        keyvalue: keyvalue.clone(),
+        vm_list: None,
+        log_level: log::LevelFilter::Info,
+    })?;
+    let mut entries = Vec::new();
+    for number in 1..=settings.entries {
+        entries.push(entry::start(EntrySettings {
+            node: NodeId(number as u32),
+            data_centre: "dc-1".to_string(),
+            listen: any_port(),
+            admin: any_port(),
+            peer: any_port(),
+            join: vec![steward.peer],
+            fleet_key: fleet_key.clone(),
+            keyvalue: keyvalue.clone(),
+            max_body_bytes: 8 << 20,
+            piece_bytes: settings.piece_bytes,
+            piece_tokens: settings.piece_tokens,
+            workers: settings.workers,
+            log_level: log::LevelFilter::Info,
+        })?);
+    }
+    Ok((steward, entries))
+}
+
+fn document(
+    settings: &FleetSettings,
+    engines: &[engine::EngineHandle],
+    services: &[service::ServiceHandle],
+    entries: &[EntryHandle],
+) -> ListDocument {
+    let mut servers = BTreeMap::new();
+    for (position, engine) in engines.iter().enumerate() {
+        let slots = settings.engines[position].slots as u32;
+        let role = ServerRole::Engine(MODEL.to_string());
+        let name = format!("engine-{:02}", position + 1);
+        servers.insert(name, backend_server(engine.addr(), role, slots));
+    }
+    for (position, service) in services.iter().enumerate() {
+        let role = ServerRole::Service(SERVICE.to_string());
+        let name = format!("service-{:02}", position + 1);
+        servers.insert(name, backend_server(service.addr(), role, 64));
+    }
+    let workspaces = settings.workspaces.iter().map(|name| {
+        let key_hashes = BTreeSet::from([KeyHash::of_key(&key_of(name))]);
+        (name.clone(), WorkspaceEntry { key_hashes, plan: PLAN.to_string() })
+    });
+    let grant = GrantEntry {
+        models: BTreeSet::from([MODEL.to_string()]),
+        services: BTreeSet::from([SERVICE.to_string()]),
+        adapters: BTreeSet::new(),
+    };
+    let weights = ModelWeights { version: FIRST_WEIGHTS, adapters: BTreeSet::new() };
+    ListDocument {
+        workspaces: workspaces.collect(),
+        plans: BTreeMap::from([(
+            PLAN.to_string(),
+            PlanEntry { limits: settings.limits, weight: 1 },
+        )]),
+        grants: BTreeMap::from([(PLAN.to_string(), grant)]),
+        servers,
+        weights: BTreeMap::from([(MODEL.to_string(), weights)]),
+        entries: entries.iter().enumerate().map(entry_vm).collect(),
+    }
+}
+
+fn backend_server(address: SocketAddr, role: ServerRole, slots: u32) -> BackendServer {
+    BackendServer {
+        address: address.to_string(),
+        role,
+        data_centre: "dc-1".to_string(),
+        checks_fencing: true,
+        slots,
+    }
+}
+
+fn entry_vm((position, entry): (usize, &EntryHandle)) -> (String, EntryVm) {
+    let node = NodeId(position as u32 + 1);
+    let vm = EntryVm {
+        node,
+        http_address: entry.address.to_string(),
+        peer_address: entry.peer.to_string(),
+        data_centre: "dc-1".to_string(),
+    };
+    (format!("entry-{}", node.0), vm)
+}
+
+async fn write_first_version(url: &str, document: ListDocument) -> Result<ListSnapshot> {
+    let source = ListSource::new(KeyvalueClient::new(KeyvalueSettings::new(url)));
+    let version = ListVersion::first(1, &document);
+    let snapshot = ListSnapshot { version, document };
+    let written = source.write_back(&snapshot, 0).await?;
+    ensure!(written, "failed to write the first lists: the key-value service is not empty");
+    Ok(snapshot)
+}
+
+async fn wait_until_ready(entries: &[EntryHandle]) -> Result<()> {
+    let waiting = async {
+        while !entries.iter().all(EntryHandle::is_ready) {
+            tokio::time::sleep(READY_POLL).await;
+        }
+    };
+    tokio::time::timeout(READY_TIMEOUT, waiting)
+        .await
+        .wrap_err("failed to bring the lists into force on every entry")
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,4 +1,5 @@
 //! Replay of traces, checks of histories and benchmarks.
 
 pub mod check;
+pub mod fleet;
 pub mod ops;
