Add the trace format, the generator and measure reports

Cause: policies and programs are to be judged by replay of traces.

Change: traces are JSON lines with piece names for prompts; the generator makes them from a deployment's sizes and a seed, with nested prefixes, hot chains that change halfway, bookings and a crest of four times the rate. Reports hold medians with their spread as table, JSON and SVG.

--- /dev/null
+++ b/crates/replay/src/generate.rs
@@ -0,0 +1,203 @@
+//! Seeded traces with the properties of the deployments' traffic.
+//!
+//! Prompts nest in three levels: a firm's files, a float or tenancy, the question. Files and
+//! groups are chosen by Zipf's law; a few chains are very hot and change halfway. Arrivals are a
+//! Poisson process whose rate rises by `crest_factor` during the crest.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{
+    deployment::{DeploymentSpec, WorkspaceSpec},
+    trace::{TraceClass, TraceRequest},
+};
+
+/// Pieces of a set of files.
+const FILE_PIECES: usize = 8;
+/// Pieces of a float or tenancy.
+const GROUP_PIECES: usize = 3;
+/// Floats or tenancies of one set of files.
+const GROUPS: usize = 10;
+/// Exponent of Zipf's law for files and groups.
+const ZIPF_EXPONENT: f64 = 1.1;
+/// Chains that are very hot at a time.
+const HOT_CHAINS: usize = 3;
+/// Share of requests that go to hot chains.
+const HOT_SHARE: f64 = 0.25;
+/// Range of answer tokens of a short request.
+const SHORT_TOKENS: std::ops::Range<u32> = 20..60;
+/// Range of answer tokens of a draft.
+const DRAFT_TOKENS: std::ops::Range<u32> = 500..1_100;
+/// Deadline of a short request in milliseconds.
+const SHORT_DEADLINE_MS: u64 = 4_000;
+/// Deadline of a draft in milliseconds.
+const DRAFT_DEADLINE_MS: u64 = 40_000;
+/// Deadline of a booking in milliseconds.
+const BOOKING_DEADLINE_MS: u64 = 2_000;
+
+/// What to generate.
+#[derive(Debug, Clone, Copy)]
+pub struct GenerateSettings {
+    /// The deployment.
+    pub deployment: DeploymentSpec,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Length of the trace in milliseconds.
+    pub duration_ms: u64,
+    /// Factor on the rate during the crest.
+    pub crest_factor: f64,
+    /// Factor on the deployment's rate, for smaller traces.
+    pub rate_factor: f64,
+}
+
+impl GenerateSettings {
+    /// The crest: a fifth of the trace after its first half.
+    pub fn crest(&self) -> std::ops::Range<u64> {
+        self.duration_ms / 2..self.duration_ms * 7 / 10
+    }
+}
+
+/// The beginning of a prompt: a workspace, its set of files and a group.
+#[derive(Debug, Clone, Copy)]
+struct PromptRoot {
+    workspace: usize,
+    file_set: usize,
+    group: usize,
+}
+
+struct Generator {
+    settings: GenerateSettings,
+    rng: SmallRng,
+    hot: Vec<PromptRoot>,
+    questions: u64,
+}
+
+/// Generates a trace.
+pub fn generate(settings: GenerateSettings) -> Vec<TraceRequest> {
+    let rng = SmallRng::seed_from_u64(settings.seed);
+    let mut generator = Generator { settings, rng, hot: Vec::new(), questions: 0 };
+    generator.change_hot();
+    let mut requests = generator.completions();
+    requests.extend(generator.bookings());
+    requests.sort_by_key(|request| request.arrival_ms);
+    requests
+}
+
+impl Generator {
+    fn completions(&mut self) -> Vec<TraceRequest> {
+        let spec = self.settings.deployment;
+        let base = spec.rate_per_engine * spec.engines as f64 * self.settings.rate_factor;
+        let crest = self.settings.crest();
+        let mut requests = Vec::new();
+        let mut at = 0.0;
+        let mut changed = false;
+        loop {
+            let factor =
+                if crest.contains(&(at as u64)) { self.settings.crest_factor } else { 1.0 };
+            at += self.interval(base * factor);
+            if at >= self.settings.duration_ms as f64 {
+                return requests;
+            }
+            if !changed && at >= self.settings.duration_ms as f64 / 2.0 {
+                self.change_hot();
+                changed = true;
+            }
+            requests.push(self.completion(at as u64));
+        }
+    }
+
+    fn bookings(&mut self) -> Vec<TraceRequest> {
+        let rate = self.settings.deployment.booking_rate * self.settings.rate_factor;
+        let mut requests = Vec::new();
+        let mut at = self.interval(rate);
+        while at < self.settings.duration_ms as f64 {
+            let workspace = self.workspace();
+            requests.push(TraceRequest {
+                arrival_ms: at as u64,
+                workspace: self.settings.deployment.workspaces[workspace].name.to_string(),
+                class: TraceClass::Booking,
+                pieces: Vec::new(),
+                output_tokens: 0,
+                idempotent: false,
+                deadline_ms: BOOKING_DEADLINE_MS,
+            });
+            at += self.interval(rate);
+        }
+        requests
+    }
+
+    /// Time to the next arrival of a Poisson process, in milliseconds.
+    fn interval(&mut self, per_second: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        -uniform.ln() * 1_000.0 / per_second.max(f64::EPSILON)
+    }
+
+    fn change_hot(&mut self) {
+        self.hot = (0..HOT_CHAINS).map(|_| self.root()).collect();
+    }
+
+    fn workspace(&mut self) -> usize {
+        let workspaces = self.settings.deployment.workspaces;
+        let total: f64 = workspaces.iter().map(|workspace| workspace.weight).sum();
+        let mut left = self.rng.random_range(0.0..total);
+        for (index, workspace) in workspaces.iter().enumerate() {
+            left -= workspace.weight;
+            if left <= 0.0 {
+                return index;
+            }
+        }
+        0
+    }
+
+    /// A number below `count`, where lower numbers are more frequent by Zipf's law.
+    fn zipf(&mut self, count: usize) -> usize {
+        let weight = |rank: usize| 1.0 / ((rank + 1) as f64).powf(ZIPF_EXPONENT);
+        let total: f64 = (0..count).map(weight).sum();
+        let mut left = self.rng.random_range(0.0..total);
+        for rank in 0..count {
+            left -= weight(rank);
+            if left <= 0.0 {
+                return rank;
+            }
+        }
+        0
+    }
+
+    fn root(&mut self) -> PromptRoot {
+        let workspace = self.workspace();
+        let WorkspaceSpec { file_sets, .. } = self.settings.deployment.workspaces[workspace];
+        PromptRoot { workspace, file_set: self.zipf(file_sets), group: self.zipf(GROUPS) }
+    }
+
+    fn completion(&mut self, arrival_ms: u64) -> TraceRequest {
+        let root = match self.rng.random_bool(HOT_SHARE) {
+            true => self.hot[self.rng.random_range(0..HOT_CHAINS)],
+            false => self.root(),
+        };
+        let draft = self.rng.random_bool(self.settings.deployment.draft_share);
+        let (class, tokens, deadline_ms) = match draft {
+            true => (TraceClass::Draft, DRAFT_TOKENS, DRAFT_DEADLINE_MS),
+            false => (TraceClass::Short, SHORT_TOKENS, SHORT_DEADLINE_MS),
+        };
+        self.questions += 1;
+        TraceRequest {
+            arrival_ms,
+            workspace: self.settings.deployment.workspaces[root.workspace].name.to_string(),
+            class,
+            pieces: self.pieces(root),
+            output_tokens: self.rng.random_range(tokens),
+            idempotent: true,
+            deadline_ms,
+        }
+    }
+
+    fn pieces(&self, root: PromptRoot) -> Vec<String> {
+        let PromptRoot { workspace, file_set, group } = root;
+        let name = self.settings.deployment.workspaces[workspace].name;
+        let group_name = self.settings.deployment.group;
+        let files = (0..FILE_PIECES).map(|piece| format!("{name}/files{file_set}/{piece}"));
+        let groups = (0..GROUP_PIECES)
+            .map(|piece| format!("{name}/files{file_set}/{group_name}{group}/{piece}"));
+        let question = format!("{name}/question{}", self.questions);
+        files.chain(groups).chain([question]).collect()
+    }
+}
--- /dev/null
+++ b/crates/replay/src/ops/generate.rs
@@ -0,0 +1,51 @@
+//! `carobvane-replay generate`: writes a seeded trace.
+
+use std::{fs, path::PathBuf};
+
+use eyre::{Result, WrapErr, eyre};
+
+use crate::{
+    deployment,
+    generate::{self, GenerateSettings},
+    trace,
+};
+
+/// Length of a trace unless the caller says otherwise, in seconds.
+const DEFAULT_SECONDS: u64 = 60;
+/// Factor on the rate during the crest.
+pub const CREST_FACTOR: f64 = 4.0;
+
+/// What to generate, and where to.
+#[derive(Debug, Clone)]
+pub struct GenerateOptions {
+    /// The deployment's name.
+    pub deployment: String,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Length of the trace in seconds.
+    pub seconds: Option<u64>,
+    /// Factor on the deployment's rate.
+    pub rate_factor: Option<f64>,
+    /// The file to write; standard output if absent.
+    pub output: Option<PathBuf>,
+}
+
+/// Writes the trace and returns its number of requests.
+pub fn generate(options: &GenerateOptions) -> Result<usize> {
+    let deployment = deployment::find(&options.deployment)
+        .ok_or_else(|| eyre!("deployment {:?} does not exist", options.deployment))?;
+    let requests = generate::generate(GenerateSettings {
+        deployment,
+        seed: options.seed,
+        duration_ms: options.seconds.unwrap_or(DEFAULT_SECONDS) * 1_000,
+        crest_factor: CREST_FACTOR,
+        rate_factor: options.rate_factor.unwrap_or(1.0),
+    });
+    let text = trace::format(&requests)?;
+    match &options.output {
+        Some(path) => fs::write(path, text)
+            .wrap_err_with(|| format!("failed to write trace {}", path.display()))?,
+        None => print!("{text}"),
+    }
+    Ok(requests.len())
+}
--- /dev/null
+++ b/crates/replay/src/ops/mod.rs
@@ -0,0 +1,3 @@
+//! One module for each subcommand of `carobvane-replay`.
+
+pub mod generate;
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,144 @@
+//! Reports of measures: a table, a JSON file and SVG plots.
+
+use std::{fs, path::Path};
+
+use eyre::{Result, WrapErr, eyre};
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::stats::Spread;
+
+/// Size of a plot in pixels.
+const PLOT_SIZE: (u32, u32) = (720, 360);
+
+/// One measure of one subject, such as a policy.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MeasureRow {
+    /// What was measured.
+    pub measure: String,
+    /// The unit.
+    pub unit: String,
+    /// Whose value it is.
+    pub subject: String,
+    /// The value over the runs.
+    pub value: Spread,
+}
+
+/// All measures of a run of the program.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct MeasureReport {
+    /// What was run.
+    pub title: String,
+    /// Seeds of the runs.
+    pub seeds: Vec<u64>,
+    /// Conditions that the figures depend on.
+    pub conditions: Vec<String>,
+    /// The measures in order.
+    pub rows: Vec<MeasureRow>,
+}
+
+impl MeasureReport {
+    /// Adds a measure.
+    pub fn push(&mut self, measure: &str, unit: &str, subject: &str, values: &[f64]) {
+        self.rows.push(MeasureRow {
+            measure: measure.to_string(),
+            unit: unit.to_string(),
+            subject: subject.to_string(),
+            value: Spread::of(values),
+        });
+    }
+
+    /// Names of the measures in order.
+    fn measures(&self) -> Vec<&str> {
+        let mut names: Vec<&str> = Vec::new();
+        for row in &self.rows {
+            if !names.contains(&row.measure.as_str()) {
+                names.push(&row.measure);
+            }
+        }
+        names
+    }
+
+    fn rows_of<'a>(&'a self, measure: &'a str) -> impl Iterator<Item = &'a MeasureRow> {
+        self.rows.iter().filter(move |row| row.measure == measure)
+    }
+
+    /// The report as a Markdown table: the median, and lowest to highest value.
+    pub fn table(&self) -> String {
+        let mut text = format!("{}\n", self.title);
+        for condition in &self.conditions {
+            text.push_str(&format!("- {condition}\n"));
+        }
+        text.push_str("\n| measure | subject | median | lowest | highest | runs |\n");
+        text.push_str("|---|---|---:|---:|---:|---:|\n");
+        for row in &self.rows {
+            let Spread { median, low, high, runs } = row.value;
+            let MeasureRow { measure, unit, subject, .. } = row;
+            text.push_str(&format!(
+                "| {measure} ({unit}) | {subject} | {median:.3} | {low:.3} | {high:.3} | {runs} |\n"
+            ));
+        }
+        text
+    }
+
+    /// Writes `NAME.md`, `NAME.json` and one `NAME-MEASURE.svg` for each measure.
+    pub fn write(&self, folder: &Path, name: &str) -> Result<()> {
+        fs::create_dir_all(folder)
+            .wrap_err_with(|| format!("failed to create {}", folder.display()))?;
+        let save = |file: String, text: String| {
+            let path = folder.join(file);
+            fs::write(&path, text).wrap_err_with(|| format!("failed to write {}", path.display()))
+        };
+        save(format!("{name}.md"), self.table())?;
+        save(format!("{name}.json"), serde_json::to_string_pretty(self)? + "\n")?;
+        for measure in self.measures() {
+            let file = format!("{name}-{}.svg", measure.replace([' ', '/'], "-"));
+            let rows: Vec<&MeasureRow> = self.rows_of(measure).collect();
+            let plot = plot(&rows).map_err(|cause| eyre!("failed to plot {measure}: {cause}"))?;
+            save(file, plot)?;
+        }
+        Ok(())
+    }
+}
+
+/// A bar for each subject, with a line from the lowest to the highest value.
+fn plot(rows: &[&MeasureRow]) -> Result<String, Box<dyn std::error::Error + Send + Sync>> {
+    let mut text = String::new();
+    let Some(first) = rows.first() else { return Ok(text) };
+    let highest = rows.iter().map(|row| row.value.high).fold(0.0, f64::max);
+    let top = if highest > 0.0 { highest * 1.1 } else { 1.0 };
+    {
+        let area = SVGBackend::with_string(&mut text, PLOT_SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let subjects = rows.len() as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(format!("{} ({})", first.measure, first.unit), ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(36)
+            .y_label_area_size(64)
+            .build_cartesian_2d(-0.5..subjects - 0.5, 0.0..top)?;
+        let label = |at: &f64| {
+            let index = at.round();
+            let near = (at - index).abs() < 0.05 && index >= 0.0;
+            let row = if near { rows.get(index as usize) } else { None };
+            row.map(|row| row.subject.clone()).unwrap_or_default()
+        };
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_labels(rows.len() * 2 + 1)
+            .x_label_formatter(&label)
+            .draw()?;
+        chart.draw_series(rows.iter().enumerate().map(|(index, row)| {
+            let at = index as f64;
+            let corners = [(at - 0.3, 0.0), (at + 0.3, row.value.median)];
+            Rectangle::new(corners, RGBColor(70, 120, 180).filled())
+        }))?;
+        chart.draw_series(rows.iter().enumerate().map(|(index, row)| {
+            let at = index as f64;
+            PathElement::new(vec![(at, row.value.low), (at, row.value.high)], BLACK)
+        }))?;
+        area.present()?;
+    }
+    Ok(text)
+}
