--- a/crates/host/src/keyvalue/mod.rs
+++ b/crates/host/src/keyvalue/mod.rs
@@ -22,7 +22,8 @@
 /// Largest value that the service accepts, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
-/// The first key after all keys that start with `prefix`; empty (no end) if there is none.
+/// The first key after all keys that start with `prefix`; a zero byte, the gateway's "no end", if
+/// there is none.
 pub fn prefix_end(prefix: &[u8]) -> Vec<u8> {
     let mut end = prefix.to_vec();
     while let Some(last) = end.pop() {
@@ -31,6 +32,5 @@
             return end;
         }
     }
-    // A single zero byte means "no upper bound" in the gateway.
     vec![0]
 }
--- a/crates/replay/src/ops/mod.rs
+++ b/crates/replay/src/ops/mod.rs
@@ -1,3 +1,4 @@
-//! One module for each subcommand of `carobvane-replay`.
+//! One function per command.
 
+pub mod check;
 pub mod generate;
--- a/crates/standin/src/bin/carobvane-standin.rs
+++ b/crates/standin/src/program.rs
@@ -1,8 +1,8 @@
-//! Starts simulated outside systems and prints one JSON line for each listening address.
+//! The program `carobvane-standin`: starts simulated outside systems and prints one JSON line for
+//! each listening address.
 
 use std::net::SocketAddr;
 
-use carobvane_standin::{engine, keyvalue, service, store, vmlist};
 use eyre::WrapErr;
 use log4rs::{
     append::console::{ConsoleAppender, Target},
@@ -10,6 +10,8 @@
     encode::json::JsonEncoder,
 };
 
+use crate::{engine, keyvalue, service, store, vmlist};
+
 mod flags {
     xflags::xflags! {
         /// Starts simulated outside systems on 127.0.0.1.
@@ -136,7 +138,8 @@
     Ok(())
 }
 
-fn main() -> eyre::Result<()> {
+/// Runs the program until it is interrupted.
+pub fn run() -> eyre::Result<()> {
     let flags = flags::CarobvaneStandin::from_env_or_exit();
     start_logging()?;
     actix_web::rt::System::new().block_on(start_all(flags))
