Add the order machine

Cause: engines need the wanted weights, with few loads at once, and a paused lease holder must do no harm when it wakes. Ruled out: waiting only for servers that ignore tokens; an order of the predecessor to a server that the successor has not yet contacted would start a load beside the successor's own.

--- /dev/null
+++ b/crates/core/src/orders/lease.rs
@@ -0,0 +1,67 @@
+//! The holder's own view of its lease.
+
+use std::time::Duration;
+
+use super::LeaseEvent;
+use crate::clock::ClockTime;
+
+/// Lifetime of the lease at the key-value service.
+pub const LEASE_TIME: Duration = Duration::from_secs(5);
+/// Time after which an order that was sent is given up.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The holder stops this much before its lease can end, against clock drift.
+const LEASE_MARGIN: Duration = Duration::from_millis(250);
+/// Time that a new holder waits before its first order: the predecessor's last order was sent
+/// within its lease and is given up after the request timeout.
+pub const PREDECESSOR_WAIT: Duration = Duration::from_millis(7_250);
+
+/// The lease as its holder may rely on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LeaseState {
+    fencing: Option<u64>,
+    /// Invariant: earlier than the end of the lease at the service, since it counts from when
+    /// the request was sent.
+    valid_until: ClockTime,
+    /// No order before this time.
+    order_from: ClockTime,
+}
+
+impl LeaseState {
+    /// The fencing token while the lease is valid.
+    pub fn fencing(&self, now: ClockTime) -> Option<u64> {
+        self.fencing.filter(|_| now < self.valid_until)
+    }
+
+    /// The fencing token once orders may be sent.
+    pub fn order_fencing(&self, now: ClockTime) -> Option<u64> {
+        self.fencing(now).filter(|_| now >= self.order_from)
+    }
+
+    /// When orders may be sent.
+    pub fn order_from(&self) -> ClockTime {
+        self.order_from
+    }
+
+    /// Takes an event. A renewal does not revive a lease that this node has counted as ended:
+    /// another node may have held it in between.
+    pub fn on_event(&mut self, now: ClockTime, event: LeaseEvent) {
+        match event {
+            LeaseEvent::Acquired { fencing, sent_at } => {
+                self.fencing = Some(fencing);
+                self.valid_until = sent_at + LEASE_TIME - LEASE_MARGIN;
+                self.order_from = now + PREDECESSOR_WAIT;
+            }
+            LeaseEvent::Renewed { sent_at } => {
+                if self.fencing(now).is_some() {
+                    self.valid_until = self.valid_until.max(sent_at + LEASE_TIME - LEASE_MARGIN);
+                }
+            }
+            LeaseEvent::Taken | LeaseEvent::Free | LeaseEvent::Lost => self.step_down(),
+        }
+    }
+
+    /// Ends the lease here, such as after a server has seen a higher token.
+    pub fn step_down(&mut self) {
+        self.fencing = None;
+    }
+}
