Add the store of accepted lists

The steward and the operators' program read and write the lists in the key-value service and must agree on keys, encoding and conflict handling.

ListStore loads the head, a past version or a range of changes, and accepts a document in one transaction that compares the head's revision. A lost acknowledgement is resolved by one read of the head. write_back puts a held version over a head that was restored from an old copy.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,3 +1,4 @@
 //! Hosts of the decision library: sockets, settings, logs and metrics.
 
 pub mod keyvalue;
+pub mod list_store;
--- /dev/null
+++ b/crates/host/src/list_store.rs
@@ -0,0 +1,281 @@
+//! The accepted lists in the key-value service.
+//!
+//! `carobvane/lists/head` is JSON for operators' eyes; changes and snapshots are postcard frames
+//! like those between peers, because a snapshot of 12,000 servers in JSON exceeds the service's
+//! largest value. Loading takes three reads and accepting a change one write.
+
+use std::fmt;
+
+use carobvane_core::lists::{ListDelta, ListDigest, ListDocument, ListSnapshot, ListVersion};
+use carobvane_proto::peer::{FrameError, decode_frame, encode_frame};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::keyvalue::{KeyvalueClient, KeyvalueError, StoredValue, Transaction};
+
+/// Key of the head record.
+pub const HEAD_KEY: &str = "carobvane/lists/head";
+/// Prefix of the keys of changes.
+pub const CHANGE_PREFIX: &str = "carobvane/lists/change/";
+/// Prefix of the keys of snapshots.
+pub const SNAPSHOT_PREFIX: &str = "carobvane/lists/snapshot/";
+/// Versions from one snapshot to the next; the first version has one too.
+pub const SNAPSHOT_INTERVAL: u64 = 64;
+
+/// Value of [`HEAD_KEY`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HeadRecord {
+    /// Number of the accepted version.
+    pub version: u64,
+    /// Digest of its document.
+    pub digest: ListDigest,
+    /// Digest of the document of the version before.
+    pub parent: ListDigest,
+}
+
+/// The head record with the revision that a change must compare.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct StoredHead {
+    /// The record.
+    pub record: HeadRecord,
+    /// Revision of the record's last write; 0 if there is no record.
+    pub revision: i64,
+}
+
+/// Accepted lists and the head that they were read under.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoredLists {
+    /// The head; version 0 and revision 0 before the first change.
+    pub head: StoredHead,
+    /// The requested version; the head's unless another was asked for.
+    pub snapshot: ListSnapshot,
+}
+
+/// What became of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// The version is accepted.
+    Accepted(ListVersion),
+    /// Another version was accepted first; its head is given.
+    Conflict(StoredHead),
+}
+
+/// Why lists could not be read or written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The service did not do the call.
+    Keyvalue(KeyvalueError),
+    /// A stored value could not be decoded.
+    Malformed {
+        /// The value's key.
+        key: String,
+        /// Why.
+        cause: String,
+    },
+    /// The service does not hold the version.
+    MissingVersion(u64),
+    /// A value is too large to store.
+    TooLarge(FrameError),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Keyvalue(cause) => cause.fmt(f),
+            StoreError::Malformed { key, cause } => write!(f, "failed to decode {key}: {cause}"),
+            StoreError::MissingVersion(version) => {
+                write!(f, "the service does not hold version {version} of the lists")
+            }
+            StoreError::TooLarge(cause) => write!(f, "failed to encode lists: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<KeyvalueError> for StoreError {
+    fn from(error: KeyvalueError) -> StoreError {
+        StoreError::Keyvalue(error)
+    }
+}
+
+impl HeadRecord {
+    /// The record of a version.
+    pub fn of(version: ListVersion) -> HeadRecord {
+        HeadRecord { version: version.number, digest: version.digest, parent: version.parent }
+    }
+
+    /// The version of this record.
+    pub fn version(&self) -> ListVersion {
+        ListVersion { number: self.version, digest: self.digest, parent: self.parent }
+    }
+}
+
+/// Key of the change that leads to `version`.
+pub fn change_key(version: u64) -> String {
+    format!("{CHANGE_PREFIX}{version:012}")
+}
+
+/// Key of the snapshot of `version`.
+pub fn snapshot_key(version: u64) -> String {
+    format!("{SNAPSHOT_PREFIX}{version:012}")
+}
+
+/// Decodes the value of [`HEAD_KEY`].
+pub fn decode_head(stored: &StoredValue) -> Result<StoredHead, StoreError> {
+    let record =
+        serde_json::from_slice(&stored.value).map_err(|error| malformed(&stored.key, &error))?;
+    Ok(StoredHead { record, revision: stored.mod_revision })
+}
+
+/// Decodes the value of a change's key, also from a watch.
+pub fn decode_change(stored: &StoredValue) -> Result<ListDelta, StoreError> {
+    decode_value(stored)
+}
+
+/// Reads and writes the accepted lists.
+#[derive(Clone)]
+pub struct ListStore {
+    client: KeyvalueClient,
+}
+
+impl ListStore {
+    /// Creates a store over a client.
+    pub fn new(client: KeyvalueClient) -> ListStore {
+        ListStore { client }
+    }
+
+    /// Reads the head; version 0 if no version was ever accepted. One read.
+    pub async fn load_head(&self) -> Result<StoredHead, StoreError> {
+        let stored = self.client.get(HEAD_KEY).await?;
+        stored.as_ref().map_or_else(|| Ok(StoredHead::default()), decode_head)
+    }
+
+    /// Reads the accepted lists. Three reads.
+    pub async fn load(&self) -> Result<StoredLists, StoreError> {
+        let head = self.load_head().await?;
+        let snapshot = self.load_version(head.record.version).await?;
+        if snapshot.version != head.record.version() {
+            return Err(malformed(HEAD_KEY, &"digest differs from the stored change's"));
+        }
+        Ok(StoredLists { head, snapshot })
+    }
+
+    /// Reads one version; version 0 is the empty document. Two reads.
+    pub async fn load_version(&self, version: u64) -> Result<ListSnapshot, StoreError> {
+        if version == 0 {
+            return Ok(ListSnapshot::default());
+        }
+        let mut snapshot = self.load_base(version).await?;
+        if snapshot.version.number == version {
+            return Ok(snapshot);
+        }
+        for delta in self.load_changes(snapshot.version.number + 1, version).await? {
+            snapshot = delta
+                .apply(&snapshot)
+                .map_err(|error| malformed(&change_key(delta.to.number), &error))?;
+        }
+        if snapshot.version.number != version {
+            return Err(StoreError::MissingVersion(version));
+        }
+        Ok(snapshot)
+    }
+
+    /// Reads the changes that lead to the versions `from` to `to`, inclusive. One read.
+    pub async fn load_changes(&self, from: u64, to: u64) -> Result<Vec<ListDelta>, StoreError> {
+        let end = change_key(to + 1);
+        let (values, _) = self.client.range(&change_key(from), end.as_bytes(), 0).await?;
+        values.iter().map(decode_change).collect()
+    }
+
+    /// The latest snapshot at or before `version`. A steward that wrote a version back after the
+    /// service lost it leaves a snapshot outside the interval, so the whole interval is read.
+    async fn load_base(&self, version: u64) -> Result<ListSnapshot, StoreError> {
+        let first = version - version % SNAPSHOT_INTERVAL;
+        let end = snapshot_key(version + 1);
+        let (values, _) = self.client.range(&snapshot_key(first), end.as_bytes(), 0).await?;
+        let stored = values.last().ok_or(StoreError::MissingVersion(version))?;
+        let snapshot: ListSnapshot = decode_value(stored)?;
+        if !snapshot.is_consistent() {
+            return Err(malformed(&stored.key, &"document does not match its digest"));
+        }
+        Ok(snapshot)
+    }
+
+    /// Accepts `document` as the version after `base.snapshot`, which must be the head. One
+    /// write; a lost acknowledgement or a failed comparison adds one read.
+    pub async fn write(
+        &self,
+        base: &StoredLists,
+        document: &ListDocument,
+    ) -> Result<WriteOutcome, StoreError> {
+        let delta = ListDelta::next(&base.snapshot, document);
+        let version = delta.to;
+        let change = encode_frame(&delta).map_err(StoreError::TooLarge)?;
+        let mut transaction = transaction_on(&base.head, version)?;
+        transaction = transaction.put(&change_key(version.number), &change);
+        if version.number == 1 || version.number.is_multiple_of(SNAPSHOT_INTERVAL) {
+            let snapshot = ListSnapshot { version, document: document.clone() };
+            let value = encode_frame(&snapshot).map_err(StoreError::TooLarge)?;
+            transaction = transaction.put(&snapshot_key(version.number), &value);
+        }
+        self.commit(&base.head, version, transaction).await
+    }
+
+    /// Writes a held version back over a lower head, after the service was restored from an old
+    /// copy. One write.
+    pub async fn write_back(
+        &self,
+        head: &StoredHead,
+        held: &ListSnapshot,
+    ) -> Result<WriteOutcome, StoreError> {
+        let value = encode_frame(held).map_err(StoreError::TooLarge)?;
+        let transaction =
+            transaction_on(head, held.version)?.put(&snapshot_key(held.version.number), &value);
+        self.commit(head, held.version, transaction).await
+    }
+
+    async fn commit(
+        &self,
+        head: &StoredHead,
+        version: ListVersion,
+        transaction: Transaction,
+    ) -> Result<WriteOutcome, StoreError> {
+        let failure = match self.client.txn(transaction).await {
+            Ok(result) if result.succeeded => return Ok(WriteOutcome::Accepted(version)),
+            Ok(_) => None,
+            Err(error) if error.is_outcome_unknown() => Some(error),
+            Err(error) => return Err(error.into()),
+        };
+        let current = self.load_head().await?;
+        // An equal digest means that this write took effect and its acknowledgement was lost, or
+        // that somebody accepted the same document from the same base.
+        if current.record == HeadRecord::of(version) {
+            return Ok(WriteOutcome::Accepted(version));
+        }
+        match failure {
+            // The write can still take effect later; repeating it from the same base is safe.
+            Some(error) if current.revision == head.revision => Err(error.into()),
+            _ => Ok(WriteOutcome::Conflict(current)),
+        }
+    }
+}
+
+/// A transaction that moves the head from `head` to `version`.
+fn transaction_on(head: &StoredHead, version: ListVersion) -> Result<Transaction, StoreError> {
+    let record = serde_json::to_vec(&HeadRecord::of(version))
+        .map_err(|error| malformed(HEAD_KEY, &error))?;
+    let transaction = if head.revision == 0 {
+        Transaction::new().require_absent(HEAD_KEY)
+    } else {
+        Transaction::new().require_revision(HEAD_KEY, head.revision)
+    };
+    Ok(transaction.put(HEAD_KEY, &record))
+}
+
+fn decode_value<V: DeserializeOwned>(stored: &StoredValue) -> Result<V, StoreError> {
+    decode_frame(&stored.value).map_err(|error| malformed(&stored.key, &error))
+}
+
+fn malformed(key: &str, cause: &impl fmt::Display) -> StoreError {
+    StoreError::Malformed { key: key.to_string(), cause: cause.to_string() }
+}
