--- /dev/null
+++ b/crates/cli/src/flags.rs
@@ -0,0 +1,88 @@
+//! Command line.
+//!
+//! The macro generates types without documentation; the flags themselves are documented.
+#![allow(missing_docs)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Checks, applies and shows the operators' lists of a carobvane deployment.
+    ///
+    /// Exit codes: 0 ok; 1 findings, or nothing found; 2 usage; 3 conflict with another change;
+    /// 4 not in force in time; 5 service unreachable.
+    cmd carobvane {
+        /// URL of the key-value service's JSON gateway (CAROBVANE_KEYVALUE).
+        optional --keyvalue url: String
+        /// Admin URLs of all entries and stewards, separated by commas (CAROBVANE_ENTRIES).
+        optional --entries urls: String
+        /// Longest time for one call, in milliseconds, default 1000 (CAROBVANE_CALL_TIMEOUT_MS).
+        optional --call-timeout-ms milliseconds: String
+        /// Longest wait until a change is in force or a drain has ended, in seconds, default 30
+        /// (CAROBVANE_WAIT_SECONDS).
+        optional --wait-seconds seconds: String
+        /// Print JSON instead of text.
+        optional --json
+
+        /// Check the lists in a folder and print all findings.
+        cmd check {
+            /// Folder with plans.toml, grants.toml and fleet.toml.
+            required dir: PathBuf
+        }
+        /// Show what the lists in a folder would change, and record the version compared with.
+        cmd plan {
+            /// Folder with plans.toml, grants.toml and fleet.toml.
+            required dir: PathBuf
+        }
+        /// Accept the lists in a folder as planned and wait until they are in force everywhere.
+        cmd apply {
+            /// Folder with plans.toml, grants.toml and fleet.toml.
+            required dir: PathBuf
+            /// Version that the change was planned against, instead of the one that `plan`
+            /// recorded in the folder.
+            optional --base version: u64
+        }
+        /// Print accepted lists as TOML.
+        cmd show {
+            /// Version to print instead of the latest.
+            optional --version version: u64
+        }
+        /// List accepted changes, latest first.
+        cmd history {
+            /// Most changes to list, default 20.
+            optional --limit count: u64
+        }
+        /// Compare two versions or folders.
+        cmd diff {
+            /// Version number, `head` or folder.
+            required before: String
+            /// Version number, `head` or folder.
+            required after: String
+        }
+        /// Accept the lists of an earlier version as a new version and wait until in force.
+        cmd revert {
+            /// Version whose lists are accepted again.
+            required version: u64
+        }
+        /// Show the state of all nodes, servers and workspaces.
+        cmd status {}
+        /// Explain where a request went and why.
+        cmd why {
+            /// The request's id, from `x-request-id`.
+            required request_id: String
+        }
+        /// Let an entry leave gracefully and wait until it has.
+        cmd drain {
+            /// Name of the entry in the lists, its node number or its admin URL.
+            required entry: String
+            /// Return once the drain has begun.
+            optional --no-wait
+        }
+        /// Read a key from standard input and print its hash.
+        cmd hash-key {}
+        /// Print a completion script.
+        cmd completions {
+            /// `bash`, `zsh` or `fish`.
+            required shell: String
+        }
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,2 @@
-//! Placeholder.
+//! The operators' program.
+pub mod flags;
--- /dev/null
+++ b/crates/lists/src/impact.rs
@@ -0,0 +1,275 @@
+//! What a change means for each workspace.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use carobvane_core::{
+    lists::{ListDocument, ServerRole, WorkspaceEntry},
+    plans::LimitKind,
+};
+use serde::Serialize;
+
+use crate::{
+    difference::ListDifference,
+    limit::{field_of, format_limit},
+};
+
+/// Current use of one workspace over all entries.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WorkspaceUse {
+    /// Requests in progress.
+    pub in_progress: u64,
+    /// Requests in the last minute by `model/NAME` or `service/NAME`.
+    pub targets: BTreeMap<String, u64>,
+}
+
+/// One effect on a workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct WorkspaceEffect {
+    /// What happens, in words.
+    pub text: String,
+    /// Whether the workspace loses something.
+    pub loss: bool,
+    /// Current use of what is lost, in words; absent if nothing is lost.
+    pub current_use: Option<String>,
+    /// Whether the loss is of something in use, or of something whose use is unknown.
+    pub warning: bool,
+}
+
+/// All effects on a workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct WorkspaceImpact {
+    /// The workspace's name.
+    pub workspace: String,
+    /// The effects.
+    pub effects: Vec<WorkspaceEffect>,
+}
+
+/// What a change would do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ChangePlan {
+    /// Differences in the lists.
+    #[serde(flatten)]
+    pub difference: ListDifference,
+    /// Effects by workspace; workspaces without effects are left out.
+    pub impacts: Vec<WorkspaceImpact>,
+    /// Number of effects that are warnings.
+    pub warnings: usize,
+}
+
+impl ChangePlan {
+    /// The plan of a change from `old` to `new`. `usage` holds current use by workspace, or is
+    /// absent if no entry could be asked; a workspace that is missing in it is not in use.
+    pub fn new(
+        old: &ListDocument,
+        new: &ListDocument,
+        usage: Option<&BTreeMap<String, WorkspaceUse>>,
+    ) -> ChangePlan {
+        let names: BTreeSet<&String> = old.workspaces.keys().chain(new.workspaces.keys()).collect();
+        let mut impacts = Vec::new();
+        for name in names {
+            let unused = WorkspaceUse::default();
+            let usage = usage.map(|usage| usage.get(name).unwrap_or(&unused));
+            let effects = effects_on(name, old, new, usage);
+            if !effects.is_empty() {
+                impacts.push(WorkspaceImpact { workspace: name.clone(), effects });
+            }
+        }
+        let effects = impacts.iter().flat_map(|impact| &impact.effects);
+        let warnings = effects.filter(|effect| effect.warning).count();
+        ChangePlan { difference: ListDifference::between(old, new), impacts, warnings }
+    }
+}
+
+/// Everything that a workspace has.
+struct WorkspaceView<'a> {
+    entry: &'a WorkspaceEntry,
+    amounts: [u64; LimitKind::ALL.len()],
+    weight: u32,
+    /// `model/NAME`, `service/NAME` and `adapter/NAME`.
+    targets: BTreeSet<String>,
+    /// Servers and weights version of each target.
+    backing: BTreeMap<String, TargetBacking>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct TargetBacking {
+    servers: usize,
+    version: Option<u64>,
+}
+
+impl<'a> WorkspaceView<'a> {
+    fn of(document: &'a ListDocument, name: &str) -> Option<WorkspaceView<'a>> {
+        let entry = document.workspaces.get(name)?;
+        let plan = document.plans.get(&entry.plan).copied().unwrap_or_default();
+        let grant = document.grants.get(&entry.plan).cloned().unwrap_or_default();
+        let mut targets = BTreeSet::new();
+        targets.extend(grant.models.iter().map(|name| format!("model/{name}")));
+        targets.extend(grant.services.iter().map(|name| format!("service/{name}")));
+        targets.extend(grant.adapters.iter().map(|name| format!("adapter/{name}")));
+        let mut backing: BTreeMap<String, TargetBacking> = BTreeMap::new();
+        for server in document.servers.values() {
+            let (target, model) = match &server.role {
+                ServerRole::Engine(model) => (format!("model/{model}"), Some(model)),
+                ServerRole::Service(service) => (format!("service/{service}"), None),
+            };
+            if targets.contains(&target) {
+                let backing = backing.entry(target).or_default();
+                backing.servers += 1;
+                let weights = model.and_then(|model| document.weights.get(model));
+                backing.version = weights.map(|weights| weights.version);
+            }
+        }
+        let amounts = LimitKind::ALL.map(|kind| plan.limits.amount(kind));
+        Some(WorkspaceView { entry, amounts, weight: plan.weight, targets, backing })
+    }
+}
+
+fn effects_on(
+    name: &str,
+    old: &ListDocument,
+    new: &ListDocument,
+    usage: Option<&WorkspaceUse>,
+) -> Vec<WorkspaceEffect> {
+    let mut effects = EffectList { effects: Vec::new(), usage };
+    match (WorkspaceView::of(old, name), WorkspaceView::of(new, name)) {
+        (None, Some(after)) => effects.neutral(format!("is new, on plan {}", after.entry.plan)),
+        (Some(before), None) => {
+            let text = format!("is removed (plan {}): its keys stop working", before.entry.plan);
+            effects.loss(text, None);
+        }
+        (Some(before), Some(after)) => effects.compare(&before, &after),
+        (None, None) => {}
+    }
+    effects.effects
+}
+
+struct EffectList<'a> {
+    effects: Vec<WorkspaceEffect>,
+    usage: Option<&'a WorkspaceUse>,
+}
+
+impl EffectList<'_> {
+    fn neutral(&mut self, text: String) {
+        let effect = WorkspaceEffect { text, loss: false, current_use: None, warning: false };
+        self.effects.push(effect);
+    }
+
+    /// Adds a loss of `target`, or of something that all requests need.
+    fn loss(&mut self, text: String, target: Option<&str>) {
+        let (current_use, warning) = match self.usage {
+            None => ("current use unknown".to_string(), true),
+            Some(usage) => describe_use(usage, target),
+        };
+        let current_use = Some(current_use);
+        self.effects.push(WorkspaceEffect { text, loss: true, current_use, warning });
+    }
+
+    fn compare(&mut self, before: &WorkspaceView<'_>, after: &WorkspaceView<'_>) {
+        if before.entry.plan != after.entry.plan {
+            self.neutral(format!("plan {} -> {}", before.entry.plan, after.entry.plan));
+        }
+        for kind in LimitKind::ALL {
+            let (old, new) = (before.amounts[kind.index()], after.amounts[kind.index()]);
+            let text = format!(
+                "{} {} -> {}",
+                field_of(kind),
+                format_limit(kind, old),
+                format_limit(kind, new)
+            );
+            match new.cmp(&old) {
+                std::cmp::Ordering::Less => self.loss(text, None),
+                std::cmp::Ordering::Greater => self.neutral(text),
+                std::cmp::Ordering::Equal => {}
+            }
+        }
+        match after.weight.cmp(&before.weight) {
+            std::cmp::Ordering::Less => {
+                self.loss(format!("weight {} -> {}", before.weight, after.weight), None);
+            }
+            std::cmp::Ordering::Greater => {
+                self.neutral(format!("weight {} -> {}", before.weight, after.weight));
+            }
+            std::cmp::Ordering::Equal => {}
+        }
+        self.compare_targets(before, after);
+        let lost = before.entry.key_hashes.difference(&after.entry.key_hashes).count();
+        if lost > 0 {
+            self.loss(
+                format!("{lost} of {} keys stop working", before.entry.key_hashes.len()),
+                None,
+            );
+        }
+        let gained = after.entry.key_hashes.difference(&before.entry.key_hashes).count();
+        if gained > 0 {
+            self.neutral(format!("{gained} new keys"));
+        }
+    }
+
+    fn compare_targets(&mut self, before: &WorkspaceView<'_>, after: &WorkspaceView<'_>) {
+        for target in before.targets.difference(&after.targets) {
+            self.loss(format!("loses {target}"), Some(target));
+        }
+        for target in after.targets.difference(&before.targets) {
+            self.neutral(format!("gains {target}"));
+        }
+        for target in before.targets.intersection(&after.targets) {
+            let old = before.backing.get(target).copied().unwrap_or_default();
+            let new = after.backing.get(target).copied().unwrap_or_default();
+            let text = format!("{target}: {} -> {} servers", old.servers, new.servers);
+            match new.servers.cmp(&old.servers) {
+                std::cmp::Ordering::Less => self.loss(text, Some(target)),
+                std::cmp::Ordering::Greater => self.neutral(text),
+                std::cmp::Ordering::Equal => {}
+            }
+            if let (Some(old), Some(new)) = (old.version, new.version)
+                && old != new
+            {
+                self.neutral(format!("{target}: weights version {old} -> {new}"));
+            }
+        }
+    }
+}
+
+/// Use in words, and whether there is any. Use by adapter is not reported, so an adapter counts
+/// as used when the workspace is.
+fn describe_use(usage: &WorkspaceUse, target: Option<&str>) -> (String, bool) {
+    let total: u64 = usage.targets.values().sum();
+    let counted = target.filter(|target| !target.starts_with("adapter/"));
+    if let Some(target) = counted {
+        let requests = usage.targets.get(target).copied().unwrap_or(0);
+        return (format!("{requests} requests in the last minute"), requests > 0);
+    }
+    let text = format!("{total} requests in the last minute, {} in progress", usage.in_progress);
+    (text, total > 0 || usage.in_progress > 0)
+}
+
+impl fmt::Display for WorkspaceEffect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.warning { "warning: " } else { "" };
+        write!(f, "{mark}{}", self.text)?;
+        match &self.current_use {
+            Some(current_use) => write!(f, " ({current_use})"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for ChangePlan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.difference.is_empty() {
+            return f.write_str("no change");
+        }
+        write!(f, "{}\n\nEffects on workspaces:", self.difference)?;
+        if self.impacts.is_empty() {
+            f.write_str(" none")?;
+        }
+        for impact in &self.impacts {
+            write!(f, "\n  {}", impact.workspace)?;
+            impact.effects.iter().try_for_each(|effect| write!(f, "\n    {effect}"))?;
+        }
+        write!(f, "\n\n{} warnings", self.warnings)
+    }
+}
--- a/crates/lists/src/lib.rs
+++ b/crates/lists/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! The operators' lists: TOML files in a folder that become one `ListDocument`.
+//!
+//! Operators change carobvane only by editing these files, so every mistake that can be seen in
+//! them is reported before a version is accepted: all findings at once, each with its position,
+//! its rule and a suggestion. `docs/lists.md` describes the format and each rule.
+
+mod check;
+mod difference;
+mod finding;
+mod impact;
+mod limit;
+mod names;
+mod raw;
+mod reader;
+mod rules;
+mod source;
+mod writer;
+
+#[cfg(test)]
+mod tests;
+
+pub use check::{CheckedLists, check_folder, check_texts};
+pub use difference::{ChangeAction, EntryChange, EntryKind, FieldChange, ListDifference};
+pub use finding::{Finding, RuleName};
+pub use impact::{ChangePlan, WorkspaceEffect, WorkspaceImpact, WorkspaceUse};
+pub use limit::{
+    MIN_CONCURRENT_STREAMS, MIN_REQUESTS_PER_SECOND, MIN_TOKENS_PER_MINUTE, format_limit,
+};
+pub use source::{FLEET_FILE, FolderTexts, GRANTS_FILE, PLANS_FILE, Position, ReadError};
+pub use writer::write_texts;
--- /dev/null
+++ b/crates/lists/src/limit.rs
@@ -0,0 +1,99 @@
+//! Limits with their units.
+
+use carobvane_core::plans::LimitKind;
+
+use crate::{
+    finding::{FindingCollector, RuleName},
+    source::Located,
+};
+
+/// Least requests a second of a plan: one.
+pub const MIN_REQUESTS_PER_SECOND: u64 = 1;
+/// Least tokens a minute of a plan: one piece of 2,000 tokens for each of the nine home entries
+/// that a plan's amount is split over. Below it, no home share admits a whole piece.
+pub const MIN_TOKENS_PER_MINUTE: u64 = 9 * 2_000;
+/// Least concurrent streams of a plan: one.
+pub const MIN_CONCURRENT_STREAMS: u64 = 1;
+
+/// The field of a limit in `plans.toml`.
+pub(crate) fn field_of(kind: LimitKind) -> &'static str {
+    match kind {
+        LimitKind::Requests => "requests",
+        LimitKind::Tokens => "tokens",
+        LimitKind::Streams => "streams",
+    }
+}
+
+/// The unit of a limit as written after its amount.
+fn unit_of(kind: LimitKind) -> &'static str {
+    match kind {
+        LimitKind::Requests => "/s",
+        LimitKind::Tokens => "/min",
+        LimitKind::Streams => " streams",
+    }
+}
+
+fn minimum_of(kind: LimitKind) -> u64 {
+    match kind {
+        LimitKind::Requests => MIN_REQUESTS_PER_SECOND,
+        LimitKind::Tokens => MIN_TOKENS_PER_MINUTE,
+        LimitKind::Streams => MIN_CONCURRENT_STREAMS,
+    }
+}
+
+/// A limit as it stands in `plans.toml`, such as `20/s`.
+pub fn format_limit(kind: LimitKind, amount: u64) -> String {
+    format!("{amount}{}", unit_of(kind))
+}
+
+/// Reads a limit such as `20/s`, `60000/min` or `8 streams`; digits may be grouped by `_`.
+pub(crate) fn parse_limit(
+    kind: LimitKind,
+    text: &Located<String>,
+    subject: &str,
+    findings: &mut FindingCollector,
+) -> Option<u64> {
+    let trimmed = text.value.trim();
+    let end = trimmed.find(|c: char| !c.is_ascii_digit() && c != '_').unwrap_or(trimmed.len());
+    let (digits, unit) = trimmed.split_at(end);
+    let field = field_of(kind);
+    let Ok(amount) = digits.replace('_', "").parse::<u64>() else {
+        let example = format_limit(kind, minimum_of(kind));
+        findings.suggest(
+            text.at,
+            RuleName::WrongType,
+            format!("{subject}: `{field}` is `{}`, not an amount with a unit", text.value),
+            format!("write it like `{field} = \"{example}\"`"),
+        );
+        return None;
+    };
+    let mend = format!("write `{field} = \"{}\"`", format_limit(kind, amount));
+    let unit = unit.trim();
+    if unit.is_empty() {
+        let message = format!("{subject}: `{field}` has no unit");
+        findings.suggest(text.at, RuleName::LimitWithoutUnit, message, mend);
+        return None;
+    }
+    let singular = kind == LimitKind::Streams && unit == "stream";
+    if unit != unit_of(kind).trim() && !singular {
+        let message = format!("{subject}: `{field}` has the unit `{unit}`");
+        let wanted = unit_of(kind).trim();
+        findings.suggest(
+            text.at,
+            RuleName::LimitWithWrongUnit,
+            message,
+            format!("convert the amount to `{wanted}`, the only unit of `{field}`"),
+        );
+        return None;
+    }
+    let minimum = minimum_of(kind);
+    if amount < minimum {
+        findings.suggest(
+            text.at,
+            RuleName::LimitBelowMinimum,
+            format!("{subject}: `{field}` is below the reserved minimum"),
+            format!("raise it to at least `{}`", format_limit(kind, minimum)),
+        );
+    }
+    Some(amount)
+}
--- /dev/null
+++ b/crates/lists/src/names.rs
@@ -0,0 +1,48 @@
+//! Names and their nearest neighbours.
+
+/// Longest name, in characters.
+pub(crate) const MAX_NAME_LENGTH: usize = 64;
+/// Least similarity (0 to 1) of a name that is suggested for another. Lower values suggested
+/// unrelated short names in trials with the field names.
+const MIN_SIMILARITY: f64 = 0.7;
+
+/// Whether `name` consists of lower-case letters, digits and inner hyphens or dots.
+pub(crate) fn is_valid_name(name: &str) -> bool {
+    let inner = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+    !name.is_empty()
+        && name.len() <= MAX_NAME_LENGTH
+        && name.chars().all(inner)
+        && !name.starts_with(['-', '.'])
+        && !name.ends_with(['-', '.'])
+}
+
+/// The most similar of `candidates`, if one is similar enough.
+pub(crate) fn nearest<'a>(
+    name: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let scored = candidates.into_iter().map(|other| (strsim::jaro_winkler(name, other), other));
+    let best = scored.max_by(|(one, _), (two, _)| one.total_cmp(two))?;
+    (best.0 >= MIN_SIMILARITY).then_some(best.1)
+}
+
+/// A suggestion of the nearest candidate, or of all of them when none is near.
+pub(crate) fn did_you_mean<'a>(
+    name: &str,
+    candidates: impl IntoIterator<Item = &'a str>,
+) -> Option<String> {
+    let candidates: Vec<&str> = candidates.into_iter().collect();
+    if let Some(best) = nearest(name, candidates.iter().copied()) {
+        return Some(format!("did you mean `{best}`?"));
+    }
+    if candidates.is_empty() {
+        return None;
+    }
+    let shown: Vec<String> =
+        candidates.iter().take(MAX_SHOWN_NAMES).map(|name| format!("`{name}`")).collect();
+    let more = if candidates.len() > MAX_SHOWN_NAMES { " and others" } else { "" };
+    Some(format!("known: {}{more}", shown.join(", ")))
+}
+
+/// Most names in a suggestion.
+const MAX_SHOWN_NAMES: usize = 8;
--- /dev/null
+++ b/crates/lists/src/raw.rs
@@ -0,0 +1,299 @@
+//! The lists as written, with positions, before references are resolved.
+
+use std::collections::BTreeMap;
+
+use carobvane_core::{
+    ids::NodeId,
+    lists::{KeyHash, ServerRole},
+    plans::{LimitKind, PlanLimits},
+};
+
+use crate::{
+    finding::{FindingCollector, RuleName},
+    limit::{field_of, parse_limit},
+    reader::{TableReader, parse},
+    source::{FLEET_FILE, GRANTS_FILE, Located, PLANS_FILE, Position, SourceFile},
+};
+
+/// Everything that stands in the three files.
+#[derive(Debug, Default)]
+pub(crate) struct RawLists {
+    pub(crate) plans: BTreeMap<String, Located<RawPlan>>,
+    pub(crate) workspaces: BTreeMap<String, Located<RawWorkspace>>,
+    pub(crate) everyone: RawGrant,
+    pub(crate) grants: BTreeMap<String, Located<RawGrant>>,
+    pub(crate) data_centres: Vec<Located<String>>,
+    pub(crate) weights: BTreeMap<String, Located<RawWeights>>,
+    pub(crate) servers: BTreeMap<String, Located<RawServer>>,
+    pub(crate) entries: BTreeMap<String, Located<RawEntry>>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct RawPlan {
+    pub(crate) limits: PlanLimits,
+    pub(crate) weight: u32,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct RawWorkspace {
+    pub(crate) plan: Option<Located<String>>,
+    pub(crate) key_hashes: Vec<Located<KeyHash>>,
+}
+
+/// What a grant gives and denies, by [`GrantKind`].
+#[derive(Debug, Default)]
+pub(crate) struct RawGrant {
+    pub(crate) given: [Vec<Located<String>>; 3],
+    pub(crate) denied: [Vec<Located<String>>; 3],
+}
+
+/// What a grant can name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum GrantKind {
+    Model,
+    Service,
+    Adapter,
+}
+
+impl GrantKind {
+    pub(crate) const ALL: [GrantKind; 3] =
+        [GrantKind::Model, GrantKind::Service, GrantKind::Adapter];
+
+    pub(crate) fn as_str(self) -> &'static str {
+        ["model", "service", "adapter"][self as usize]
+    }
+
+    pub(crate) fn field(self) -> &'static str {
+        ["models", "services", "adapters"][self as usize]
+    }
+
+    fn deny_field(self) -> &'static str {
+        ["deny_models", "deny_services", "deny_adapters"][self as usize]
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct RawWeights {
+    pub(crate) version: Option<u64>,
+    pub(crate) adapters: Vec<Located<String>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct RawServer {
+    pub(crate) address: Option<Located<String>>,
+    pub(crate) role: Option<Located<ServerRole>>,
+    pub(crate) data_centre: Option<Located<String>>,
+    pub(crate) checks_fencing: bool,
+    pub(crate) slots: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct RawEntry {
+    pub(crate) node: Option<NodeId>,
+    pub(crate) http: Option<Located<String>>,
+    pub(crate) peer: Option<Located<String>>,
+    pub(crate) data_centre: Option<Located<String>>,
+}
+
+/// Share of a plan that names no `weight`.
+const DEFAULT_WEIGHT: u32 = 1;
+/// Largest share, so that one plan cannot starve the others by a slip of the hand.
+const MAX_WEIGHT: u64 = 100;
+/// Largest number of requests that a server runs at once.
+const MAX_SLOTS: u64 = 4_096;
+/// Largest node number.
+const MAX_NODE: u64 = 1_000_000;
+/// Largest weights version.
+const MAX_VERSION: u64 = i64::MAX as u64;
+
+impl RawLists {
+    pub(crate) fn read_plans(&mut self, text: &str, findings: &mut FindingCollector) {
+        let source = SourceFile { name: PLANS_FILE, text };
+        let table = parse(source, findings);
+        let root = TableReader::root(source, table.get_ref());
+        root.expect_fields(&["plan", "workspace"], findings);
+        for (name, reader) in root.entries("plan", findings) {
+            reader.expect_fields(&["requests", "tokens", "streams", "weight"], findings);
+            let plan = read_plan(&reader, findings);
+            self.plans.insert(name.value, Located { value: plan, at: name.at });
+        }
+        for (name, reader) in root.entries("workspace", findings) {
+            let workspace = read_workspace(&reader, findings);
+            self.workspaces.insert(name.value, Located { value: workspace, at: name.at });
+        }
+    }
+
+    pub(crate) fn read_grants(&mut self, text: &str, findings: &mut FindingCollector) {
+        let source = SourceFile { name: GRANTS_FILE, text };
+        let table = parse(source, findings);
+        let root = TableReader::root(source, table.get_ref());
+        root.expect_fields(&["everyone", "grant"], findings);
+        if let Some(reader) = root.section("everyone", findings) {
+            reader.expect_fields(&GrantKind::ALL.map(GrantKind::field), findings);
+            self.everyone = read_grant(&reader, findings);
+        }
+        for (name, reader) in root.entries("grant", findings) {
+            let mut known = GrantKind::ALL.map(GrantKind::field).to_vec();
+            known.extend(GrantKind::ALL.map(GrantKind::deny_field));
+            reader.expect_fields(&known, findings);
+            let grant = read_grant(&reader, findings);
+            self.grants.insert(name.value, Located { value: grant, at: name.at });
+        }
+    }
+
+    pub(crate) fn read_fleet(&mut self, text: &str, findings: &mut FindingCollector) {
+        let source = SourceFile { name: FLEET_FILE, text };
+        let table = parse(source, findings);
+        let root = TableReader::root(source, table.get_ref());
+        root.expect_fields(&["data_centres", "weights", "server", "entry"], findings);
+        root.require("data_centres", findings);
+        self.data_centres = root.text_list("data_centres", findings);
+        for (name, reader) in root.entries("weights", findings) {
+            reader.expect_fields(&["version", "adapters"], findings);
+            let weights = RawWeights {
+                version: read_version(&reader, findings),
+                adapters: reader.text_list("adapters", findings),
+            };
+            self.weights.insert(name.value, Located { value: weights, at: name.at });
+        }
+        for (name, reader) in root.entries("server", findings) {
+            let known = ["address", "model", "service", "data_centre", "checks_fencing", "slots"];
+            reader.expect_fields(&known, findings);
+            let server = read_server(&reader, findings);
+            self.servers.insert(name.value, Located { value: server, at: name.at });
+        }
+        for (name, reader) in root.entries("entry", findings) {
+            reader.expect_fields(&["node", "http", "peer", "data_centre"], findings);
+            reader.require("node", findings);
+            let entry = RawEntry {
+                node: reader.number("node", 0, MAX_NODE, findings).map(|node| NodeId(node as u32)),
+                http: reader.required_text("http", findings),
+                peer: reader.required_text("peer", findings),
+                data_centre: reader.required_text("data_centre", findings),
+            };
+            self.entries.insert(name.value, Located { value: entry, at: name.at });
+        }
+    }
+}
+
+fn read_plan(reader: &TableReader<'_>, findings: &mut FindingCollector) -> RawPlan {
+    let mut amounts = [0; LimitKind::ALL.len()];
+    for kind in LimitKind::ALL {
+        let field = field_of(kind);
+        if reader.position_of(field).is_none() {
+            let message = format!("{}: `{field}` is missing", reader.subject);
+            let mend = "give every limit; carobvane knows no unlimited plan";
+            findings.suggest(reader.at, RuleName::PlanWithoutLimit, message, mend);
+        }
+        if let Some(text) = reader.limit_text(field, findings) {
+            let amount = parse_limit(kind, &text, &reader.subject, findings);
+            amounts[kind.index()] = amount.unwrap_or(0);
+        }
+    }
+    let weight = reader.number("weight", 1, MAX_WEIGHT, findings);
+    RawPlan {
+        limits: PlanLimits {
+            requests_per_second: amounts[LimitKind::Requests.index()],
+            tokens_per_minute: amounts[LimitKind::Tokens.index()],
+            concurrent_streams: amounts[LimitKind::Streams.index()],
+        },
+        weight: weight.map_or(DEFAULT_WEIGHT, |weight| weight as u32),
+    }
+}
+
+/// Fields in which operators have put keys themselves.
+const CLEAR_TEXT_FIELDS: [&str; 5] = ["key", "keys", "secret", "token", "api_key"];
+
+fn read_workspace(reader: &TableReader<'_>, findings: &mut FindingCollector) -> RawWorkspace {
+    let mut known = vec!["plan", "key_hashes"];
+    for field in CLEAR_TEXT_FIELDS {
+        if let Some(at) = reader.position_of(field) {
+            report_clear_key(at, &reader.subject, findings);
+            known.push(field);
+        }
+    }
+    reader.expect_fields(&known, findings);
+    let texts = reader.text_list("key_hashes", findings);
+    if texts.is_empty() {
+        findings.suggest(
+            reader.at,
+            RuleName::WorkspaceWithoutKey,
+            format!("{}: `key_hashes` is empty", reader.subject),
+            "add the output of `carobvane hash-key`, or remove the workspace",
+        );
+    }
+    let mut key_hashes = Vec::new();
+    for text in texts {
+        match KeyHash::from_hex(&text.value) {
+            Some(hash) => key_hashes.push(Located { value: hash, at: text.at }),
+            None if text.value.chars().all(|c| c.is_ascii_hexdigit()) => {
+                let length = text.value.len();
+                let message =
+                    format!("{}: key hash has {length} hex digits instead of 64", reader.subject);
+                let mend = "copy the whole output of `carobvane hash-key`";
+                findings.suggest(text.at, RuleName::BadKeyHash, message, mend);
+            }
+            None => report_clear_key(text.at, &reader.subject, findings),
+        }
+    }
+    RawWorkspace { plan: reader.required_text("plan", findings), key_hashes }
+}
+
+fn report_clear_key(at: Position, subject: &str, findings: &mut FindingCollector) {
+    findings.suggest(
+        at,
+        RuleName::KeyInClearText,
+        format!("{subject}: a key stands here in clear text"),
+        "issue a new key, put the output of `carobvane hash-key` under `key_hashes`, and treat \
+         the old key as public",
+    );
+}
+
+fn read_grant(reader: &TableReader<'_>, findings: &mut FindingCollector) -> RawGrant {
+    RawGrant {
+        given: GrantKind::ALL.map(|kind| reader.text_list(kind.field(), findings)),
+        denied: GrantKind::ALL.map(|kind| reader.text_list(kind.deny_field(), findings)),
+    }
+}
+
+fn read_version(reader: &TableReader<'_>, findings: &mut FindingCollector) -> Option<u64> {
+    if reader.position_of("version").is_none() {
+        let message = format!("{}: `version` is missing", reader.subject);
+        let mend = "name the weights version that every engine of the model should hold";
+        findings.suggest(reader.at, RuleName::WeightsWithoutVersion, message, mend);
+    }
+    reader.number("version", 1, MAX_VERSION, findings)
+}
+
+fn read_server(reader: &TableReader<'_>, findings: &mut FindingCollector) -> RawServer {
+    let model = reader.text("model", findings);
+    let service = reader.text("service", findings);
+    let role = match (model, service) {
+        (Some(model), Some(_)) => {
+            let message = format!("{}: has both `model` and `service`", reader.subject);
+            let mend = "keep one of them; a server runs one model or one service";
+            findings.suggest(model.at, RuleName::ContradictingRules, message, mend);
+            None
+        }
+        (Some(model), None) => {
+            Some(Located { at: model.at, value: ServerRole::Engine(model.value) })
+        }
+        (None, Some(service)) => {
+            Some(Located { at: service.at, value: ServerRole::Service(service.value) })
+        }
+        (None, None) => {
+            let message = format!("{}: `model` or `service` is missing", reader.subject);
+            findings.add(reader.at, RuleName::MissingField, message);
+            None
+        }
+    };
+    reader.require("slots", findings);
+    let slots = reader.number("slots", 1, MAX_SLOTS, findings);
+    RawServer {
+        address: reader.required_text("address", findings),
+        role,
+        data_centre: reader.required_text("data_centre", findings),
+        checks_fencing: reader.flag("checks_fencing", findings).unwrap_or(false),
+        slots: slots.map_or(0, |slots| slots as u32),
+    }
+}
--- /dev/null
+++ b/crates/lists/src/reader.rs
@@ -0,0 +1,237 @@
+//! Reading tables field by field, with findings instead of errors.
+
+use toml::de::{DeTable, DeValue};
+
+use crate::{
+    finding::{FindingCollector, RuleName},
+    names::{did_you_mean, is_valid_name},
+    source::{Located, Position, SourceFile},
+};
+
+/// Parses one file; yields what can be read in spite of syntax errors.
+pub(crate) fn parse<'a>(
+    source: SourceFile<'a>,
+    findings: &mut FindingCollector,
+) -> toml::Spanned<DeTable<'a>> {
+    let (table, errors) = DeTable::parse_recoverable(source.text);
+    for error in errors {
+        let at = source.position(&error.span().unwrap_or(0..0));
+        if error.message().contains("duplicate key") {
+            let message = "this name stands twice in the file";
+            findings.suggest(at, RuleName::DuplicateName, message, "remove or rename one of them");
+        } else {
+            findings.add(at, RuleName::TomlSyntax, error.message());
+        }
+    }
+    table
+}
+
+/// One table with its fields.
+pub(crate) struct TableReader<'a> {
+    source: SourceFile<'a>,
+    table: &'a DeTable<'a>,
+    /// Name for messages, such as "plan `harbour`".
+    pub(crate) subject: String,
+    /// Where the table's name stands.
+    pub(crate) at: Position,
+}
+
+impl<'a> TableReader<'a> {
+    /// Reads a file's top level.
+    pub(crate) fn root(source: SourceFile<'a>, table: &'a DeTable<'a>) -> TableReader<'a> {
+        let at = Position::start_of(source.name);
+        TableReader { source, table, subject: source.name.to_string(), at }
+    }
+
+    /// Reports fields that are not `known`.
+    pub(crate) fn expect_fields(&self, known: &[&str], findings: &mut FindingCollector) {
+        for key in self.table.keys() {
+            let name = key.get_ref().as_ref();
+            if !known.contains(&name) {
+                let message = format!("{}: no field `{name}`", self.subject);
+                findings.suggest(
+                    self.source.position(&key.span()),
+                    RuleName::UnknownField,
+                    message,
+                    did_you_mean(name, known.iter().copied()).unwrap_or_default(),
+                );
+            }
+        }
+    }
+
+    /// The position of a field's name, if the table has the field.
+    pub(crate) fn position_of(&self, field: &str) -> Option<Position> {
+        let (key, _) = self.table.get_key_value(field)?;
+        Some(self.source.position(&key.span()))
+    }
+
+    /// The table under `field`.
+    pub(crate) fn section(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Option<TableReader<'a>> {
+        let (key, value) = self.table.get_key_value(field)?;
+        let at = self.source.position(&key.span());
+        let DeValue::Table(table) = value.get_ref() else {
+            self.report_type(at, field, "a table", findings);
+            return None;
+        };
+        Some(TableReader { source: self.source, table, subject: format!("`[{field}]`"), at })
+    }
+
+    /// The tables under `section`, by name, such as all `[plan.NAME]`.
+    pub(crate) fn entries(
+        &self,
+        section: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Vec<(Located<String>, TableReader<'a>)> {
+        let mut entries = Vec::new();
+        let Some(group) = self.section(section, findings) else { return entries };
+        for (key, value) in group.table.iter() {
+            let name = key.get_ref().to_string();
+            let at = self.source.position(&key.span());
+            let subject = format!("{section} `{name}`");
+            let DeValue::Table(table) = value.get_ref() else {
+                let message = format!("{subject} is not a table");
+                let mend = format!("write it as `[{section}.NAME]` with fields below");
+                findings.suggest(at, RuleName::WrongType, message, mend);
+                continue;
+            };
+            if !is_valid_name(&name) {
+                findings.suggest(
+                    at,
+                    RuleName::BadName,
+                    format!("{subject}: not a valid name"),
+                    "use lower-case letters, digits, and hyphens or dots between them",
+                );
+            }
+            let reader = TableReader { source: self.source, table, subject, at };
+            entries.push((Located { value: name, at }, reader));
+        }
+        entries
+    }
+
+    /// A text field.
+    pub(crate) fn text(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Option<Located<String>> {
+        let value = self.table.get(field)?;
+        let at = self.source.position(&value.span());
+        match value.get_ref() {
+            DeValue::String(text) => Some(Located { value: text.to_string(), at }),
+            _ => {
+                self.report_type(at, field, "text in quotes", findings);
+                None
+            }
+        }
+    }
+
+    /// A text field that must be there.
+    pub(crate) fn required_text(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Option<Located<String>> {
+        self.require(field, findings);
+        self.text(field, findings)
+    }
+
+    /// Reports a missing field.
+    pub(crate) fn require(&self, field: &'static str, findings: &mut FindingCollector) {
+        if !self.table.contains_key(field) {
+            let message = format!("{}: `{field}` is missing", self.subject);
+            findings.add(self.at, RuleName::MissingField, message);
+        }
+    }
+
+    /// A limit's text. A bare number is returned as text, so that its missing unit is reported.
+    pub(crate) fn limit_text(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Option<Located<String>> {
+        let value = self.table.get(field)?;
+        if let DeValue::Integer(number) = value.get_ref() {
+            let at = self.source.position(&value.span());
+            return Some(Located { value: number.as_str().to_string(), at });
+        }
+        self.text(field, findings)
+    }
+
+    /// A list of texts; empty if absent.
+    pub(crate) fn text_list(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Vec<Located<String>> {
+        let mut texts = Vec::new();
+        let Some(value) = self.table.get(field) else { return texts };
+        let DeValue::Array(items) = value.get_ref() else {
+            let at = self.source.position(&value.span());
+            self.report_type(at, field, "a list of texts", findings);
+            return texts;
+        };
+        for item in items.iter() {
+            let at = self.source.position(&item.span());
+            match item.get_ref() {
+                DeValue::String(text) => texts.push(Located { value: text.to_string(), at }),
+                _ => self.report_type(at, field, "a list of texts", findings),
+            }
+        }
+        texts
+    }
+
+    /// A whole number of at least `minimum` and at most `maximum`.
+    pub(crate) fn number(
+        &self,
+        field: &'static str,
+        minimum: u64,
+        maximum: u64,
+        findings: &mut FindingCollector,
+    ) -> Option<u64> {
+        let value = self.table.get(field)?;
+        let at = self.source.position(&value.span());
+        let DeValue::Integer(integer) = value.get_ref() else {
+            self.report_type(at, field, "a whole number", findings);
+            return None;
+        };
+        let number = i64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let number = number.and_then(|number| u64::try_from(number).ok());
+        let fitting = number.filter(|number| (minimum..=maximum).contains(number));
+        if fitting.is_none() {
+            let message =
+                format!("{}: `{field}` must be from {minimum} to {maximum}", self.subject);
+            findings.add(at, RuleName::OutOfRange, message);
+        }
+        fitting
+    }
+
+    /// A field that is `true` or `false`.
+    pub(crate) fn flag(
+        &self,
+        field: &'static str,
+        findings: &mut FindingCollector,
+    ) -> Option<bool> {
+        let value = self.table.get(field)?;
+        if let DeValue::Boolean(flag) = value.get_ref() {
+            return Some(*flag);
+        }
+        let at = self.source.position(&value.span());
+        self.report_type(at, field, "`true` or `false`", findings);
+        None
+    }
+
+    fn report_type(
+        &self,
+        at: Position,
+        field: &str,
+        wanted: &str,
+        findings: &mut FindingCollector,
+    ) {
+        let message = format!("{}: `{field}` must be {wanted}", self.subject);
+        findings.add(at, RuleName::WrongType, message);
+    }
+}
--- /dev/null
+++ b/crates/lists/src/source.rs
@@ -0,0 +1,114 @@
+//! Files and positions in them.
+
+use std::{fmt, fs, io, ops::Range, path::Path};
+
+use serde::Serialize;
+
+/// Workspaces and plans.
+pub const PLANS_FILE: &str = "plans.toml";
+/// What each plan may use.
+pub const GRANTS_FILE: &str = "grants.toml";
+/// Entry VMs, backend servers and weights.
+pub const FLEET_FILE: &str = "fleet.toml";
+
+/// Texts of the three files; absent if the folder has no such file.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct FolderTexts {
+    /// Text of [`PLANS_FILE`].
+    pub plans: Option<String>,
+    /// Text of [`GRANTS_FILE`].
+    pub grants: Option<String>,
+    /// Text of [`FLEET_FILE`].
+    pub fleet: Option<String>,
+}
+
+/// A folder or file that could not be read.
+#[derive(Debug)]
+pub struct ReadError {
+    path: String,
+    cause: io::Error,
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "failed to read {}: {}", self.path, self.cause)
+    }
+}
+
+impl std::error::Error for ReadError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.cause)
+    }
+}
+
+impl FolderTexts {
+    /// Reads the three files of `folder`.
+    pub fn read(folder: &Path) -> Result<FolderTexts, ReadError> {
+        let failed = |path: &Path, cause| ReadError { path: path.display().to_string(), cause };
+        fs::read_dir(folder).map_err(|cause| failed(folder, cause))?;
+        let read = |name: &str| {
+            let path = folder.join(name);
+            match fs::read_to_string(&path) {
+                Ok(text) => Ok(Some(text)),
+                Err(cause) if cause.kind() == io::ErrorKind::NotFound => Ok(None),
+                Err(cause) => Err(failed(&path, cause)),
+            }
+        };
+        Ok(FolderTexts {
+            plans: read(PLANS_FILE)?,
+            grants: read(GRANTS_FILE)?,
+            fleet: read(FLEET_FILE)?,
+        })
+    }
+}
+
+/// A place in one of the files.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct Position {
+    /// Name of the file.
+    pub file: &'static str,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+}
+
+impl Position {
+    /// The beginning of a file.
+    pub(crate) fn start_of(file: &'static str) -> Position {
+        Position { file, line: 1, column: 1 }
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.file, self.line, self.column)
+    }
+}
+
+/// A value with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Located<T> {
+    pub(crate) value: T,
+    pub(crate) at: Position,
+}
+
+/// One file's text.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SourceFile<'a> {
+    pub(crate) name: &'static str,
+    pub(crate) text: &'a str,
+}
+
+impl SourceFile<'_> {
+    /// The position of the beginning of a byte range.
+    pub(crate) fn position(&self, span: &Range<usize>) -> Position {
+        let before = self.text.get(..span.start).unwrap_or(self.text);
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        Position {
+            file: self.name,
+            line: before.matches('\n').count() + 1,
+            column: before[line_start..].chars().count() + 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lists/src/tests.rs
@@ -0,0 +1,169 @@
+use std::{collections::BTreeMap, path::Path};
+
+use crate::{
+    ChangePlan, FolderTexts, ListDifference, RuleName, WorkspaceUse, check_folder, check_texts,
+    write_texts,
+};
+
+fn example(name: &str) -> FolderTexts {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    FolderTexts::read(&folder).expect("the example is in the repository")
+}
+
+/// Guards against examples that the check refuses, and against lists that change when they are
+/// written out and read again.
+#[test]
+fn examples_pass_and_survive_writing() {
+    for (name, engines, services) in [("irazabal", 12, 4), ("kelani", 18, 3)] {
+        let checked = check_texts(&example(name));
+        assert_eq!(checked.findings, [], "{name}");
+        let document = checked.document.expect("no findings");
+        assert_eq!(document.workspaces.len(), 8, "{name}");
+        assert_eq!(document.entries.len(), 9, "{name}");
+        assert_eq!(document.servers.len(), engines + services, "{name}");
+        let again = check_texts(&write_texts(&document));
+        assert_eq!(again.findings, [], "{name}");
+        assert_eq!(again.document, Some(document), "{name}");
+    }
+}
+
+/// Guards against a broken example that no longer shows most rules.
+#[test]
+fn broken_example_has_findings_of_many_rules() {
+    let mut rules: Vec<RuleName> =
+        check_texts(&example("broken")).findings.iter().map(|finding| finding.rule).collect();
+    rules.sort();
+    rules.dedup();
+    assert!(rules.len() >= 10, "{rules:?}");
+}
+
+/// A mistake: one replacement in the example irazabal.
+struct MistakeCase {
+    rule: RuleName,
+    file: &'static str,
+    from: &'static str,
+    to: &'static str,
+    /// Expected column of the finding.
+    column: usize,
+}
+
+/// Guards against a rule that is never applied or points at the wrong place.
+#[test]
+fn each_rule_finds_its_mistake() {
+    use RuleName::*;
+    const FIRST_KEY: &str = "6efec0b4f2fde57f45c5967f901bdcd65fe5ab93a9245ae5a6b0110ec2d1b576";
+    const SECOND_KEY: &str = "485e666fda22173d2c087a6d9076b10e77c39ca025903147b7c1b434dc2396af";
+    let case = |rule, file, from, to, column| MistakeCase { rule, file, from, to, column };
+    let cases = [
+        case(TomlSyntax, "plans", "weight = 8", "weight = = 8", 10),
+        case(DuplicateName, "plans", "[plan.charter]", "[plan.fleet]", 7),
+        case(BadName, "plans", "[workspace.oakes]", "[workspace.Oakes]", 12),
+        case(UnknownField, "plans", "weight = 8", "weigth = 8", 1),
+        case(MissingField, "plans", "plan = \"fleet\"\n", "", 12),
+        case(WrongType, "plans", "weight = 8", "weight = \"8\"", 10),
+        case(OutOfRange, "plans", "weight = 8", "weight = 0", 10),
+        case(PlanWithoutLimit, "plans", "requests = \"120/s\"\n", "", 7),
+        case(LimitWithoutUnit, "plans", "\"120/s\"", "120", 12),
+        case(LimitWithWrongUnit, "plans", "\"120/s\"", "\"120/min\"", 12),
+        case(LimitBelowMinimum, "plans", "\"300000/min\"", "\"3000/min\"", 10),
+        case(UnknownPlan, "plans", "plan = \"fleet\"", "plan = \"fleat\"", 8),
+        case(PlanWithoutGrant, "grants", "[grant.desk]\nservices = [\"booking\"]", "", 7),
+        case(UnknownModel, "grants", "\"atlas-small\"", "\"atlas-smal\"", 11),
+        case(UnknownAdapter, "grants", "\"manifest\"", "\"manifests\"", 13),
+        case(AdapterWithoutModel, "grants", "[\"atlas-large\"]", "[]", 13),
+        case(
+            ContradictingRules,
+            "grants",
+            "[grant.fleet]",
+            "[grant.fleet]\ndeny_models = [\"atlas-large\"]",
+            16,
+        ),
+        case(
+            DenialWithoutEffect,
+            "grants",
+            "[grant.desk]",
+            "[grant.desk]\ndeny_models = [\"atlas-large\"]",
+            16,
+        ),
+        case(WorkspaceWithoutKey, "plans", "[\"6efe", "[] # [\"6efe", 12),
+        case(DuplicateKeyHash, "plans", SECOND_KEY, FIRST_KEY, 15),
+        case(KeyInClearText, "plans", FIRST_KEY, "example-key", 15),
+        case(BadKeyHash, "plans", FIRST_KEY, "6efec0b4", 15),
+        case(BadAddress, "fleet", "127.0.0.1:8101", "engine-01:8101", 11),
+        case(SharedAddress, "fleet", "127.0.0.1:8102", "127.0.0.1:8101", 11),
+        case(DuplicateNode, "fleet", "node = 2", "node = 1", 8),
+        case(UnknownDataCentre, "fleet", "data_centre = \"irazabal-a\"", "data_centre = \"a\"", 15),
+        case(
+            ModelWithoutServer,
+            "fleet",
+            "[weights.atlas-small]",
+            "[weights.x]\nversion = 1\n[weights.atlas-small]",
+            10,
+        ),
+        case(ServiceWithoutServer, "grants", "\"booking\"", "\"bookings\"", 13),
+        case(WeightsWithoutVersion, "fleet", "version = 14\n", "", 10),
+    ];
+    for case in &cases {
+        let mut texts = example("irazabal");
+        let text = match case.file {
+            "plans" => &mut texts.plans,
+            "grants" => &mut texts.grants,
+            _ => &mut texts.fleet,
+        };
+        let before = text.clone().expect("file exists");
+        assert!(before.contains(case.from), "{}: nothing to replace", case.rule);
+        *text = Some(before.replacen(case.from, case.to, 1));
+        let checked = check_texts(&texts);
+        assert_eq!(checked.document, None, "{}", case.rule);
+        let found = checked.findings.iter().find(|finding| finding.rule == case.rule);
+        let found = found.unwrap_or_else(|| panic!("{}: {:?}", case.rule, checked.findings));
+        assert_eq!(found.at.column, case.column, "{found}");
+        let shown = checked.findings.iter().map(|finding| finding.to_string());
+        assert!(shown.into_iter().all(|text| !text.contains("example-key")), "a key is shown");
+    }
+    let covered = |rule: &RuleName| cases.iter().any(|case| case.rule == *rule);
+    let missing: Vec<&RuleName> = RuleName::ALL.iter().filter(|rule| !covered(rule)).collect();
+    assert_eq!(missing, [&MissingFile, &NoEntry], "rules without a case here");
+}
+
+/// Guards against accepting a folder without a file, or lists that leave no entry VM.
+#[test]
+fn missing_file_and_missing_entries_are_found() {
+    let mut texts = example("kelani");
+    let fleet = texts.fleet.take().expect("file exists");
+    let rules = |texts: &FolderTexts| -> Vec<RuleName> {
+        check_texts(texts).findings.iter().map(|finding| finding.rule).collect()
+    };
+    assert_eq!(rules(&texts), [RuleName::MissingFile]);
+    let end = fleet.find("[entry.").expect("has entries");
+    texts.fleet = Some(fleet[..end].to_string());
+    assert_eq!(rules(&texts), [RuleName::NoEntry]);
+    assert!(check_folder(Path::new("no/such/folder")).is_err());
+}
+
+/// Guards against a plan that hides a loss, or that warns of one nobody notices.
+#[test]
+fn plan_warns_of_losses_in_use() {
+    struct Case {
+        usage: Option<(&'static str, u64)>,
+        warnings: usize,
+    }
+    let old = check_texts(&example("irazabal")).document.expect("no findings");
+    let mut new = old.clone();
+    new.grants.get_mut("fleet").expect("granted").services.clear();
+    let cases = [
+        Case { usage: None, warnings: 2 },
+        Case { usage: Some(("service/booking", 7)), warnings: 1 },
+        Case { usage: Some(("model/atlas-large", 7)), warnings: 0 },
+    ];
+    for case in cases {
+        let usage = case.usage.map(|(target, count)| {
+            let targets = BTreeMap::from([(target.to_string(), count)]);
+            BTreeMap::from([("hollis".to_string(), WorkspaceUse { in_progress: 0, targets })])
+        });
+        let plan = ChangePlan::new(&old, &new, usage.as_ref());
+        assert_eq!(plan.warnings, case.warnings, "{plan}");
+        assert_eq!(plan.impacts.len(), 2, "{plan}");
+    }
+    assert!(ListDifference::between(&old, &old).is_empty());
+}
--- /dev/null
+++ b/crates/lists/src/writer.rs
@@ -0,0 +1,84 @@
+//! A document as the three files, so that a past version can be put back under version control.
+
+use std::{collections::BTreeSet, fmt::Write};
+
+use carobvane_core::{
+    lists::{ListDocument, ServerRole},
+    plans::LimitKind,
+};
+
+use crate::{
+    limit::{field_of, format_limit},
+    source::FolderTexts,
+};
+
+/// Writes the files of a document. Checking them yields the same document; comments and
+/// `[everyone]` of the operators' own files are not kept in documents and so do not come back.
+pub fn write_texts(document: &ListDocument) -> FolderTexts {
+    let mut plans = String::new();
+    let mut grants = String::new();
+    for (name, plan) in &document.plans {
+        let _ = writeln!(plans, "[plan.{}]", key(name));
+        for kind in LimitKind::ALL {
+            let limit = format_limit(kind, plan.limits.amount(kind));
+            let _ = writeln!(plans, "{} = \"{limit}\"", field_of(kind));
+        }
+        let _ = writeln!(plans, "weight = {}\n", plan.weight);
+    }
+    for (name, workspace) in &document.workspaces {
+        let hashes = workspace.key_hashes.iter().map(|hash| hash.to_string()).collect();
+        let _ = writeln!(plans, "[workspace.{}]", key(name));
+        let _ = writeln!(plans, "plan = \"{}\"", workspace.plan);
+        let _ = writeln!(plans, "key_hashes = {}\n", list(&hashes));
+    }
+    for (name, grant) in &document.grants {
+        let _ = writeln!(grants, "[grant.{}]", key(name));
+        let _ = writeln!(grants, "models = {}", list(&grant.models));
+        let _ = writeln!(grants, "services = {}", list(&grant.services));
+        let _ = writeln!(grants, "adapters = {}\n", list(&grant.adapters));
+    }
+    let trim = |text: String| Some(format!("{}\n", text.trim_end()));
+    FolderTexts { plans: trim(plans), grants: trim(grants), fleet: trim(write_fleet(document)) }
+}
+
+fn write_fleet(document: &ListDocument) -> String {
+    let servers = document.servers.values().map(|server| &server.data_centre);
+    let entries = document.entries.values().map(|entry| &entry.data_centre);
+    let centres = servers.chain(entries).cloned().collect();
+    let mut fleet = format!("data_centres = {}\n\n", list(&centres));
+    for (name, weights) in &document.weights {
+        let _ = writeln!(fleet, "[weights.{}]", key(name));
+        let _ = writeln!(fleet, "version = {}", weights.version);
+        let _ = writeln!(fleet, "adapters = {}\n", list(&weights.adapters));
+    }
+    for (name, server) in &document.servers {
+        let (field, target) = match &server.role {
+            ServerRole::Engine(model) => ("model", model),
+            ServerRole::Service(service) => ("service", service),
+        };
+        let _ = writeln!(fleet, "[server.{}]", key(name));
+        let _ = writeln!(fleet, "{field} = \"{target}\"");
+        let _ = writeln!(fleet, "address = \"{}\"", server.address);
+        let _ = writeln!(fleet, "data_centre = \"{}\"", server.data_centre);
+        let _ = writeln!(fleet, "slots = {}", server.slots);
+        let _ = writeln!(fleet, "checks_fencing = {}\n", server.checks_fencing);
+    }
+    for (name, entry) in &document.entries {
+        let _ = writeln!(fleet, "[entry.{}]", key(name));
+        let _ = writeln!(fleet, "node = {}", entry.node.0);
+        let _ = writeln!(fleet, "http = \"{}\"", entry.http_address);
+        let _ = writeln!(fleet, "peer = \"{}\"", entry.peer_address);
+        let _ = writeln!(fleet, "data_centre = \"{}\"\n", entry.data_centre);
+    }
+    fleet
+}
+
+/// A name as a TOML key; a dot would otherwise open a nested table.
+fn key(name: &str) -> String {
+    if name.contains('.') { format!("\"{name}\"") } else { name.to_string() }
+}
+
+fn list(names: &BTreeSet<String>) -> String {
+    let quoted: Vec<String> = names.iter().map(|name| format!("\"{name}\"")).collect();
+    format!("[{}]", quoted.join(", "))
+}
