--- /dev/null
+++ b/crates/host/src/entry/host.rs
@@ -0,0 +1,44 @@
+//! What an entry does with what its node learns.
+
+use std::sync::Arc;
+
+use carobvane_core::{clock::ClockTime, ids::NodeLife, lists::ListSnapshot};
+use carobvane_proto::peer::{PeerMessage, PeerRole};
+
+use super::shared::EntryShared;
+use crate::node::NodeHost;
+
+/// The entry's side of its node.
+pub struct EntryHost {
+    shared: Arc<EntryShared>,
+}
+
+impl EntryHost {
+    /// Creates the host of an entry.
+    pub fn new(shared: Arc<EntryShared>) -> EntryHost {
+        EntryHost { shared }
+    }
+}
+
+impl NodeHost for EntryHost {
+    fn activate(&mut self, snapshot: &ListSnapshot) {
+        self.shared.activate(snapshot);
+        for entry in snapshot.document.entries.values() {
+            if entry.node != self.shared.own.node
+                && let Ok(address) = entry.peer_address.parse()
+            {
+                self.shared.sender.dial(address);
+            }
+        }
+    }
+
+    fn peer_joined(&mut self, _now: ClockTime, _life: NodeLife, _role: PeerRole) {}
+
+    fn peer_left(&mut self, _now: ClockTime, _life: NodeLife) {}
+
+    fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
+        log::debug!(node = life.node.0; "message without a receiver");
+    }
+
+    fn tick(&mut self, _now: ClockTime) {}
+}
--- a/crates/host/src/list_store.rs
+++ b/crates/host/src/list_store.rs
@@ -1,43 +1,24 @@
-//! The accepted lists in the key-value service.
+//! Writes the accepted lists to the key-value service and reads past versions of them.
 //!
-//! `carobvane/lists/head` is JSON for operators' eyes; changes and snapshots are postcard frames
-//! like those between peers, because a snapshot of 12,000 servers in JSON exceeds the service's
-//! largest value. Loading takes three reads and accepting a change one write.
+//! Keys and encoding are those of [`ListSource`](crate::node::ListSource), which the nodes read
+//! with. Loading takes three reads and accepting a change one write.
 
 use std::fmt;
 
-use carobvane_core::lists::{ListDelta, ListDigest, ListDocument, ListSnapshot, ListVersion};
-use carobvane_proto::peer::{FrameError, decode_frame, encode_frame};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use carobvane_core::lists::{ListDelta, ListDocument, ListSnapshot, ListVersion};
+use serde::{Serialize, de::DeserializeOwned};
 
-use crate::keyvalue::{KeyvalueClient, KeyvalueError, StoredValue, Transaction};
+use crate::{
+    keyvalue::{KeyvalueClient, KeyvalueError, StoredValue, Transaction},
+    node::{HEAD_KEY, SNAPSHOT_INTERVAL, change_key, snapshot_key},
+};
 
-/// Key of the head record.
-pub const HEAD_KEY: &str = "carobvane/lists/head";
-/// Prefix of the keys of changes.
-pub const CHANGE_PREFIX: &str = "carobvane/lists/change/";
-/// Prefix of the keys of snapshots.
-pub const SNAPSHOT_PREFIX: &str = "carobvane/lists/snapshot/";
-/// Versions from one snapshot to the next; the first version has one too.
-pub const SNAPSHOT_INTERVAL: u64 = 64;
-
-/// Value of [`HEAD_KEY`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct HeadRecord {
-    /// Number of the accepted version.
-    pub version: u64,
-    /// Digest of its document.
-    pub digest: ListDigest,
-    /// Digest of the document of the version before.
-    pub parent: ListDigest,
-}
-
-/// The head record with the revision that a change must compare.
+/// The accepted version with the revision that a change must compare.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct StoredHead {
-    /// The record.
-    pub record: HeadRecord,
-    /// Revision of the record's last write; 0 if there is no record.
+    /// The version; number 0 before the first change.
+    pub version: ListVersion,
+    /// Revision of the head's last write; 0 if there is no head.
     pub revision: i64,
 }
 
@@ -64,7 +45,7 @@
 pub enum StoreError {
     /// The service did not do the call.
     Keyvalue(KeyvalueError),
-    /// A stored value could not be decoded.
+    /// A value could not be decoded or encoded.
     Malformed {
         /// The value's key.
         key: String,
@@ -73,19 +54,18 @@
     },
     /// The service does not hold the version.
     MissingVersion(u64),
-    /// A value is too large to store.
-    TooLarge(FrameError),
 }
 
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             StoreError::Keyvalue(cause) => cause.fmt(f),
-            StoreError::Malformed { key, cause } => write!(f, "failed to decode {key}: {cause}"),
+            StoreError::Malformed { key, cause } => {
+                write!(f, "failed to read or write {key}: {cause}")
+            }
             StoreError::MissingVersion(version) => {
                 write!(f, "the service does not hold version {version} of the lists")
             }
-            StoreError::TooLarge(cause) => write!(f, "failed to encode lists: {cause}"),
         }
     }
 }
@@ -98,33 +78,9 @@
     }
 }
 
-impl HeadRecord {
-    /// The record of a version.
-    pub fn of(version: ListVersion) -> HeadRecord {
-        HeadRecord { version: version.number, digest: version.digest, parent: version.parent }
-    }
-
-    /// The version of this record.
-    pub fn version(&self) -> ListVersion {
-        ListVersion { number: self.version, digest: self.digest, parent: self.parent }
-    }
-}
-
-/// Key of the change that leads to `version`.
-pub fn change_key(version: u64) -> String {
-    format!("{CHANGE_PREFIX}{version:012}")
-}
-
-/// Key of the snapshot of `version`.
-pub fn snapshot_key(version: u64) -> String {
-    format!("{SNAPSHOT_PREFIX}{version:012}")
-}
-
-/// Decodes the value of [`HEAD_KEY`].
+/// Decodes the head's value.
 pub fn decode_head(stored: &StoredValue) -> Result<StoredHead, StoreError> {
-    let record =
-        serde_json::from_slice(&stored.value).map_err(|error| malformed(&stored.key, &error))?;
-    Ok(StoredHead { record, revision: stored.mod_revision })
+    Ok(StoredHead { version: decode_value(stored)?, revision: stored.mod_revision })
 }
 
 /// Decodes the value of a change's key, also from a watch.
@@ -153,8 +109,8 @@
     /// Reads the accepted lists. Three reads.
     pub async fn load(&self) -> Result<StoredLists, StoreError> {
         let head = self.load_head().await?;
-        let snapshot = self.load_version(head.record.version).await?;
-        if snapshot.version != head.record.version() {
+        let snapshot = self.load_version(head.version.number).await?;
+        if snapshot.version != head.version {
             return Err(malformed(HEAD_KEY, &"digest differs from the stored change's"));
         }
         Ok(StoredLists { head, snapshot })
@@ -210,30 +166,18 @@
     ) -> Result<WriteOutcome, StoreError> {
         let delta = ListDelta::next(&base.snapshot, document);
         let version = delta.to;
-        let change = encode_frame(&delta).map_err(StoreError::TooLarge)?;
+        let change_key = change_key(version.number);
+        let change = encode_value(&change_key, &delta)?;
         let mut transaction = transaction_on(&base.head, version)?;
-        transaction = transaction.put(&change_key(version.number), &change);
+        transaction = transaction.put(&change_key, &change);
         if version.number == 1 || version.number.is_multiple_of(SNAPSHOT_INTERVAL) {
             let snapshot = ListSnapshot { version, document: document.clone() };
-            let value = encode_frame(&snapshot).map_err(StoreError::TooLarge)?;
-            transaction = transaction.put(&snapshot_key(version.number), &value);
+            let key = snapshot_key(version.number);
+            transaction = transaction.put(&key, &encode_value(&key, &snapshot)?);
         }
         self.commit(&base.head, version, transaction).await
     }
 
-    /// Writes a held version back over a lower head, after the service was restored from an old
-    /// copy. One write.
-    pub async fn write_back(
-        &self,
-        head: &StoredHead,
-        held: &ListSnapshot,
-    ) -> Result<WriteOutcome, StoreError> {
-        let value = encode_frame(held).map_err(StoreError::TooLarge)?;
-        let transaction =
-            transaction_on(head, held.version)?.put(&snapshot_key(held.version.number), &value);
-        self.commit(head, held.version, transaction).await
-    }
-
     async fn commit(
         &self,
         head: &StoredHead,
@@ -249,7 +193,7 @@
         let current = self.load_head().await?;
         // An equal digest means that this write took effect and its acknowledgement was lost, or
         // that somebody accepted the same document from the same base.
-        if current.record == HeadRecord::of(version) {
+        if current.version == version {
             return Ok(WriteOutcome::Accepted(version));
         }
         match failure {
@@ -262,18 +206,20 @@
 
 /// A transaction that moves the head from `head` to `version`.
 fn transaction_on(head: &StoredHead, version: ListVersion) -> Result<Transaction, StoreError> {
-    let record = serde_json::to_vec(&HeadRecord::of(version))
-        .map_err(|error| malformed(HEAD_KEY, &error))?;
     let transaction = if head.revision == 0 {
         Transaction::new().require_absent(HEAD_KEY)
     } else {
         Transaction::new().require_revision(HEAD_KEY, head.revision)
     };
-    Ok(transaction.put(HEAD_KEY, &record))
+    Ok(transaction.put(HEAD_KEY, &encode_value(HEAD_KEY, &version)?))
 }
 
 fn decode_value<V: DeserializeOwned>(stored: &StoredValue) -> Result<V, StoreError> {
-    decode_frame(&stored.value).map_err(|error| malformed(&stored.key, &error))
+    serde_json::from_slice(&stored.value).map_err(|error| malformed(&stored.key, &error))
+}
+
+fn encode_value<V: Serialize>(key: &str, value: &V) -> Result<Vec<u8>, StoreError> {
+    serde_json::to_vec(value).map_err(|error| malformed(key, &error))
 }
 
 fn malformed(key: &str, cause: &impl fmt::Display) -> StoreError {
--- /dev/null
+++ b/crates/programs/src/bin/carobvane-steward.rs
@@ -0,0 +1,16 @@
+//! Keeps lists, members and orders on an entry VM.
+
+use carobvane_host::{logging, settings::StewardSettings, steward, telemetry};
+use eyre::{Result, WrapErr};
+
+fn main() -> Result<()> {
+    let settings = StewardSettings::from_env_or_exit();
+    logging::start_logging(settings.log_level)?;
+    telemetry::start_metrics();
+    actix_rt::System::new().block_on(async {
+        let handle = steward::start(settings).wrap_err("failed to start the steward")?;
+        carobvane_host::signals::wait_for_stop().await?;
+        handle.stop().await;
+        Ok(())
+    })
+}
