Add the operators' program

Operators change carobvane only by editing lists; they need one program that shows what a change does before it is accepted, accepts it once, and says where it is in force.

carobvane has check, plan, apply, show, history, diff, revert, status, why, drain, hash-key and completions. plan records the version and lists that it compared; apply refuses any other and prints the difference. apply and revert end with 0 only when every node asked, and every live member that one of them reports, holds the version. Exit codes are stable.

Ruled out: apply against whatever is accepted, because an operator whose folder is behind would revert another's change unseen.

Commands that need a key-value service have no test yet.

--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -11,16 +11,18 @@
     /// Exit codes: 0 ok; 1 findings, or nothing found; 2 usage; 3 conflict with another change;
     /// 4 not in force in time; 5 service unreachable.
     cmd carobvane {
-        /// URL of the key-value service's JSON gateway (CAROBVANE_KEYVALUE).
+        /// URL of the key-value service's JSON gateway (CAROBVANE_KEYVALUE). Required by commands
+        /// that read or write accepted lists.
         optional --keyvalue url: String
-        /// Admin URLs of all entries and stewards, separated by commas (CAROBVANE_ENTRIES).
+        /// Admin URLs of all entries and stewards, separated by commas (CAROBVANE_ENTRIES). Required
+        /// by `apply`, `revert`, `status`, `why` and `drain`; `plan` asks them for current use.
         optional --entries urls: String
-        /// Longest time for one call, in milliseconds, default 1000 (CAROBVANE_CALL_TIMEOUT_MS).
+        /// Longest time for one call, in milliseconds (CAROBVANE_CALL_TIMEOUT_MS). Default: 1000.
         optional --call-timeout-ms milliseconds: String
-        /// Longest wait until a change is in force or a drain has ended, in seconds, default 30
-        /// (CAROBVANE_WAIT_SECONDS).
+        /// Longest wait until a change is in force or a drain has ended, in seconds
+        /// (CAROBVANE_WAIT_SECONDS). Default: 30.
         optional --wait-seconds seconds: String
-        /// Print JSON instead of text.
+        /// Print JSON instead of text. Default: text.
         optional --json
 
         /// Check the lists in a folder and print all findings.
@@ -44,11 +46,11 @@
         /// Print accepted lists as TOML.
         cmd show {
             /// Version to print instead of the latest.
-            optional --version version: u64
+            optional version: u64
         }
         /// List accepted changes, latest first.
         cmd history {
-            /// Most changes to list, default 20.
+            /// Most changes to list. Default: 20.
             optional --limit count: u64
         }
         /// Compare two versions or folders.
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,184 @@
+//! Asking the nodes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use awc::Client;
+use carobvane_lists::WorkspaceUse;
+use carobvane_proto::admin::{
+    DECISIONS_PATH, DRAIN_PATH, DecisionReport, DrainReport, DrainRequest, HealthState, NodeRole,
+    NodeStatus, STATUS_PATH,
+};
+use futures::future::join_all;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Largest answer of a node that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// A client of the nodes' admin addresses.
+pub(crate) struct FleetClient {
+    client: Client,
+    urls: Vec<String>,
+}
+
+/// A node that did not give a usable answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct SilentNode {
+    pub(crate) url: String,
+    pub(crate) cause: String,
+}
+
+/// Answers of all nodes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FleetAnswers {
+    /// Status by admin URL.
+    pub(crate) statuses: Vec<(String, NodeStatus)>,
+    pub(crate) silent: Vec<SilentNode>,
+}
+
+/// A node as its own answer or, if it was not asked, another node's reports it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct NodeView {
+    pub(crate) node: u32,
+    pub(crate) role: NodeRole,
+    pub(crate) data_centre: String,
+    pub(crate) list_version: Option<u64>,
+    /// Empty if only other nodes report this one.
+    pub(crate) list_digest: String,
+}
+
+impl NodeView {
+    pub(crate) fn label(&self) -> String {
+        let role = match self.role {
+            NodeRole::Entry => "entry",
+            NodeRole::Steward => "steward",
+        };
+        format!("{role} {} ({})", self.node, self.data_centre)
+    }
+}
+
+impl FleetClient {
+    pub(crate) fn new(urls: &[String], timeout: Duration) -> FleetClient {
+        let client = Client::builder().timeout(timeout).finish();
+        FleetClient { client, urls: urls.to_vec() }
+    }
+
+    /// Asks every node for its status, at the same time.
+    pub(crate) async fn statuses(&self) -> FleetAnswers {
+        let asked = self.urls.iter().map(|url| async move {
+            let answer: Result<Option<NodeStatus>, String> = self.get(url, STATUS_PATH).await;
+            (url.clone(), answer)
+        });
+        let mut answers = FleetAnswers::default();
+        for (url, answer) in join_all(asked).await {
+            match answer {
+                Ok(Some(status)) => answers.statuses.push((url, status)),
+                Ok(None) => {
+                    let cause = "has no status page; is this an admin address?".to_string();
+                    answers.silent.push(SilentNode { url, cause });
+                }
+                Err(cause) => answers.silent.push(SilentNode { url, cause }),
+            }
+        }
+        answers
+    }
+
+    /// Asks every node for its decision on a request; returns the reports and the silent nodes.
+    pub(crate) async fn decisions(
+        &self,
+        request_id: &str,
+    ) -> (Vec<DecisionReport>, Vec<SilentNode>) {
+        let path = format!("{DECISIONS_PATH}{request_id}");
+        let asked = self.urls.iter().map(|url| {
+            let path = &path;
+            async move { (url.clone(), self.get::<DecisionReport>(url, path).await) }
+        });
+        let (mut reports, mut silent) = (Vec::new(), Vec::new());
+        for (url, answer) in join_all(asked).await {
+            match answer {
+                Ok(report) => reports.extend(report),
+                Err(cause) => silent.push(SilentNode { url, cause }),
+            }
+        }
+        (reports, silent)
+    }
+
+    /// Asks the node at `url` to drain.
+    pub(crate) async fn drain(&self, url: &str) -> Result<DrainReport, String> {
+        let request = DrainRequest { reason: "carobvane drain".into() };
+        let sent = self.client.post(format!("{url}{DRAIN_PATH}")).send_json(&request).await;
+        let mut response = sent.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("answered with status {}", response.status().as_u16()));
+        }
+        response.json().limit(MAX_ANSWER_BYTES).await.map_err(|error| error.to_string())
+    }
+
+    /// Reads one page; `None` if the node has no such page.
+    async fn get<R: DeserializeOwned>(&self, url: &str, path: &str) -> Result<Option<R>, String> {
+        let sent = self.client.get(format!("{url}{path}")).send().await;
+        let mut response = sent.map_err(|error| error.to_string())?;
+        if response.status().as_u16() == 404 {
+            return Ok(None);
+        }
+        if !response.status().is_success() {
+            return Err(format!("answered with status {}", response.status().as_u16()));
+        }
+        let answer = response.json().limit(MAX_ANSWER_BYTES).await;
+        answer.map(Some).map_err(|error| format!("failed to read the answer: {error}"))
+    }
+}
+
+impl FleetAnswers {
+    /// Every node that answered or is a live member in an answer, by number and program.
+    pub(crate) fn nodes(&self) -> Vec<NodeView> {
+        let mut nodes: BTreeMap<(u32, NodeRole), NodeView> = BTreeMap::new();
+        for member in self.statuses.iter().flat_map(|(_, status)| &status.members) {
+            if !matches!(member.state, HealthState::Live | HealthState::Suspect) {
+                continue;
+            }
+            let view = NodeView {
+                node: member.node,
+                role: member.role,
+                data_centre: member.data_centre.clone(),
+                list_version: member.list_version,
+                list_digest: String::new(),
+            };
+            let known = nodes.entry((member.node, member.role)).or_insert_with(|| view.clone());
+            known.list_version = known.list_version.max(view.list_version);
+        }
+        for (_, status) in &self.statuses {
+            let view = NodeView {
+                node: status.node,
+                role: status.role,
+                data_centre: status.data_centre.clone(),
+                list_version: status.list_version,
+                list_digest: status.list_digest.clone(),
+            };
+            nodes.insert((status.node, status.role), view);
+        }
+        nodes.into_values().collect()
+    }
+
+    /// The highest version that a node holds.
+    pub(crate) fn highest_version(&self) -> Option<(u64, NodeView)> {
+        let nodes = self.nodes().into_iter();
+        nodes.filter_map(|node| Some((node.list_version?, node))).max_by_key(|(held, _)| *held)
+    }
+
+    /// Use by workspace over all entries; absent if an entry did not answer, because a loss could
+    /// then hit use that nobody has seen.
+    pub(crate) fn usage(&self) -> Option<BTreeMap<String, WorkspaceUse>> {
+        if self.statuses.is_empty() || !self.silent.is_empty() {
+            return None;
+        }
+        let mut usage: BTreeMap<String, WorkspaceUse> = BTreeMap::new();
+        for used in self.statuses.iter().flat_map(|(_, status)| &status.usage) {
+            let sum = usage.entry(used.workspace.clone()).or_default();
+            sum.in_progress += u64::from(used.in_progress);
+            for target in &used.targets {
+                *sum.targets.entry(target.target.clone()).or_default() += target.requests;
+            }
+        }
+        Some(usage)
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,2 +1,83 @@
-//! The operators' program.
+//! The operators' program: checks, plans, applies and shows the lists, and shows the fleet.
+//!
+//! [`run`] takes its arguments, variables and streams from the caller, so that tests drive every
+//! command in their own process.
+
 pub mod flags;
+
+mod console;
+mod exit;
+mod fleet;
+mod in_force;
+mod ops;
+mod record;
+mod settings;
+
+use std::ffi::OsString;
+
+use crate::{
+    flags::{Carobvane, CarobvaneCmd},
+    ops::Session,
+};
+
+pub use console::Console;
+pub use exit::{ExitStatus, Failure};
+pub use record::RECORD_FILE;
+
+/// Runs one command. `lookup` returns the value of a variable.
+pub async fn run(
+    arguments: Vec<OsString>,
+    lookup: impl Fn(&str) -> Option<String>,
+    console: &mut Console<'_>,
+) -> ExitStatus {
+    if arguments.iter().map(OsString::as_os_str).eq(["--version"]) {
+        console.print(format_args!("carobvane {}", env!("CARGO_PKG_VERSION")));
+        return ExitStatus::Success;
+    }
+    let flags = match Carobvane::from_vec(arguments) {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            console.print(format_args!("{error}"));
+            return ExitStatus::Success;
+        }
+        Err(error) => {
+            console.report(format_args!("error: {error}; see `carobvane --help`"));
+            return ExitStatus::Usage;
+        }
+    };
+    match dispatch(flags, lookup, console).await {
+        Ok(status) => status,
+        Err(failure) => {
+            for line in failure.lines() {
+                console.report(format_args!("{line}"));
+            }
+            failure.status
+        }
+    }
+}
+
+async fn dispatch(
+    flags: Carobvane,
+    lookup: impl Fn(&str) -> Option<String>,
+    console: &mut Console<'_>,
+) -> Result<ExitStatus, Failure> {
+    let settings = settings::CliSettings::read(&flags, lookup)?;
+    let mut session = Session { settings, console };
+    let session = &mut session;
+    match flags.subcommand {
+        CarobvaneCmd::Check(check) => ops::check::run(session, &check.dir),
+        CarobvaneCmd::Plan(plan) => ops::plan::run(session, &plan.dir).await,
+        CarobvaneCmd::Apply(apply) => ops::apply::run(session, &apply.dir, apply.base).await,
+        CarobvaneCmd::Show(show) => ops::show::run(session, show.version).await,
+        CarobvaneCmd::History(history) => ops::history::run(session, history.limit).await,
+        CarobvaneCmd::Diff(diff) => ops::diff::run(session, &diff.before, &diff.after).await,
+        CarobvaneCmd::Revert(revert) => ops::revert::run(session, revert.version).await,
+        CarobvaneCmd::Status(_) => ops::status::run(session).await,
+        CarobvaneCmd::Why(why) => ops::why::run(session, &why.request_id).await,
+        CarobvaneCmd::Drain(drain) => ops::drain::run(session, &drain.entry, !drain.no_wait).await,
+        CarobvaneCmd::HashKey(_) => ops::hash_key::run(session),
+        CarobvaneCmd::Completions(completions) => {
+            ops::completions::run(session, &completions.shell)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/ops/apply.rs
@@ -0,0 +1,179 @@
+//! `carobvane apply`, and what it shares with `revert`.
+
+use std::path::Path;
+
+use carobvane_core::lists::{ListDocument, ListVersion};
+use carobvane_host::list_store::{ListStore, StoreError, StoredHead, StoredLists, WriteOutcome};
+use carobvane_lists::ListDifference;
+use serde::Serialize;
+
+use super::{Session, check::checked};
+use crate::{
+    exit::{ExitStatus, Failure},
+    fleet::FleetClient,
+    in_force::wait_in_force,
+    record::PlanRecord,
+};
+
+#[derive(Serialize)]
+struct ConflictReport<'a> {
+    conflict: bool,
+    base: u64,
+    head: u64,
+    #[serde(flatten)]
+    difference: &'a ListDifference,
+}
+
+/// Accepts the lists in a folder as planned and waits until they are in force everywhere.
+pub(crate) async fn run(
+    session: &mut Session<'_, '_>,
+    folder: &Path,
+    base: Option<u64>,
+) -> Result<ExitStatus, Failure> {
+    let store = session.settings.store()?;
+    let fleet = fleet_of(session)?;
+    let Some(document) = checked(session, folder)? else { return Ok(ExitStatus::Findings) };
+    let base = match base {
+        Some(number) => PlannedBase::Number(number),
+        None => {
+            let record = PlanRecord::load(folder)?;
+            if record.planned != document.digest() {
+                let message = "the lists in the folder differ from the planned ones: run \
+                               `carobvane plan` again";
+                return Err(Failure::new(ExitStatus::Conflict, message));
+            }
+            PlannedBase::Version(record.base)
+        }
+    };
+    let stored = store.load().await?;
+    let head = stored.head.version;
+    if head.digest == document.digest() && head.number > 0 {
+        session.console.report(format_args!("version {} holds these lists already", head.number));
+        return Ok(wait_in_force(session, &fleet, head).await);
+    }
+    if !base.matches(&head) {
+        let before = store.load_version(base.number()).await;
+        return report_conflict(
+            session,
+            base.number(),
+            before.ok().map(|old| old.document),
+            &stored,
+        );
+    }
+    accept(session, &store, &fleet, &stored, &document).await
+}
+
+/// The version that a change was planned against.
+enum PlannedBase {
+    Number(u64),
+    Version(ListVersion),
+}
+
+impl PlannedBase {
+    fn number(&self) -> u64 {
+        match self {
+            PlannedBase::Number(number) => *number,
+            PlannedBase::Version(version) => version.number,
+        }
+    }
+
+    fn matches(&self, head: &ListVersion) -> bool {
+        match self {
+            PlannedBase::Number(number) => *number == head.number,
+            PlannedBase::Version(version) => version == head,
+        }
+    }
+}
+
+/// The client of the nodes; required, because a change that nobody sees arrive is not done.
+pub(super) fn fleet_of(session: &Session<'_, '_>) -> Result<FleetClient, Failure> {
+    Ok(FleetClient::new(session.settings.entries()?, session.settings.call_timeout))
+}
+
+/// Writes `document` after `stored` and waits until it is in force.
+pub(super) async fn accept(
+    session: &mut Session<'_, '_>,
+    store: &ListStore,
+    fleet: &FleetClient,
+    stored: &StoredLists,
+    document: &ListDocument,
+) -> Result<ExitStatus, Failure> {
+    let head = stored.head.version;
+    if let Some((held, node)) = fleet.statuses().await.highest_version()
+        && held > head.number
+    {
+        let message = format!(
+            "the key-value service shows version {}, but {} holds version {held}: the service was \
+             restored from an old copy; repeat when a steward has written version {held} back",
+            head.number,
+            node.label()
+        );
+        return Err(Failure::new(ExitStatus::Conflict, message));
+    }
+    let outcome = store.write(stored, document).await.map_err(|error| {
+        let unknown = matches!(&error, StoreError::Keyvalue(cause) if cause.is_outcome_unknown());
+        let failure = Failure::from(error);
+        if unknown {
+            failure
+                .context("failed to confirm the change; repeat the command, it takes effect once")
+        } else {
+            failure.context("failed to write the change")
+        }
+    })?;
+    match outcome {
+        WriteOutcome::Accepted(version) => {
+            session.console.report(format_args!("version {} is accepted", version.number));
+            Ok(wait_in_force(session, fleet, version).await)
+        }
+        WriteOutcome::Conflict(current) => {
+            let current = load_after(store, stored, current).await?;
+            let before = stored.snapshot.document.clone();
+            report_conflict(session, head.number, Some(before), &current)
+        }
+    }
+}
+
+/// The lists of `head`, built on `stored` with one read where that is possible.
+async fn load_after(
+    store: &ListStore,
+    stored: &StoredLists,
+    head: StoredHead,
+) -> Result<StoredLists, Failure> {
+    let mut snapshot = stored.snapshot.clone();
+    for delta in store.load_changes(snapshot.version.number + 1, head.version.number).await? {
+        match delta.apply(&snapshot) {
+            Ok(next) => snapshot = next,
+            Err(_) => break,
+        }
+    }
+    if snapshot.version != head.version {
+        snapshot = store.load_version(head.version.number).await?;
+    }
+    Ok(StoredLists { head, snapshot })
+}
+
+/// Prints what others changed since `base`.
+fn report_conflict(
+    session: &mut Session<'_, '_>,
+    base: u64,
+    before: Option<ListDocument>,
+    current: &StoredLists,
+) -> Result<ExitStatus, Failure> {
+    let head = current.head.version.number;
+    let difference =
+        ListDifference::between(&before.unwrap_or_default(), &current.snapshot.document);
+    if session.settings.json {
+        let report = ConflictReport { conflict: true, base, head, difference: &difference };
+        session.console.print_json(&report);
+    } else {
+        session
+            .console
+            .print(format_args!("Changes from version {base} to {head}, made by others:"));
+        session.console.print_coloured(&difference.to_string());
+    }
+    let message = format!(
+        "conflict: the change was planned against version {base}, but version {head} is accepted; \
+         nothing was changed; run `carobvane plan` again"
+    );
+    Err(Failure::new(ExitStatus::Conflict, message))
+}
--- /dev/null
+++ b/crates/cli/src/ops/diff.rs
@@ -0,0 +1,39 @@
+//! `carobvane diff`.
+
+use std::path::Path;
+
+use carobvane_core::lists::ListDocument;
+use carobvane_lists::ListDifference;
+
+use super::{Session, check::checked};
+use crate::exit::{ExitStatus, Failure};
+
+/// The word for the latest accepted version.
+const HEAD_WORD: &str = "head";
+
+/// Compares two versions or folders.
+pub(crate) async fn run(
+    session: &mut Session<'_, '_>,
+    before: &str,
+    after: &str,
+) -> Result<ExitStatus, Failure> {
+    let Some(before) = load(session, before).await? else { return Ok(ExitStatus::Findings) };
+    let Some(after) = load(session, after).await? else { return Ok(ExitStatus::Findings) };
+    let difference = ListDifference::between(&before, &after);
+    if session.settings.json {
+        session.console.print_json(&difference);
+    } else {
+        session.console.print_coloured(&difference.to_string());
+    }
+    Ok(ExitStatus::Success)
+}
+
+async fn load(session: &mut Session<'_, '_>, name: &str) -> Result<Option<ListDocument>, Failure> {
+    if name == HEAD_WORD {
+        return Ok(Some(session.settings.store()?.load().await?.snapshot.document));
+    }
+    if let Ok(version) = name.parse() {
+        return Ok(Some(session.settings.store()?.load_version(version).await?.document));
+    }
+    checked(session, Path::new(name))
+}
--- /dev/null
+++ b/crates/cli/src/ops/history.rs
@@ -0,0 +1,75 @@
+//! `carobvane history`.
+
+use carobvane_core::lists::ListDelta;
+use serde::Serialize;
+
+use super::Session;
+use crate::exit::{ExitStatus, Failure};
+
+/// Default of `--limit`, in changes.
+const DEFAULT_LIMIT: u64 = 20;
+
+#[derive(Serialize)]
+struct HistoryLine {
+    version: u64,
+    digest: String,
+    parent: String,
+    /// Changed and removed entries by list.
+    changes: Vec<ListCount>,
+}
+
+#[derive(Serialize)]
+struct ListCount {
+    list: &'static str,
+    put: Vec<String>,
+    removed: Vec<String>,
+}
+
+/// Lists accepted changes, latest first.
+pub(crate) async fn run(
+    session: &mut Session<'_, '_>,
+    limit: Option<u64>,
+) -> Result<ExitStatus, Failure> {
+    let store = session.settings.store()?;
+    let last = store.load_head().await?.version.number;
+    let first = (last + 1).saturating_sub(limit.unwrap_or(DEFAULT_LIMIT)).max(1);
+    let deltas = if last == 0 { Vec::new() } else { store.load_changes(first, last).await? };
+    let lines: Vec<HistoryLine> = deltas.iter().rev().map(describe).collect();
+    if session.settings.json {
+        session.console.print_json(&lines);
+        return Ok(ExitStatus::Success);
+    }
+    if lines.is_empty() {
+        session.console.print(format_args!("no version was accepted yet"));
+    }
+    for line in &lines {
+        session.console.print(format_args!("version {}, digest {}", line.version, line.digest));
+        for change in &line.changes {
+            let put = change.put.iter().map(|name| format!(" {name}"));
+            let removed = change.removed.iter().map(|name| format!(" -{name}"));
+            let names: String = put.chain(removed).collect();
+            session.console.print(format_args!("    {}:{names}", change.list));
+        }
+    }
+    Ok(ExitStatus::Success)
+}
+
+fn describe(delta: &ListDelta) -> HistoryLine {
+    let mut changes = Vec::new();
+    macro_rules! count {
+        ($($list:ident)*) => {$(
+            if !delta.$list.is_empty() {
+                let put = delta.$list.put.keys().cloned().collect();
+                let removed = delta.$list.remove.clone();
+                changes.push(ListCount { list: stringify!($list), put, removed });
+            }
+        )*};
+    }
+    count!(workspaces plans grants weights servers entries);
+    HistoryLine {
+        version: delta.to.number,
+        digest: delta.to.digest.to_string(),
+        parent: delta.to.parent.to_string(),
+        changes,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/ops/plan.rs
@@ -0,0 +1,45 @@
+//! `carobvane plan`.
+
+use std::path::Path;
+
+use carobvane_lists::ChangePlan;
+use serde::Serialize;
+
+use super::{Session, check::checked};
+use crate::{
+    exit::{ExitStatus, Failure},
+    fleet::FleetClient,
+    record::PlanRecord,
+};
+
+#[derive(Serialize)]
+struct PlanReport<'a> {
+    base: u64,
+    #[serde(flatten)]
+    plan: &'a ChangePlan,
+}
+
+/// Shows what the lists in a folder would change and records the version compared with.
+pub(crate) async fn run(
+    session: &mut Session<'_, '_>,
+    folder: &Path,
+) -> Result<ExitStatus, Failure> {
+    let store = session.settings.store()?;
+    let Some(document) = checked(session, folder)? else { return Ok(ExitStatus::Findings) };
+    let stored = store.load().await?;
+    let urls = session.settings.known_entries();
+    let answers = FleetClient::new(urls, session.settings.call_timeout).statuses().await;
+    for node in &answers.silent {
+        session.console.report(format_args!("{} does not answer: {}", node.url, node.cause));
+    }
+    let plan = ChangePlan::new(&stored.snapshot.document, &document, answers.usage().as_ref());
+    PlanRecord { base: stored.head.version, planned: document.digest() }.save(folder)?;
+    let base = stored.head.version.number;
+    if session.settings.json {
+        session.console.print_json(&PlanReport { base, plan: &plan });
+    } else {
+        session.console.print(format_args!("Changes to version {base}:"));
+        session.console.print_coloured(&plan.to_string());
+    }
+    Ok(ExitStatus::Success)
+}
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -8,7 +8,7 @@
 mod steward;
 
 pub use entry::EntrySettings;
-pub use reader::{SettingFinding, SettingsReader};
+pub use reader::{SettingFinding, SettingsReader, variable_name};
 pub use steward::StewardSettings;
 
 /// Exit code of a program whose settings are not usable.
--- a/crates/lists/src/source.rs
+++ b/crates/lists/src/source.rs
@@ -31,7 +31,7 @@
 
 impl fmt::Display for ReadError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "failed to read {}: {}", self.path, self.cause)
+        write!(f, "failed to read {}", self.path)
     }
 }
 
