--- a/crates/host/src/node/mod.rs
+++ b/crates/host/src/node/mod.rs
@@ -4,4 +4,4 @@
 pub mod source;
 
 pub use actor::{NodeActor, NodeHost};
-pub use source::ListSource;
+pub use source::{HEAD_KEY, ListSource, SNAPSHOT_INTERVAL, change_key, snapshot_key};
