--- /dev/null
+++ b/crates/replay/src/demo/faults.rs
@@ -0,0 +1,36 @@
+//! The two seeded faults of the demonstration.
+
+use std::time::Duration;
+
+use carobvane_standin::{engine::EngineHandle, keyvalue::KeyValueFaults};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::fleet::Fleet;
+
+/// Seed of the faults.
+const FAULT_SEED: u64 = 7;
+/// Time range of the engine crash, in milliseconds from the start of the trace.
+const CRASH_RANGE_MS: std::ops::Range<u64> = 6_000..9_000;
+/// Time range of the lost acknowledgement, in milliseconds from the start of the trace.
+const LOST_RANGE_MS: std::ops::Range<u64> = 10_000..14_000;
+
+/// Crashes one engine, and loses the acknowledgement of one write.
+pub async fn inject(fleet: &Fleet) {
+    let mut rng = SmallRng::seed_from_u64(FAULT_SEED);
+    let crash_at = Duration::from_millis(rng.random_range(CRASH_RANGE_MS));
+    let lose_at = Duration::from_millis(rng.random_range(LOST_RANGE_MS));
+    let position = rng.random_range(0..fleet.engines.len());
+    tokio::time::sleep(crash_at).await;
+    crash(&fleet.engines[position]);
+    tokio::time::sleep(lose_at.saturating_sub(crash_at)).await;
+    fleet
+        .keyvalue
+        .faults(&KeyValueFaults { lose_acknowledgements: Some(1), ..KeyValueFaults::default() });
+}
+
+fn crash(engine: &EngineHandle) {
+    engine.faults(&carobvane_standin::engine::FaultUpdate {
+        crash: Some(true),
+        ..Default::default()
+    });
+}
--- /dev/null
+++ b/crates/replay/src/demo/summary.rs
@@ -0,0 +1,108 @@
+//! The table at the end of the demonstration.
+
+use std::fmt;
+
+use carobvane_proto::openai::RunOutcome;
+
+use super::run::TraceResult;
+use crate::{
+    caller::CallResult, fleet::Fleet, probe::PairedLatencies, stats::percentile, trace::TraceClass,
+};
+
+/// What came of a trace.
+#[derive(Debug, Clone)]
+pub struct DemoSummary {
+    requests: usize,
+    whole: usize,
+    not_run: usize,
+    unknown: usize,
+    broken: usize,
+    wrong: usize,
+    /// Bookings that ran more than once, over all plain servers.
+    repeated_bookings: usize,
+    hit_rate: f64,
+    first_token_ms: [f64; 2],
+    added_us: [f64; 2],
+}
+
+impl DemoSummary {
+    /// Reads the results and the counters of the stand-ins.
+    pub fn new(fleet: &Fleet, results: &[TraceResult], latencies: &PairedLatencies) -> DemoSummary {
+        let count = |matches: fn(&CallResult) -> bool| {
+            results.iter().filter(|result| matches(&result.result)).count()
+        };
+        let first_tokens: Vec<f64> = results
+            .iter()
+            .filter(|result| result.class != TraceClass::Booking)
+            .filter_map(|result| match &result.result {
+                CallResult::Whole { first_token, .. } => Some(first_token.as_secs_f64() * 1_000.0),
+                _ => None,
+            })
+            .collect();
+        DemoSummary {
+            requests: results.len(),
+            whole: count(|result| matches!(result, CallResult::Whole { .. })),
+            not_run: count(|result| {
+                matches!(result, CallResult::Refused { outcome: RunOutcome::NotRun, .. })
+            }),
+            unknown: count(|result| {
+                matches!(result, CallResult::Refused { outcome: RunOutcome::OutcomeUnknown, .. })
+            }),
+            broken: count(|result| matches!(result, CallResult::Broken(_))),
+            wrong: count(|result| !result.is_honest()),
+            repeated_bookings: repeated_bookings(fleet),
+            hit_rate: hit_rate(fleet),
+            first_token_ms: [percentile(&first_tokens, 0.5), percentile(&first_tokens, 0.99)],
+            added_us: [latencies.added(0.5), latencies.added(0.99)],
+        }
+    }
+
+    /// Whether every request had one whole answer or an honest error, and no booking ran twice.
+    pub fn holds(&self) -> bool {
+        let answered = self.whole + self.not_run + self.unknown;
+        self.wrong == 0
+            && self.broken == 0
+            && answered == self.requests
+            && self.repeated_bookings == 0
+    }
+}
+
+fn repeated_bookings(fleet: &Fleet) -> usize {
+    let mut runs = std::collections::BTreeMap::new();
+    for service in &fleet.services {
+        for (booking, count) in service.counters().bookings {
+            *runs.entry(booking).or_insert(0) += count;
+        }
+    }
+    runs.values().filter(|&&count| count > 1).count()
+}
+
+fn hit_rate(fleet: &Fleet) -> f64 {
+    let counters: Vec<_> = fleet.engines.iter().map(|engine| engine.counters()).collect();
+    let prompt: u64 = counters.iter().map(|counter| counter.prompt_tokens).sum();
+    let hits: u64 = counters.iter().map(|counter| counter.hit_tokens).sum();
+    if prompt == 0 { 0.0 } else { hits as f64 / prompt as f64 }
+}
+
+impl fmt::Display for DemoSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ("requests", self.requests.to_string()),
+            ("answered whole", self.whole.to_string()),
+            ("not run", self.not_run.to_string()),
+            ("outcome unknown", self.unknown.to_string()),
+            ("connections broken", self.broken.to_string()),
+            ("wrong answers", self.wrong.to_string()),
+            ("bookings run more than once", self.repeated_bookings.to_string()),
+            ("prefix hit rate", format!("{:.1} %", self.hit_rate * 100.0)),
+            ("TTFT p50", format!("{:.0} ms", self.first_token_ms[0])),
+            ("TTFT p99", format!("{:.0} ms", self.first_token_ms[1])),
+            ("added latency p50", format!("{:.0} us", self.added_us[0])),
+            ("added latency p99", format!("{:.0} us", self.added_us[1])),
+        ];
+        for (name, value) in rows {
+            writeln!(f, "{name:<30}{value:>12}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,11 +1,14 @@
 //! Replay of recorded traces and scripted scenarios against stated outcomes, checks of histories
 //! and benchmarks.
 
+pub mod caller;
 pub mod check;
+pub mod demo;
 pub mod deployment;
 pub mod fleet;
 pub mod generate;
 pub mod ops;
+pub mod probe;
 pub mod program;
 pub mod report;
 pub mod stats;
--- /dev/null
+++ b/crates/replay/src/probe.rs
@@ -0,0 +1,90 @@
+//! Measures what an entry adds to a request, paired with direct calls to the same engine.
+
+use std::time::{Duration, Instant};
+
+use carobvane_standin::engine::EngineSettings;
+use eyre::Result;
+
+use crate::{
+    caller::{CallResult, CompletionCall, stream_completion},
+    fleet::{Fleet, FleetSettings, MODEL, key_of},
+};
+
+/// An engine that computes almost nothing, so that the path dominates.
+const INSTANT_TIME_SCALE: f64 = 10_000.0;
+/// Requests before the measurement, so that connections are open.
+const WARM_UP_PAIRS: usize = 20;
+
+/// Latencies of paired requests, in microseconds.
+#[derive(Debug, Clone, Default)]
+pub struct PairedLatencies {
+    /// Sent to the engine.
+    pub direct: Vec<f64>,
+    /// Sent through an entry.
+    pub through: Vec<f64>,
+}
+
+impl PairedLatencies {
+    /// Difference of the percentiles at `share`, in microseconds.
+    pub fn added(&self, share: f64) -> f64 {
+        let percentile = crate::stats::percentile;
+        percentile(&self.through, share) - percentile(&self.direct, share)
+    }
+}
+
+/// A fleet of one entry and one engine that answers at once.
+pub fn instant_fleet() -> FleetSettings {
+    let engine = EngineSettings {
+        time_scale: INSTANT_TIME_SCALE,
+        slots: 1_024,
+        ..EngineSettings::default()
+    };
+    FleetSettings { entries: 1, engines: vec![engine], ..FleetSettings::default() }
+}
+
+/// A short request to `url`.
+pub fn short_call(url: String, workspace: &str) -> CompletionCall {
+    CompletionCall {
+        entry: url,
+        key: key_of(workspace),
+        model: MODEL.to_string(),
+        weights: 1,
+        prompt: "is the float ready?".to_string(),
+        tokens: 1,
+    }
+}
+
+/// Sends `pairs` requests in turn to the engine and through an entry.
+///
+/// # Errors
+///
+/// The fleet cannot be started, or a request is not answered whole.
+pub async fn measure_pairs(pairs: usize) -> Result<PairedLatencies> {
+    let fleet = Fleet::start(&instant_fleet()).await?;
+    let client = awc::Client::builder().disable_timeout().finish();
+    let workspace = "workspace-1";
+    let direct = short_call(format!("http://{}", fleet.engines[0].addr()), workspace);
+    let through = short_call(fleet.entry_url(0), workspace);
+    let mut latencies = PairedLatencies::default();
+    for number in 0..pairs + WARM_UP_PAIRS {
+        let pair = [measure(&client, &direct).await?, measure(&client, &through).await?];
+        if number >= WARM_UP_PAIRS {
+            latencies.direct.push(micros(pair[0]));
+            latencies.through.push(micros(pair[1]));
+        }
+    }
+    fleet.stop().await;
+    Ok(latencies)
+}
+
+async fn measure(client: &awc::Client, call: &CompletionCall) -> Result<Duration> {
+    let started = Instant::now();
+    match stream_completion(client, call).await {
+        CallResult::Whole { .. } => Ok(started.elapsed()),
+        other => eyre::bail!("failed to measure a request: {other:?}"),
+    }
+}
+
+fn micros(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000_000.0
+}
