Keep a bucket of the block index in one cache line

Change: buckets of four records in one line, with a window of four buckets and a count of passing records, in place of two choices of two-line buckets. Ruled out: unsafe prefetch or huge pages, which the workspace forbids; a binary search over the chain, because lost events leave holes that it would skip.

--- a/crates/core/src/prefix/index.rs
+++ b/crates/core/src/prefix/index.rs
@@ -1,28 +1,36 @@
-//! Which server holds which piece, in 16 bytes a record.
+//! Which server holds which piece, in 24 bytes a block.
 //!
-//! The table has two choices of bucket for each hash and eight records a bucket, with the hashes
-//! of a bucket in one cache line. A lookup therefore reads two lines that do not depend on each
-//! other, so the processor overlaps the misses of a whole chain. There are no tombstones and no
-//! growth: a full pair of buckets replaces its oldest record.
+//! A bucket is one cache line of four records. A record stands in its home bucket or in one of the
+//! next three, and each bucket counts the records that passed it. A lookup therefore reads one
+//! line for most pieces, and the lines of different pieces do not depend on each other, so the
+//! processor overlaps their misses. There are no tombstones and no growth: a full window of buckets
+//! replaces its oldest record.
 
 use super::{PieceHash, scratch::HolderScratch};
 use crate::{clock::ClockTime, ids::ServerKey};
 
-/// Records in a bucket; eight hashes fill a cache line of 64 bytes.
-const BUCKET_RECORDS: usize = 8;
-/// Records a bucket is sized for, which leaves one in eight free for uneven buckets.
-const BUCKET_TARGET: usize = 7;
+/// Records in a bucket; four records of 16 bytes fill a cache line.
+const BUCKET_RECORDS: usize = 4;
+/// Buckets that may hold a record: its home and the following ones.
+const WINDOW_BUCKETS: usize = 4;
+/// Buckets for each eight blocks, which gives 24 bytes a block and leaves a third of the records
+/// free, so that most home buckets are never passed.
+const BUCKETS_PER_8_BLOCKS: usize = 3;
 /// Bytes a block never exceeds at the capacity that the index is created for.
 pub const BLOCK_BYTES_MAX: usize = 24;
-/// Servers recorded for one block. Four of the sixteen records in a pair of buckets stay free for
-/// other blocks.
+/// Servers recorded for one block. Four of the sixteen records of a window stay free for other
+/// blocks.
 pub const MAX_HOLDERS: usize = 12;
 /// Seconds for which the entry's own decision counts as a record without a cache event. Engines
 /// evict within seconds and publish events late.
 pub const OPTIMISTIC_LIFETIME_S: u16 = 30;
 const MICROS_PER_SECOND: u64 = 1_000_000;
 /// Pieces whose buckets are read before their records are judged.
-const LOOKUP_BATCH: usize = 16;
+const LOOKUP_BATCH: usize = 32;
+/// Bit of [`BlockRecord::flags`]: a cache event confirmed the record.
+const CONFIRMED: u8 = 1;
+/// Step of the bucket's count of passing records, in the flags of its first record.
+const PASSED_STEP: u8 = 2;
 
 /// Why a record exists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +43,8 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct BlockRecord {
+    /// Zero marks an empty record.
+    hash: u64,
     server: u16,
     /// Counter of the server's lives; a record with another value is void.
     epoch: u16,
@@ -42,18 +52,52 @@
     seen: u16,
     /// Counter of the server's event gaps; a record with another value is uncertain.
     gap: u8,
-    /// Whether a cache event confirmed the record.
-    confirmed: bool,
+    /// [`CONFIRMED`], and in a bucket's first record the bucket's count of passing records. At most
+    /// twelve records can pass a bucket, so the count does not overflow.
+    flags: u8,
+}
+
+impl BlockRecord {
+    fn is_confirmed(&self) -> bool {
+        self.flags & CONFIRMED != 0
+    }
 }
 
 #[derive(Debug, Clone, Default)]
 #[repr(align(64))]
 struct IndexBucket {
-    /// Zero marks an empty record.
-    hashes: [u64; BUCKET_RECORDS],
     records: [BlockRecord; BUCKET_RECORDS],
 }
 
+impl IndexBucket {
+    /// Whether records of this home or an earlier one stand in a later bucket.
+    fn is_passed(&self) -> bool {
+        self.records[0].flags >= PASSED_STEP
+    }
+
+    /// One bit for each record with this hash.
+    fn matches(&self, piece: PieceHash) -> u8 {
+        let mut mask = 0;
+        for (slot, record) in self.records.iter().enumerate() {
+            mask |= u8::from(record.hash == piece.as_raw()) << slot;
+        }
+        mask
+    }
+
+    /// Writes a record and keeps the bucket's count.
+    fn write(&mut self, slot: usize, record: BlockRecord) {
+        let kept = self.records[slot].flags & !CONFIRMED;
+        self.records[slot] = BlockRecord { flags: kept | record.flags & CONFIRMED, ..record };
+    }
+}
+
+/// Where a record stands: a step from its home bucket, and a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct RecordPlace {
+    step: usize,
+    slot: usize,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerEpoch {
     epoch: u16,
@@ -63,7 +107,7 @@
 /// Counters for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct IndexCounters {
-    /// Live records replaced because both buckets were full.
+    /// Live records replaced because the whole window was full.
     pub evicted: u64,
     /// Records refused or replaced because a block had [`MAX_HOLDERS`] holders.
     pub holders_full: u64,
@@ -82,7 +126,7 @@
 impl BlockIndex {
     /// Creates an index for `blocks` records. It never grows.
     pub fn with_capacity(blocks: usize) -> BlockIndex {
-        let buckets = blocks.div_ceil(BUCKET_TARGET).max(2);
+        let buckets = (blocks * BUCKETS_PER_8_BLOCKS / 8).max(2 * WINDOW_BUCKETS);
         BlockIndex {
             buckets: vec![IndexBucket::default(); buckets],
             servers: Vec::new(),
@@ -130,32 +174,35 @@
     /// Records that `server` holds `piece`, or refreshes the record.
     pub fn insert(&mut self, now: ClockTime, server: u16, piece: PieceHash, source: BlockSource) {
         let ServerEpoch { epoch, gap } = *self.server_mut(server);
-        let confirmed = source == BlockSource::Event;
+        let flags = if source == BlockSource::Event { CONFIRMED } else { 0 };
         let seen = second_of(now);
-        let pair = self.pair(piece);
-        if let Some((bucket, slot)) = self.find(pair, piece, server) {
-            let record = &mut self.buckets[bucket].records[slot];
-            let current = record.epoch == epoch;
-            // A decision refreshes the age only: what the server published stays as certain as
-            // it was.
-            let keep = current && record.confirmed && !confirmed;
-            let gap = if keep { record.gap } else { gap };
-            *record = BlockRecord { server, epoch, seen, gap, confirmed: confirmed || keep };
+        let mut record = BlockRecord { hash: piece.as_raw(), server, epoch, seen, gap, flags };
+        let home = self.home(piece.as_raw());
+        if let Some(place) = self.find(home, piece, server) {
+            let bucket = self.bucket_at(home, place.step);
+            let old = self.buckets[bucket].records[place.slot];
+            if old.epoch == epoch && old.is_confirmed() && flags == 0 {
+                // A decision refreshes the age only: what the server published stays as certain
+                // as it was.
+                record.gap = old.gap;
+                record.flags = CONFIRMED;
+            }
+            self.buckets[bucket].write(place.slot, record);
             return;
         }
-        let record = BlockRecord { server, epoch, seen, gap, confirmed };
-        let Some((bucket, slot)) = self.place(pair, piece, server, seen) else { return };
-        let bucket = &mut self.buckets[bucket];
-        self.occupied += usize::from(bucket.hashes[slot] == 0);
-        bucket.hashes[slot] = piece.as_raw();
-        bucket.records[slot] = record;
+        let Some(place) = self.place(home, piece, server, seen) else { return };
+        let bucket = self.bucket_at(home, place.step);
+        self.clear(bucket, place.slot);
+        self.count_passed(home, place.step, |flags| flags + PASSED_STEP);
+        self.buckets[bucket].write(place.slot, record);
+        self.occupied += 1;
     }
 
     /// Removes the record that `server` holds `piece`.
     pub fn remove(&mut self, server: u16, piece: PieceHash) {
-        if let Some((bucket, slot)) = self.find(self.pair(piece), piece, server) {
-            self.buckets[bucket].hashes[slot] = 0;
-            self.occupied -= 1;
+        let home = self.home(piece.as_raw());
+        if let Some(place) = self.find(home, piece, server) {
+            self.clear(self.bucket_at(home, place.step), place.slot);
         }
     }
 
@@ -163,12 +210,11 @@
     pub fn lookup(&self, now: ClockTime, pieces: &[PieceHash], scratch: &mut HolderScratch) {
         scratch.begin();
         let second = second_of(now);
-        let mut masks = [(0u8, 0u8); LOOKUP_BATCH];
+        let mut masks = [0u8; LOOKUP_BATCH];
         for (batch, chunk) in pieces.chunks(LOOKUP_BATCH).enumerate() {
             // No iteration of this loop depends on another, so their cache misses overlap.
             for (mask, &piece) in masks.iter_mut().zip(chunk) {
-                let (first, second) = self.pair(piece);
-                *mask = (self.matches(first, piece), self.matches(second, piece));
+                *mask = self.buckets[self.home(piece.as_raw())].matches(piece);
             }
             for (offset, (&piece, &mask)) in chunk.iter().zip(&masks).enumerate() {
                 let number = batch * LOOKUP_BATCH + offset;
@@ -183,21 +229,28 @@
     fn extend_holders(
         &self,
         piece: PieceHash,
-        (first_mask, second_mask): (u8, u8),
+        home_mask: u8,
         number: usize,
         second: u16,
         scratch: &mut HolderScratch,
     ) -> bool {
-        let pair = self.pair(piece);
+        let home = self.home(piece.as_raw());
         let mut grown = false;
-        let second_mask = if pair.0 == pair.1 { 0 } else { second_mask };
-        for (bucket, mut mask) in [(pair.0, first_mask), (pair.1, second_mask)] {
+        let mut mask = home_mask;
+        for step in 0..WINDOW_BUCKETS {
+            let bucket = &self.buckets[self.bucket_at(home, step)];
+            if step > 0 {
+                mask = bucket.matches(piece);
+            }
             while mask != 0 {
-                let slot = mask.trailing_zeros() as usize;
+                let record = &bucket.records[mask.trailing_zeros() as usize];
                 mask &= mask - 1;
-                let record = &self.buckets[bucket].records[slot];
-                let Some(uncertain) = self.judge(record, second) else { continue };
-                grown |= scratch.extend(record.server, number, uncertain);
+                if let Some(uncertain) = self.judge(record, second) {
+                    grown |= scratch.extend(record.server, number, uncertain);
+                }
+            }
+            if !bucket.is_passed() {
+                break;
             }
         }
         grown
@@ -209,49 +262,47 @@
         if server.epoch != record.epoch {
             return None;
         }
-        if !record.confirmed && second.wrapping_sub(record.seen) > OPTIMISTIC_LIFETIME_S {
+        if !record.is_confirmed() && second.wrapping_sub(record.seen) > OPTIMISTIC_LIFETIME_S {
             return None;
         }
         Some(server.gap != record.gap)
     }
 
-    /// The slot for a new record, or none if the block has enough holders of a higher rank.
+    /// The place for a new record, or none if the block has enough holders of a higher rank.
     fn place(
         &mut self,
-        pair: (usize, usize),
+        home: usize,
         piece: PieceHash,
         server: u16,
         second: u16,
-    ) -> Option<(usize, usize)> {
+    ) -> Option<RecordPlace> {
         let mut free = None;
-        let mut free_count = [0usize; 2];
-        let mut oldest = (0u16, (pair.0, 0));
+        let mut oldest = (0u16, RecordPlace { step: 0, slot: 0 });
         let mut holders = 0;
-        let mut lowest: Option<(u32, (usize, usize))> = None;
-        for (side, bucket) in [pair.0, pair.1].into_iter().enumerate() {
-            for slot in 0..BUCKET_RECORDS {
-                let hash = self.buckets[bucket].hashes[slot];
-                let record = self.buckets[bucket].records[slot];
-                if hash == 0 || self.judge(&record, second).is_none() {
-                    free_count[side] += 1;
-                    // The emptier bucket is filled first, which keeps both choices useful.
-                    if free_count[side] > free_count[1 - side] {
-                        free = Some((bucket, slot));
-                    }
+        let mut lowest: Option<(u32, RecordPlace)> = None;
+        for step in 0..WINDOW_BUCKETS {
+            let bucket = &self.buckets[self.bucket_at(home, step)];
+            for (slot, record) in bucket.records.iter().enumerate() {
+                let place = RecordPlace { step, slot };
+                if record.hash == 0 || self.judge(record, second).is_none() {
+                    free = free.or(Some(place));
                     continue;
                 }
                 let age = second.wrapping_sub(record.seen);
                 if age >= oldest.0 {
-                    oldest = (age, (bucket, slot));
+                    oldest = (age, place);
                 }
-                if hash == piece.as_raw() {
+                if record.hash == piece.as_raw() {
                     holders += 1;
                     let rank = holder_rank(record.server);
                     if lowest.is_none_or(|(other, _)| rank < other) {
-                        lowest = Some((rank, (bucket, slot)));
+                        lowest = Some((rank, place));
                     }
                 }
             }
+            if free.is_some() && !bucket.is_passed() {
+                break;
+            }
         }
         if let Some((rank, place)) = lowest.filter(|_| holders >= MAX_HOLDERS) {
             // The rank depends on the server alone, so the same servers stay recorded for every
@@ -265,34 +316,52 @@
         Some(free.unwrap_or(oldest.1))
     }
 
-    fn find(&self, pair: (usize, usize), piece: PieceHash, server: u16) -> Option<(usize, usize)> {
-        for bucket in [pair.0, pair.1] {
-            let mut mask = self.matches(bucket, piece);
+    fn find(&self, home: usize, piece: PieceHash, server: u16) -> Option<RecordPlace> {
+        for step in 0..WINDOW_BUCKETS {
+            let bucket = &self.buckets[self.bucket_at(home, step)];
+            let mut mask = bucket.matches(piece);
             while mask != 0 {
                 let slot = mask.trailing_zeros() as usize;
                 mask &= mask - 1;
-                if self.buckets[bucket].records[slot].server == server {
-                    return Some((bucket, slot));
+                if bucket.records[slot].server == server {
+                    return Some(RecordPlace { step, slot });
                 }
             }
+            if !bucket.is_passed() {
+                break;
+            }
         }
         None
     }
 
-    /// One bit for each record of the bucket with this hash.
-    fn matches(&self, bucket: usize, piece: PieceHash) -> u8 {
-        let hashes = &self.buckets[bucket].hashes;
-        let mut mask = 0;
-        for (slot, &hash) in hashes.iter().enumerate() {
-            mask |= u8::from(hash == piece.as_raw()) << slot;
+    /// Empties a record, and takes it out of the counts of the buckets that it passed.
+    fn clear(&mut self, bucket: usize, slot: usize) {
+        let hash = self.buckets[bucket].records[slot].hash;
+        if hash == 0 {
+            return;
         }
-        mask
+        let home = self.home(hash);
+        let step = (bucket + self.buckets.len() - home) % self.buckets.len();
+        self.count_passed(home, step, |flags| flags - PASSED_STEP);
+        self.buckets[bucket].records[slot].hash = 0;
+        self.occupied -= 1;
     }
 
-    fn pair(&self, piece: PieceHash) -> (usize, usize) {
-        let count = self.buckets.len() as u128;
-        let spread = |hash: u64| ((u128::from(hash) * count) >> 64) as usize;
-        (spread(piece.as_raw()), spread(mix(piece.as_raw())))
+    fn count_passed(&mut self, home: usize, step: usize, change: impl Fn(u8) -> u8) {
+        for passed in 0..step {
+            let bucket = self.bucket_at(home, passed);
+            let flags = &mut self.buckets[bucket].records[0].flags;
+            *flags = change(*flags);
+        }
+    }
+
+    fn home(&self, hash: u64) -> usize {
+        ((u128::from(hash) * self.buckets.len() as u128) >> 64) as usize
+    }
+
+    fn bucket_at(&self, home: usize, step: usize) -> usize {
+        let bucket = home + step;
+        if bucket < self.buckets.len() { bucket } else { bucket - self.buckets.len() }
     }
 
     fn server_mut(&mut self, server: u16) -> &mut ServerEpoch {
@@ -304,11 +373,10 @@
     }
 
     fn purge(&mut self, server: u16) {
-        for bucket in &mut self.buckets {
+        for bucket in 0..self.buckets.len() {
             for slot in 0..BUCKET_RECORDS {
-                if bucket.hashes[slot] != 0 && bucket.records[slot].server == server {
-                    bucket.hashes[slot] = 0;
-                    self.occupied -= 1;
+                if self.buckets[bucket].records[slot].server == server {
+                    self.clear(bucket, slot);
                 }
             }
         }
--- /dev/null
+++ b/crates/replay/src/bench/decide.rs
@@ -0,0 +1,326 @@
+//! `carobvane-bench decide`: time and memory of routing decisions.
+//!
+//! Prompts have 64 pieces in three nested levels: 16 shared by a workspace, 32 by a firm and 16 of
+//! their own. The index is filled through cache events as in the entry, and each decision takes
+//! another prompt, so its index lines are mostly outside the processor's caches.
+
+use std::{hint::black_box, path::PathBuf, time::Instant};
+
+use carobvane_core::{
+    arena::ArenaKey,
+    clock::ClockTime,
+    ids::{AddressId, IncarnationId, ModelKey, ServerKey, WeightsVersion},
+    prefix::{BLOCK_BYTES_MAX, ChainSalt, PieceHash, PrefixChain},
+    routing::{
+        CacheUpdate, CostPolicy, LeastLoaded, PrefixRouter, RequestClass, RouteRequest,
+        RouterSettings, RoutingPolicy, ServerSeen,
+    },
+};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{BenchFigure, log_slope, print_table, write_json};
+
+/// Pieces of a prompt, and where its levels end.
+const PIECES: u64 = 64;
+const WORKSPACE_PIECES: u64 = 16;
+const FIRM_PIECES: u64 = 48;
+const WORKSPACES: u64 = 8;
+/// Blocks at which size and speed are required.
+const TARGET_BLOCKS: u64 = 2_600_000;
+/// Prompts that decisions are measured with.
+const SAMPLE_PROMPTS: usize = 20_000;
+/// Decisions before allocations are counted and times are taken.
+const WARM_DECISIONS: usize = 2_000;
+const MODEL_WEIGHTS: WeightsVersion = WeightsVersion(1);
+const LIFE: IncarnationId = IncarnationId(1);
+
+/// How to measure.
+#[derive(Debug, Clone)]
+pub struct DecideOptions {
+    /// Runs of each figure.
+    pub runs: usize,
+    /// Decisions of each run.
+    pub decisions: usize,
+    /// Where to write the figures as JSON.
+    pub json: PathBuf,
+    /// Number of allocations of the process so far.
+    pub allocations: fn() -> usize,
+}
+
+/// Measures, prints a table and writes JSON.
+pub fn run(options: &DecideOptions) -> eyre::Result<()> {
+    let mut figures = Vec::new();
+    measure_target_sizes(options, &mut figures);
+    measure_hashing(options, &mut figures);
+    measure_slopes(options, &mut figures);
+    print_table(&figures);
+    write_json(&options.json, &figures)
+}
+
+/// A router with a filled index.
+struct BenchFleet<P: RoutingPolicy> {
+    router: PrefixRouter<P>,
+    servers: Vec<ServerKey>,
+    model: ModelKey,
+    shape: PromptShape,
+    sequences: Vec<u64>,
+    now: ClockTime,
+    rng: SmallRng,
+}
+
+/// Numbers of distinct firms and prompts that fill an index of a given size.
+#[derive(Debug, Clone, Copy)]
+struct PromptShape {
+    firms: u64,
+    prompts: u64,
+}
+
+impl PromptShape {
+    fn for_blocks(blocks: u64) -> PromptShape {
+        // Two fifths of the blocks belong to firms and the rest to single prompts.
+        let firms = (blocks * 2 / 5 / (FIRM_PIECES - WORKSPACE_PIECES)).max(1);
+        let prompts = (blocks * 3 / 5 / (PIECES - FIRM_PIECES)).max(1);
+        PromptShape { firms, prompts }
+    }
+
+    /// The chain of prompt number `prompt`.
+    fn chain(&self, prompt: u64) -> PrefixChain {
+        let firm = prompt % self.firms;
+        PrefixChain::from_hashes((0..PIECES).map(|piece| {
+            let owner = match piece {
+                0..WORKSPACE_PIECES => firm % WORKSPACES,
+                WORKSPACE_PIECES..FIRM_PIECES => firm,
+                _ => prompt,
+            };
+            piece_of(owner, piece)
+        }))
+    }
+}
+
+/// A stable hash of a piece, without the cost of hashing text.
+fn piece_of(owner: u64, piece: u64) -> PieceHash {
+    PieceHash::from_raw(SmallRng::seed_from_u64(owner * PIECES + piece).random())
+}
+
+impl<P: RoutingPolicy> BenchFleet<P> {
+    fn new(servers: usize, blocks: u64) -> BenchFleet<P> {
+        let settings =
+            RouterSettings { block_capacity: blocks as usize, ..RouterSettings::default() };
+        let mut router = PrefixRouter::new(settings, P::Settings::default());
+        let model = ModelKey::new(0, 0);
+        let servers: Vec<ServerKey> = (0..servers)
+            .filter_map(|number| {
+                router.server_seen(&ServerSeen {
+                    address: AddressId::of(&format!("10.0.{}.{}", number / 250, number % 250)),
+                    incarnation: LIFE,
+                    models: &[(model, MODEL_WEIGHTS)],
+                    slots: 64,
+                })
+            })
+            .collect();
+        let sequences = vec![0; servers.len()];
+        let shape = PromptShape::for_blocks(blocks);
+        let now = ClockTime::from_millis(60_000);
+        let rng = SmallRng::seed_from_u64(7);
+        BenchFleet { router, servers, model, shape, sequences, now, rng }
+    }
+
+    /// Stores every firm and prompt on one server. Returns the time in ns a piece.
+    fn fill(&mut self) -> f64 {
+        let started = Instant::now();
+        let mut stored = 0;
+        for prompt in 0..self.shape.prompts.max(self.shape.firms) {
+            let chain = self.shape.chain(prompt);
+            let firm = prompt % self.shape.firms;
+            let server = firm as usize % self.servers.len();
+            // The first prompt of a firm stores the shared levels.
+            let from = if prompt < self.shape.firms { 0 } else { FIRM_PIECES as usize };
+            let to = if prompt < self.shape.prompts { PIECES } else { FIRM_PIECES } as usize;
+            self.store(server, &chain.pieces()[from..to]);
+            stored += to - from;
+        }
+        started.elapsed().as_nanos() as f64 / stored as f64
+    }
+
+    fn store(&mut self, server: usize, pieces: &[PieceHash]) {
+        self.sequences[server] += 1;
+        let (key, sequence) = (self.servers[server], self.sequences[server]);
+        self.router.cache_event(self.now, key, LIFE, sequence, CacheUpdate::Stored(pieces));
+    }
+
+    fn sample(&mut self) -> Vec<PrefixChain> {
+        let count = SAMPLE_PROMPTS.min(self.shape.prompts as usize);
+        (0..count)
+            .map(|_| {
+                let prompt = self.rng.random_range(0..self.shape.prompts);
+                self.shape.chain(prompt)
+            })
+            .collect()
+    }
+
+    /// One request from decision to end; returns the time of the decision in ns.
+    fn step(&mut self, chain: &PrefixChain) -> u64 {
+        let request = RouteRequest {
+            model: self.model,
+            weights: MODEL_WEIGHTS,
+            chain,
+            class: RequestClass::Short,
+            prompt_tokens: chain.len() as u32 * 2_000,
+            decode_tokens: 50,
+            excluded: &[],
+            alone: false,
+        };
+        let started = Instant::now();
+        let decision = black_box(self.router.decide(self.now, &request, &mut self.rng));
+        let took = started.elapsed().as_nanos() as u64;
+        if let Ok(decision) = decision {
+            let key = self.router.dispatched(self.now, &request, &decision);
+            let expected = decision.cost.first_token() as f64;
+            self.now = self.now + std::time::Duration::from_micros(50);
+            let first = self.now + std::time::Duration::from_micros((expected * 1_000.0) as u64);
+            self.router.first_token(first, key);
+            self.router.finished(first, key);
+        }
+        took
+    }
+
+    /// Times of a run's decisions in ns.
+    fn run(&mut self, chains: &[PrefixChain], decisions: usize) -> Histogram<u64> {
+        let mut times = new_histogram();
+        for _ in 0..decisions {
+            let index = self.rng.random_range(0..chains.len());
+            let took = self.step(&chains[index]);
+            times.saturating_record(took.max(1));
+        }
+        times
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 1_000_000_000, 3)
+        .unwrap_or_else(|error| unreachable!("the bounds are constant: {error}"))
+}
+
+/// Median and p99 in µs of each run.
+fn decision_times<P: RoutingPolicy>(
+    fleet: &mut BenchFleet<P>,
+    options: &DecideOptions,
+) -> (Vec<f64>, Vec<f64>) {
+    let chains = fleet.sample();
+    fleet.run(&chains, WARM_DECISIONS);
+    (0..options.runs)
+        .map(|_| {
+            let times = fleet.run(&chains, options.decisions);
+            let micros = |quantile| times.value_at_quantile(quantile) as f64 / 1_000.0;
+            (micros(0.5), micros(0.99))
+        })
+        .unzip()
+}
+
+fn measure_target_sizes(options: &DecideOptions, figures: &mut Vec<BenchFigure>) {
+    for (servers, target) in [(18, 5.0), (12_000, 25.0)] {
+        let mut fleet = BenchFleet::<CostPolicy>::new(servers, TARGET_BLOCKS);
+        let fill = fleet.fill();
+        let (median, tail) = decision_times(&mut fleet, options);
+        let name = |what: &str| format!("{what}, {servers} servers");
+        let middle = BenchFigure::new(name("decision p50"), "us", median).target(target);
+        let mut baseline = BenchFleet::<LeastLoaded>::new(servers, TARGET_BLOCKS);
+        let (scan, _) = decision_times(&mut baseline, options);
+        let scan = BenchFigure::new(name("least loaded p50 (baseline)"), "us", scan);
+        let ratio = vec![middle.median / scan.median];
+        figures.push(middle);
+        figures.push(BenchFigure::new(name("decision p99"), "us", tail));
+        figures.push(scan);
+        figures.push(BenchFigure::new(name("decision / baseline"), "ratio", ratio));
+        measure_allocations(&mut fleet, options, servers, figures);
+        if servers == 18 {
+            figures.push(BenchFigure::new("fill by 16-piece events", "ns/piece", vec![fill]));
+            measure_index(&mut fleet, options, figures);
+        }
+    }
+}
+
+fn measure_allocations(
+    fleet: &mut BenchFleet<CostPolicy>,
+    options: &DecideOptions,
+    servers: usize,
+    figures: &mut Vec<BenchFigure>,
+) {
+    let chains = fleet.sample();
+    fleet.run(&chains, WARM_DECISIONS);
+    let counts = (0..options.runs).map(|_| {
+        let before = (options.allocations)();
+        for index in 0..WARM_DECISIONS {
+            fleet.step(&chains[index % chains.len()]);
+        }
+        ((options.allocations)() - before) as f64 / WARM_DECISIONS as f64
+    });
+    let name = format!("allocations per request, {servers} servers");
+    figures.push(BenchFigure::new(name, "count", counts.collect()).target(0.0));
+}
+
+/// Event ingest, bytes a block, and the share of blocks that a full index keeps.
+fn measure_index(
+    fleet: &mut BenchFleet<CostPolicy>,
+    options: &DecideOptions,
+    figures: &mut Vec<BenchFigure>,
+) {
+    let bytes = fleet.router.state().index.bytes() as f64 / TARGET_BLOCKS as f64;
+    let bytes = BenchFigure::new("index bytes a block at 2.6 M", "bytes", vec![bytes]);
+    figures.push(bytes.target(BLOCK_BYTES_MAX as f64));
+    let index = &fleet.router.state().index;
+    let kept = index.occupied() as f64 / TARGET_BLOCKS as f64;
+    figures.push(BenchFigure::new("records in use / capacity after fill", "ratio", vec![kept]));
+    let evicted = index.counters().evicted as f64 / TARGET_BLOCKS as f64;
+    figures.push(BenchFigure::new("records replaced / capacity", "ratio", vec![evicted]));
+    let events = options.decisions;
+    let times = (0..options.runs).map(|run| {
+        let pieces: Vec<PieceHash> =
+            (0..events).map(|n| piece_of((run * events + n) as u64, PIECES + 1)).collect();
+        let started = Instant::now();
+        for (number, piece) in pieces.iter().enumerate() {
+            fleet.store(number % fleet.servers.len(), std::slice::from_ref(piece));
+        }
+        started.elapsed().as_nanos() as f64 / events as f64 / 1_000.0
+    });
+    let times = times.collect();
+    figures.push(BenchFigure::new("event ingest, one piece", "us", times).target(1.0));
+}
+
+/// Time to hash a prompt of 64 pieces of 8 KB, which is outside the decision.
+fn measure_hashing(options: &DecideOptions, figures: &mut Vec<BenchFigure>) {
+    const PIECE_BYTES: usize = 8_000;
+    let salt = ChainSalt::new("a", "m", MODEL_WEIGHTS);
+    let prompt = vec![7; PIECE_BYTES * PIECES as usize];
+    let mut chain = PrefixChain::new();
+    let times = (0..options.runs).map(|_| {
+        let started = Instant::now();
+        for _ in 0..100 {
+            chain.rebuild(&salt, black_box(&prompt), PIECE_BYTES);
+        }
+        started.elapsed().as_secs_f64() * 1e6 / 100.0
+    });
+    let times = times.collect();
+    figures.push(BenchFigure::new("hash of 64 pieces of 8 KB", "us", times));
+}
+
+fn measure_slopes(options: &DecideOptions, figures: &mut Vec<BenchFigure>) {
+    let mut slope = |name: &str, sizes: &[(u64, usize, u64)]| {
+        let mut points = Vec::new();
+        for &(size, servers, blocks) in sizes {
+            let mut fleet = BenchFleet::<CostPolicy>::new(servers, blocks);
+            fleet.fill();
+            let (median, _) = decision_times(&mut fleet, options);
+            let figure = BenchFigure::new(format!("decision p50, {size} {name}"), "us", median);
+            points.push((size as f64, figure.median));
+            figures.push(figure);
+        }
+        let value = log_slope(&points);
+        figures.push(BenchFigure::new(format!("slope over {name}"), "log/log", vec![value]));
+    };
+    let servers = [10, 100, 1_000, 10_000].map(|n| (n, n as usize, 1_000_000));
+    slope("servers", &servers);
+    let blocks = [10_000, 100_000, 1_000_000, 10_000_000].map(|n| (n, 18, n));
+    slope("blocks", &blocks);
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Replay of traces, checks of histories and benchmarks.
+
+pub mod bench;
