--- /dev/null
+++ b/crates/host/src/entry/discovery.rs
@@ -0,0 +1,70 @@
+//! `GET /v1/entries` and `GET /v1/models`.
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use carobvane_proto::openai::{EntryAddress, EntryList};
+use serde_json::json;
+
+use super::{
+    error::CallerError,
+    shared::{DISCOVERY_LIFETIME, EntryShared},
+};
+
+/// Adds the endpoints.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/entries", web::get().to(list_entries))
+        .route("/v1/models", web::get().to(list_models))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz));
+}
+
+async fn list_entries(
+    request: HttpRequest,
+    shared: web::Data<EntryShared>,
+) -> Result<HttpResponse, CallerError> {
+    let (lists, _) = shared.admit(&request)?;
+    let own = shared.own.node;
+    let draining = shared.is_draining();
+    let entries = lists
+        .document
+        .entries
+        .values()
+        .filter(|entry| !(draining && entry.node == own))
+        .map(|entry| EntryAddress {
+            url: format!("http://{}", entry.http_address),
+            data_centre: entry.data_centre.clone(),
+        })
+        .collect();
+    let lifetime_seconds = DISCOVERY_LIFETIME.as_secs();
+    Ok(HttpResponse::Ok()
+        .insert_header(("cache-control", format!("max-age={lifetime_seconds}")))
+        .json(EntryList { entries, lifetime_seconds }))
+}
+
+async fn list_models(
+    request: HttpRequest,
+    shared: web::Data<EntryShared>,
+) -> Result<HttpResponse, CallerError> {
+    let (lists, workspace) = shared.admit(&request)?;
+    let names = lists.grant(&workspace).map(|grant| grant.models.clone()).unwrap_or_default();
+    let models: Vec<_> = names
+        .iter()
+        .filter(|name| !lists.engines(name).is_empty())
+        .map(|name| json!({ "id": name, "object": "model", "created": 0, "owned_by": "carobvane" }))
+        .collect();
+    Ok(HttpResponse::Ok().json(json!({ "object": "list", "data": models })))
+}
+
+/// Answers while the process runs.
+pub async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// Answers with 200 while new requests can be served.
+pub async fn readyz(shared: web::Data<EntryShared>) -> HttpResponse {
+    if shared.lists().is_some() && !shared.is_draining() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
