--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -2,6 +2,7 @@
 //! and benchmarks.
 
 pub mod caller;
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod deployment;
