--- /dev/null
+++ b/crates/host/src/entry/shared.rs
@@ -0,0 +1,175 @@
+//! What the threads of an entry share.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use actix_web::{HttpRequest, http::header};
+use carobvane_core::{ids::NodeLife, lists::ListSnapshot};
+use carobvane_proto::headers;
+
+use super::{
+    active::{ActiveLists, CallerWorkspace},
+    error::{CallerError, ErrorCode},
+    servers::ServerPool,
+};
+use crate::{peer::PeerSender, settings::EntrySettings};
+
+/// How long a discovery answer may be kept.
+pub const DISCOVERY_LIFETIME: Duration = Duration::from_secs(5);
+/// Interval at which a drain looks for requests in progress.
+pub const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Longest request id that is taken from a caller, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 128;
+/// When to come back to an entry without lists.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// State of an entry.
+pub struct EntryShared {
+    /// Checked settings.
+    pub settings: EntrySettings,
+    /// This process.
+    pub own: NodeLife,
+    /// Sends to other processes.
+    pub sender: PeerSender,
+    lists: RwLock<Option<Arc<ActiveLists>>>,
+    pool: Mutex<ServerPool>,
+    draining: AtomicBool,
+    refusing: AtomicBool,
+    in_progress: AtomicUsize,
+    sequence: AtomicU64,
+}
+
+impl EntryShared {
+    /// Creates the state of an entry without lists.
+    pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
+        EntryShared {
+            settings,
+            own,
+            sender,
+            lists: RwLock::new(None),
+            pool: Mutex::new(ServerPool::new(own.incarnation.0)),
+            draining: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// The lists in force, if there are any.
+    pub fn lists(&self) -> Option<Arc<ActiveLists>> {
+        self.lists.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts a version into force.
+    pub fn activate(&self, snapshot: &ListSnapshot) {
+        let lists = Arc::new(ActiveLists::new(snapshot));
+        self.pool().set_servers(&lists, self.own.node);
+        *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
+        metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
+    }
+
+    /// The backend servers.
+    pub fn pool(&self) -> MutexGuard<'_, ServerPool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A request id: the caller's, if it is usable, or a new one.
+    pub fn request_id(&self, request: &HttpRequest) -> String {
+        let given = request.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
+        let usable = |id: &&str| {
+            !id.is_empty()
+                && id.len() <= MAX_REQUEST_ID_BYTES
+                && id.bytes().all(|byte| byte.is_ascii_graphic())
+        };
+        match given.filter(usable) {
+            Some(id) => id.to_string(),
+            None => {
+                let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+                format!("{}-{:x}-{sequence}", self.own.node.0, self.own.incarnation.0)
+            }
+        }
+    }
+
+    /// Names the caller's workspace.
+    ///
+    /// # Errors
+    ///
+    /// This entry drains or has no lists, or no workspace has the key.
+    pub fn admit(
+        &self,
+        request: &HttpRequest,
+    ) -> Result<(Arc<ActiveLists>, CallerWorkspace), CallerError> {
+        if self.refusing.load(Ordering::Relaxed) {
+            return Err(self.draining_error());
+        }
+        let Some(lists) = self.lists() else {
+            let message = "this entry has not received its lists yet";
+            return Err(CallerError::not_run(ErrorCode::NotReady, message)
+                .with_retry_after(NOT_READY_RETRY));
+        };
+        let key = bearer_key(request).ok_or_else(|| {
+            CallerError::not_run(ErrorCode::InvalidKey, "an Authorization: Bearer key is required")
+        })?;
+        let workspace = lists.workspace(key).ok_or_else(|| {
+            CallerError::not_run(ErrorCode::InvalidKey, "the key belongs to no workspace")
+        })?;
+        Ok((lists, workspace))
+    }
+
+    fn draining_error(&self) -> CallerError {
+        let mut error = CallerError::not_run(ErrorCode::Draining, "this entry is leaving")
+            .with_retry_after(Duration::from_secs(1));
+        error.location = self.pool().other_entry();
+        error
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.in_progress.fetch_add(1, Ordering::SeqCst);
+        metrics::gauge!("carobvane_requests_in_progress").increment(1.0);
+        RequestGuard { shared: Arc::clone(self) }
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::SeqCst)
+    }
+
+    /// Takes this entry out of discovery.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        log::info!(in_progress = self.in_progress(); "drain begun");
+    }
+
+    /// Redirects new requests from now on.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether this entry is leaving.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+}
+
+fn bearer_key(request: &HttpRequest) -> Option<&str> {
+    let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::trim).filter(|key| !key.is_empty())
+}
+
+/// Keeps a request counted as in progress.
+pub struct RequestGuard {
+    shared: Arc<EntryShared>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.shared.in_progress.fetch_sub(1, Ordering::SeqCst);
+        metrics::gauge!("carobvane_requests_in_progress").decrement(1.0);
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry/sink.rs
@@ -0,0 +1,137 @@
+//! Where a relay puts the answer: a stream of server-sent events or one JSON body.
+
+use bytes::Bytes;
+use carobvane_proto::openai::TokenUsage;
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{attempt::EngineChunk, error::CallerError};
+
+/// Chunks that wait for a slow caller. A full channel stops the reading from the engine, which
+/// bounds the memory of a stream.
+pub const SINK_CAPACITY: usize = 32;
+
+/// The caller has gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// Takes the chunks of one answer, each exactly once and in order.
+pub trait ChunkSink {
+    /// Takes the next chunk.
+    async fn chunk(&mut self, chunk: EngineChunk) -> Result<(), CallerGone>;
+
+    /// Ends a complete answer.
+    async fn finish(self, usage: TokenUsage) -> Result<(), CallerGone>;
+
+    /// Ends an answer that failed.
+    async fn fail(self, error: CallerError);
+}
+
+/// The head of a streamed answer: its body, or an error before the first chunk.
+pub type StreamHead = Result<mpsc::Receiver<Bytes>, CallerError>;
+
+/// Streams server-sent events to the caller.
+pub struct StreamSink {
+    head: Option<(oneshot::Sender<StreamHead>, mpsc::Receiver<Bytes>)>,
+    sender: mpsc::Sender<Bytes>,
+    include_usage: bool,
+}
+
+impl StreamSink {
+    /// Creates a sink and the receiver of its head.
+    pub fn new(include_usage: bool) -> (StreamSink, oneshot::Receiver<StreamHead>) {
+        let (sender, receiver) = mpsc::channel(SINK_CAPACITY);
+        let (head, head_receiver) = oneshot::channel();
+        (StreamSink { head: Some((head, receiver)), sender, include_usage }, head_receiver)
+    }
+
+    async fn send(&mut self, data: &[u8]) -> Result<(), CallerGone> {
+        if let Some((head, receiver)) = self.head.take() {
+            head.send(Ok(receiver)).map_err(|_| CallerGone)?;
+        }
+        let mut event = Vec::with_capacity(data.len() + 8);
+        event.extend_from_slice(b"data: ");
+        event.extend_from_slice(data);
+        event.extend_from_slice(b"\n\n");
+        self.sender.send(event.into()).await.map_err(|_| CallerGone)
+    }
+}
+
+impl ChunkSink for StreamSink {
+    async fn chunk(&mut self, chunk: EngineChunk) -> Result<(), CallerGone> {
+        if chunk.choices.is_empty() && !self.include_usage {
+            return Ok(());
+        }
+        let data = serde_json::to_vec(&chunk).unwrap_or_default();
+        self.send(&data).await
+    }
+
+    async fn finish(mut self, _usage: TokenUsage) -> Result<(), CallerGone> {
+        self.send(b"[DONE]").await
+    }
+
+    async fn fail(mut self, error: CallerError) {
+        if let Some((head, _)) = self.head.take() {
+            head.send(Err(error)).ok();
+            return;
+        }
+        // The status line has gone out, so the error travels as an event and [DONE] is left out.
+        let data = serde_json::to_vec(&error.body()).unwrap_or_default();
+        self.send(&data).await.ok();
+    }
+}
+
+/// Collects the answer into one JSON body.
+pub struct BodySink {
+    head: oneshot::Sender<Result<Value, CallerError>>,
+    is_chat: bool,
+    text: String,
+    finish_reason: Option<String>,
+    first: Option<EngineChunk>,
+}
+
+impl BodySink {
+    /// Creates a sink and the receiver of the body.
+    pub fn new(is_chat: bool) -> (BodySink, oneshot::Receiver<Result<Value, CallerError>>) {
+        let (head, receiver) = oneshot::channel();
+        let sink =
+            BodySink { head, is_chat, text: String::new(), finish_reason: None, first: None };
+        (sink, receiver)
+    }
+}
+
+impl ChunkSink for BodySink {
+    async fn chunk(&mut self, chunk: EngineChunk) -> Result<(), CallerGone> {
+        if self.head.is_closed() {
+            return Err(CallerGone);
+        }
+        self.text.push_str(chunk.content());
+        if let Some(reason) = chunk.finish_reason() {
+            self.finish_reason = Some(reason.to_string());
+        }
+        self.first.get_or_insert(chunk);
+        Ok(())
+    }
+
+    async fn finish(self, usage: TokenUsage) -> Result<(), CallerGone> {
+        let mut body = self.first.map(|chunk| chunk.rest).unwrap_or_default();
+        let choice = if self.is_chat {
+            json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": self.text },
+                "finish_reason": self.finish_reason,
+            })
+        } else {
+            json!({ "index": 0, "text": self.text, "finish_reason": self.finish_reason })
+        };
+        let object = if self.is_chat { "chat.completion" } else { "text_completion" };
+        body.insert("object".to_string(), object.into());
+        body.insert("choices".to_string(), json!([choice]));
+        body.insert("usage".to_string(), json!(usage));
+        self.head.send(Ok(Value::Object(body))).map_err(|_| CallerGone)
+    }
+
+    async fn fail(self, error: CallerError) {
+        self.head.send(Err(error)).ok();
+    }
+}
