--- /dev/null
+++ b/crates/core/tests/suspects.rs
@@ -0,0 +1,211 @@
+//! Tables over `SuspectRegistry`.
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::NodeId,
+    suspects::{
+        MAX_SUSPECTS, REPORT_WAIT, RunEnd, SUSPECT_LIFETIME, ServerCrash, ServerLife,
+        SuspectAdmission, SuspectEffect, SuspectFingerprint, SuspectMessage, SuspectRegistry,
+    },
+};
+
+const PEER: NodeId = NodeId(2);
+
+fn suspect(name: &str) -> SuspectFingerprint {
+    SuspectFingerprint::new("irazabal", name.as_bytes())
+}
+
+fn crash(name: &str, server: &str, incarnation: u64) -> ServerCrash {
+    let server = ServerLife::new(server, incarnation);
+    ServerCrash { fingerprint: suspect(name), server }
+}
+
+fn crash_here(registry: &mut SuspectRegistry, crash: ServerCrash) -> Vec<SuspectEffect> {
+    let mut effects = Vec::new();
+    registry.begin(crash.fingerprint, crash.server);
+    let (fingerprint, server) = (crash.fingerprint, crash.server);
+    registry.end(fingerprint, server, RunEnd::Crashed, ClockTime::ZERO, &mut effects);
+    effects
+}
+
+fn receive(registry: &mut SuspectRegistry, message: SuspectMessage) -> Vec<SuspectEffect> {
+    let mut effects = Vec::new();
+    registry.receive(PEER, message, ClockTime::ZERO, &mut effects);
+    effects
+}
+
+/// Guards against one death that counts twice, and against a request that runs on after two.
+#[test]
+fn admission_by_crashes() {
+    struct Case {
+        name: &'static str,
+        own: Vec<ServerCrash>,
+        reported: Vec<ServerCrash>,
+        admission: SuspectAdmission,
+    }
+    let (one, two) = (crash("r", "a", 1), crash("r", "b", 1));
+    let cases = [
+        Case {
+            name: "another request",
+            own: vec![crash("other", "a", 1)],
+            reported: vec![crash("third", "a", 1)],
+            admission: SuspectAdmission::Run,
+        },
+        Case {
+            name: "one crash here",
+            own: vec![one],
+            reported: vec![],
+            admission: SuspectAdmission::RunAlone,
+        },
+        Case {
+            name: "one crash elsewhere, reported twice",
+            own: vec![],
+            reported: vec![one, one],
+            admission: SuspectAdmission::RunAlone,
+        },
+        Case {
+            name: "the same death seen by two entries",
+            own: vec![one],
+            reported: vec![one],
+            admission: SuspectAdmission::RunAlone,
+        },
+        Case {
+            name: "two deaths of one server",
+            own: vec![one],
+            reported: vec![crash("r", "a", 2)],
+            admission: SuspectAdmission::Reject,
+        },
+        Case {
+            name: "two servers",
+            own: vec![],
+            reported: vec![one, two],
+            admission: SuspectAdmission::Reject,
+        },
+    ];
+    for case in cases {
+        let mut registry = SuspectRegistry::new();
+        for crash in case.own {
+            crash_here(&mut registry, crash);
+        }
+        for crash in case.reported {
+            receive(&mut registry, SuspectMessage::Report { id: 0, crashes: vec![crash] });
+        }
+        assert_eq!(registry.admit(suspect("r")), case.admission, "{}", case.name);
+    }
+}
+
+/// Guards against a suspect that runs twice at once, and against a suspicion that outlives a
+/// complete answer or a proof that the server is alive.
+#[test]
+fn suspicion_ends() {
+    struct Case {
+        name: &'static str,
+        end: fn(&mut SuspectRegistry, &mut Vec<SuspectEffect>),
+    }
+    let cases = [
+        Case {
+            name: "completed elsewhere",
+            end: |registry, effects| {
+                let (again, server) = (suspect("r"), ServerLife::new("b", 1));
+                registry.begin(again, server);
+                assert_eq!(registry.admit(again), SuspectAdmission::Busy);
+                registry.end(again, server, RunEnd::Completed, ClockTime::ZERO, effects);
+            },
+        },
+        Case {
+            name: "server alive",
+            end: |registry, effects| {
+                registry.server_alive(ServerLife::new("a", 1), ClockTime::ZERO, effects);
+            },
+        },
+    ];
+    for case in cases {
+        let mut registry = SuspectRegistry::new();
+        registry.set_peers(vec![PEER], &mut Vec::new());
+        crash_here(&mut registry, crash("r", "a", 1));
+        let mut effects = Vec::new();
+        (case.end)(&mut registry, &mut effects);
+        assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Run, "{}", case.name);
+        let message = SuspectMessage::Withdraw { crashes: vec![crash("r", "a", 1)] };
+        assert_eq!(effects, [SuspectEffect::Send { to: PEER, message }], "{}", case.name);
+        // A report that was on the way does not bring the suspicion back.
+        let late = SuspectMessage::Report { id: 0, crashes: vec![crash("r", "a", 1)] };
+        receive(&mut registry, late);
+        assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Run, "{}", case.name);
+    }
+}
+
+/// Guards against a caller that learns of the failure before the other entries know of the crash,
+/// and against one that waits for ever.
+#[test]
+fn report_settles() {
+    struct Case {
+        name: &'static str,
+        settle: fn(&mut SuspectRegistry, &mut Vec<SuspectEffect>),
+        everywhere: bool,
+    }
+    let cases = [
+        Case {
+            name: "acknowledged",
+            settle: |registry, effects| {
+                let message = SuspectMessage::Acknowledge { id: 1, crashes: vec![] };
+                registry.receive(PEER, message, ClockTime::ZERO, effects);
+            },
+            everywhere: true,
+        },
+        Case {
+            name: "peer left",
+            settle: |registry, effects| registry.set_peers(vec![], effects),
+            everywhere: true,
+        },
+        Case {
+            name: "no answer",
+            settle: |registry, effects| registry.tick(ClockTime::ZERO + REPORT_WAIT, effects),
+            everywhere: false,
+        },
+    ];
+    for case in cases {
+        let mut registry = SuspectRegistry::new();
+        registry.set_peers(vec![PEER], &mut Vec::new());
+        let sent = crash_here(&mut registry, crash("r", "a", 1));
+        let message = SuspectMessage::Report { id: 1, crashes: vec![crash("r", "a", 1)] };
+        assert_eq!(sent, [SuspectEffect::Send { to: PEER, message }], "{}", case.name);
+        assert!(registry.is_open(1), "{}", case.name);
+        let mut effects = Vec::new();
+        (case.settle)(&mut registry, &mut effects);
+        let settled = SuspectEffect::Settled { report: 1, everywhere: case.everywhere };
+        assert_eq!(effects, [settled], "{}", case.name);
+    }
+}
+
+/// Guards against an entry that has restarted and lets a request run that the others reject.
+#[test]
+fn acknowledgement_tells_what_the_peer_knows() {
+    let mut old = SuspectRegistry::new();
+    crash_here(&mut old, crash("r", "a", 1));
+    let report = SuspectMessage::Report { id: 9, crashes: vec![crash("r", "b", 1)] };
+    let reply = receive(&mut old, report);
+    let [SuspectEffect::Send { message, .. }] = &reply[..] else { panic!("{reply:?}") };
+    let mut new = SuspectRegistry::new();
+    crash_here(&mut new, crash("r", "b", 1));
+    receive(&mut new, message.clone());
+    assert_eq!(new.admit(suspect("r")), SuspectAdmission::Reject);
+    let mut joined = Vec::new();
+    old.peer_joined(PEER, &mut joined);
+    let [SuspectEffect::Send { message, .. }] = &joined[..] else { panic!("{joined:?}") };
+    let mut third = SuspectRegistry::new();
+    receive(&mut third, message.clone());
+    assert_eq!(third.admit(suspect("r")), SuspectAdmission::Reject);
+}
+
+/// Guards against unbounded memory.
+#[test]
+fn registry_is_bounded_and_forgets() {
+    let mut registry = SuspectRegistry::new();
+    for number in 0..MAX_SUSPECTS + 10 {
+        crash_here(&mut registry, crash(&number.to_string(), "a", 1));
+    }
+    assert_eq!(registry.len(), MAX_SUSPECTS);
+    registry.tick(ClockTime::ZERO + SUSPECT_LIFETIME, &mut Vec::new());
+    assert!(registry.is_empty());
+}
