--- a/crates/core/src/streams/assembler.rs
+++ b/crates/core/src/streams/assembler.rs
@@ -54,6 +54,11 @@
         self.finished
     }
 
+    /// Attempts that may still deliver.
+    pub fn running(&self) -> &[AttemptId] {
+        &self.running
+    }
+
     /// Whether a hedge may be opened: one attempt runs and nothing has been delivered.
     pub fn may_hedge(&self) -> bool {
         self.running.len() == 1 && self.delivered == 0 && self.opened < MAX_ATTEMPTS
--- /dev/null
+++ b/crates/replay/src/check/machines/streams.rs
@@ -0,0 +1,257 @@
+//! Streams: one entry with hedges and resumes, and engines whose chunks get lost, repeated, late
+//! and mixed up.
+//!
+//! Each attempt generates text that names the attempt and the token, so that the observer sees
+//! which attempt every delivered token comes from.
+
+use std::collections::HashMap;
+
+use carobvane_core::{
+    clock::ClockTime,
+    streams::{
+        AttemptFault, AttemptId, AttemptStart, ChunkVerdict, DropCause, NextStep, StreamAssembler,
+        StreamChunk, StreamSpec,
+    },
+};
+use rand::Rng;
+
+use crate::check::{CheckedMachine, StepContext};
+
+const ENTRY: usize = 0;
+const ENGINES: usize = 3;
+const ANSWER_TOKENS: u32 = 12;
+const SILENCE_MICROS: u64 = 400_000;
+
+/// The observer of the machine.
+#[derive(Default)]
+pub struct StreamMachine {
+    bug: Option<StreamBug>,
+    /// Delivered tokens by request: the attempt and the position of each.
+    delivered: HashMap<u64, Vec<(u16, u32)>>,
+    violation: Option<String>,
+}
+
+/// A planted bug.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamBug {
+    /// Late chunks of losers and failed attempts are delivered.
+    DeliverLate,
+    /// Duplicates are delivered.
+    DeliverDuplicate,
+    /// A gap is skipped.
+    SkipGap,
+}
+
+/// The state of one node.
+pub enum StreamNode {
+    /// The entry.
+    Entry {
+        /// Requests in progress, with the time of the last event.
+        streams: HashMap<u64, (Box<StreamAssembler>, ClockTime)>,
+        /// Counts requests in this life.
+        next: u64,
+    },
+    /// An engine with the attempts that it generates: the next position of each.
+    Engine(Vec<(AttemptId, u32)>),
+}
+
+/// A message between nodes.
+#[derive(Debug, Clone)]
+pub enum StreamWire {
+    /// Entry to engine.
+    Generate(AttemptId, u32),
+    /// Entry to engine.
+    Cancel(AttemptId),
+    /// Engine to entry: attempt, offset, tokens, whether it finishes.
+    Chunk(AttemptId, u32, u32, bool),
+    /// Engine to entry.
+    Done(AttemptId),
+}
+
+type Context<'a> = StepContext<'a, StreamWire>;
+
+impl CheckedMachine for StreamMachine {
+    type Node = StreamNode;
+    type Message = StreamWire;
+    type Bug = StreamBug;
+
+    const NAME: &'static str = "streams";
+    const BUGS: &'static [(&'static str, StreamBug)] = &[
+        ("stream-deliver-late", StreamBug::DeliverLate),
+        ("stream-deliver-duplicate", StreamBug::DeliverDuplicate),
+        ("stream-skip-gap", StreamBug::SkipGap),
+    ];
+    const NODES: usize = 1 + ENGINES;
+    const MAX_ADVANCE_MICROS: u64 = 300_000;
+
+    fn create(bug: Option<StreamBug>) -> StreamMachine {
+        StreamMachine { bug, ..StreamMachine::default() }
+    }
+
+    fn start(&mut self, context: &mut Context<'_>, _: Option<StreamNode>) -> StreamNode {
+        // Callers see a broken connection when the entry crashes; their requests end.
+        match context.index {
+            ENTRY => StreamNode::Entry { streams: HashMap::new(), next: 0 },
+            _ => StreamNode::Engine(Vec::new()),
+        }
+    }
+
+    fn receive(
+        &mut self,
+        node: &mut StreamNode,
+        _: usize,
+        message: StreamWire,
+        context: &mut Context<'_>,
+    ) {
+        match (node, message) {
+            (StreamNode::Engine(running), StreamWire::Generate(attempt, offset)) => {
+                running.push((attempt, offset));
+            }
+            (StreamNode::Engine(running), StreamWire::Cancel(attempt)) => {
+                running.retain(|(other, _)| *other != attempt);
+            }
+            (
+                StreamNode::Entry { streams, .. },
+                StreamWire::Chunk(attempt, offset, tokens, last),
+            ) => {
+                let Some((assembler, seen)) = streams.get_mut(&attempt.request) else { return };
+                *seen = context.now;
+                self.accept(assembler, attempt, (offset, tokens, last), context);
+            }
+            (StreamNode::Entry { streams, .. }, StreamWire::Done(attempt)) => {
+                let Some((assembler, _)) = streams.get_mut(&attempt.request) else { return };
+                if assembler.end(attempt).is_ok() {
+                    self.complete(attempt);
+                    streams.remove(&attempt.request);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The entry gives up silent streams, and their attempts are tried again.
+    fn tick(&mut self, node: &mut StreamNode, context: &mut Context<'_>) {
+        let StreamNode::Entry { streams, .. } = node else { return };
+        let now = context.now;
+        streams.retain(|_, (assembler, seen)| {
+            if now.since(*seen).as_micros() < u128::from(SILENCE_MICROS) {
+                return true;
+            }
+            *seen = now;
+            !matches!(self.retry(assembler, context), NextStep::Stop(_) | NextStep::Complete)
+        });
+    }
+
+    fn act(&mut self, node: &mut StreamNode, context: &mut Context<'_>) {
+        match node {
+            StreamNode::Entry { streams, next } => {
+                let hedge = streams.values_mut().find(|(assembler, _)| assembler.may_hedge());
+                if let Some((assembler, _)) = hedge
+                    && context.rng.random()
+                {
+                    send_attempt(assembler.open(), context);
+                    return;
+                }
+                *next += 1;
+                let spec = StreamSpec { weights_version: 1, cache_salt: String::new() };
+                // Requests are numbered over all lives for the observer.
+                let request = *next + context.life.incarnation.0 * 1_000_000;
+                let mut assembler = Box::new(StreamAssembler::new(context.life, request, spec));
+                send_attempt(assembler.open(), context);
+                streams.insert(request, (assembler, context.now));
+            }
+            StreamNode::Engine(running) => {
+                for (attempt, next) in running.iter_mut() {
+                    let tokens = context.rng.random_range(1..=3).min(ANSWER_TOKENS - *next);
+                    let last = *next + tokens == ANSWER_TOKENS;
+                    context.send(ENTRY, StreamWire::Chunk(*attempt, *next, tokens, last));
+                    *next += tokens;
+                    if last {
+                        context.send(ENTRY, StreamWire::Done(*attempt));
+                    }
+                }
+                running.retain(|(_, next)| *next < ANSWER_TOKENS);
+            }
+        }
+    }
+
+    fn check(&self, _: &[Option<StreamNode>], _: ClockTime) -> Result<(), String> {
+        self.violation.clone().map_or(Ok(()), Err)
+    }
+}
+
+impl StreamMachine {
+    fn accept(
+        &mut self,
+        assembler: &mut StreamAssembler,
+        attempt: AttemptId,
+        (offset, tokens, last): (u32, u32, bool),
+        context: &mut Context<'_>,
+    ) {
+        let text = "x".repeat(tokens as usize);
+        let chunk = StreamChunk { offset, tokens, text: &text, finishes: last };
+        match (assembler.accept(attempt, chunk), self.bug) {
+            (ChunkVerdict::Deliver { cancel }, _) => {
+                self.deliver(attempt, offset, tokens);
+                if let Some(loser) = cancel {
+                    for engine in 1..=ENGINES {
+                        context.send(engine, StreamWire::Cancel(loser));
+                    }
+                }
+            }
+            (ChunkVerdict::Drop(DropCause::Late), Some(StreamBug::DeliverLate))
+            | (ChunkVerdict::Drop(DropCause::Duplicate), Some(StreamBug::DeliverDuplicate))
+            | (ChunkVerdict::Fail(AttemptFault::Gap), Some(StreamBug::SkipGap)) => {
+                self.deliver(attempt, offset, tokens);
+            }
+            (ChunkVerdict::Drop(_), _) => {}
+            (ChunkVerdict::Fail(fault), _) => {
+                if assembler.fail(attempt, fault) == NextStep::Resume {
+                    send_attempt(assembler.open(), context);
+                }
+            }
+        }
+    }
+
+    /// All attempts of a silent stream have failed.
+    fn retry(&mut self, assembler: &mut StreamAssembler, context: &mut Context<'_>) -> NextStep {
+        let mut step = NextStep::Wait;
+        while step == NextStep::Wait {
+            let Some(attempt) = assembler.running().first().copied() else { break };
+            step = assembler.fail(attempt, AttemptFault::Broken);
+        }
+        if step == NextStep::Resume {
+            send_attempt(assembler.open(), context);
+        }
+        step
+    }
+
+    fn deliver(&mut self, attempt: AttemptId, offset: u32, tokens: u32) {
+        let delivered = self.delivered.entry(attempt.request).or_default();
+        for position in offset..offset + tokens {
+            let (number, next) = delivered.last().map_or((0, 0), |last| (last.0, last.1 + 1));
+            if position != next || (attempt.number < number && !delivered.is_empty()) {
+                self.violation = Some(format!(
+                    "request {} got token {position} of attempt {} after token {next} of {number}",
+                    attempt.request, attempt.number
+                ));
+            }
+            delivered.push((attempt.number, position));
+        }
+    }
+
+    fn complete(&mut self, attempt: AttemptId) {
+        let tokens = self.delivered.get(&attempt.request).map_or(0, Vec::len);
+        if tokens != ANSWER_TOKENS as usize {
+            let request = attempt.request;
+            self.violation = Some(format!("request {request} is complete with {tokens} tokens"));
+        }
+    }
+}
+
+fn send_attempt(start: Option<AttemptStart>, context: &mut Context<'_>) {
+    if let Some(start) = start {
+        let engine = context.rng.random_range(1..=ENGINES);
+        context.send(engine, StreamWire::Generate(start.id, start.resume.offset));
+    }
+}
