Check plan shares under faults

Cause: the limit must hold fleet-wide under lost, late and doubled messages, pauses, crashes, partitions and version changes. Change: machine `shares` with planted bugs no-quarantine, lend-and-keep and false-confirm. The ledger repeats a statement that was not answered, and a new life no longer counts as unclean; the check found both as units that stayed bound after settling. Ruled out: checking against the latest amount only; entries run different versions while a change spreads, so the bound is the highest amount that ran.

--- a/crates/core/src/plans/kind.rs
+++ b/crates/core/src/plans/kind.rs
@@ -19,6 +19,9 @@
 const RENEW_BEFORE: Duration = Duration::from_millis(750);
 /// A lender that gave less than asked is left out for this time.
 const DRY_TIME: Duration = Duration::from_millis(500);
+/// An unanswered statement is repeated after this time. Without that, a lost answer would bind
+/// stream units for the longest stream.
+const RESTATE_TIME: Duration = Duration::from_secs(1);
 /// Borrowed units are kept while the unneeded part is below 1/8 of the cap, against repeated
 /// lending and returning of the same units.
 const EXCESS_DIVISOR: u64 = 8;
@@ -51,6 +54,10 @@
     dry_until: ClockTime,
     /// The last total that was asked for.
     wanted: u64,
+    /// When the last statement was sent, and whether the lender answered it. Until then the
+    /// lender may have lent more than this entry knows.
+    stated_at: ClockTime,
+    answered: bool,
 }
 
 /// One limit of one plan at one entry.
@@ -210,6 +217,8 @@
                     pressed: false,
                     dry_until: ClockTime::ZERO,
                     wanted: 0,
+                    stated_at: now,
+                    answered: false,
                 });
             }
         }
@@ -217,16 +226,15 @@
             let asked = wet[..count].contains(&share.from);
             let changed = index >= start || share.amount != before[index];
             let due = share.amount > 0 && share.expires.since(now) < RENEW_BEFORE;
-            if !(asked || changed || due) {
+            let lost = !share.answered && now.since(share.stated_at) >= RESTATE_TIME;
+            if !(asked || changed || due || lost) {
                 continue;
             }
+            (share.stated_at, share.answered) = (now, false);
             share.wanted = share.amount + if asked { each } else { 0 };
             asks.push((share.from, make(share.amount, share.wanted)));
         }
-        let asked = &wet[..count];
-        self.borrowed.retain(|share| {
-            share.amount > 0 || share.dry_until > now || asked.contains(&share.from)
-        });
+        self.borrowed.retain(|share| share.amount > 0 || !share.answered || share.dry_until > now);
     }
 
     /// Shrinks loans to what is needed. Units that are in use stay with their loan.
@@ -275,6 +283,7 @@
             share.amount = share.amount.min(amount);
         }
         share.pressed = !extended;
+        share.answered = true;
         if amount < share.wanted {
             share.dry_until = now + DRY_TIME;
         }
--- a/crates/core/src/plans/state.rs
+++ b/crates/core/src/plans/state.rs
@@ -55,7 +55,8 @@
         if !same || skipped {
             self.steps.push(ShareStep { version, base, awaited, restart });
         }
-        loses || skipped
+        // A new life has no use yet that a version could end.
+        !restart && (loses || skipped)
     }
 
     /// Sets the usable base units at `now`.
--- a/crates/replay/src/check/machines.rs
+++ b/crates/replay/src/check/machines.rs
@@ -1,8 +1,12 @@
 //! The machines that `carobvane-replay check` runs.
 
+mod shares;
+
 use super::MachineEntry;
 
+pub use shares::SharesMachine;
+
 /// Every machine, in the order of the report.
 pub fn all() -> Vec<MachineEntry> {
-    vec![]
+    vec![MachineEntry::of::<SharesMachine>()]
 }
--- /dev/null
+++ b/crates/replay/src/check/machines/shares.rs
@@ -0,0 +1,350 @@
+//! Plan shares: the fleet's use in any window never exceeds the limit.
+//!
+//! Node 0 keeps the lists and hands them out; the other nodes are entries. A version changes the
+//! plan's amounts or adds an entry, so units move between entries that run different versions.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::{IncarnationId, NodeId, NodeLife},
+    lists::{EntryVm, ListDocument, PlanEntry},
+    plans::{LimitKind, PlanId, PlanLimits, ShareEffect, ShareLedger, ShareMessage, SpendTicket},
+};
+use rand::Rng;
+
+use crate::check::{CheckedMachine, StepContext};
+
+/// Entries, with the numbers 1 to 4.
+const ENTRIES: usize = 4;
+/// Stream limit of every version; the check of open streams needs no history of versions.
+const STREAMS: u64 = 5;
+/// Tokens of one request.
+const TOKENS: u64 = 10;
+/// Time between two questions for later lists.
+const LISTS_TIME: Duration = Duration::from_secs(5);
+const PLAN: &str = "gold";
+
+/// The machine `shares`.
+pub struct SharesMachine {
+    bug: Option<SharesBug>,
+    /// Version 1, which every entry has before its first life.
+    first: Option<ListCopy>,
+    /// Amounts of each version: requests a second, tokens a minute.
+    amounts: Vec<[u64; 2]>,
+    /// Version that each entry runs.
+    running: [u64; ENTRIES + 1],
+    /// Lowest version that an entry ran, from each time on.
+    lowest: Vec<(ClockTime, u64)>,
+    /// True time of each admitted request.
+    admitted: Vec<ClockTime>,
+    /// Streams opened and not yet ended, with the life that serves them.
+    streams: Vec<(NodeLife, SpendTicket)>,
+    lives: [u64; ENTRIES + 1],
+}
+
+/// Planted bugs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SharesBug {
+    /// A restarted entry uses its base units at once.
+    NoQuarantine,
+    /// A lender grants units that it keeps as well.
+    LendAndKeep,
+    /// An entry confirms versions that it does not run.
+    FalseConfirm,
+}
+
+/// A node's lists in a message.
+#[derive(Clone)]
+pub struct ListCopy {
+    version: u64,
+    document: Arc<ListDocument>,
+}
+
+impl fmt::Debug for ListCopy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "version {}", self.version)
+    }
+}
+
+/// Messages between nodes.
+#[derive(Debug, Clone)]
+pub enum SharesMessage {
+    /// A message of the ledger.
+    Share(ShareMessage),
+    /// Asks for lists.
+    WantLists,
+    /// Answers with lists, or announces them.
+    Lists(ListCopy),
+}
+
+/// The keeper of the lists, or an entry.
+pub struct SharesNode {
+    lists: Option<ListCopy>,
+    /// `None` at the keeper.
+    ledger: Option<ShareLedger>,
+    asked_lists: ClockTime,
+    /// The node's clock at its last tick.
+    now: ClockTime,
+}
+
+impl SharesMachine {
+    fn send(&self, effects: Vec<ShareEffect>, context: &mut StepContext<'_, SharesMessage>) {
+        for effect in effects {
+            let ShareEffect::Send { to, mut message } = effect else { continue };
+            match (&mut message, self.bug) {
+                (ShareMessage::Grants { grants, .. }, Some(SharesBug::LendAndKeep)) => {
+                    let granted = grants.iter_mut().filter(|grant| grant.amount > 0);
+                    granted.for_each(|grant| grant.amount += 1);
+                }
+                (ShareMessage::Confirm { clean, running, .. }, Some(SharesBug::FalseConfirm)) => {
+                    (*clean, *running) = (u64::MAX, 0);
+                }
+                _ => {}
+            }
+            context.send(to.0 as usize, SharesMessage::Share(message));
+        }
+    }
+
+    fn take_lists(
+        &mut self,
+        node: &mut SharesNode,
+        lists: ListCopy,
+        context: &mut StepContext<'_, SharesMessage>,
+    ) {
+        let held = node.lists.as_ref().map_or(0, |held| held.version);
+        let Some(ledger) = node.ledger.as_mut().filter(|_| lists.version > held) else { return };
+        ledger.apply(context.now, lists.version, &lists.document);
+        self.note_version(context.index, lists.version, context.true_now);
+        node.lists = Some(lists);
+    }
+
+    /// Records the versions that run, at each change of one of them.
+    fn note_version(&mut self, index: usize, version: u64, now: ClockTime) {
+        self.running[index] = version;
+        let running = self.running[1..].iter().copied().filter(|version| *version > 0);
+        self.lowest.push((now, running.min().unwrap_or(1)));
+    }
+
+    /// The highest amount of the versions that ran since `from`.
+    fn bound(&self, kind: usize, from: ClockTime) -> u64 {
+        let before = self.lowest.iter().rposition(|(at, _)| *at <= from).unwrap_or(0);
+        let lowest = self.lowest[before..].iter().map(|(_, version)| *version).min().unwrap_or(1);
+        let amounts = self.amounts[(lowest as usize).saturating_sub(1)..].iter();
+        amounts.map(|amounts| amounts[kind]).max().unwrap_or(0)
+    }
+
+    /// Ends some of the entry's streams.
+    fn end_streams(
+        &mut self,
+        ledger: &mut ShareLedger,
+        context: &mut StepContext<'_, SharesMessage>,
+    ) {
+        let own = |(life, _): &(NodeLife, SpendTicket)| *life == context.life;
+        while context.rng.random_ratio(1, 3)
+            && let Some(position) = self.streams.iter().position(own)
+        {
+            let (_, ticket) = self.streams.remove(position);
+            ledger.settle(context.now, ticket, TOKENS);
+        }
+    }
+
+    fn check_window(&self, kind: usize, window: Duration, each: u64) -> Result<(), String> {
+        let Some(&end) = self.admitted.last() else { return Ok(()) };
+        let in_window = self.admitted.iter().rev().take_while(|at| end.since(**at) < window);
+        let used = in_window.count() as u64 * each;
+        let bound = self.bound(kind, end - window);
+        if used > bound {
+            return Err(format!("{used} in {window:?} of {bound} {}", LimitKind::ALL[kind]));
+        }
+        Ok(())
+    }
+}
+
+/// Either limit may be the one that is reached.
+fn draw_amounts(context: &mut StepContext<'_, SharesMessage>) -> [u64; 2] {
+    let requests = context.rng.random_range(4..13);
+    let most = if context.rng.random() { 40 } else { 4_000 };
+    [requests, context.rng.random_range(most / 4..most) * TOKENS]
+}
+
+fn document(entries: usize, requests: u64, tokens: u64) -> ListDocument {
+    let limits = PlanLimits {
+        requests_per_second: requests,
+        tokens_per_minute: tokens,
+        concurrent_streams: STREAMS,
+    };
+    let entry = |node: usize| EntryVm {
+        node: NodeId(node as u32),
+        http_address: String::new(),
+        peer_address: String::new(),
+        data_centre: String::new(),
+    };
+    ListDocument {
+        plans: [(PLAN.to_string(), PlanEntry { limits, weight: 1 })].into(),
+        entries: (1..=entries).map(|node| (format!("e{node}"), entry(node))).collect(),
+        ..ListDocument::default()
+    }
+}
+
+impl CheckedMachine for SharesMachine {
+    type Node = SharesNode;
+    type Message = SharesMessage;
+    type Bug = SharesBug;
+
+    const NAME: &'static str = "shares";
+    const BUGS: &'static [(&'static str, SharesBug)] = &[
+        ("no-quarantine", SharesBug::NoQuarantine),
+        ("lend-and-keep", SharesBug::LendAndKeep),
+        ("false-confirm", SharesBug::FalseConfirm),
+    ];
+    const NODES: usize = ENTRIES + 1;
+    const STEADY_NODES: usize = 1;
+    const MAX_ADVANCE_MICROS: u64 = 3_000_000;
+
+    fn create(bug: Option<SharesBug>) -> SharesMachine {
+        SharesMachine {
+            bug,
+            first: None,
+            amounts: Vec::new(),
+            running: [0; ENTRIES + 1],
+            lowest: Vec::new(),
+            admitted: Vec::new(),
+            streams: Vec::new(),
+            lives: [0; ENTRIES + 1],
+        }
+    }
+
+    fn start(
+        &mut self,
+        context: &mut StepContext<'_, SharesMessage>,
+        _previous: Option<SharesNode>,
+    ) -> SharesNode {
+        let (index, life) = (context.index, context.life);
+        self.lives[index] = life.incarnation.0;
+        if index == 0 {
+            let amounts = draw_amounts(context);
+            self.amounts.push(amounts);
+            let document = Arc::new(document(2, amounts[0], amounts[1]));
+            let lists = Some(ListCopy { version: 1, document });
+            self.first = lists.clone();
+            let (asked_lists, now) = (context.now, context.now);
+            return SharesNode { lists, ledger: None, asked_lists, now };
+        }
+        // A process loses its streams with its life.
+        self.streams.retain(|(served, _)| served.node != life.node);
+        self.note_version(index, 0, context.true_now);
+        let first = life.incarnation == IncarnationId(1);
+        // Before its first life an entry has spent nothing, so its quarantine is over.
+        let free = first || self.bug == Some(SharesBug::NoQuarantine);
+        let started = if free { ClockTime::ZERO } else { context.now };
+        let mut node = SharesNode {
+            lists: None,
+            ledger: Some(ShareLedger::start(started, life)),
+            asked_lists: context.now,
+            now: context.now,
+        };
+        match self.first.clone().filter(|_| first) {
+            Some(lists) => self.take_lists(&mut node, lists, context),
+            None => {
+                let peer = context.rng.random_range(1..Self::NODES);
+                context.send(0, SharesMessage::WantLists);
+                context.send(peer, SharesMessage::WantLists);
+            }
+        }
+        node
+    }
+
+    fn receive(
+        &mut self,
+        node: &mut SharesNode,
+        from: usize,
+        message: SharesMessage,
+        context: &mut StepContext<'_, SharesMessage>,
+    ) {
+        match message {
+            SharesMessage::WantLists => {
+                if let Some(lists) = &node.lists {
+                    context.send(from, SharesMessage::Lists(lists.clone()));
+                }
+            }
+            SharesMessage::Lists(lists) => {
+                self.take_lists(node, lists, context);
+            }
+            SharesMessage::Share(message) => {
+                let Some(ledger) = &mut node.ledger else { return };
+                let effects = ledger.on_message(context.now, NodeId(from as u32), message);
+                self.send(effects, context);
+            }
+        }
+    }
+
+    fn tick(&mut self, node: &mut SharesNode, context: &mut StepContext<'_, SharesMessage>) {
+        node.now = context.now;
+        let Some(ledger) = &mut node.ledger else { return };
+        self.end_streams(ledger, context);
+        let effects = ledger.on_timer(context.now);
+        self.send(effects, context);
+        if context.now.since(node.asked_lists) > LISTS_TIME {
+            node.asked_lists = context.now;
+            context.send(0, SharesMessage::WantLists);
+        }
+    }
+
+    fn act(&mut self, node: &mut SharesNode, context: &mut StepContext<'_, SharesMessage>) {
+        let Some(ledger) = &mut node.ledger else {
+            let Some(lists) = &node.lists else { return };
+            if context.rng.random_ratio(3, 4) {
+                return;
+            }
+            let entries = (lists.document.entries.len() + 1).min(ENTRIES);
+            let amounts = draw_amounts(context);
+            self.amounts.push(amounts);
+            let document = Arc::new(document(entries, amounts[0], amounts[1]));
+            let lists = ListCopy { version: lists.version + 1, document };
+            for peer in 1..Self::NODES {
+                context.send(peer, SharesMessage::Lists(lists.clone()));
+            }
+            node.lists = Some(lists);
+            return;
+        };
+        let plan = PlanId::of_name(PLAN);
+        for _ in 0..context.rng.random_range(1..16) {
+            let stream = context.rng.random_ratio(1, 4);
+            if let Ok(ticket) = ledger.try_spend(context.now, plan, TOKENS, stream) {
+                self.admitted.push(context.true_now);
+                if stream {
+                    self.streams.push((context.life, ticket));
+                }
+            }
+        }
+        self.end_streams(ledger, context);
+    }
+
+    fn check(&self, nodes: &[Option<SharesNode>], _now: ClockTime) -> Result<(), String> {
+        self.check_window(0, LimitKind::Requests.window(), 1)?;
+        self.check_window(1, LimitKind::Tokens.window(), TOKENS)?;
+        let open = self.streams.iter().filter(|(life, _)| nodes[life.node.0 as usize].is_some());
+        match open.count() as u64 {
+            open if open > STREAMS => Err(format!("{open} streams open of {STREAMS}")),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_settled(&self, nodes: &[Option<SharesNode>], _now: ClockTime) -> Result<(), String> {
+        let latest = self.amounts.len() as u64;
+        if self.running[1..].iter().any(|version| *version != latest) {
+            return Err(format!("versions {:?} of {latest} after settling", &self.running[1..]));
+        }
+        let plan = PlanId::of_name(PLAN);
+        let caps = nodes.iter().flatten().filter_map(|node| {
+            let mut ledger = node.ledger.clone()?;
+            Some(ledger.usage(node.now, plan).cap[0])
+        });
+        let (caps, amount) = (caps.sum::<u64>(), self.amounts[self.amounts.len() - 1][0]);
+        if caps != amount {
+            return Err(format!("{caps} request units of {amount} are usable after settling"));
+        }
+        Ok(())
+    }
+}
