Check the lists under faults

Cause: no node may go back, and one number must name one document, also when the key-value service is restored from an old copy. Change: machine `lists` with planted bugs take-any, blind-apply and no-write-back. An operator's change asks all entries for their versions first. Ruled out: asking one entry; the one that is asked may be behind.

--- a/crates/replay/src/check/machines.rs
+++ b/crates/replay/src/check/machines.rs
@@ -1,12 +1,14 @@
 //! The machines that `carobvane-replay check` runs.
 
+mod lists;
 mod shares;
 
 use super::MachineEntry;
 
+pub use lists::ListsMachine;
 pub use shares::SharesMachine;
 
 /// Every machine, in the order of the report.
 pub fn all() -> Vec<MachineEntry> {
-    vec![MachineEntry::of::<SharesMachine>()]
+    vec![MachineEntry::of::<SharesMachine>(), MachineEntry::of::<ListsMachine>()]
 }
--- /dev/null
+++ b/crates/replay/src/check/machines/lists.rs
@@ -0,0 +1,340 @@
+//! The lists: no node goes back, and one number names one document.
+//!
+//! Node 0 is the key-value service and the operators; it may be restored from an old copy. Nodes
+//! 1 and 2 watch it, all others live on pushes and probes. An operator's change first asks all
+//! entries for their versions, so that nothing is accepted before a restored service has the
+//! held version back.
+
+use std::time::Duration;
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::NodeId,
+    lists::{
+        ListDelta, ListDocument, ListMessage, ListSnapshot, ListSpread, ListVersion, PlanEntry,
+        ServiceReport, SpreadEffect, VersionSummary,
+    },
+    plans::PlanLimits,
+};
+use rand::Rng;
+
+use crate::check::{CheckedMachine, StepContext};
+
+/// Entries, with the numbers 1 to 4.
+const ENTRIES: usize = 4;
+/// Entries that watch the service.
+const WATCHERS: usize = 2;
+const PROBE_TIME: Duration = Duration::from_secs(1);
+/// Time between two reads of a watcher, as after a watch that was interrupted.
+const REREAD_TIME: Duration = Duration::from_secs(5);
+
+/// The machine `lists`.
+pub struct ListsMachine {
+    bug: Option<ListsBug>,
+    violation: Option<String>,
+}
+
+/// Planted bugs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListsBug {
+    /// A node takes any snapshot that it receives.
+    TakeAny,
+    /// A change is accepted without asking the entries.
+    BlindApply,
+    /// A restored service does not get the held version back.
+    NoWriteBack,
+}
+
+/// Messages between nodes.
+#[derive(Debug, Clone)]
+pub enum ListsMessage {
+    /// Between entries.
+    List(ListMessage),
+    /// On a probe.
+    Summary(VersionSummary),
+    /// An entry reads the service.
+    Read,
+    /// The service's head.
+    Head {
+        /// The document with its version.
+        snapshot: Box<ListSnapshot>,
+        /// Revision of the head.
+        revision: i64,
+    },
+    /// A change on the watch.
+    Change(Box<ListDelta>),
+    /// Writes a document as head if the head has this revision.
+    WriteBack {
+        /// The document with its version.
+        snapshot: Box<ListSnapshot>,
+        /// The expected revision.
+        revision: i64,
+    },
+    /// An operator asks for the held version.
+    Ask(u64),
+    /// The held version.
+    Held(u64, ListVersion),
+}
+
+/// The service, or an entry.
+#[derive(Default)]
+pub struct ListsNode {
+    spread: Option<ListSpread>,
+    probe_at: ClockTime,
+    read_at: ClockTime,
+    store: ListStore,
+}
+
+#[derive(Default)]
+struct ListStore {
+    head: ListSnapshot,
+    revision: i64,
+    copies: Vec<(ListSnapshot, i64)>,
+    /// Number of the pending change and the entries that have answered.
+    pending: u64,
+    answered: [bool; ENTRIES + 1],
+}
+
+impl ListsMachine {
+    fn carry_out(
+        &mut self,
+        node: &mut ListsNode,
+        before: ListVersion,
+        effects: Vec<SpreadEffect>,
+        context: &mut StepContext<'_, ListsMessage>,
+    ) {
+        let Some(spread) = &node.spread else { return };
+        let after = spread.holder().version();
+        if before.outranks(&after) || before.number > after.number {
+            self.violation = Some(format!(
+                "node {} went from version {} to {}",
+                context.index, before.number, after.number
+            ));
+        }
+        for effect in effects {
+            match effect {
+                SpreadEffect::Send { to, message } => {
+                    context.send(to.0 as usize, ListsMessage::List(message));
+                }
+                SpreadEffect::ReadService => context.send(0, ListsMessage::Read),
+                SpreadEffect::WriteBack { revision, .. }
+                    if self.bug != Some(ListsBug::NoWriteBack) =>
+                {
+                    let snapshot = Box::new(spread.holder().snapshot().clone());
+                    context.send(0, ListsMessage::WriteBack { snapshot, revision });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn receive_entry(
+        &mut self,
+        node: &mut ListsNode,
+        from: usize,
+        message: ListsMessage,
+        context: &mut StepContext<'_, ListsMessage>,
+    ) {
+        let Some(spread) = &mut node.spread else { return };
+        let before = spread.holder().version();
+        let peer = NodeId(from as u32);
+        let effects = match message {
+            ListsMessage::List(ListMessage::Snapshot(snapshot))
+                if self.bug == Some(ListsBug::TakeAny) =>
+            {
+                *spread = ListSpread::start(context.now, context.index <= WATCHERS, context.rng);
+                spread.set_peers(peers(context.index));
+                spread.on_service(ServiceReport::Snapshot(snapshot), context.rng)
+            }
+            ListsMessage::List(message) => {
+                spread.on_message(context.now, peer, message, context.rng)
+            }
+            ListsMessage::Summary(summary) => spread.on_summary(context.now, peer, summary),
+            ListsMessage::Change(delta) => {
+                spread.on_service(ServiceReport::Change(delta), context.rng)
+            }
+            ListsMessage::Head { snapshot, revision } => {
+                let version = snapshot.version;
+                let report = ServiceReport::Head { version, revision };
+                let mut effects = spread.on_service(report, context.rng);
+                if version.outranks(&spread.holder().version()) {
+                    let report = ServiceReport::Snapshot(snapshot);
+                    effects.extend(spread.on_service(report, context.rng));
+                }
+                effects
+            }
+            ListsMessage::Ask(number) => {
+                context.send(from, ListsMessage::Held(number, before));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        };
+        self.carry_out(node, before, effects, context);
+    }
+}
+
+impl ListStore {
+    fn receive(
+        &mut self,
+        from: usize,
+        message: ListsMessage,
+        context: &mut StepContext<'_, ListsMessage>,
+    ) {
+        match message {
+            ListsMessage::Read => {
+                let snapshot = Box::new(self.head.clone());
+                context.send(from, ListsMessage::Head { snapshot, revision: self.revision });
+            }
+            ListsMessage::WriteBack { snapshot, revision } if revision == self.revision => {
+                self.write(*snapshot);
+            }
+            ListsMessage::Held(number, version) if number == self.pending => {
+                self.answered[from] = true;
+                if version.outranks(&self.head.version) {
+                    self.pending += 1;
+                } else if self.answered[1..].iter().all(|answered| *answered) {
+                    self.accept(context);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn write(&mut self, snapshot: ListSnapshot) {
+        self.copies.push((self.head.clone(), self.revision));
+        self.head = snapshot;
+        self.revision += 1;
+        // A change that an operator prepared for the head before is refused.
+        self.pending += 1;
+    }
+
+    fn accept(&mut self, context: &mut StepContext<'_, ListsMessage>) {
+        let limits = PlanLimits { requests_per_second: context.rng.random(), ..Default::default() };
+        let document = ListDocument {
+            plans: [("gold".to_string(), PlanEntry { limits, weight: 1 })].into(),
+            ..ListDocument::default()
+        };
+        let delta = ListDelta::next(&self.head, &document);
+        for watcher in 1..=WATCHERS {
+            context.send(watcher, ListsMessage::Change(Box::new(delta.clone())));
+        }
+        self.write(ListSnapshot { version: delta.to, document });
+    }
+}
+
+fn peers(index: usize) -> Vec<NodeId> {
+    (1..=ENTRIES).filter(|peer| *peer != index).map(|peer| NodeId(peer as u32)).collect()
+}
+
+impl CheckedMachine for ListsMachine {
+    type Node = ListsNode;
+    type Message = ListsMessage;
+    type Bug = ListsBug;
+
+    const NAME: &'static str = "lists";
+    const BUGS: &'static [(&'static str, ListsBug)] = &[
+        ("take-any", ListsBug::TakeAny),
+        ("blind-apply", ListsBug::BlindApply),
+        ("no-write-back", ListsBug::NoWriteBack),
+    ];
+    const NODES: usize = ENTRIES + 1;
+    const STEADY_NODES: usize = 1;
+    const MAX_ADVANCE_MICROS: u64 = 3_000_000;
+
+    fn create(bug: Option<ListsBug>) -> ListsMachine {
+        ListsMachine { bug, violation: None }
+    }
+
+    fn start(
+        &mut self,
+        context: &mut StepContext<'_, ListsMessage>,
+        _previous: Option<ListsNode>,
+    ) -> ListsNode {
+        let mut node =
+            ListsNode { probe_at: context.now, read_at: context.now, ..Default::default() };
+        if context.index > 0 {
+            let watches = context.index <= WATCHERS;
+            let mut spread = ListSpread::start(context.now, watches, context.rng);
+            spread.set_peers(peers(context.index));
+            node.spread = Some(spread);
+        }
+        node
+    }
+
+    fn receive(
+        &mut self,
+        node: &mut ListsNode,
+        from: usize,
+        message: ListsMessage,
+        context: &mut StepContext<'_, ListsMessage>,
+    ) {
+        match context.index {
+            0 => node.store.receive(from, message, context),
+            _ => self.receive_entry(node, from, message, context),
+        }
+    }
+
+    fn tick(&mut self, node: &mut ListsNode, context: &mut StepContext<'_, ListsMessage>) {
+        let Some(spread) = &mut node.spread else { return };
+        let before = spread.holder().version();
+        let effects = spread.on_timer(context.now, context.rng);
+        if context.now.since(node.probe_at) >= PROBE_TIME {
+            node.probe_at = context.now;
+            let peers = peers(context.index);
+            let peer = peers[context.rng.random_range(0..peers.len())];
+            context.send(peer.0 as usize, ListsMessage::Summary(spread.summary()));
+        }
+        if context.index <= WATCHERS && context.now.since(node.read_at) >= REREAD_TIME {
+            node.read_at = context.now;
+            context.send(0, ListsMessage::Read);
+        }
+        self.carry_out(node, before, effects, context);
+    }
+
+    fn act(&mut self, node: &mut ListsNode, context: &mut StepContext<'_, ListsMessage>) {
+        if context.index > 0 {
+            return;
+        }
+        let store = &mut node.store;
+        if context.rng.random_ratio(1, 4) && !store.copies.is_empty() {
+            let back = context.rng.random_range(0..store.copies.len());
+            (store.head, store.revision) = store.copies[back].clone();
+            store.copies.truncate(back);
+            store.pending += 1;
+        } else if self.bug == Some(ListsBug::BlindApply) {
+            store.accept(context);
+        } else {
+            store.pending += 1;
+            store.answered = [false; ENTRIES + 1];
+            for entry in 1..=ENTRIES {
+                context.send(entry, ListsMessage::Ask(store.pending));
+            }
+        }
+    }
+
+    fn check(&self, nodes: &[Option<ListsNode>], _now: ClockTime) -> Result<(), String> {
+        if let Some(violation) = &self.violation {
+            return Err(violation.clone());
+        }
+        let spreads = nodes.iter().flatten().filter_map(|node| node.spread.as_ref());
+        let mut held: Vec<ListVersion> = spreads.map(|spread| spread.holder().version()).collect();
+        held.sort();
+        let twice = held
+            .windows(2)
+            .find(|pair| pair[0].number == pair[1].number && pair[0].digest != pair[1].digest);
+        match twice {
+            Some(pair) => Err(format!("two documents have the number {}", pair[0].number)),
+            None => Ok(()),
+        }
+    }
+
+    fn check_settled(&self, nodes: &[Option<ListsNode>], _now: ClockTime) -> Result<(), String> {
+        let head = nodes[0].as_ref().map_or(0, |node| node.store.head.version.number);
+        let spreads = nodes.iter().flatten().filter_map(|node| node.spread.as_ref());
+        let held: Vec<u64> = spreads.map(|spread| spread.holder().version().number).collect();
+        if held.iter().any(|number| *number != head) {
+            return Err(format!("nodes hold {held:?}, the service {head} after settling"));
+        }
+        Ok(())
+    }
+}
