--- a/crates/lists/src/tests.rs
+++ b/crates/lists/src/tests.rs
@@ -167,3 +167,17 @@
     }
     assert!(ListDifference::between(&old, &old).is_empty());
 }
+
+/// Guards against a rule that the page does not explain, and against a page with rules that do
+/// not exist.
+#[test]
+fn page_explains_exactly_the_rules() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/lists.md");
+    let text = std::fs::read_to_string(page).expect("the page is in the repository");
+    let rows = text.lines().filter_map(|line| line.strip_prefix("| `")?.split_once('`'));
+    let mut explained: Vec<&str> = rows.map(|(name, _)| name).collect();
+    let mut rules: Vec<&str> = RuleName::ALL.iter().map(|rule| rule.as_str()).collect();
+    explained.sort();
+    rules.sort();
+    assert_eq!(explained, rules);
+}
