--- a/crates/replay/src/ops/mod.rs
+++ b/crates/replay/src/ops/mod.rs
@@ -1,3 +1,4 @@
 //! One function per command.
 
 pub mod check;
+pub mod generate;
