--- a/crates/cli/src/in_force.rs
+++ b/crates/cli/src/in_force.rs
@@ -104,7 +104,7 @@
         let count = report.ready.len();
         session
             .console
-            .print(format_args!("version {} is in force on all {count} nodes", report.version));
+            .print(format_args!("version {} is in force on all nodes ({count})", report.version));
         return;
     }
     session.console.print(format_args!("version {} is accepted, not in force:", report.version));
--- a/crates/cli/src/ops/check.rs
+++ b/crates/cli/src/ops/check.rs
@@ -47,6 +47,6 @@
     for finding in &checked.findings {
         session.console.print(format_args!("{}/{finding}", folder.display()));
     }
-    session.console.print(format_args!("{} findings", checked.findings.len()));
+    session.console.print(format_args!("findings: {}", checked.findings.len()));
     Ok(None)
 }
--- a/crates/cli/src/ops/drain.rs
+++ b/crates/cli/src/ops/drain.rs
@@ -83,7 +83,7 @@
         DrainPhase::Redirecting => "redirects new requests",
         DrainPhase::Finished => "has drained",
     };
-    format!("entry {} {phase}, {} requests in progress", report.node, report.in_progress)
+    format!("entry {} {phase}; requests in progress: {}", report.node, report.in_progress)
 }
 
 fn print(session: &mut Session<'_, '_>, report: &DrainReport) {
--- a/crates/cli/src/ops/status.rs
+++ b/crates/cli/src/ops/status.rs
@@ -68,7 +68,7 @@
         text += ", key-value service does not answer";
     }
     if let Some(drain) = &status.drain {
-        text += &format!(", drains: {} requests in progress", drain.in_progress);
+        text += &format!(", drains, requests in progress: {}", drain.in_progress);
     }
     text
 }
--- a/crates/lists/src/impact.rs
+++ b/crates/lists/src/impact.rs
@@ -198,13 +198,13 @@
         let lost = before.entry.key_hashes.difference(&after.entry.key_hashes).count();
         if lost > 0 {
             self.loss(
-                format!("{lost} of {} keys stop working", before.entry.key_hashes.len()),
+                format!("keys that stop working: {lost} of {}", before.entry.key_hashes.len()),
                 None,
             );
         }
         let gained = after.entry.key_hashes.difference(&before.entry.key_hashes).count();
         if gained > 0 {
-            self.neutral(format!("{gained} new keys"));
+            self.neutral(format!("new keys: {gained}"));
         }
     }
 
@@ -240,9 +240,9 @@
     let counted = target.filter(|target| !target.starts_with("adapter/"));
     if let Some(target) = counted {
         let requests = usage.targets.get(target).copied().unwrap_or(0);
-        return (format!("{requests} requests in the last minute"), requests > 0);
+        return (format!("requests in the last minute: {requests}"), requests > 0);
     }
-    let text = format!("{total} requests in the last minute, {} in progress", usage.in_progress);
+    let text = format!("requests in the last minute: {total}, in progress: {}", usage.in_progress);
     (text, total > 0 || usage.in_progress > 0)
 }
 
@@ -270,6 +270,6 @@
             write!(f, "\n  {}", impact.workspace)?;
             impact.effects.iter().try_for_each(|effect| write!(f, "\n    {effect}"))?;
         }
-        write!(f, "\n\n{} warnings", self.warnings)
+        write!(f, "\n\nwarnings: {}", self.warnings)
     }
 }
--- a/crates/programs/tests/testsuite/main.rs
+++ b/crates/programs/tests/testsuite/main.rs
@@ -1,1 +1,2 @@
 //! Tests of the built programs, one file per command or scenario.
+mod operators;
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/check.rs
@@ -0,0 +1,43 @@
+//! `carobvane check`.
+
+use expect_test::{expect, expect_file};
+
+use super::support::{example, run_program};
+
+/// Guards against findings that change their text, order or exit code unnoticed.
+#[actix_rt::test]
+async fn broken_lists_show_all_findings() {
+    let folder = example("broken");
+    let shown = run_program(&["check", folder.to_str().expect("text")], "").await;
+    expect_file!["snapshots/check_broken.txt"].assert_eq(&shown);
+    let shown = run_program(&["check", "--json", folder.to_str().expect("text")], "").await;
+    expect_file!["snapshots/check_broken_json.txt"].assert_eq(&shown);
+}
+
+/// Guards against examples that no longer pass.
+#[actix_rt::test]
+async fn examples_pass() {
+    let mut shown = String::new();
+    for name in ["irazabal", "kelani"] {
+        shown += &run_program(&["check", example(name).to_str().expect("text")], "").await;
+    }
+    expect![[r#"
+        exit 0
+        no findings: 8 workspaces, 3 plans, 16 servers, 9 entries
+        exit 0
+        no findings: 8 workspaces, 3 plans, 21 servers, 9 entries
+    "#]]
+    .assert_eq(&shown);
+}
+
+/// Guards against reporting a missing folder as lists without findings.
+#[actix_rt::test]
+async fn missing_folder_is_a_usage_error() {
+    expect![[r#"
+        exit 2
+        --- errors
+        error: failed to read no-such-folder
+          cause: No such file or directory (os error 2)
+    "#]]
+    .assert_eq(&run_program(&["check", "no-such-folder"], "").await);
+}
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/history.rs
@@ -0,0 +1,50 @@
+//! `carobvane history`.
+
+use expect_test::expect;
+
+use super::support::{Deployment, ListFolder, follower};
+
+/// Guards against changes that are missing or out of order.
+#[actix_rt::test]
+async fn history_lists_changes_latest_first() {
+    let deployment = Deployment::start(vec![follower(1)]).await;
+    expect![[r#"
+        exit 0
+        no version was accepted yet
+    "#]]
+    .assert_eq(&deployment.run(&["history"]).await);
+    let folder = ListFolder::of_example("irazabal");
+    deployment.accept(&folder).await;
+    folder.edit("plans.toml", "\"40/s\"", "\"30/s\"");
+    deployment.accept(&folder).await;
+    folder.edit("fleet.toml", "version = 14", "version = 15");
+    deployment.accept(&folder).await;
+    expect![[r#"
+        exit 0
+        version 3, digest fd60c35492d654e5670ec5a1ad58e3814cb454c2a910cf5338c8d3f29c6e06ab
+            weights: atlas-large
+        version 2, digest 90140ebb11236c94ab933cb20745bc93210829e0c458e9f78281e45af3ae7489
+            plans: charter
+    "#]]
+    .assert_eq(&deployment.run(&["history", "--limit", "2"]).await);
+    expect![[r#"
+        exit 0
+        [
+          {
+            "version": 3,
+            "digest": "fd60c35492d654e5670ec5a1ad58e3814cb454c2a910cf5338c8d3f29c6e06ab",
+            "parent": "90140ebb11236c94ab933cb20745bc93210829e0c458e9f78281e45af3ae7489",
+            "changes": [
+              {
+                "list": "weights",
+                "put": [
+                  "atlas-large"
+                ],
+                "removed": []
+              }
+            ]
+          }
+        ]
+    "#]]
+    .assert_eq(&deployment.run(&["history", "--limit", "1", "--json"]).await);
+}
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/list_store.rs
@@ -0,0 +1,80 @@
+//! The store of accepted lists against the key-value stand-in.
+
+use carobvane_core::lists::{ListDocument, ListVersion, ModelWeights};
+use carobvane_host::{
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    list_store::{ListStore, StoredLists, WriteOutcome},
+    node::ListSource,
+};
+use carobvane_standin::keyvalue::{self, KeyValueHandle, KeyValueSettings};
+
+fn client_of(keyvalue: &KeyValueHandle) -> KeyvalueClient {
+    let mut settings = KeyvalueSettings::new(format!("http://{}", keyvalue.addr()));
+    settings.reads_per_second = 100_000;
+    settings.writes_per_second = 100_000;
+    KeyvalueClient::new(settings)
+}
+
+async fn start() -> KeyValueHandle {
+    let settings = KeyValueSettings {
+        answer_ms: 0.0,
+        reads_per_second: 100_000,
+        writes_per_second: 100_000,
+        ..KeyValueSettings::default()
+    };
+    keyvalue::start(settings).await.expect("the stand-in starts")
+}
+
+fn document(version: u64) -> ListDocument {
+    let mut document = ListDocument::default();
+    document.weights.insert("m".into(), ModelWeights { version, ..ModelWeights::default() });
+    document
+}
+
+async fn accept(store: &ListStore, stored: &StoredLists, version: u64) -> ListVersion {
+    match store.write(stored, &document(version)).await.expect("the service answers") {
+        WriteOutcome::Accepted(accepted) => accepted,
+        WriteOutcome::Conflict(head) => panic!("conflict with {head:?}"),
+    }
+}
+
+/// Guards against versions that cannot be read back around a snapshot, and against a writer and
+/// nodes that disagree on keys or encoding.
+#[actix_rt::test]
+async fn every_version_can_be_read_back() {
+    const LAST: u64 = 130;
+    let keyvalue = start().await;
+    let store = ListStore::new(client_of(&keyvalue));
+    let source = ListSource::new(client_of(&keyvalue));
+    let mut versions = vec![ListVersion::default()];
+    for number in 1..=LAST {
+        let stored = store.load().await.expect("the service answers");
+        versions.push(accept(&store, &stored, number).await);
+    }
+    for number in [1, 2, 63, 64, 65, 127, 128, 129, LAST] {
+        let before = keyvalue.counters().reads;
+        let snapshot = store.load_version(number).await.expect("the version is stored");
+        assert!(keyvalue.counters().reads - before <= 2);
+        assert_eq!(snapshot.version, versions[number as usize]);
+        assert_eq!(snapshot.document, document(number));
+        let seen = source.read_snapshot(&snapshot.version).await.expect("nodes read it");
+        assert_eq!(seen, snapshot);
+    }
+    assert!(store.load_version(LAST + 1).await.is_err());
+}
+
+/// Guards against two writers that both succeed from one version.
+#[actix_rt::test]
+async fn only_one_of_two_writers_succeeds() {
+    let keyvalue = start().await;
+    let store = ListStore::new(client_of(&keyvalue));
+    for number in 1..4 {
+        let stored = store.load().await.expect("the service answers");
+        let accepted = accept(&store, &stored, number).await;
+        let outcome = store.write(&stored, &document(number + 100)).await;
+        match outcome.expect("the service answers") {
+            WriteOutcome::Conflict(head) => assert_eq!(head.version, accepted),
+            WriteOutcome::Accepted(second) => panic!("both {accepted:?} and {second:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/mod.rs
@@ -0,0 +1,17 @@
+//! Tests of the operators' program, one file per command. Commands run in the test's own process
+//! against stand-ins.
+
+mod apply;
+mod check;
+mod completions;
+mod diff;
+mod drain;
+mod hash_key;
+mod history;
+mod list_store;
+mod plan;
+mod revert;
+mod show;
+mod status;
+mod support;
+mod why;
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/plan.rs
@@ -0,0 +1,122 @@
+//! `carobvane plan`.
+
+use carobvane_proto::admin::{TargetUsage, WorkspaceUsage};
+use expect_test::expect;
+
+use super::support::{Deployment, ListFolder, follower};
+
+/// Guards against a plan that hides what a workspace loses or how much it uses it.
+#[actix_rt::test]
+async fn plan_names_losses_with_current_use() {
+    let mut node = follower(1);
+    node.status.usage.push(WorkspaceUsage {
+        workspace: "hollis".into(),
+        plan: "fleet".into(),
+        in_progress: 3,
+        targets: vec![TargetUsage { target: "service/booking".into(), requests: 41 }],
+        ..WorkspaceUsage::default()
+    });
+    let deployment = Deployment::start(vec![node]).await;
+    let folder = ListFolder::of_example("irazabal");
+    deployment.accept(&folder).await;
+    folder.edit("grants.toml", "services = [\"booking\"]\nadapters", "adapters");
+    folder.edit("plans.toml", "\"40/s\"", "\"60/s\"");
+    folder.edit("fleet.toml", "version = 14", "version = 15");
+    expect![[r#"
+        exit 0
+        Changes to version 1:
+        ~ plan charter
+            requests: 40/s -> 60/s
+        ~ grant fleet
+            services: -booking
+        ~ weights atlas-large
+            version: 14 -> 15
+
+        Effects on workspaces:
+          bexley
+            requests 40/s -> 60/s
+            model/atlas-large: weights version 14 -> 15
+          hollis
+            warning: loses service/booking (requests in the last minute: 41)
+            model/atlas-large: weights version 14 -> 15
+          marren
+            loses service/booking (requests in the last minute: 0)
+            model/atlas-large: weights version 14 -> 15
+          oakes
+            requests 40/s -> 60/s
+            model/atlas-large: weights version 14 -> 15
+          tidewater
+            requests 40/s -> 60/s
+            model/atlas-large: weights version 14 -> 15
+
+        warnings: 1
+    "#]]
+    .assert_eq(&deployment.run(&["plan", folder.path()]).await);
+}
+
+/// Guards against a plan that claims no use when a node was not asked or did not answer.
+#[actix_rt::test]
+async fn unknown_use_is_a_warning() {
+    let mut deployment = Deployment::start(vec![follower(1)]).await;
+    let folder = ListFolder::of_example("irazabal");
+    deployment.accept(&folder).await;
+    deployment.nodes.clear();
+    folder.edit("plans.toml", "\"40/s\"", "\"30/s\"");
+    expect![[r#"
+        exit 0
+        {
+          "base": 1,
+          "changes": [
+            {
+              "kind": "plan",
+              "name": "charter",
+              "action": "changed",
+              "fields": [
+                {
+                  "field": "requests",
+                  "before": "40/s",
+                  "after": "30/s"
+                }
+              ]
+            }
+          ],
+          "impacts": [
+            {
+              "workspace": "bexley",
+              "effects": [
+                {
+                  "text": "requests 40/s -> 30/s",
+                  "loss": true,
+                  "current_use": "current use unknown",
+                  "warning": true
+                }
+              ]
+            },
+            {
+              "workspace": "oakes",
+              "effects": [
+                {
+                  "text": "requests 40/s -> 30/s",
+                  "loss": true,
+                  "current_use": "current use unknown",
+                  "warning": true
+                }
+              ]
+            },
+            {
+              "workspace": "tidewater",
+              "effects": [
+                {
+                  "text": "requests 40/s -> 30/s",
+                  "loss": true,
+                  "current_use": "current use unknown",
+                  "warning": true
+                }
+              ]
+            }
+          ],
+          "warnings": 3
+        }
+    "#]]
+    .assert_eq(&deployment.run(&["plan", "--json", folder.path()]).await);
+}
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/settings.rs
@@ -0,0 +1,1 @@
+//! The page on settings.
--- /dev/null
+++ b/crates/programs/tests/testsuite/operators/support.rs
@@ -0,0 +1,193 @@
+//! A key-value stand-in, scripted nodes and a folder, and the program run against them.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use carobvane_cli::{Console, run};
+use carobvane_proto::admin::{
+    DECISIONS_PATH, DRAIN_PATH, DecisionReport, DrainReport, NodeRole, NodeStatus, STATUS_PATH,
+};
+use carobvane_standin::keyvalue::{self, KeyValueHandle, KeyValueSettings};
+
+/// What a scripted node answers.
+#[derive(Debug, Default)]
+pub struct NodeScript {
+    /// The answer to status questions.
+    pub status: NodeStatus,
+    /// Whether the node holds each version as soon as it is written.
+    pub follows: bool,
+    /// The decision that the node knows.
+    pub decision: Option<DecisionReport>,
+    /// The answer to a drain.
+    pub drain: DrainReport,
+}
+
+/// An entry that holds one version for ever; 0 for none.
+pub fn entry(node: u32, list_version: u64) -> NodeScript {
+    let status = NodeStatus {
+        node,
+        role: NodeRole::Entry,
+        data_centre: "irazabal-a".into(),
+        list_version: Some(list_version).filter(|version| *version > 0),
+        ..NodeStatus::default()
+    };
+    NodeScript { status, ..NodeScript::default() }
+}
+
+/// An entry that holds each version as soon as it is written.
+pub fn follower(node: u32) -> NodeScript {
+    NodeScript { follows: true, ..entry(node, 0) }
+}
+
+/// A script with the service that the node follows.
+struct RunningNode {
+    script: NodeScript,
+    keyvalue: KeyValueHandle,
+}
+
+type SharedNode = web::Data<RunningNode>;
+
+/// Starts a scripted node and returns its admin URL.
+fn start_node(script: NodeScript, keyvalue: &KeyValueHandle) -> String {
+    let node = web::Data::new(RunningNode { script, keyvalue: keyvalue.clone() });
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(node.clone())
+            .route(STATUS_PATH, web::get().to(status))
+            .route(&format!("{DECISIONS_PATH}{{id}}"), web::get().to(decision))
+            .route(DRAIN_PATH, web::post().to(drain))
+    });
+    let server = server.workers(1).disable_signals().bind(("127.0.0.1", 0)).expect("binds");
+    let url = format!("http://{}", server.addrs()[0]);
+    actix_rt::spawn(server.run());
+    url
+}
+
+async fn status(node: SharedNode) -> HttpResponse {
+    let mut status = node.script.status.clone();
+    if node.script.follows {
+        // Each write of these tests is one version.
+        let written = node.keyvalue.counters().writes;
+        status.list_version = Some(written).filter(|version| *version > 0);
+    }
+    HttpResponse::Ok().json(status)
+}
+
+async fn decision(node: SharedNode, id: web::Path<String>) -> HttpResponse {
+    match node.script.decision.as_ref().filter(|decision| decision.request_id == *id) {
+        Some(decision) => HttpResponse::Ok().json(decision),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn drain(node: SharedNode) -> HttpResponse {
+    HttpResponse::Ok().json(&node.script.drain)
+}
+
+/// A folder of lists that is removed with the test.
+pub struct ListFolder {
+    path: PathBuf,
+}
+
+impl ListFolder {
+    /// Copies an example.
+    pub fn of_example(name: &str) -> ListFolder {
+        static COUNTER: AtomicU64 = AtomicU64::new(0);
+        let number = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("lists-{}-{number}", std::process::id()));
+        fs::create_dir_all(&path).expect("the temporary folder is writable");
+        for file in fs::read_dir(example(name)).expect("the example exists") {
+            let file = file.expect("the example is readable");
+            fs::copy(file.path(), path.join(file.file_name())).expect("the folder is writable");
+        }
+        ListFolder { path }
+    }
+
+    pub fn path(&self) -> &str {
+        self.path.to_str().expect("the path is text")
+    }
+
+    /// Replaces text in a file of the folder.
+    pub fn edit(&self, file: &str, from: &str, to: &str) {
+        let path = self.path.join(file);
+        let text = fs::read_to_string(&path).expect("the file exists");
+        assert!(text.contains(from), "{file} has no {from:?}");
+        fs::write(&path, text.replacen(from, to, 1)).expect("the folder is writable");
+    }
+}
+
+impl Drop for ListFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// The repository's folder of an example.
+pub fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+}
+
+/// A key-value stand-in with the nodes that the program asks.
+pub struct Deployment {
+    pub keyvalue: KeyValueHandle,
+    pub nodes: Vec<String>,
+}
+
+impl Deployment {
+    pub async fn start(scripts: Vec<NodeScript>) -> Deployment {
+        let settings = KeyValueSettings { answer_ms: 0.0, ..KeyValueSettings::default() };
+        let keyvalue = keyvalue::start(settings).await.expect("the stand-in starts");
+        let nodes = scripts.into_iter().map(|script| start_node(script, &keyvalue)).collect();
+        Deployment { keyvalue, nodes }
+    }
+
+    /// Runs the program; returns exit code, output and errors as one text without addresses.
+    pub async fn run(&self, arguments: &[&str]) -> String {
+        let keyvalue = format!("http://{}", self.keyvalue.addr());
+        let entries = self.nodes.join(",");
+        let mut all = vec!["--call-timeout-ms", "20000", "--wait-seconds", "0"];
+        all.extend(["--keyvalue", &keyvalue, "--entries", &entries]);
+        all.extend(arguments);
+        let mut text = run_program(&all, "").await;
+        text = text.replace(&keyvalue, "http://KEYVALUE");
+        for (index, node) in self.nodes.iter().enumerate() {
+            text = text.replace(node.as_str(), &format!("http://NODE{}", index + 1));
+        }
+        text
+    }
+
+    /// Plans and applies a folder, which must succeed up to the wait.
+    pub async fn accept(&self, folder: &ListFolder) {
+        self.run(&["plan", folder.path()]).await;
+        let applied = self.run(&["apply", folder.path()]).await;
+        assert!(applied.contains("is accepted"), "{applied}");
+    }
+}
+
+/// Runs the program without variables; returns exit code, output and errors as one text.
+pub async fn run_program(arguments: &[&str], input: &str) -> String {
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let mut input = input.as_bytes();
+    let mut console =
+        Console { input: &mut input, output: &mut output, errors: &mut errors, colour: false };
+    let arguments = arguments.iter().map(Into::into).collect();
+    let status = run(arguments, |_| None, &mut console).await;
+    let text = |bytes| String::from_utf8(bytes).expect("the program prints UTF-8");
+    let mut shown = format!("exit {}\n{}", status.code(), text(output));
+    let errors = text(errors);
+    if !errors.is_empty() {
+        shown += &format!("--- errors\n{errors}");
+    }
+    let folders = shown.split(['/', ' ', '`']).filter(|part| part.starts_with("lists-"));
+    let folders: Vec<String> = folders.map(|part| part.trim_end_matches(':').into()).collect();
+    for folder in folders {
+        shown = shown.replace(&format!("{}/{folder}", env!("CARGO_TARGET_TMPDIR")), "DIR");
+    }
+    let examples = example("").display().to_string();
+    shown.replace(&examples, "examples/")
+}
