--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -18,6 +18,8 @@
 pub(crate) struct FleetClient {
     client: Client,
     urls: Vec<String>,
+    /// Longest time for one call.
+    timeout: Duration,
 }
 
 /// A node that did not give a usable answer.
@@ -58,14 +60,20 @@
 
 impl FleetClient {
     pub(crate) fn new(urls: &[String], timeout: Duration) -> FleetClient {
-        let client = Client::builder().timeout(timeout).finish();
-        FleetClient { client, urls: urls.to_vec() }
+        FleetClient { client: Client::default(), urls: urls.to_vec(), timeout }
     }
 
     /// Asks every node for its status, at the same time.
     pub(crate) async fn statuses(&self) -> FleetAnswers {
+        self.statuses_within(self.timeout).await
+    }
+
+    /// Asks every node for its status and waits no longer than `timeout`.
+    pub(crate) async fn statuses_within(&self, timeout: Duration) -> FleetAnswers {
+        let timeout = timeout.min(self.timeout);
         let asked = self.urls.iter().map(|url| async move {
-            let answer: Result<Option<NodeStatus>, String> = self.get(url, STATUS_PATH).await;
+            let answer: Result<Option<NodeStatus>, String> =
+                self.get(url, STATUS_PATH, timeout).await;
             (url.clone(), answer)
         });
         let mut answers = FleetAnswers::default();
@@ -90,7 +98,7 @@
         let path = format!("{DECISIONS_PATH}{request_id}");
         let asked = self.urls.iter().map(|url| {
             let path = &path;
-            async move { (url.clone(), self.get::<DecisionReport>(url, path).await) }
+            async move { (url.clone(), self.get::<DecisionReport>(url, path, self.timeout).await) }
         });
         let (mut reports, mut silent) = (Vec::new(), Vec::new());
         for (url, answer) in join_all(asked).await {
@@ -105,7 +113,8 @@
     /// Asks the node at `url` to drain.
     pub(crate) async fn drain(&self, url: &str) -> Result<DrainReport, String> {
         let request = DrainRequest { reason: "carobvane drain".into() };
-        let sent = self.client.post(format!("{url}{DRAIN_PATH}")).send_json(&request).await;
+        let call = self.client.post(format!("{url}{DRAIN_PATH}")).timeout(self.timeout);
+        let sent = call.send_json(&request).await;
         let mut response = sent.map_err(|error| error.to_string())?;
         if !response.status().is_success() {
             return Err(format!("answered with status {}", response.status().as_u16()));
@@ -114,8 +123,13 @@
     }
 
     /// Reads one page; `None` if the node has no such page.
-    async fn get<R: DeserializeOwned>(&self, url: &str, path: &str) -> Result<Option<R>, String> {
-        let sent = self.client.get(format!("{url}{path}")).send().await;
+    async fn get<R: DeserializeOwned>(
+        &self,
+        url: &str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Option<R>, String> {
+        let sent = self.client.get(format!("{url}{path}")).timeout(timeout).send().await;
         let mut response = sent.map_err(|error| error.to_string())?;
         if response.status().as_u16() == 404 {
             return Ok(None);
--- a/crates/cli/src/in_force.rs
+++ b/crates/cli/src/in_force.rs
@@ -16,6 +16,9 @@
 
 /// Time from one round of questions to the next.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time for one round but the last. A paused node otherwise held a round for the whole
+/// call timeout, and nodes that had the version by then were reported as lagging.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How far a version has come.
 #[derive(Debug, Clone, Serialize)]
@@ -66,13 +69,15 @@
     let started = Instant::now();
     let mut shown = BTreeSet::new();
     loop {
-        let report = InForceReport::new(version, &fleet.statuses().await);
+        let last = started.elapsed() + ROUND_INTERVAL + ROUND_TIMEOUT > session.settings.wait;
+        let timeout = if last { session.settings.call_timeout } else { ROUND_TIMEOUT };
+        let report = InForceReport::new(version, &fleet.statuses_within(timeout).await);
         show_progress(session, &report, &mut shown);
         if report.in_force {
             print_outcome(session, &report);
             return ExitStatus::Success;
         }
-        if started.elapsed() + ROUND_INTERVAL > session.settings.wait {
+        if last {
             print_outcome(session, &report);
             return ExitStatus::NotInForce;
         }
--- a/crates/programs/tests/testsuite/operators/mod.rs
+++ b/crates/programs/tests/testsuite/operators/mod.rs
@@ -11,6 +11,7 @@
 mod list_store;
 mod plan;
 mod revert;
+mod settings;
 mod show;
 mod status;
 mod support;
