Refuse to plan against a restored service and show lost changes

In a trial the key-value service was restored from an old copy: plan showed a difference to the old version, and history ended at it although the head was higher after a steward wrote the held version back.

plan refuses like apply while a node holds a later version than the service shows. history lists versions whose change is not stored.

Ruled out: taking the document from a node for the plan, because nodes do not publish documents to operators.

--- a/crates/cli/src/ops/apply.rs
+++ b/crates/cli/src/ops/apply.rs
@@ -10,7 +10,7 @@
 use super::{Session, check::checked};
 use crate::{
     exit::{ExitStatus, Failure},
-    fleet::FleetClient,
+    fleet::{FleetAnswers, FleetClient},
     in_force::wait_in_force,
     record::PlanRecord,
 };
@@ -99,17 +99,7 @@
     document: &ListDocument,
 ) -> Result<ExitStatus, Failure> {
     let head = stored.head.version;
-    if let Some((held, node)) = fleet.statuses().await.highest_version()
-        && held > head.number
-    {
-        let message = format!(
-            "the key-value service shows version {}, but {} holds version {held}: the service was \
-             restored from an old copy; repeat when a steward has written version {held} back",
-            head.number,
-            node.label()
-        );
-        return Err(Failure::new(ExitStatus::Conflict, message));
-    }
+    refuse_restored(&head, &fleet.statuses().await)?;
     let outcome = store.write(stored, document).await.map_err(|error| {
         let unknown = matches!(&error, StoreError::Keyvalue(cause) if cause.is_outcome_unknown());
         let failure = Failure::from(error);
@@ -133,6 +123,22 @@
     }
 }
 
+/// Fails if a node holds a later version than the service shows: a change on top of the service's
+/// version would revert accepted changes.
+pub(super) fn refuse_restored(head: &ListVersion, answers: &FleetAnswers) -> Result<(), Failure> {
+    let Some((held, node)) = answers.highest_version() else { return Ok(()) };
+    if held <= head.number {
+        return Ok(());
+    }
+    let message = format!(
+        "the key-value service shows version {}, but {} holds version {held}: the service was \
+         restored from an old copy; repeat when a steward has written version {held} back",
+        head.number,
+        node.label()
+    );
+    Err(Failure::new(ExitStatus::Conflict, message))
+}
+
 /// The lists of `head`, built on `stored` with one read where that is possible.
 async fn load_after(
     store: &ListStore,
--- a/crates/cli/src/ops/history.rs
+++ b/crates/cli/src/ops/history.rs
@@ -12,12 +12,20 @@
 #[derive(Serialize)]
 struct HistoryLine {
     version: u64,
-    digest: String,
-    parent: String,
+    /// Absent if the change is not stored.
+    digest: Option<String>,
+    parent: Option<String>,
     /// Changed and removed entries by list.
     changes: Vec<ListCount>,
 }
 
+impl HistoryLine {
+    /// A version whose change the service lost; a steward wrote a later version back.
+    fn missing(version: u64) -> HistoryLine {
+        HistoryLine { version, digest: None, parent: None, changes: Vec::new() }
+    }
+}
+
 #[derive(Serialize)]
 struct ListCount {
     list: &'static str,
@@ -34,7 +42,13 @@
     let last = store.load_head().await?.version.number;
     let first = (last + 1).saturating_sub(limit.unwrap_or(DEFAULT_LIMIT)).max(1);
     let deltas = if last == 0 { Vec::new() } else { store.load_changes(first, last).await? };
-    let lines: Vec<HistoryLine> = deltas.iter().rev().map(describe).collect();
+    let lines: Vec<HistoryLine> = (first..=last)
+        .rev()
+        .map(|version| {
+            let delta = deltas.iter().find(|delta| delta.to.number == version);
+            delta.map_or_else(|| HistoryLine::missing(version), describe)
+        })
+        .collect();
     if session.settings.json {
         session.console.print_json(&lines);
         return Ok(ExitStatus::Success);
@@ -43,7 +57,9 @@
         session.console.print(format_args!("no version was accepted yet"));
     }
     for line in &lines {
-        session.console.print(format_args!("version {}, digest {}", line.version, line.digest));
+        let digest = line.digest.as_ref().map(|digest| format!(", digest {digest}"));
+        let digest = digest.unwrap_or_else(|| ": its change is not stored".into());
+        session.console.print(format_args!("version {}{digest}", line.version));
         for change in &line.changes {
             let put = change.put.iter().map(|name| format!(" {name}"));
             let removed = change.removed.iter().map(|name| format!(" -{name}"));
@@ -68,8 +84,8 @@
     count!(workspaces plans grants weights servers entries);
     HistoryLine {
         version: delta.to.number,
-        digest: delta.to.digest.to_string(),
-        parent: delta.to.parent.to_string(),
+        digest: Some(delta.to.digest.to_string()),
+        parent: Some(delta.to.parent.to_string()),
         changes,
     }
 }
--- a/crates/cli/src/ops/plan.rs
+++ b/crates/cli/src/ops/plan.rs
@@ -5,7 +5,7 @@
 use carobvane_lists::ChangePlan;
 use serde::Serialize;
 
-use super::{Session, check::checked};
+use super::{Session, apply::refuse_restored, check::checked};
 use crate::{
     exit::{ExitStatus, Failure},
     fleet::FleetClient,
@@ -32,6 +32,7 @@
     for node in &answers.silent {
         session.console.report(format_args!("{} does not answer: {}", node.url, node.cause));
     }
+    refuse_restored(&stored.head.version, &answers)?;
     let plan = ChangePlan::new(&stored.snapshot.document, &document, answers.usage().as_ref());
     PlanRecord { base: stored.head.version, planned: document.digest() }.save(folder)?;
     let base = stored.head.version.number;
--- a/crates/programs/tests/testsuite/operators/apply.rs
+++ b/crates/programs/tests/testsuite/operators/apply.rs
@@ -175,9 +175,16 @@
 /// changes.
 #[actix_rt::test]
 async fn restored_service_refuses_changes() {
-    let deployment = Deployment::start(vec![follower(1), entry(2, 5)]).await;
+    let mut deployment = Deployment::start(vec![follower(1), entry(2, 5)]).await;
     let folder = ListFolder::of_example("irazabal");
+    let ahead = deployment.nodes.pop().expect("two nodes");
     deployment.run(&["plan", folder.path()]).await;
+    deployment.nodes.push(ahead);
+    expect![[r#"
+        exit 3
+        --- errors
+        error: the key-value service shows version 0, but entry 2 (irazabal-a) holds version 5: the service was restored from an old copy; repeat when a steward has written version 5 back
+    "#]].assert_eq(&deployment.run(&["plan", folder.path()]).await);
     expect![[r#"
         exit 3
         --- errors
--- a/crates/programs/tests/testsuite/operators/history.rs
+++ b/crates/programs/tests/testsuite/operators/history.rs
@@ -2,6 +2,12 @@
 
 use expect_test::expect;
 
+use carobvane_core::lists::{ListSnapshot, ListVersion};
+use carobvane_host::{
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    node::ListSource,
+};
+
 use super::support::{Deployment, ListFolder, follower};
 
 /// Guards against changes that are missing or out of order.
@@ -48,3 +54,23 @@
     "#]]
     .assert_eq(&deployment.run(&["history", "--limit", "1", "--json"]).await);
 }
+
+/// Guards against hiding a version whose change was lost when the service was restored.
+#[actix_rt::test]
+async fn lost_changes_are_shown() {
+    let deployment = Deployment::start(vec![follower(1)]).await;
+    deployment.accept(&ListFolder::of_example("irazabal")).await;
+    let url = format!("http://{}", deployment.keyvalue.addr());
+    let source = ListSource::new(KeyvalueClient::new(KeyvalueSettings::new(url)));
+    let mut held = ListSnapshot::default();
+    held.version = ListVersion::first(3, &held.document);
+    let head = source.client().get("carobvane/lists/head").await.expect("answers");
+    let revision = head.expect("has a head").mod_revision;
+    assert!(source.write_back(&held, revision).await.expect("answers"));
+    expect![[r#"
+        exit 0
+        version 3: its change is not stored
+        version 2: its change is not stored
+    "#]]
+    .assert_eq(&deployment.run(&["history", "--limit", "2"]).await);
+}
