--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,8 +1,8 @@
 //! Replay of recorded traces and scripted scenarios against stated outcomes, checks of histories
 //! and benchmarks.
 
-pub mod caller;
 pub mod bench;
+pub mod caller;
 pub mod check;
 pub mod demo;
 pub mod deployment;
