Test separate processes under kill, freeze, restart and outage

Cause: the path must hold when entries die, freeze or restart without the key-value service. Ruled out: sleeping until a state is reached; the tests wait for log lines.

--- a/crates/programs/tests/testsuite/main.rs
+++ b/crates/programs/tests/testsuite/main.rs
@@ -1,2 +1,3 @@
 //! Tests of the built programs, one file per command or scenario.
 mod operators;
+mod processes;
--- /dev/null
+++ b/crates/programs/tests/testsuite/processes/fleet.rs
@@ -0,0 +1,201 @@
+//! A small fleet of separate processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use carobvane_core::{
+    ids::NodeId,
+    lists::{
+        BackendServer, EntryVm, GrantEntry, KeyHash, ListDocument, ListSnapshot, ListVersion,
+        ModelWeights, PlanEntry, ServerRole, WorkspaceEntry,
+    },
+    plans::PlanLimits,
+};
+use carobvane_host::{
+    keyvalue::{KeyvalueClient, KeyvalueSettings},
+    node::ListSource,
+};
+use serde_json::Value;
+
+use super::program::RunningProgram;
+
+/// Key of the fleet between processes.
+const FLEET_KEY: &str = "1111111111111111111111111111111111111111111111111111111111111111";
+/// Bearer key of the only workspace.
+pub const CALLER_KEY: &str = "key-of-the-test";
+/// Model of the engines.
+pub const MODEL: &str = "carob";
+/// Entries of the fleet.
+pub const ENTRIES: usize = 3;
+
+/// Running stand-ins, steward and entries.
+pub struct ProcessFleet {
+    /// The stand-ins, in one process; kept so that they run as long as the fleet.
+    _standin: RunningProgram,
+    /// The steward.
+    pub steward: RunningProgram,
+    /// The entries.
+    pub entries: Vec<RunningProgram>,
+    /// Address of each entry for callers.
+    pub addresses: Vec<String>,
+    keyvalue: String,
+    peers: Vec<String>,
+}
+
+impl ProcessFleet {
+    /// Starts all programs and waits until every entry holds its lists.
+    pub async fn start() -> ProcessFleet {
+        let flags = ["--engines", "3", "--keyvalue", "--services", "1", "--time-scale", "5"];
+        let flags: Vec<String> = flags.iter().map(|flag| flag.to_string()).collect();
+        let mut standin =
+            RunningProgram::start(env!("CARGO_BIN_EXE_carobvane-standin"), &flags, true);
+        let mut engines = Vec::new();
+        for _ in 0..3 {
+            engines.push(address_of(&mut standin, "engine").await);
+        }
+        let keyvalue = address_of(&mut standin, "keyvalue").await;
+        let service = address_of(&mut standin, "service").await;
+        let arguments = node_arguments(100, &keyvalue, &[], "127.0.0.1:0");
+        let mut steward =
+            RunningProgram::start(env!("CARGO_BIN_EXE_carobvane-steward"), &arguments, false);
+        let peer = text(&steward.message("steward started").await["peer"]);
+        let mut fleet = ProcessFleet {
+            _standin: standin,
+            steward,
+            entries: Vec::new(),
+            addresses: Vec::new(),
+            keyvalue,
+            peers: vec![peer],
+        };
+        for number in 0..ENTRIES {
+            let (entry, started) = fleet.start_entry(number, "127.0.0.1:0", "127.0.0.1:0").await;
+            fleet.entries.push(entry);
+            fleet.addresses.push(text(&started["address"]));
+            fleet.peers.push(text(&started["peer"]));
+        }
+        fleet.write_lists(&engines, &service).await;
+        for entry in &mut fleet.entries {
+            entry.message("lists active").await;
+        }
+        fleet
+    }
+
+    async fn start_entry(
+        &self,
+        number: usize,
+        listen: &str,
+        peer: &str,
+    ) -> (RunningProgram, Value) {
+        let mut arguments = node_arguments(number + 1, &self.keyvalue, &self.peers, peer);
+        arguments.extend(["--listen".to_string(), listen.to_string()]);
+        arguments.extend(["--piece-bytes".to_string(), "64".to_string()]);
+        let mut entry =
+            RunningProgram::start(env!("CARGO_BIN_EXE_carobvane-entry"), &arguments, false);
+        let started = entry.message("entry started").await;
+        (entry, started)
+    }
+
+    /// Starts an entry again at its addresses and waits until it holds lists.
+    pub async fn restart_entry(&mut self, number: usize) {
+        let listen = self.addresses[number].clone();
+        let peer = self.peers[number + 1].clone();
+        let (mut entry, _) = self.start_entry(number, &listen, &peer).await;
+        entry.message("lists active").await;
+        self.entries[number] = entry;
+    }
+
+    /// Base URL of an entry.
+    pub fn url(&self, number: usize) -> String {
+        format!("http://{}", self.addresses[number])
+    }
+
+    /// URL of the key-value service.
+    pub fn keyvalue_url(&self) -> String {
+        format!("http://{}", self.keyvalue)
+    }
+
+    async fn write_lists(&self, engines: &[String], service: &str) {
+        let document = self.document(engines, service);
+        let version = ListVersion::first(1, &document);
+        let source =
+            ListSource::new(KeyvalueClient::new(KeyvalueSettings::new(self.keyvalue_url())));
+        let written = source.write_back(&ListSnapshot { version, document }, 0).await;
+        assert!(written.expect("the key-value service answers"));
+    }
+
+    fn document(&self, engines: &[String], service: &str) -> ListDocument {
+        let engine_role = ServerRole::Engine(MODEL.to_string());
+        let mut servers: BTreeMap<String, BackendServer> = engines
+            .iter()
+            .enumerate()
+            .map(|(number, address)| {
+                (format!("engine-{number}"), backend_server(address, engine_role.clone()))
+            })
+            .collect();
+        let service_role = ServerRole::Service("bookings".to_string());
+        servers.insert("service-0".to_string(), backend_server(service, service_role));
+        let workspace = WorkspaceEntry {
+            key_hashes: BTreeSet::from([KeyHash::of_key(CALLER_KEY)]),
+            plan: "standard".to_string(),
+        };
+        let limits = PlanLimits {
+            requests_per_second: 100_000,
+            tokens_per_minute: 1_000_000_000,
+            concurrent_streams: 10_000,
+        };
+        let grant = GrantEntry {
+            models: BTreeSet::from([MODEL.to_string()]),
+            services: BTreeSet::from(["bookings".to_string()]),
+            adapters: BTreeSet::new(),
+        };
+        let weights = ModelWeights { version: 1, adapters: BTreeSet::new() };
+        ListDocument {
+            workspaces: BTreeMap::from([("depot".to_string(), workspace)]),
+            plans: BTreeMap::from([("standard".to_string(), PlanEntry { limits, weight: 1 })]),
+            grants: BTreeMap::from([("standard".to_string(), grant)]),
+            servers,
+            weights: BTreeMap::from([(MODEL.to_string(), weights)]),
+            entries: (0..ENTRIES).map(|number| self.entry_vm(number)).collect(),
+        }
+    }
+
+    fn entry_vm(&self, number: usize) -> (String, EntryVm) {
+        let vm = EntryVm {
+            node: NodeId(number as u32 + 1),
+            http_address: self.addresses[number].clone(),
+            peer_address: self.peers[number + 1].clone(),
+            data_centre: "dc-1".to_string(),
+        };
+        (format!("entry-{}", number + 1), vm)
+    }
+}
+
+fn backend_server(address: &str, role: ServerRole) -> BackendServer {
+    BackendServer {
+        address: address.to_string(),
+        role,
+        data_centre: "dc-1".to_string(),
+        checks_fencing: true,
+        slots: 16,
+    }
+}
+
+fn node_arguments(node: usize, keyvalue: &str, join: &[String], peer: &str) -> Vec<String> {
+    let pairs = [
+        ("--node", node.to_string()),
+        ("--data-centre", "dc-1".to_string()),
+        ("--admin", "127.0.0.1:0".to_string()),
+        ("--peer", peer.to_string()),
+        ("--join", join.join(",")),
+        ("--fleet-key", FLEET_KEY.to_string()),
+        ("--keyvalue", format!("http://{keyvalue}")),
+    ];
+    pairs.into_iter().flat_map(|(flag, value)| [flag.to_string(), value]).collect()
+}
+
+async fn address_of(standin: &mut RunningProgram, kind: &str) -> String {
+    text(&standin.line(|line| line["kind"] == kind).await["addr"])
+}
+
+fn text(value: &Value) -> String {
+    value.as_str().expect("an address in the line").to_string()
+}
--- /dev/null
+++ b/crates/programs/tests/testsuite/processes/program.rs
@@ -0,0 +1,83 @@
+//! A started program and the log lines that it writes.
+
+use std::{
+    io::{BufRead, BufReader, Read},
+    process::{Child, Command, Stdio},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+/// Lines that wait to be read by the test; later ones are dropped.
+const LINE_CAPACITY: usize = 100_000;
+
+/// A child process; killed when dropped.
+pub struct RunningProgram {
+    child: Child,
+    lines: mpsc::Receiver<Value>,
+}
+
+impl RunningProgram {
+    /// Starts a program with arguments and variables. `reads_stdout` chooses the stream of JSON
+    /// lines.
+    pub fn start(path: &str, arguments: &[String], reads_stdout: bool) -> RunningProgram {
+        let mut command = Command::new(path);
+        command.args(arguments).stdin(Stdio::null());
+        if reads_stdout {
+            command.stdout(Stdio::piped()).stderr(Stdio::null());
+        } else {
+            command.stdout(Stdio::null()).stderr(Stdio::piped());
+        }
+        let mut child = command.spawn().expect("failed to start the program");
+        let stdout = child.stdout.take().map(|stdout| Box::new(stdout) as Box<dyn Read + Send>);
+        let stderr = child.stderr.take().map(|stderr| Box::new(stderr) as Box<dyn Read + Send>);
+        let stream = stdout.or(stderr).expect("one stream is piped");
+        let (sender, lines) = mpsc::channel(LINE_CAPACITY);
+        std::thread::spawn(move || {
+            for line in BufReader::new(stream).lines().map_while(Result::ok) {
+                if let Ok(value) = serde_json::from_str(&line) {
+                    // A full channel only loses lines that no test reads.
+                    sender.try_send(value).ok();
+                }
+            }
+        });
+        RunningProgram { child, lines }
+    }
+
+    /// Waits for the next line that `matches`. Panics when the program ends first.
+    pub async fn line(&mut self, matches: impl Fn(&Value) -> bool) -> Value {
+        loop {
+            let line = self.lines.recv().await.expect("the program ended without the line");
+            if matches(&line) {
+                return line;
+            }
+        }
+    }
+
+    /// Waits for a log message and returns its attributes.
+    pub async fn message(&mut self, text: &str) -> Value {
+        let line = self.line(|line| line["message"] == text).await;
+        line["attributes"].clone()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("failed to send the signal");
+    }
+
+    /// Waits for the end and returns the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("failed to wait for the program").code()
+    }
+}
+
+impl Drop for RunningProgram {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
