Measure the path through an entry

Cause: the added latency, throughput and stream memory have targets. Change: carobvane-bench path pairs each phase with direct calls to the engine in the same run; programs own the bench binary.

--- a/crates/replay/src/bench/mod.rs
+++ b/crates/replay/src/bench/mod.rs
@@ -4,6 +4,8 @@
 //! run, because other work on the machine moves single runs.
 
 pub mod decide;
+pub mod path;
+pub mod program;
 
 use std::{fs, path::Path};
 
--- /dev/null
+++ b/crates/replay/src/bench/path.rs
@@ -0,0 +1,186 @@
+//! `carobvane-bench path`: what an entry adds to a request.
+//!
+//! Every phase runs once against the engine and once through an entry in the same process and run,
+//! so that both meet the same machine load. Callers, engine and entry share the machine, which
+//! makes the figures of the entry upper bounds.
+
+use std::{
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+use eyre::{Result, WrapErr, eyre};
+
+use super::{BenchFigure, print_table, write_json};
+use crate::{
+    caller::{CallResult, CompletionCall, stream_completion},
+    fleet::{Fleet, FleetSettings},
+    probe::{instant_fleet, measure_pairs, short_call},
+    stats::percentile,
+};
+
+/// Threads that send requests.
+const CALLER_THREADS: usize = 4;
+/// Requests in progress at full load.
+const FULL_CONCURRENCY: usize = 64;
+/// Threads of the entry.
+const ENTRY_WORKERS: usize = 4;
+/// Duration of one phase.
+const PHASE: Duration = Duration::from_secs(2);
+/// Pairs of the unloaded measurement.
+const UNLOADED_PAIRS: usize = 1_000;
+/// Streams that are open together for the memory figure.
+const OPEN_STREAMS: usize = 1_000;
+/// Tokens of a stream of the memory figure.
+const STREAM_TOKENS: u32 = 400;
+/// Bytes of a memory page of the kernel's statistics.
+const PAGE_BYTES: f64 = 4_096.0;
+/// Bytes of a MiB.
+const MIB: f64 = 1_048_576.0;
+
+/// How to measure.
+#[derive(Debug, Clone)]
+pub struct PathOptions {
+    /// Runs of each figure.
+    pub runs: usize,
+    /// Where to write the figures as JSON.
+    pub json: PathBuf,
+}
+
+/// What one phase measured.
+#[derive(Debug, Clone, Default)]
+struct PhaseResult {
+    /// Latencies in microseconds.
+    latencies: Vec<f64>,
+}
+
+impl PhaseResult {
+    fn rate(&self) -> f64 {
+        self.latencies.len() as f64 / PHASE.as_secs_f64()
+    }
+}
+
+/// Measures, prints a table and writes JSON.
+pub fn run(options: &PathOptions) -> Result<()> {
+    let figures = actix_rt::System::new().block_on(measure(options.runs))?;
+    print_table(&figures);
+    write_json(&options.json, &figures)
+}
+
+async fn measure(runs: usize) -> Result<Vec<BenchFigure>> {
+    let mut values: [Vec<f64>; 8] = Default::default();
+    for _ in 0..runs {
+        let pairs = measure_pairs(UNLOADED_PAIRS).await?;
+        values[0].push(pairs.added(0.5));
+        values[1].push(pairs.added(0.99));
+        let settings = FleetSettings { workers: ENTRY_WORKERS, ..instant_fleet() };
+        let fleet = Fleet::start(&settings).await?;
+        let engine = format!("http://{}", fleet.engines[0].addr());
+        let half = FULL_CONCURRENCY / 2;
+        let direct = load(engine.clone(), half).await?;
+        let through = load(fleet.entry_url(0), half).await?;
+        for (position, share) in [(2, 0.5), (3, 0.99)] {
+            let added =
+                percentile(&through.latencies, share) - percentile(&direct.latencies, share);
+            values[position].push(added);
+        }
+        values[4].push(load(engine, FULL_CONCURRENCY).await?.rate());
+        values[5].push(load(fleet.entry_url(0), FULL_CONCURRENCY).await?.rate());
+        values[6].push(stream_memory(&fleet).await?);
+        values[7].push(resident_bytes()? / MIB);
+        fleet.stop().await;
+    }
+    let [p50, p99, half50, half99, direct, through, streams, resident] = values;
+    Ok(vec![
+        BenchFigure::new("added latency p50, unloaded", "us", p50),
+        BenchFigure::new("added latency p99, unloaded", "us", p99),
+        BenchFigure::new("added latency p50, half load", "us", half50).target(150.0),
+        BenchFigure::new("added latency p99, half load", "us", half99).target(1_000.0),
+        BenchFigure::new("engine alone", "req/s", direct),
+        BenchFigure::new("through the entry (target >= 20000)", "req/s", through),
+        BenchFigure::new("growth at 1000 streams, all parts", "MiB", streams).target(64.0),
+        BenchFigure::new("resident after the run, all parts", "MiB", resident),
+    ])
+}
+
+/// Keeps `concurrency` requests in progress for one phase.
+async fn load(url: String, concurrency: usize) -> Result<PhaseResult> {
+    let threads: Vec<_> = (0..CALLER_THREADS)
+        .map(|_| {
+            let url = url.clone();
+            thread::spawn(move || {
+                actix_rt::System::new().block_on(callers(url, concurrency / CALLER_THREADS))
+            })
+        })
+        .collect();
+    let joined = tokio::task::spawn_blocking(move || {
+        threads.into_iter().map(thread::JoinHandle::join).collect::<Vec<_>>()
+    });
+    let mut result = PhaseResult::default();
+    for latencies in joined.await.wrap_err("failed to wait for the callers")? {
+        let latencies = latencies.map_err(|_| eyre!("a caller thread panicked"))??;
+        result.latencies.extend(latencies);
+    }
+    Ok(result)
+}
+
+async fn callers(url: String, concurrency: usize) -> Result<Vec<f64>> {
+    let client =
+        awc::Client::builder().connector(awc::Connector::new().limit(0)).disable_timeout().finish();
+    let ends = Instant::now() + PHASE;
+    let call = short_call(url, "workspace-1");
+    let callers = (0..concurrency).map(|_| repeat(&client, &call, ends));
+    let results = futures::future::try_join_all(callers).await?;
+    Ok(results.into_iter().flatten().collect())
+}
+
+async fn repeat(client: &awc::Client, call: &CompletionCall, ends: Instant) -> Result<Vec<f64>> {
+    let mut latencies = Vec::new();
+    while Instant::now() < ends {
+        let started = Instant::now();
+        match stream_completion(client, call).await {
+            CallResult::Whole { .. } => {
+                latencies.push(started.elapsed().as_secs_f64() * 1_000_000.0);
+            }
+            other => return Err(eyre!("a request of the load failed: {other:?}")),
+        }
+    }
+    Ok(latencies)
+}
+
+/// Growth of the process in MiB while all streams are open; holds caller and engine too.
+async fn stream_memory(fleet: &Fleet) -> Result<f64> {
+    let before = resident_bytes()?;
+    let client =
+        awc::Client::builder().connector(awc::Connector::new().limit(0)).disable_timeout().finish();
+    let call =
+        CompletionCall { tokens: STREAM_TOKENS, ..short_call(fleet.entry_url(0), "workspace-1") };
+    let streams = (0..OPEN_STREAMS).map(|_| stream_completion(&client, &call));
+    let mut highest = before;
+    let results = {
+        let streams = futures::future::join_all(streams);
+        futures::pin_mut!(streams);
+        loop {
+            let tick = tokio::time::sleep(Duration::from_millis(10));
+            match futures::future::select(streams.as_mut(), Box::pin(tick)).await {
+                futures::future::Either::Left((results, _)) => break results,
+                futures::future::Either::Right(_) => highest = highest.max(resident_bytes()?),
+            }
+        }
+    };
+    let whole = results.iter().filter(|result| matches!(result, CallResult::Whole { .. })).count();
+    eyre::ensure!(whole == OPEN_STREAMS, "only {whole} of {OPEN_STREAMS} streams were whole");
+    Ok((highest - before) / MIB)
+}
+
+fn resident_bytes() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm")
+        .wrap_err("failed to read the process's memory")?;
+    let pages: f64 = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse().ok())
+        .ok_or_else(|| eyre!("unexpected memory statistics: {text:?}"))?;
+    Ok(pages * PAGE_BYTES)
+}
