Compare routing policies over simulated engines

Cause: the routing policy is to be judged against baselines and a bound on equal terms.

Change: carobvane-replay compare plays generated traces through real sockets with round robin, least loaded, prefix hashing, the decision library's cost policy with its admission and hedging, and an oracle that sees the engines' true state. The report has table, JSON and SVG.

Ruled out: a compressed prompt text for each piece, because the engines count the tokens of a prompt from its piece hashes and the text would only cost the driver time.

--- /dev/null
+++ b/crates/replay/src/compare/attempt.rs
@@ -0,0 +1,117 @@
+//! One attempt at a completion on one engine.
+
+use std::{net::SocketAddr, time::Instant};
+
+use awc::Client;
+use carobvane_proto::{
+    engine::{ChunkPosition, EngineExtension},
+    headers,
+};
+use futures::StreamExt;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Tokens between two reports of the mean gap.
+const GAP_TOKENS: u32 = 16;
+
+/// What an attempt sends.
+#[derive(Debug, Clone)]
+pub struct AttemptRequest {
+    /// The engine.
+    pub addr: SocketAddr,
+    /// Names the attempt at the engine.
+    pub attempt: String,
+    /// Tokens of the answer.
+    pub output_tokens: u32,
+    /// Priority, salt and pieces.
+    pub extension: EngineExtension,
+}
+
+/// What an attempt reports.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AttemptEvent {
+    /// The first token arrived.
+    FirstToken,
+    /// Mean gap between tokens since the last report, in real seconds.
+    Gap(f64),
+    /// The attempt ended; whether with `[DONE]`.
+    Ended(bool),
+}
+
+#[derive(Deserialize)]
+struct ChunkHead {
+    position: ChunkPosition,
+}
+
+/// Runs an attempt and reports its events with the attempt's number.
+pub async fn run(
+    client: Client,
+    request: AttemptRequest,
+    number: usize,
+    events: UnboundedSender<(usize, AttemptEvent)>,
+) {
+    let complete = stream(&client, &request, number, &events).await;
+    // The receiver is gone when another attempt won.
+    let _ = events.send((number, AttemptEvent::Ended(complete)));
+}
+
+async fn stream(
+    client: &Client,
+    request: &AttemptRequest,
+    number: usize,
+    events: &UnboundedSender<(usize, AttemptEvent)>,
+) -> bool {
+    let url = format!("http://{}/v1/completions", request.addr);
+    let sent = client
+        .post(url)
+        .insert_header((headers::ATTEMPT_ID, request.attempt.clone()))
+        .insert_header((headers::WEIGHTS_VERSION, "1"))
+        .send_json(&body(request))
+        .await;
+    let Ok(mut response) = sent else { return false };
+    if !response.status().is_success() {
+        return false;
+    }
+    let mut buffer: Vec<u8> = Vec::new();
+    let mut tokens = 0;
+    let mut done = false;
+    let mut gap_start: Option<(Instant, u32)> = None;
+    while let Some(Ok(bytes)) = response.next().await {
+        buffer.extend_from_slice(&bytes);
+        while let Some(end) = buffer.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = buffer.drain(..end + 2).collect();
+            let Some(data) = event.strip_prefix(b"data: ") else { continue };
+            if data.starts_with(b"[DONE]") {
+                // Reading on to the body's end lets the connection be used again.
+                done = true;
+                continue;
+            }
+            let Ok(head) = serde_json::from_slice::<ChunkHead>(data) else { continue };
+            if head.position.tokens == 0 {
+                continue;
+            }
+            if tokens == 0 {
+                let _ = events.send((number, AttemptEvent::FirstToken));
+            }
+            tokens = head.position.offset + head.position.tokens;
+            let now = Instant::now();
+            let (start, first) = *gap_start.get_or_insert((now, tokens));
+            if tokens - first >= GAP_TOKENS {
+                let gap = now.duration_since(start).as_secs_f64() / f64::from(tokens - first);
+                let _ = events.send((number, AttemptEvent::Gap(gap)));
+                gap_start = Some((now, tokens));
+            }
+        }
+    }
+    done && tokens >= request.output_tokens
+}
+
+fn body(request: &AttemptRequest) -> Value {
+    let mut body = json!(request.extension);
+    body["model"] = json!("carob");
+    body["prompt"] = json!("replayed prompt");
+    body["stream"] = json!(true);
+    body["max_tokens"] = json!(request.output_tokens);
+    body
+}
--- /dev/null
+++ b/crates/replay/src/compare/feeds.rs
@@ -0,0 +1,54 @@
+//! Cache events and load reports of the engines, as an entry gets them.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use awc::Client;
+use carobvane_proto::engine::{CacheEvent, LoadReport};
+use futures::StreamExt;
+
+use super::{chooser::FleetChooser, player::RunState};
+
+/// Time between two load reports of an engine, in simulated milliseconds.
+const LOAD_INTERVAL_MS: f64 = 250.0;
+
+/// Passes an engine's cache events to the policy until the stream ends.
+pub async fn cache_events<C: FleetChooser>(
+    run: Rc<RunState<C>>,
+    client: Client,
+    engine: usize,
+    addr: SocketAddr,
+) {
+    let url = format!("http://{addr}/cache/events");
+    let Ok(mut response) = client.get(url).send().await else { return };
+    let mut buffer: Vec<u8> = Vec::new();
+    while let Some(Ok(bytes)) = response.next().await {
+        buffer.extend_from_slice(&bytes);
+        while let Some(end) = buffer.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = buffer.drain(..end + 2).collect();
+            let Some(data) = event.strip_prefix(b"data: ") else { continue };
+            if let Ok(event) = serde_json::from_slice::<CacheEvent>(data) {
+                let now = run.now();
+                run.chooser.borrow_mut().cache_event(now, engine, &event);
+            }
+        }
+    }
+}
+
+/// Passes an engine's load reports to the policy until the run ends.
+pub async fn load_reports<C: FleetChooser>(
+    run: Rc<RunState<C>>,
+    client: Client,
+    engine: usize,
+    addr: SocketAddr,
+) {
+    let url = format!("http://{addr}/load");
+    let interval = Duration::from_secs_f64(LOAD_INTERVAL_MS / run.time_scale() / 1_000.0);
+    loop {
+        tokio::time::sleep(interval).await;
+        let Ok(mut response) = client.get(&url).send().await else { return };
+        if let Ok(report) = response.json::<LoadReport>().await {
+            let now = run.now();
+            run.chooser.borrow_mut().load_report(now, engine, &report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/compare/measures.rs
@@ -0,0 +1,139 @@
+//! The measures of a comparison.
+
+use std::ops::Range;
+
+use super::player::{RequestOutcome, RunResult};
+use crate::{report::MeasureReport, stats::percentile, trace::TraceClass};
+
+/// The tail that is reported.
+const TAIL: f64 = 0.99;
+
+/// The kinds of runs of each policy and seed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RunKind {
+    /// The trace without a crest.
+    Steady,
+    /// The same without drafts.
+    NoDrafts,
+    /// The same as steady, with two slow engines.
+    Stragglers,
+    /// The trace with a crest.
+    Crest,
+}
+
+impl RunKind {
+    /// All kinds.
+    pub const ALL: [RunKind; 4] =
+        [RunKind::Steady, RunKind::NoDrafts, RunKind::Stragglers, RunKind::Crest];
+}
+
+/// The runs of one policy with one seed.
+#[derive(Debug, Clone)]
+pub struct PolicyRuns {
+    /// The trace without a crest.
+    pub steady: RunResult,
+    /// The same without drafts.
+    pub no_drafts: RunResult,
+    /// The same as steady, with two slow engines.
+    pub stragglers: RunResult,
+    /// The trace with a crest.
+    pub crest: RunResult,
+    /// The crest in milliseconds of the trace.
+    pub crest_ms: Range<u64>,
+}
+
+impl RunResult {
+    /// Share of the prompt tokens found in caches.
+    pub fn hit_rate(&self) -> f64 {
+        self.counters.hit_tokens as f64 / self.counters.prompt_tokens.max(1) as f64
+    }
+
+    /// The hit rate if every piece had been computed once.
+    pub fn hit_bound(&self) -> f64 {
+        1.0 - self.distinct_tokens as f64 / self.counters.prompt_tokens.max(1) as f64
+    }
+
+    /// Prompt tokens computed again, as a share of all prompt tokens.
+    pub fn wasted_share(&self) -> f64 {
+        let again = self.counters.prefill_tokens.saturating_sub(self.distinct_tokens);
+        again as f64 / self.counters.prompt_tokens.max(1) as f64
+    }
+
+    /// 99th percentile of the time to first token in ms; of one class, or of all.
+    pub fn first_token_p99(&self, class: Option<TraceClass>) -> f64 {
+        let wanted = |outcome: &&RequestOutcome| class.is_none_or(|class| outcome.class == class);
+        let times: Vec<f64> = self
+            .outcomes
+            .iter()
+            .filter(wanted)
+            .filter_map(|outcome| outcome.first_token_ms)
+            .collect();
+        percentile(&times, TAIL)
+    }
+
+    /// Requests that arrived in `window` and were answered in time, a second.
+    pub fn goodput(&self, window: &Range<u64>) -> f64 {
+        let in_time = |outcome: &&RequestOutcome| {
+            let complete = outcome.complete_ms.unwrap_or(f64::MAX);
+            window.contains(&outcome.arrival_ms) && complete <= outcome.deadline_ms as f64
+        };
+        let answered = self.outcomes.iter().filter(in_time).count();
+        answered as f64 * 1_000.0 / (window.end - window.start).max(1) as f64
+    }
+
+    /// Share of the requests that were refused before they ran.
+    pub fn refused_share(&self) -> f64 {
+        let refused = self.outcomes.iter().filter(|outcome| outcome.refused).count();
+        refused as f64 / self.outcomes.len().max(1) as f64
+    }
+
+    /// Requests that ran and did not end completely.
+    pub fn broken(&self) -> usize {
+        let broken = |outcome: &&RequestOutcome| !outcome.refused && outcome.complete_ms.is_none();
+        self.outcomes.iter().filter(broken).count()
+    }
+
+    /// Additional attempts as a share of all requests.
+    pub fn extra_share(&self) -> f64 {
+        let attempts = self.outcomes.iter().map(|outcome| outcome.attempts.saturating_sub(1));
+        attempts.sum::<usize>() as f64 / self.outcomes.len().max(1) as f64
+    }
+}
+
+/// Adds the rows of one policy.
+pub fn add_rows(report: &mut MeasureReport, policy: &str, runs: &[PolicyRuns]) {
+    type Measure = (&'static str, &'static str, fn(&PolicyRuns) -> f64);
+    let short = Some(TraceClass::Short);
+    let measures: [Measure; 12] = [
+        ("prefix hit rate", "share", |runs| runs.steady.hit_rate()),
+        ("hit rate bound", "share", |runs| runs.steady.hit_bound()),
+        ("ttft p99", "ms", |runs| runs.steady.first_token_p99(None)),
+        ("wasted recomputation", "share", |runs| runs.steady.wasted_share()),
+        ("goodput at crest", "requests a second", |runs| runs.crest.goodput(&runs.crest_ms)),
+        ("refused at crest", "share", |runs| runs.crest.refused_share()),
+        ("short ttft p99 beside drafts", "ms", |runs| {
+            runs.steady.first_token_p99(Some(TraceClass::Short))
+        }),
+        ("short ttft p99 without drafts", "ms", |runs| {
+            runs.no_drafts.first_token_p99(Some(TraceClass::Short))
+        }),
+        ("ttft p99 with stragglers", "ms", |runs| runs.stragglers.first_token_p99(None)),
+        ("straggler ratio", "of ttft p99", |runs| {
+            runs.stragglers.first_token_p99(None) / runs.steady.first_token_p99(None).max(1.0)
+        }),
+        ("extra attempts with stragglers", "share", |runs| runs.stragglers.extra_share()),
+        ("broken requests", "count", |runs| {
+            let all = [&runs.steady, &runs.no_drafts, &runs.stragglers, &runs.crest];
+            all.into_iter().map(RunResult::broken).sum::<usize>() as f64
+        }),
+    ];
+    for (measure, unit, value) in measures {
+        let values: Vec<f64> = runs.iter().map(value).collect();
+        report.push(measure, unit, policy, &values);
+    }
+    let ratio = |runs: &PolicyRuns| {
+        runs.steady.first_token_p99(short) / runs.no_drafts.first_token_p99(short).max(1.0)
+    };
+    let ratios: Vec<f64> = runs.iter().map(ratio).collect();
+    report.push("short ratio", "of ttft p99", policy, &ratios);
+}
--- /dev/null
+++ b/crates/replay/src/compare/serve.rs
@@ -0,0 +1,353 @@
+//! The life of one request in a run: admission, attempts, hedges.
+
+use std::{rc::Rc, time::Instant};
+
+use actix_rt::task::JoinHandle;
+use carobvane_core::{
+    admission::{QueueEntry, WorkFeatures, WorkPrediction},
+    clock::ClockTime,
+    ids::{RequestKey, WorkspaceKey},
+    prefix::{PieceHash, PrefixChain},
+    routing::{FailureKind, RequestClass},
+};
+use carobvane_proto::engine::EngineExtension;
+use carobvane_standin::util::hash_parts;
+use tokio::sync::{
+    mpsc::{self, UnboundedReceiver, UnboundedSender},
+    oneshot,
+};
+
+use super::{
+    attempt::{self, AttemptEvent, AttemptRequest},
+    chooser::{EngineChoice, FleetChooser, RequestView},
+    player::{PIECE_TOKENS, RequestOutcome, RunState},
+};
+use crate::trace::{TraceClass, TraceRequest};
+
+/// `max_tokens` that callers give with short requests.
+const SHORT_MAX_TOKENS: u32 = 128;
+/// `max_tokens` that callers give with drafts.
+const DRAFT_MAX_TOKENS: u32 = 2_048;
+/// Attempts at one request.
+const MAX_ATTEMPTS: usize = 3;
+
+/// A request of the trace with what routing needs.
+pub struct PreparedRequest {
+    pub(super) trace: TraceRequest,
+    key: RequestKey,
+    features: WorkFeatures,
+    chain: PrefixChain,
+}
+
+/// A request in the queue.
+pub struct QueuedRequest<T> {
+    request: Rc<PreparedRequest>,
+    start: oneshot::Sender<Option<EngineChoice<T>>>,
+}
+
+impl PreparedRequest {
+    /// Computes the chain; equal prefixes of one workspace give equal hashes.
+    pub fn new(trace: TraceRequest, key: RequestKey, workspace: WorkspaceKey) -> PreparedRequest {
+        let mut parent = hash_parts(&[trace.workspace.as_bytes()]);
+        let hashes = trace.pieces.iter().map(|piece| {
+            parent = hash_parts(&[&parent.to_le_bytes(), piece.as_bytes()]);
+            PieceHash::from_raw(parent)
+        });
+        let chain = PrefixChain::from_hashes(hashes);
+        let max_tokens = match trace.class {
+            TraceClass::Draft => DRAFT_MAX_TOKENS,
+            TraceClass::Short | TraceClass::Booking => SHORT_MAX_TOKENS,
+        };
+        let features = WorkFeatures {
+            workspace,
+            prompt_tokens: chain.len() as u32 * PIECE_TOKENS,
+            cached_tokens: 0,
+            max_tokens: Some(max_tokens),
+        };
+        PreparedRequest { trace, key, features, chain }
+    }
+
+    fn deadline(&self) -> ClockTime {
+        ClockTime::from_millis(self.trace.arrival_ms + self.trace.deadline_ms)
+    }
+}
+
+impl<C: FleetChooser> RunState<C> {
+    fn predict(&self, request: &PreparedRequest, hit_pieces: u32) -> WorkPrediction {
+        let cached_tokens = hit_pieces * PIECE_TOKENS;
+        self.predictor.borrow().predict(&WorkFeatures { cached_tokens, ..request.features })
+    }
+
+    fn choose(
+        &self,
+        request: &PreparedRequest,
+        excluded: &[usize],
+    ) -> Option<EngineChoice<C::Ticket>> {
+        let prediction = self.predict(request, 0);
+        // Without admission no class is limited.
+        let class = if self.settings.admission { prediction.class } else { RequestClass::Short };
+        let view = RequestView {
+            salt: &request.trace.workspace,
+            chain: &request.chain,
+            class,
+            prompt_tokens: request.features.prompt_tokens,
+            decode_tokens: prediction.decode_tokens,
+            excluded,
+        };
+        self.chooser.borrow_mut().choose(self.now(), &view)
+    }
+
+    fn record(&self, request: &PreparedRequest, race: &RaceTimes, refused: bool) {
+        self.outcomes.borrow_mut().push(RequestOutcome {
+            class: request.trace.class,
+            arrival_ms: request.trace.arrival_ms,
+            deadline_ms: request.trace.deadline_ms,
+            first_token_ms: race.first_token_ms,
+            complete_ms: race.complete_ms,
+            refused,
+            attempts: race.attempts,
+        });
+    }
+
+    /// Simulated milliseconds since the request's arrival.
+    fn age_ms(&self, request: &PreparedRequest) -> f64 {
+        self.now().as_micros() as f64 / 1_000.0 - request.trace.arrival_ms as f64
+    }
+}
+
+/// Serves a request from its arrival to its end.
+pub async fn serve<C: FleetChooser>(run: Rc<RunState<C>>, request: Rc<PreparedRequest>) {
+    run.budget.borrow_mut().request_started(run.now());
+    match admit(&run, &request).await {
+        Some(choice) => race(&run, &request, choice).await,
+        None => run.record(&request, &RaceTimes::default(), true),
+    }
+    pump(&run);
+}
+
+/// Waits for an engine; nothing if the request is refused.
+async fn admit<C: FleetChooser>(
+    run: &Rc<RunState<C>>,
+    request: &Rc<PreparedRequest>,
+) -> Option<EngineChoice<C::Ticket>> {
+    let prediction = run.predict(request, 0);
+    let bypass = run.queue.borrow().may_bypass(prediction.class);
+    if bypass && let Some(choice) = run.choose(request, &[]) {
+        return Some(choice);
+    }
+    if !run.settings.admission {
+        return None;
+    }
+    let work = std::time::Duration::from_secs_f32(prediction.work_ms / 1_000.0);
+    let entry = QueueEntry {
+        request: request.key,
+        workspace: request.features.workspace,
+        class: prediction.class,
+        work_ms: prediction.work_ms,
+        weight: 1.0,
+        start_by: request.deadline() - work,
+    };
+    run.queue.borrow_mut().push(run.now(), entry).ok()?;
+    let (start, started) = oneshot::channel();
+    let queued = QueuedRequest { request: request.clone(), start };
+    run.waiting.borrow_mut().insert(request.key, queued);
+    started.await.ok().flatten()
+}
+
+/// Starts queued requests for which there is room, and refuses those that are too late.
+pub fn pump<C: FleetChooser>(run: &RunState<C>) {
+    let answer = |key: RequestKey, choice: Option<EngineChoice<C::Ticket>>| {
+        let queued = run.waiting.borrow_mut().remove(&key);
+        if let Some(queued) = queued {
+            // The receiver lives as long as the request's task.
+            let _ = queued.start.send(choice);
+        }
+    };
+    let now = run.now();
+    loop {
+        let expired = run.queue.borrow_mut().take_expired(now);
+        let Some(expired) = expired else { break };
+        answer(expired.request, None);
+    }
+    loop {
+        let next = {
+            let chooser = run.chooser.borrow();
+            run.queue.borrow_mut().pop(|class| chooser.has_room(class))
+        };
+        let Some(next) = next else { return };
+        let request = run.waiting.borrow().get(&next.request).map(|it| it.request.clone());
+        let Some(request) = request else { continue };
+        if let Some(choice) = run.choose(&request, &[]) {
+            answer(next.request, Some(choice));
+            continue;
+        }
+        // The estimate of room was too high; the request goes back into its line.
+        if run.queue.borrow_mut().push(now, next).is_err() {
+            answer(next.request, None);
+        }
+        return;
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct RaceTimes {
+    first_token_ms: Option<f64>,
+    complete_ms: Option<f64>,
+    attempts: usize,
+}
+
+struct LiveAttempt<T> {
+    engine: usize,
+    ticket: T,
+    /// Absent when the attempt has ended.
+    task: Option<JoinHandle<()>>,
+}
+
+/// The attempts at one request.
+struct Race<'a, C: FleetChooser> {
+    run: &'a Rc<RunState<C>>,
+    request: &'a PreparedRequest,
+    attempts: Vec<LiveAttempt<C::Ticket>>,
+    sender: UnboundedSender<(usize, AttemptEvent)>,
+    winner: Option<usize>,
+    hedge_at: Option<Instant>,
+    times: RaceTimes,
+}
+
+async fn race<C: FleetChooser>(
+    run: &Rc<RunState<C>>,
+    request: &PreparedRequest,
+    choice: EngineChoice<C::Ticket>,
+) {
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let mut race = Race {
+        run,
+        request,
+        attempts: Vec::new(),
+        sender,
+        winner: None,
+        hedge_at: None,
+        times: RaceTimes::default(),
+    };
+    race.start(choice);
+    if run.settings.hedging && request.trace.class == TraceClass::Short && request.trace.idempotent
+    {
+        let delay = choice.hedge_after.as_secs_f64() / run.time_scale();
+        race.hedge_at = Some(Instant::now() + std::time::Duration::from_secs_f64(delay));
+    }
+    while !race.step(&mut events).await {}
+    run.record(request, &race.times, false);
+}
+
+impl<C: FleetChooser> Race<'_, C> {
+    fn start(&mut self, choice: EngineChoice<C::Ticket>) {
+        let number = self.attempts.len();
+        let prediction = self.run.predict(self.request, choice.hit_pieces);
+        let priority = match self.run.settings.priorities {
+            true => prediction.engine_priority(),
+            false => 0,
+        };
+        let trace = &self.request.trace;
+        let request = AttemptRequest {
+            addr: self.run.addresses[choice.engine],
+            attempt: format!("{:?}-{number}", self.request.key),
+            output_tokens: trace.output_tokens,
+            extension: EngineExtension {
+                priority,
+                cache_salt: trace.workspace.clone(),
+                piece_hashes: self.request.chain.pieces().iter().map(|it| it.as_raw()).collect(),
+                ..EngineExtension::default()
+            },
+        };
+        let client = self.run.client.clone();
+        let task = actix_rt::spawn(attempt::run(client, request, number, self.sender.clone()));
+        let EngineChoice { engine, ticket, .. } = choice;
+        self.attempts.push(LiveAttempt { engine, ticket, task: Some(task) });
+        self.times.attempts += 1;
+    }
+
+    /// Starts a further attempt within the budget. Returns whether it did.
+    fn start_extra(&mut self) -> bool {
+        if self.attempts.len() >= MAX_ATTEMPTS {
+            return false;
+        }
+        if !self.run.budget.borrow_mut().try_extra(self.run.now()) {
+            return false;
+        }
+        let excluded: Vec<usize> = self.attempts.iter().map(|attempt| attempt.engine).collect();
+        match self.run.choose(self.request, &excluded) {
+            Some(choice) => {
+                self.start(choice);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Handles one event. Returns whether the request has ended.
+    async fn step(&mut self, events: &mut UnboundedReceiver<(usize, AttemptEvent)>) -> bool {
+        let event = match self.hedge_at {
+            Some(at) => tokio::time::timeout_at(at.into(), events.recv()).await,
+            None => Ok(events.recv().await),
+        };
+        let Ok(event) = event else {
+            self.hedge_at = None;
+            self.start_extra();
+            return false;
+        };
+        let Some((number, event)) = event else { return true };
+        let ticket = self.attempts[number].ticket;
+        let now = self.run.now();
+        match event {
+            AttemptEvent::FirstToken => self.first_token(now, number),
+            AttemptEvent::Gap(seconds) => {
+                let gap = std::time::Duration::from_secs_f64(seconds * self.run.time_scale());
+                self.run.chooser.borrow_mut().token_gap(now, ticket, gap);
+            }
+            AttemptEvent::Ended(complete) => return self.ended(now, number, complete),
+        }
+        false
+    }
+
+    fn first_token(&mut self, now: ClockTime, number: usize) {
+        if self.winner.is_some() {
+            return;
+        }
+        self.winner = Some(number);
+        self.hedge_at = None;
+        self.times.first_token_ms = Some(self.run.age_ms(self.request));
+        let hashes = self.request.chain.pieces().iter().map(|piece| piece.as_raw());
+        self.run.seen.borrow_mut().extend(hashes);
+        let mut chooser = self.run.chooser.borrow_mut();
+        chooser.first_token(now, self.attempts[number].ticket);
+        for (index, attempt) in self.attempts.iter_mut().enumerate() {
+            // Dropping the response closes the connection, which cancels the engine's work.
+            if index != number
+                && let Some(task) = attempt.task.take()
+            {
+                task.abort();
+                chooser.failed(now, attempt.ticket, FailureKind::Cancelled);
+            }
+        }
+    }
+
+    fn ended(&mut self, now: ClockTime, number: usize, complete: bool) -> bool {
+        if self.attempts[number].task.take().is_none() {
+            return false;
+        }
+        let ticket = self.attempts[number].ticket;
+        if complete {
+            self.run.chooser.borrow_mut().finished(now, ticket);
+            self.times.complete_ms = Some(self.run.age_ms(self.request));
+            let tokens = self.request.trace.output_tokens;
+            self.run.predictor.borrow_mut().observe(&self.request.features, tokens);
+            return true;
+        }
+        self.run.chooser.borrow_mut().failed(now, ticket, FailureKind::Broken);
+        if self.attempts.iter().any(|attempt| attempt.task.is_some()) {
+            return false;
+        }
+        // An answer that broke off after its first token is not repeated: the caller has a part.
+        self.winner.is_some() || !self.start_extra()
+    }
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -2,6 +2,7 @@
 //! and benchmarks.
 
 pub mod check;
+pub mod compare;
 pub mod deployment;
 pub mod generate;
 pub mod ops;
--- a/crates/replay/src/ops/mod.rs
+++ b/crates/replay/src/ops/mod.rs
@@ -1,4 +1,5 @@
 //! One function per command.
 
 pub mod check;
+pub mod compare;
 pub mod generate;
--- a/crates/replay/src/program.rs
+++ b/crates/replay/src/program.rs
@@ -6,6 +6,7 @@
 
 use crate::ops::{
     check::{self, CheckFlags},
+    compare::{self, CompareOptions},
     generate::{self, GenerateOptions},
 };
 
@@ -26,6 +27,17 @@
                 /// The planted bug to run with, or `list`.
                 optional --mutate bug: String
             }
+            /// Compares routing policies over simulated engines.
+            cmd compare {
+                /// `irazabal` or `kelani`.
+                required --deployment name: String
+                /// Plays one seed of shorter traces.
+                optional --quick
+                /// Only this policy; may be repeated.
+                repeated --policy name: String
+                /// The folder for the report (`target/compare`).
+                optional --output folder: PathBuf
+            }
             /// Writes a seeded trace.
             cmd generate {
                 /// `irazabal` or `kelani`.
@@ -52,6 +64,17 @@
             machine: flags.machine,
             mutate: flags.mutate,
         })?,
+        flags::CarobvaneReplayCmd::Compare(flags) => {
+            let options = CompareOptions {
+                deployment: flags.deployment,
+                quick: flags.quick,
+                policies: flags.policy,
+                output: flags.output.unwrap_or_else(|| "target/compare".into()),
+            };
+            let table = actix_rt::System::new().block_on(compare::compare(&options))?;
+            println!("{table}");
+            true
+        }
         flags::CarobvaneReplayCmd::Generate(flags) => {
             let requests = generate::generate(&GenerateOptions {
                 deployment: flags.deployment,
