--- a/crates/replay/src/compare/player.rs
+++ b/crates/replay/src/compare/player.rs
@@ -76,8 +76,8 @@
     pub outcomes: Vec<RequestOutcome>,
     /// The sum of the engines' counters.
     pub counters: EngineCounters,
-    /// Tokens of the different pieces of all requests that got a first token: what a single
-    /// cache without bounds would have computed.
+    /// Tokens of the pieces that no earlier request had and whose request got a first token: what
+    /// a single cache without bounds would have computed.
     pub distinct_tokens: u64,
 }
 
@@ -114,10 +114,12 @@
     }
 }
 
-/// Plays the completions of a trace; bookings do not depend on routing and are left out.
+/// Plays the completions of a warm-up and then of a trace, and gives the outcomes of the latter.
+/// Bookings do not depend on routing and are left out.
 pub async fn play<C: FleetChooser>(
     fleet: &EngineFleet,
     chooser: C,
+    warm_up: &[TraceRequest],
     trace: &[TraceRequest],
     settings: PlaySettings,
 ) -> RunResult {
@@ -143,9 +145,29 @@
         helpers.push(actix_rt::spawn(feeds::cache_events(run.clone(), events, engine, addr)));
         helpers.push(actix_rt::spawn(feeds::load_reports(run.clone(), reports, engine, addr)));
     }
+    let (warm_up, trace) = prepare(warm_up, trace);
+    play_part(&run, warm_up).await;
+    run.outcomes.borrow_mut().clear();
+    let counters = fleet.counters();
+    let seen = run.seen.borrow().len();
+    play_part(&run, trace).await;
+    helpers.iter().for_each(|helper| helper.abort());
+    let distinct = run.seen.borrow().len() - seen;
+    let outcomes = run.outcomes.borrow().clone();
+    RunResult {
+        outcomes,
+        counters: difference(&fleet.counters(), &counters),
+        distinct_tokens: distinct as u64 * u64::from(PIECE_TOKENS),
+    }
+}
+
+/// Plays requests whose arrivals count from now, and waits for their ends.
+async fn play_part<C: FleetChooser>(run: &Rc<RunState<C>>, requests: Vec<PreparedRequest>) {
+    let start_us = run.now().as_micros();
     let mut tasks = Vec::new();
-    for request in prepare(trace) {
-        let at = run.instant(request.trace.arrival_ms as f64);
+    for mut request in requests {
+        request.start(ClockTime::from_micros(start_us));
+        let at = run.instant(start_us as f64 / 1_000.0 + request.trace.arrival_ms as f64);
         tokio::time::sleep_until(at.into()).await;
         tasks.push(actix_rt::spawn(serve::serve(run.clone(), Rc::new(request))));
     }
@@ -153,10 +175,20 @@
     if tokio::time::timeout(FINISH_TIMEOUT, finish).await.is_err() {
         log::warn!("requests were still in progress at the end of the run");
     }
-    helpers.iter().for_each(|helper| helper.abort());
-    let distinct_tokens = run.seen.borrow().len() as u64 * u64::from(PIECE_TOKENS);
-    let outcomes = run.outcomes.borrow().clone();
-    RunResult { outcomes, counters: fleet.counters(), distinct_tokens }
+}
+
+fn difference(after: &EngineCounters, before: &EngineCounters) -> EngineCounters {
+    EngineCounters {
+        requests: after.requests - before.requests,
+        completed: after.completed - before.completed,
+        cancelled: after.cancelled - before.cancelled,
+        prompt_tokens: after.prompt_tokens - before.prompt_tokens,
+        hit_tokens: after.hit_tokens - before.hit_tokens,
+        prefill_tokens: after.prefill_tokens - before.prefill_tokens,
+        decode_tokens: after.decode_tokens - before.decode_tokens,
+        events_lost: after.events_lost - before.events_lost,
+        ..EngineCounters::default()
+    }
 }
 
 /// Looks at the queue regularly, because slots also become free by the aging of load reports.
@@ -168,16 +200,23 @@
     }
 }
 
-fn prepare(trace: &[TraceRequest]) -> Vec<PreparedRequest> {
+fn prepare(
+    warm_up: &[TraceRequest],
+    trace: &[TraceRequest],
+) -> (Vec<PreparedRequest>, Vec<PreparedRequest>) {
     let mut workspaces: KeyArena<WorkspaceKey, ()> = KeyArena::new();
     let mut names: HashMap<String, WorkspaceKey> = HashMap::new();
     let mut keys: KeyArena<RequestKey, ()> = KeyArena::new();
-    let completions = trace.iter().filter(|request| request.class != TraceClass::Booking);
-    completions
-        .map(|request| {
-            let workspace =
-                *names.entry(request.workspace.clone()).or_insert_with(|| workspaces.insert(()));
-            PreparedRequest::new(request.clone(), keys.insert(()), workspace)
-        })
-        .collect()
+    let mut prepare = |requests: &[TraceRequest]| -> Vec<PreparedRequest> {
+        let completions = requests.iter().filter(|request| request.class != TraceClass::Booking);
+        completions
+            .map(|request| {
+                let workspace = *names
+                    .entry(request.workspace.clone())
+                    .or_insert_with(|| workspaces.insert(()));
+                PreparedRequest::new(request.clone(), keys.insert(()), workspace)
+            })
+            .collect()
+    };
+    (prepare(warm_up), prepare(trace))
 }
--- a/crates/replay/src/compare/serve.rs
+++ b/crates/replay/src/compare/serve.rs
@@ -1,6 +1,9 @@
 //! The life of one request in a run: admission, attempts, hedges.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_rt::task::JoinHandle;
 use carobvane_core::{
@@ -37,6 +40,8 @@
     key: RequestKey,
     features: WorkFeatures,
     chain: PrefixChain,
+    /// Start of the part of the run that the arrival counts from.
+    start: ClockTime,
 }
 
 /// A request in the queue.
@@ -64,11 +69,20 @@
             cached_tokens: 0,
             max_tokens: Some(max_tokens),
         };
-        PreparedRequest { trace, key, features, chain }
+        PreparedRequest { trace, key, features, chain, start: ClockTime::ZERO }
+    }
+
+    /// Sets the time that the arrival counts from.
+    pub fn start(&mut self, start: ClockTime) {
+        self.start = start;
+    }
+
+    fn arrival(&self) -> ClockTime {
+        self.start + Duration::from_millis(self.trace.arrival_ms)
     }
 
     fn deadline(&self) -> ClockTime {
-        ClockTime::from_millis(self.trace.arrival_ms + self.trace.deadline_ms)
+        self.arrival() + Duration::from_millis(self.trace.deadline_ms)
     }
 }
 
@@ -111,7 +125,7 @@
 
     /// Simulated milliseconds since the request's arrival.
     fn age_ms(&self, request: &PreparedRequest) -> f64 {
-        self.now().as_micros() as f64 / 1_000.0 - request.trace.arrival_ms as f64
+        self.now().since(request.arrival()).as_secs_f64() * 1_000.0
     }
 }
 
@@ -138,7 +152,7 @@
     if !run.settings.admission {
         return None;
     }
-    let work = std::time::Duration::from_secs_f32(prediction.work_ms / 1_000.0);
+    let work = Duration::from_secs_f32(prediction.work_ms / 1_000.0);
     let entry = QueueEntry {
         request: request.key,
         workspace: request.features.workspace,
@@ -233,7 +247,7 @@
     if run.settings.hedging && request.trace.class == TraceClass::Short && request.trace.idempotent
     {
         let delay = choice.hedge_after.as_secs_f64() / run.time_scale();
-        race.hedge_at = Some(Instant::now() + std::time::Duration::from_secs_f64(delay));
+        race.hedge_at = Some(Instant::now() + Duration::from_secs_f64(delay));
     }
     while !race.step(&mut events).await {}
     run.record(request, &race.times, false);
@@ -301,7 +315,7 @@
         match event {
             AttemptEvent::FirstToken => self.first_token(now, number),
             AttemptEvent::Gap(seconds) => {
-                let gap = std::time::Duration::from_secs_f64(seconds * self.run.time_scale());
+                let gap = Duration::from_secs_f64(seconds * self.run.time_scale());
                 self.run.chooser.borrow_mut().token_gap(now, ticket, gap);
             }
             AttemptEvent::Ended(complete) => return self.ended(now, number, complete),
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -4,7 +4,7 @@
 //! groups are chosen by Zipf's law; a few chains are very hot and change halfway. Arrivals are a
 //! Poisson process whose rate rises by `crest_factor` during the crest.
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
 use crate::{
     deployment::{DeploymentSpec, WorkspaceSpec},
@@ -82,6 +82,39 @@
     requests
 }
 
+/// A warm-up: every chain of files and group once, in random order, with one token of answer.
+///
+/// Without it a short trace measures empty caches, which fill only once in a deployment's life.
+pub fn warm_up(deployment: DeploymentSpec, seed: u64, duration_ms: u64) -> Vec<TraceRequest> {
+    let settings =
+        GenerateSettings { deployment, seed, duration_ms, crest_factor: 1.0, rate_factor: 1.0 };
+    let rng = SmallRng::seed_from_u64(seed);
+    let mut generator = Generator { settings, rng, hot: Vec::new(), questions: 0 };
+    let mut roots: Vec<PromptRoot> = Vec::new();
+    for (workspace, spec) in deployment.workspaces.iter().enumerate() {
+        for file_set in 0..spec.file_sets {
+            roots.extend((0..GROUPS).map(|group| PromptRoot { workspace, file_set, group }));
+        }
+    }
+    roots.shuffle(&mut generator.rng);
+    let count = roots.len() as u64;
+    let requests = roots.into_iter().enumerate().map(|(index, root)| {
+        let mut pieces = generator.pieces(root);
+        // The question is not part of what later requests share.
+        pieces.pop();
+        TraceRequest {
+            arrival_ms: index as u64 * duration_ms / count,
+            workspace: deployment.workspaces[root.workspace].name.to_string(),
+            class: TraceClass::Short,
+            pieces,
+            output_tokens: 1,
+            idempotent: true,
+            deadline_ms: DRAFT_DEADLINE_MS,
+        }
+    });
+    requests.collect()
+}
+
 impl Generator {
     fn completions(&mut self) -> Vec<TraceRequest> {
         let spec = self.settings.deployment;
--- a/crates/replay/src/ops/compare.rs
+++ b/crates/replay/src/ops/compare.rs
@@ -19,7 +19,7 @@
         RunKind, RunResult, add_rows, play,
     },
     deployment::{self, DeploymentSpec},
-    generate::{GenerateSettings, generate},
+    generate::{GenerateSettings, generate, warm_up},
     report::MeasureReport,
     trace::TraceClass,
 };
@@ -29,7 +29,9 @@
 /// Length of a trace in milliseconds.
 const DURATION_MS: u64 = 30_000;
 /// Length of a trace of a quick comparison in milliseconds.
-const QUICK_DURATION_MS: u64 = 12_000;
+const QUICK_DURATION_MS: u64 = 15_000;
+/// Length of the warm-up in milliseconds; the engines are then busy for about half of it.
+const WARM_UP_MS: u64 = 25_000;
 /// Simulated milliseconds that pass in one real millisecond.
 const TIME_SCALE: f64 = 4.0;
 /// Slow engines of the runs with stragglers.
@@ -44,6 +46,8 @@
     pub deployment: String,
     /// Whether to play one seed of shorter traces.
     pub quick: bool,
+    /// Number of seeds; more than the known ones are not played.
+    pub seeds: Option<usize>,
     /// Only these policies; all if empty.
     pub policies: Vec<String>,
     /// The folder for the report.
@@ -92,7 +96,8 @@
         .collect();
     ensure!(!policies.is_empty(), "no policy has one of the names {:?}", options.policies);
     let duration_ms = if options.quick { QUICK_DURATION_MS } else { DURATION_MS };
-    let seeds = if options.quick { &SEEDS[..1] } else { &SEEDS[..] };
+    let count = options.seeds.unwrap_or(if options.quick { 1 } else { SEEDS.len() });
+    let seeds = &SEEDS[..count.clamp(1, SEEDS.len())];
     let mut report = MeasureReport {
         title: format!("Routing policies, deployment {}", deployment.name),
         seeds: seeds.to_vec(),
@@ -119,6 +124,7 @@
 fn conditions(deployment: &DeploymentSpec, duration_ms: u64) -> Vec<String> {
     vec![
         format!("{} engines, traces of {} s", deployment.engines, duration_ms / 1_000),
+        format!("a warm-up of {} s goes before each trace", WARM_UP_MS / 1_000),
         format!("times are simulated; {TIME_SCALE} simulated ms pass in one real ms"),
         format!("stragglers: engines {STRAGGLERS:?}, {STRAGGLER_FACTOR} times slower throughout"),
         format!("crest: {CREST_FACTOR} times the rate for a fifth of the trace"),
@@ -158,6 +164,7 @@
     if kind == RunKind::NoDrafts {
         trace.retain(|request| request.class != TraceClass::Draft);
     }
+    let warm_up = warm_up(settings.deployment, seed, WARM_UP_MS);
     let engines = settings.deployment.engines;
     let fleet_settings = FleetSettings { engines, time_scale: TIME_SCALE, seed };
     let fleet = EngineFleet::start(fleet_settings).await?;
@@ -174,22 +181,22 @@
     let full = PlaySettings { admission: true, priorities: true, hedging: true, ..plain };
     let result = match policy {
         PolicyName::RoundRobin => {
-            play(&fleet, baseline::<RoundRobin>(&fleet, seed), &trace, plain).await
+            play(&fleet, baseline::<RoundRobin>(&fleet, seed), &warm_up, &trace, plain).await
         }
         PolicyName::LeastLoaded => {
-            play(&fleet, baseline::<LeastLoaded>(&fleet, seed), &trace, plain).await
+            play(&fleet, baseline::<LeastLoaded>(&fleet, seed), &warm_up, &trace, plain).await
         }
         PolicyName::PrefixHashing => {
-            play(&fleet, baseline::<PrefixHashing>(&fleet, seed), &trace, plain).await
+            play(&fleet, baseline::<PrefixHashing>(&fleet, seed), &warm_up, &trace, plain).await
         }
         PolicyName::Carobvane => {
             let limits = SlotLimits::default();
             let chooser = router::<CostPolicy>(&fleet, limits, seed, true);
-            play(&fleet, chooser, &trace, full).await
+            play(&fleet, chooser, &warm_up, &trace, full).await
         }
         PolicyName::Oracle => {
             let settings = PlaySettings { priorities: true, ..plain };
-            play(&fleet, OracleChooser::new(&fleet.engines), &trace, settings).await
+            play(&fleet, OracleChooser::new(&fleet.engines), &warm_up, &trace, settings).await
         }
     };
     fleet.stop().await;
--- a/crates/replay/src/program.rs
+++ b/crates/replay/src/program.rs
@@ -33,6 +33,8 @@
                 required --deployment name: String
                 /// Plays one seed of shorter traces.
                 optional --quick
+                /// Number of seeds (5; 1 with `--quick`).
+                optional --seeds count: usize
                 /// Only this policy; may be repeated.
                 repeated --policy name: String
                 /// The folder for the report (`target/compare`).
@@ -68,6 +70,7 @@
             let options = CompareOptions {
                 deployment: flags.deployment,
                 quick: flags.quick,
+                seeds: flags.seeds,
                 policies: flags.policy,
                 output: flags.output.unwrap_or_else(|| "target/compare".into()),
             };
