--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod entry;
 pub mod keyvalue;
+pub mod list_store;
 pub mod logging;
 pub mod node;
 pub mod peer;
