--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod caller;
 pub mod check;
+pub mod compare;
 pub mod demo;
 pub mod deployment;
 pub mod fleet;
