--- a/crates/replay/src/bench/program.rs
+++ b/crates/replay/src/bench/program.rs
@@ -30,6 +30,8 @@
                 optional --runs runs: usize
                 /// Decisions of each run.
                 optional --decisions decisions: usize
+                /// Only the figures that have a target, without the slopes.
+                optional --targets-only
                 /// File for the figures as JSON.
                 optional --json json: PathBuf
             }
@@ -55,6 +57,7 @@
             runs: runs(flags.runs),
             decisions: flags.decisions.unwrap_or(DEFAULT_DECISIONS),
             json: json(flags.json, "decide"),
+            targets_only: flags.targets_only,
             allocations,
         }),
         CarobvaneBenchCmd::Path(flags) => {
