--- a/crates/replay/src/check/machines.rs
+++ b/crates/replay/src/check/machines.rs
@@ -1,20 +1,22 @@
 //! The machines that `carobvane-replay check` runs.
 
-mod lists;
-mod orders;
-mod shares;
+pub mod claims;
+pub mod lists;
+pub mod orders;
+pub mod shares;
+pub mod streams;
+pub mod suspects;
 
 use super::MachineEntry;
 
-pub use lists::ListsMachine;
-pub use orders::OrdersMachine;
-pub use shares::SharesMachine;
-
 /// Every machine, in the order of the report.
 pub fn all() -> Vec<MachineEntry> {
     vec![
-        MachineEntry::of::<SharesMachine>(),
-        MachineEntry::of::<ListsMachine>(),
-        MachineEntry::of::<OrdersMachine>(),
+        MachineEntry::of::<claims::ClaimMachine>(),
+        MachineEntry::of::<shares::SharesMachine>(),
+        MachineEntry::of::<lists::ListsMachine>(),
+        MachineEntry::of::<orders::OrdersMachine>(),
+        MachineEntry::of::<streams::StreamMachine>(),
+        MachineEntry::of::<suspects::SuspectMachine>(),
     ]
 }
--- a/crates/replay/tests/state_machines.rs
+++ b/crates/replay/tests/state_machines.rs
@@ -2,7 +2,7 @@
 
 use carobvane_replay::check::{
     CheckOptions, MachineEntry,
-    machines::{ListsMachine, OrdersMachine, SharesMachine},
+    machines::{lists::ListsMachine, orders::OrdersMachine, shares::SharesMachine},
 };
 
 fn options(histories: u64, seed: u64, bug: Option<&str>) -> CheckOptions {
