Skip plans that a list version does not change

Change: plans with the same limits and entries keep their homes, and the nine best scores are selected without a full sort.

--- a/crates/core/src/plans/homes.rs
+++ b/crates/core/src/plans/homes.rs
@@ -8,11 +8,16 @@
 
 /// The home entries of a plan, best first: by rendezvous hashing over all entry VMs.
 pub fn home_entries(document: &ListDocument, plan: &str) -> Vec<NodeId> {
-    let score = |node: NodeId| rendezvous_score(plan.as_bytes(), u64::from(node.0));
-    let mut nodes: Vec<NodeId> = document.entries.values().map(|entry| entry.node).collect();
-    nodes.sort_by_key(|node| std::cmp::Reverse((score(*node), *node)));
-    nodes.truncate(MAX_HOMES);
-    nodes
+    let rank = |node: NodeId| {
+        std::cmp::Reverse((rendezvous_score(plan.as_bytes(), u64::from(node.0)), node))
+    };
+    let mut ranked: Vec<_> = document.entries.values().map(|entry| rank(entry.node)).collect();
+    if ranked.len() > MAX_HOMES {
+        ranked.select_nth_unstable(MAX_HOMES);
+        ranked.truncate(MAX_HOMES);
+    }
+    ranked.sort();
+    ranked.into_iter().map(|std::cmp::Reverse((_, node))| node).collect()
 }
 
 /// The share of each limit of the home at `position` among `homes`.
--- a/crates/core/src/plans/ledger.rs
+++ b/crates/core/src/plans/ledger.rs
@@ -111,11 +111,17 @@
         let restart = self.version == 0;
         let skipped = version != self.version + 1;
         self.version = version;
-        self.entries = document.entries.values().map(|entry| entry.node).collect();
+        let entries = document.entries.values().map(|entry| entry.node).collect();
+        let moved = std::mem::replace(&mut self.entries, entries) != self.entries;
         let mut named = BTreeSet::new();
         for (name, plan) in &document.plans {
             let id = PlanId::of_name(name);
             named.insert(id);
+            let same = self.plans.get(&id).is_some_and(|state| state.has_limits(&plan.limits));
+            if same && !moved && !skipped {
+                // Most versions change neither; homes are not computed again.
+                continue;
+            }
             let homes = home_entries(document, name);
             let count = homes.len();
             let share = |(position, home)| (home, home_share(&plan.limits, count, position));
--- a/crates/core/src/plans/state.rs
+++ b/crates/core/src/plans/state.rs
@@ -1,7 +1,7 @@
 //! One plan at one entry.
 
 use super::{
-    LimitKind, PlanId, ShareAsk,
+    LimitKind, PlanId, PlanLimits, ShareAsk,
     kind::KindShare,
     steps::{PlanSteps, ShareStep},
 };
@@ -59,6 +59,14 @@
         !restart && (loses || skipped)
     }
 
+    /// Whether the plan is in the active version with these limits.
+    pub fn has_limits(&self, limits: &PlanLimits) -> bool {
+        !self.homes.is_empty()
+            && LimitKind::ALL
+                .iter()
+                .all(|kind| self.kinds[kind.index()].amount == limits.amount(*kind))
+    }
+
     /// Sets the usable base units at `now`.
     pub fn refresh(&mut self, now: ClockTime, quarantine: &[ClockTime; 3]) {
         let usable = self.steps.usable();
