--- a/crates/replay/src/check/machines.rs
+++ b/crates/replay/src/check/machines.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod lists;
+pub mod orders;
 pub mod shares;
 pub mod streams;
 pub mod suspects;
@@ -14,6 +15,7 @@
         MachineEntry::of::<claims::ClaimMachine>(),
         MachineEntry::of::<shares::SharesMachine>(),
         MachineEntry::of::<lists::ListsMachine>(),
+        MachineEntry::of::<orders::OrdersMachine>(),
         MachineEntry::of::<streams::StreamMachine>(),
         MachineEntry::of::<suspects::SuspectMachine>(),
     ]
