--- a/crates/host/src/list_store.rs
+++ b/crates/host/src/list_store.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     keyvalue::{KeyvalueClient, KeyvalueError, StoredValue, Transaction},
-    node::{HEAD_KEY, SNAPSHOT_INTERVAL, change_key, snapshot_key},
+    node::{HEAD_KEY, SNAPSHOT_INTERVAL, change_key, decode_stored, encode_stored, snapshot_key},
 };
 
 /// The accepted version with the revision that a change must compare.
@@ -80,7 +80,9 @@
 
 /// Decodes the head's value.
 pub fn decode_head(stored: &StoredValue) -> Result<StoredHead, StoreError> {
-    Ok(StoredHead { version: decode_value(stored)?, revision: stored.mod_revision })
+    let version =
+        serde_json::from_slice(&stored.value).map_err(|error| malformed(&stored.key, &error))?;
+    Ok(StoredHead { version, revision: stored.mod_revision })
 }
 
 /// Decodes the value of a change's key, also from a watch.
@@ -211,15 +213,16 @@
     } else {
         Transaction::new().require_revision(HEAD_KEY, head.revision)
     };
-    Ok(transaction.put(HEAD_KEY, &encode_value(HEAD_KEY, &version)?))
+    let value = serde_json::to_vec(&version).map_err(|error| malformed(HEAD_KEY, &error))?;
+    Ok(transaction.put(HEAD_KEY, &value))
 }
 
 fn decode_value<V: DeserializeOwned>(stored: &StoredValue) -> Result<V, StoreError> {
-    serde_json::from_slice(&stored.value).map_err(|error| malformed(&stored.key, &error))
+    decode_stored(stored).map_err(|error| malformed(&stored.key, &format!("{error:#}")))
 }
 
 fn encode_value<V: Serialize>(key: &str, value: &V) -> Result<Vec<u8>, StoreError> {
-    serde_json::to_vec(value).map_err(|error| malformed(key, &error))
+    encode_stored(value).map_err(|error| malformed(key, &error))
 }
 
 fn malformed(key: &str, cause: &impl fmt::Display) -> StoreError {
--- a/crates/host/src/node/actor.rs
+++ b/crates/host/src/node/actor.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::mpsc;
 
-use super::source::{CHANGE_PREFIX, ListSource, parse};
+use super::source::{CHANGE_PREFIX, ListSource, decode_stored};
 use crate::{
     clock,
     keyvalue::{KeyChange, WatchBatch},
@@ -209,7 +209,7 @@
         KeyChange::Deleted(_) => None,
     });
     values
-        .filter_map(|value| match parse(value) {
+        .filter_map(|value| match decode_stored(value) {
             Ok(delta) => Some(ServiceReport::Change(Box::new(delta))),
             Err(error) => {
                 log::error!(error:% = format!("{error:#}"); "failed to decode a watched change");
--- a/crates/host/src/node/mod.rs
+++ b/crates/host/src/node/mod.rs
@@ -4,4 +4,6 @@
 pub mod source;
 
 pub use actor::{NodeActor, NodeHost};
-pub use source::{HEAD_KEY, ListSource, SNAPSHOT_INTERVAL, change_key, snapshot_key};
+pub use source::{
+    HEAD_KEY, ListSource, SNAPSHOT_INTERVAL, change_key, decode_stored, encode_stored, snapshot_key,
+};
--- a/crates/host/src/node/source.rs
+++ b/crates/host/src/node/source.rs
@@ -1,7 +1,13 @@
 //! Reads and writes the accepted lists in the key-value service.
+//!
+//! The head is JSON for operators' eyes. Changes and snapshots are frames as between peers: a
+//! snapshot of 12,000 servers has 1.78 MB in JSON and 0.70 MB as a frame, and the service accepts
+//! values up to 1 MB.
 
 use carobvane_core::lists::{ListDelta, ListDigest, ListSnapshot, ListVersion, ServiceReport};
+use carobvane_proto::peer::{FrameError, decode_frame, encode_frame};
 use eyre::{Result, WrapErr, eyre};
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::keyvalue::{KeyvalueClient, StoredValue, Transaction, prefix_end};
 
@@ -87,7 +93,7 @@
             .range(&change_key(after + 1), end.as_bytes(), 0)
             .await
             .wrap_err("failed to read the changes")?;
-        values.0.iter().map(parse).collect()
+        values.0.iter().map(decode_stored).collect()
     }
 
     /// Builds the document of `version` from the latest snapshot and the deltas after it.
@@ -103,7 +109,7 @@
             Some(value) => value,
             None => self.latest_snapshot(number).await?,
         };
-        let mut snapshot: ListSnapshot = parse(&value)?;
+        let mut snapshot: ListSnapshot = decode_stored(&value)?;
         if snapshot.version.number < number {
             for delta in self.read_deltas(snapshot.version.number, number).await? {
                 snapshot = delta.apply(&snapshot).wrap_err("failed to apply a stored change")?;
@@ -139,7 +145,7 @@
             Transaction::new().require_revision(HEAD_KEY, revision)
         };
         let transaction = transaction
-            .put(&snapshot_key(snapshot.version.number), &serde_json::to_vec(snapshot)?)
+            .put(&snapshot_key(snapshot.version.number), &encode_stored(snapshot)?)
             .put(HEAD_KEY, &serde_json::to_vec(&snapshot.version)?);
         let result =
             self.client.txn(transaction).await.wrap_err("failed to write the lists back")?;
@@ -152,11 +158,29 @@
     }
 }
 
-/// Decodes a stored JSON value.
+/// Encodes a change or snapshot for storage.
+///
+/// # Errors
+///
+/// The value is too large.
+pub fn encode_stored<T: Serialize>(value: &T) -> Result<Vec<u8>, FrameError> {
+    encode_frame(value)
+}
+
+/// Decodes a stored change or snapshot.
+///
+/// # Errors
+///
+/// The value is not a frame of `T`.
+pub fn decode_stored<T: DeserializeOwned>(value: &StoredValue) -> Result<T> {
+    decode_frame(&value.value).wrap_err_with(|| format!("failed to decode {}", value.key))
+}
+
+/// Decodes the head.
 ///
 /// # Errors
 ///
 /// The value is not the JSON of `T`.
-pub fn parse<T: serde::de::DeserializeOwned>(value: &StoredValue) -> Result<T> {
+fn parse<T: DeserializeOwned>(value: &StoredValue) -> Result<T> {
     serde_json::from_slice(&value.value).wrap_err_with(|| format!("failed to decode {}", value.key))
 }
--- a/crates/programs/tests/testsuite/operators/list_store.rs
+++ b/crates/programs/tests/testsuite/operators/list_store.rs
@@ -1,6 +1,8 @@
 //! The store of accepted lists against the key-value stand-in.
 
-use carobvane_core::lists::{ListDocument, ListVersion, ModelWeights};
+use std::time::Duration;
+
+use carobvane_core::lists::{BackendServer, ListDocument, ListVersion, ModelWeights, ServerRole};
 use carobvane_host::{
     keyvalue::{KeyvalueClient, KeyvalueSettings},
     list_store::{ListStore, StoredLists, WriteOutcome},
@@ -10,6 +12,7 @@
 
 fn client_of(keyvalue: &KeyValueHandle) -> KeyvalueClient {
     let mut settings = KeyvalueSettings::new(format!("http://{}", keyvalue.addr()));
+    settings.timeout = Duration::from_secs(20);
     settings.reads_per_second = 100_000;
     settings.writes_per_second = 100_000;
     KeyvalueClient::new(settings)
@@ -78,3 +81,25 @@
         }
     }
 }
+
+/// Guards against lists of the largest fleet that exceed the service's largest value.
+#[actix_rt::test]
+async fn lists_of_the_largest_fleet_fit() {
+    let mut document = document(1);
+    for number in 0..12_000 {
+        let server = BackendServer {
+            address: format!("10.100.{}.{}:8000", number / 250, number % 250),
+            role: ServerRole::Engine("model-large".into()),
+            data_centre: format!("region-{}-{}", number % 6, number % 21),
+            checks_fencing: true,
+            slots: 32,
+        };
+        document.servers.insert(format!("engine-{number:05}"), server);
+    }
+    let keyvalue = start().await;
+    let store = ListStore::new(client_of(&keyvalue));
+    let outcome = store.write(&StoredLists::default(), &document).await;
+    assert!(matches!(outcome, Ok(WriteOutcome::Accepted(_))), "{outcome:?}");
+    let stored = store.load().await.expect("the service answers");
+    assert_eq!(stored.snapshot.document, document);
+}
