Cover every program of the package in the settings page's test

Cause: the demonstration's flags were on no page; the test named its programs. Ruled out: a list of programs in the test, which a new program needs edited.

--- a/crates/programs/tests/testsuite/operators/settings.rs
+++ b/crates/programs/tests/testsuite/operators/settings.rs
@@ -6,38 +6,15 @@
     process::Command,
 };
 
-/// A built program.
-struct ProgramCase {
-    name: &'static str,
-    path: &'static str,
+/// A built program and its help.
+struct BuiltProgram {
+    name: String,
+    /// Description by flag.
+    flags: BTreeMap<String, String>,
     /// Whether each flag with a value has a `CAROBVANE_*` variable.
     variables: bool,
 }
 
-const PROGRAMS: &[ProgramCase] = &[
-    ProgramCase { name: "carobvane", path: env!("CARGO_BIN_EXE_carobvane"), variables: false },
-    ProgramCase {
-        name: "carobvane-entry",
-        path: env!("CARGO_BIN_EXE_carobvane-entry"),
-        variables: true,
-    },
-    ProgramCase {
-        name: "carobvane-steward",
-        path: env!("CARGO_BIN_EXE_carobvane-steward"),
-        variables: true,
-    },
-    ProgramCase {
-        name: "carobvane-standin",
-        path: env!("CARGO_BIN_EXE_carobvane-standin"),
-        variables: false,
-    },
-    ProgramCase {
-        name: "carobvane-replay",
-        path: env!("CARGO_BIN_EXE_carobvane-replay"),
-        variables: false,
-    },
-];
-
 /// A row of the page: flag, variable and default.
 #[derive(Debug)]
 struct PageRow {
@@ -64,20 +41,26 @@
     sections
 }
 
-/// Names of the programs that the package builds.
-fn source_programs() -> BTreeSet<String> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/bin");
-    let files = std::fs::read_dir(folder).expect("the folder is in the repository");
+/// Every program of the package, which cargo builds beside `carobvane` for this test.
+fn built_programs() -> Vec<BuiltProgram> {
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/bin");
+    let files = std::fs::read_dir(sources).expect("the folder is in the repository");
     let paths = files.map(|file| file.expect("the folder is readable").path());
-    let stems = paths.filter_map(|path| Some(path.file_stem()?.to_str()?.to_string()));
-    stems.collect()
+    let names = paths.filter_map(|path| Some(path.file_stem()?.to_str()?.to_string()));
+    let folder = Path::new(env!("CARGO_BIN_EXE_carobvane")).parent().expect("has a folder");
+    names.map(|name| read_help(folder, name)).collect()
 }
 
-/// The flags in a help text with their descriptions.
-fn help_flags(path: &str) -> BTreeMap<String, String> {
-    let output = Command::new(path).arg("--help").output().expect("the program is built");
+fn read_help(folder: &Path, name: String) -> BuiltProgram {
+    let output = Command::new(folder.join(&name)).arg("--help").output();
+    let output = output.expect("the program is built");
     let help = String::from_utf8(output.stdout).expect("help is UTF-8")
         + &String::from_utf8(output.stderr).expect("help is UTF-8");
+    let variables = help.contains("Each flag can be given as a variable");
+    BuiltProgram { name, flags: flags_of(&help), variables }
+}
+
+fn flags_of(help: &str) -> BTreeMap<String, String> {
     let mut flags: BTreeMap<String, String> = BTreeMap::new();
     let mut current = None;
     for line in help.lines().map(str::trim) {
@@ -99,16 +82,15 @@
 #[test]
 fn page_has_every_flag_of_every_program() {
     let sections = page_sections();
+    let programs = built_programs();
     let documented: BTreeSet<&str> = sections.keys().map(String::as_str).collect();
-    let known: BTreeSet<&str> = PROGRAMS.iter().map(|program| program.name).collect();
-    assert_eq!(documented, known);
-    assert_eq!(source_programs(), known.into_iter().map(String::from).collect());
-    for program in PROGRAMS {
-        let rows = &sections[program.name];
-        let flags = help_flags(program.path);
-        let names: Vec<&String> = flags.keys().collect();
+    let built: BTreeSet<&str> = programs.iter().map(|program| program.name.as_str()).collect();
+    assert_eq!(documented, built);
+    for program in &programs {
+        let rows = &sections[&program.name];
+        let names: Vec<&String> = program.flags.keys().collect();
         assert_eq!(rows.keys().collect::<Vec<_>>(), names, "{}", program.name);
-        for (flag, text) in &flags {
+        for (flag, text) in &program.flags {
             let row = &rows[flag];
             let place = format!("{} {flag}: {row:?}, help: {text}", program.name);
             if let Some((_, default)) = text.split_once("Default: ") {
