Let a slowed server return, and probe stragglers with back-off

A server that one slow answer had made 1.7 times as costly, below the straggler limit, got no further request and never recovered. Change: the slowdown loses half its weight in 4 s without observations, and the interval between probes doubles after each bad probe, from 250 ms up to 8 s.

--- a/crates/core/src/routing/straggler.rs
+++ b/crates/core/src/routing/straggler.rs
@@ -21,14 +21,21 @@
 const MIN_OBSERVATIONS: u32 = 3;
 /// Good probes in a row after which a straggler is normal again.
 const GOOD_PROBES: u8 = 3;
-/// Time between probes of a straggler.
+/// Time between probes of a straggler, doubled after each bad probe. At a fixed interval a lasting
+/// straggler got a sixth of the requests of a quiet entry.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Doublings of the probe interval at most, which gives 8 s.
+const MAX_PROBE_DOUBLINGS: u8 = 5;
 /// Silence is suspicious from this multiple of the longest expected first token.
 const SILENCE_FACTOR: f32 = 2.0;
 /// Silence in ms that is never suspicious.
 const SILENCE_MIN_MS: f32 = 200.0;
 /// Largest slowdown that a cost is multiplied with.
 const MAX_SLOWDOWN: f32 = 20.0;
+/// Time without observations in which a server's slowdown loses half its weight. Without it, a
+/// server somewhat below the straggler limit got no request and so could never show that it had
+/// recovered.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Predicted times in ms below which the ratio of observation to prediction is mostly noise.
 const MIN_PREDICTION_MS: f32 = 5.0;
 
@@ -40,9 +47,12 @@
     /// Natural logarithm of the inter-token gap in ms.
     gap: Option<f32>,
     observations: u32,
+    /// Time of the last observation.
+    observed: ClockTime,
     /// Present while the server is a straggler: when the next probe is due.
     next_probe: Option<ClockTime>,
     good_probes: u8,
+    bad_probes: u8,
     /// Last sign of progress while a request was in flight.
     progress: ClockTime,
     /// Longest expected first token in ms since the server was last idle.
@@ -66,11 +76,16 @@
             self.expected_ms = 0.0;
         }
         self.expected_ms = self.expected_ms.max(expected_ms);
-        if let Some(due) = &mut self.next_probe {
-            *due = now + PROBE_INTERVAL;
+        if self.next_probe.is_some() {
+            self.schedule_probe(now);
         }
     }
 
+    fn schedule_probe(&mut self, now: ClockTime) {
+        let doublings = u32::from(self.bad_probes.min(MAX_PROBE_DOUBLINGS));
+        self.next_probe = Some(now + PROBE_INTERVAL * (1 << doublings));
+    }
+
     pub(super) fn progressed(&mut self, now: ClockTime) {
         self.progress = now;
     }
@@ -94,7 +109,11 @@
 impl StragglerDetector {
     /// How many times slower than its peers a server is; at least 1.
     pub fn slowdown(&self, now: ClockTime, state: &StragglerState, in_flight: u32) -> f32 {
+        let age = now.since(state.observed).as_secs_f32() / SLOWDOWN_HALF_LIFE.as_secs_f32();
         let mut factor = self.observed_factor(state);
+        if factor > 1.0 {
+            factor = 1.0 + (factor - 1.0) * (-age).exp2();
+        }
         // A probe is judged as if the server were normal, or no probe would ever be sent.
         if state.probe_due(now) && in_flight == 0 {
             factor = 1.0;
@@ -125,6 +144,7 @@
         let ratio = ratio.clamp(-MAX_LOG, MAX_LOG);
         state.progressed(now);
         state.observations = state.observations.saturating_add(1);
+        state.observed = now;
         state.first_token += (ratio - state.first_token) * SERVER_WEIGHT;
         if !state.is_straggler() {
             self.first_token += (ratio - self.first_token) * FLEET_WEIGHT;
@@ -136,6 +156,7 @@
     pub(super) fn token_gap(&mut self, now: ClockTime, state: &mut StragglerState, gap_ms: f32) {
         let value = gap_ms.max(0.1).ln();
         state.progressed(now);
+        state.observed = now;
         let fleet = self.gap.get_or_insert(value);
         let server = state.gap.get_or_insert(*fleet);
         *server += (value - *server).clamp(-MAX_LOG, MAX_LOG) * SERVER_WEIGHT;
@@ -150,12 +171,20 @@
     fn judge(&self, now: ClockTime, state: &mut StragglerState, good: bool) {
         if state.next_probe.is_none() {
             if self.observed_factor(state) >= STRAGGLER_FACTOR {
-                state.next_probe = Some(now + PROBE_INTERVAL);
                 state.good_probes = 0;
+                state.bad_probes = 0;
+                state.schedule_probe(now);
             }
             return;
         }
-        state.good_probes = if good { state.good_probes + 1 } else { 0 };
+        if good {
+            state.good_probes += 1;
+            state.bad_probes = 0;
+        } else {
+            state.good_probes = 0;
+            state.bad_probes = state.bad_probes.saturating_add(1);
+        }
+        state.schedule_probe(now);
         if state.good_probes >= GOOD_PROBES {
             state.next_probe = None;
             state.first_token = self.first_token;
