--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -2,11 +2,14 @@
 //! and benchmarks.
 
 pub mod bench;
+pub mod caller;
 pub mod check;
+pub mod demo;
 pub mod deployment;
 pub mod fleet;
 pub mod generate;
 pub mod ops;
+pub mod probe;
 pub mod program;
 pub mod report;
 pub mod stats;
