Mark unreachable servers and leave half of the extra budget to retries

Cause: the entry needs to know whether a waiting request can start, must not choose a server that refuses connections, and must not spend on hedges what a resume needs. Change: has_room, longest_hit and server_unreachable on the router; hedges stop at half of the budget; its floor is four in 10 s.

--- a/crates/core/src/routing/hedge.rs
+++ b/crates/core/src/routing/hedge.rs
@@ -10,7 +10,10 @@
 /// Extra attempts allowed for each request.
 const EXTRA_SHARE: f32 = 0.05;
 /// Extra attempts always allowed in the window, so that a quiet entry can still retry.
-const EXTRA_FLOOR: u32 = 3;
+const EXTRA_FLOOR: u32 = 4;
+/// Part of the budget that hedges may use; the rest is left for retries and resumes, without which
+/// a caller gets an error.
+const HEDGE_PART: f32 = 0.5;
 /// A hedge starts when the first token takes this many times the expected time.
 const HEDGE_FACTOR: f32 = 2.5;
 /// Shortest time in ms before a hedge starts.
@@ -40,17 +43,26 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one extra attempt from the budget. Returns false, and takes nothing, when the budget
+    /// Takes a retry or a resume from the budget. Returns false, and takes nothing, when the budget
     /// is used up.
     pub fn try_extra(&mut self, now: ClockTime) -> bool {
+        self.try_part(now, 1.0)
+    }
+
+    /// Takes a hedge from the budget, unless half of the budget is used up.
+    pub fn try_hedge(&mut self, now: ClockTime) -> bool {
+        self.try_part(now, HEDGE_PART)
+    }
+
+    fn try_part(&mut self, now: ClockTime, part: f32) -> bool {
         let second = now.as_micros() / 1_000_000;
         let recent =
             self.buckets.iter().filter(|bucket| bucket.second + BUDGET_SECONDS as u64 > second);
         let (requests, extra) = recent.fold((0, 0), |(requests, extra), bucket| {
             (requests + bucket.requests, extra + bucket.extra)
         });
-        let allowed = EXTRA_FLOOR.max((requests as f32 * EXTRA_SHARE) as u32);
-        if extra >= allowed {
+        let allowed = (EXTRA_FLOOR as f32).max(requests as f32 * EXTRA_SHARE) * part;
+        if extra >= allowed as u32 {
             return false;
         }
         self.bucket(now).extra += 1;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -26,7 +26,7 @@
     policy::{CostPolicy, RoutingPolicy},
     request::{RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest},
     ring::ServerRing,
-    router::{CacheUpdate, DispatchKey, FailureKind, PrefixRouter},
+    router::{CacheUpdate, DispatchKey, FailureKind, PrefixRouter, ROOM_TRIES},
     state::{RouterSettings, RouterState},
     straggler::{StragglerDetector, StragglerState},
     table::{ClassCounts, ReportedLoad, ServerRecord, ServerSeen, ServerTable},
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -84,7 +84,7 @@
 pub enum RouteRefusal {
     /// No server of the model is known.
     NoServer,
-    /// Every server of the model leaves, is excluded or holds other weights.
+    /// Every server of the model leaves, is unreachable or excluded, or holds other weights.
     NoneEligible,
     /// Every candidate is at its slot limit.
     Saturated {
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -14,10 +14,13 @@
     arena::KeyArena,
     clock::ClockTime,
     define_key,
-    ids::{IncarnationId, ServerKey},
-    prefix::{BlockSource, FeedVerdict, PieceHash},
+    ids::{IncarnationId, ModelKey, ServerKey},
+    prefix::{BlockSource, FeedVerdict, PieceHash, PrefixChain},
 };
 
+/// Servers that [`PrefixRouter::has_room`] looks at.
+pub const ROOM_TRIES: usize = 32;
+
 define_key!(
     /// A request that was sent to a server.
     DispatchKey
@@ -98,6 +101,46 @@
         self.policy.choose(&mut self.state, now, request, rng)
     }
 
+    /// The longest prefix in pieces that any server is believed to hold, for the prediction of a
+    /// request's work.
+    pub fn longest_hit(&mut self, now: ClockTime, chain: &PrefixChain) -> u16 {
+        let state = &mut self.state;
+        state.index.lookup(now, chain.pieces(), &mut state.scratch);
+        state.scratch.holders().iter().map(|holder| holder.pieces).max().unwrap_or(0)
+    }
+
+    /// Whether some server of the model has a slot for a request of this class. At most
+    /// [`ROOM_TRIES`] servers are looked at, from a random one on.
+    pub fn has_room<R: Rng>(
+        &self,
+        now: ClockTime,
+        model: ModelKey,
+        class: RequestClass,
+        rng: &mut R,
+    ) -> bool {
+        let Some(ring) = self.state.table.ring(model).filter(|ring| !ring.is_empty()) else {
+            return false;
+        };
+        let start = rng.random_range(0..ring.len());
+        (0..ring.len().min(ROOM_TRIES))
+            .filter_map(|step| self.state.table.get(ring.at(start + step)?))
+            .any(|record| {
+                !record.leaving && !record.unreachable && {
+                    let total = record.load_at(now).requests;
+                    let limits = &self.state.settings.limits;
+                    !record.exclusive && limits.admits(class, record.in_flight, total, record.slots)
+                }
+            })
+    }
+
+    /// Notes that a connection to a server failed, or succeeded again. An unreachable server gets
+    /// no requests.
+    pub fn server_unreachable(&mut self, server: ServerKey, unreachable: bool) {
+        if let Some(record) = self.state.table.get_mut(server) {
+            record.unreachable = unreachable;
+        }
+    }
+
     /// Notes that a request was sent. Its pieces count as held by the server until an event
     /// corrects that. The caller ends the dispatch by [`PrefixRouter::finished`] or
     /// [`PrefixRouter::failed`].
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -104,6 +104,7 @@
     pub(super) fn serves(&self, request: &RouteRequest<'_>, server: ServerKey) -> bool {
         let Some(record) = self.table.get(server) else { return false };
         !record.leaving
+            && !record.unreachable
             && record.weights_of(request.model) == Some(request.weights)
             && !request.excluded.contains(&server)
     }
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -85,6 +85,8 @@
     pub leaving: bool,
     /// Whether a request runs there that must run alone.
     pub exclusive: bool,
+    /// Whether the last connection to it failed.
+    pub unreachable: bool,
     /// Observed speed.
     pub straggler: StragglerState,
     pub(super) feed: EventFeed,
@@ -143,6 +145,7 @@
         self.in_flight = ClassCounts::default();
         self.waiting_tokens = 0;
         self.exclusive = false;
+        self.unreachable = false;
         self.leaving = false;
         self.report = None;
         self.straggler = StragglerState::default();
@@ -241,6 +244,7 @@
                 waiting_tokens: 0,
                 leaving: false,
                 exclusive: false,
+                unreachable: false,
                 straggler: StragglerState::default(),
                 feed: EventFeed::new(seen.incarnation),
                 report: None,
