--- a/crates/lists/src/tests.rs
+++ b/crates/lists/src/tests.rs
@@ -1,5 +1,7 @@
 use std::{collections::BTreeMap, path::Path};
 
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
 use crate::{
     ChangePlan, FolderTexts, ListDifference, RuleName, WorkspaceUse, check_folder, check_texts,
     write_texts,
@@ -181,3 +183,27 @@
     rules.sort();
     assert_eq!(explained, rules);
 }
+
+/// Guards against a text that ends the program, and against lists that are neither accepted nor
+/// refused.
+#[test]
+fn damaged_texts_are_accepted_or_refused() {
+    const SEED: u64 = 17;
+    const DAMAGES: usize = 400;
+    const PIECES: [&str; 8] = ["[", "]", "\"", "=", "\n", "\u{e9}\u{1f980}", "[plan.x]\n", "0x"];
+    let mut random = SmallRng::seed_from_u64(SEED);
+    for number in 0..DAMAGES {
+        let mut texts = example("kelani");
+        let files = [&mut texts.plans, &mut texts.grants, &mut texts.fleet];
+        let text = files.into_iter().nth(number % 3).and_then(Option::as_mut).expect("three files");
+        let start = random.random_range(0..text.len());
+        let end = (start + random.random_range(0..20)).min(text.len());
+        let piece = PIECES[random.random_range(0..PIECES.len())];
+        text.replace_range(start..end, piece);
+        let checked = check_texts(&texts);
+        assert_eq!(checked.findings.is_empty(), checked.document.is_some(), "{number}");
+        for finding in &checked.findings {
+            assert!(finding.at.line >= 1 && finding.at.column >= 1, "{finding}");
+        }
+    }
+}
