Enforce plan limits and membership in the entry

Cause: entries admitted every request, and discovery listed dead entries. Change: PlanGate takes a request's units before it starts and settles them at its end; a refused request waits 100 ms for units of other entries, then gets 429 with the limit's name. Entries probe each other, discovery follows the members, and the status page shows members and use. An entry that can be reached again is asked for its confirmation at once. Ruled out: no bound on answers without max_tokens; the token limit needs one, so such requests get 4,096.

--- a/crates/core/src/plans/confirm.rs
+++ b/crates/core/src/plans/confirm.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// An entry can be reached again: a confirmation that waits for it is requested at once.
+    pub fn on_joined(&mut self, node: NodeId) -> Vec<ShareEffect> {
+        let awaits = |step: NodeId| step == node;
+        if !self.plans.values().any(|state| state.steps.awaited().any(awaits)) {
+            return Vec::new();
+        }
+        let life = self.life.incarnation;
+        let message = ShareMessage::ConfirmRequest { life, version: self.version };
+        vec![ShareEffect::Send { to: node, message }]
+    }
+
     pub(super) fn open_confirm(&mut self, now: ClockTime) {
         if !self.confirm_open {
             self.confirm_open = true;
--- a/crates/core/src/plans/ledger.rs
+++ b/crates/core/src/plans/ledger.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Starts a life of a node of which no earlier life can have spent or lent units that still
+    /// count, such as the first of a new VM. It has no quarantine.
+    pub fn start_fresh(life: NodeLife) -> ShareLedger {
+        ShareLedger {
+            quarantine: [ClockTime::ZERO; 3],
+            ..ShareLedger::start(ClockTime::ZERO, life)
+        }
+    }
+
     /// Puts a list version into use. Versions must arrive in rising order; a gap is allowed.
     pub fn apply(&mut self, now: ClockTime, version: u64, document: &ListDocument) {
         if version <= self.version {
@@ -197,11 +206,16 @@
         result
     }
 
-    /// Ends a request that used `tokens`, at most what its ticket reserved.
+    /// Ends a request that used `tokens`. A use above the reservation counts from now on; it can
+    /// exceed the limit by itself, so callers reserve an upper bound.
     pub fn settle(&mut self, now: ClockTime, ticket: SpendTicket, tokens: u64) {
         let Some(state) = self.plans.get_mut(&ticket.plan) else { return };
         let unused = ticket.tokens.saturating_sub(tokens);
         state.kinds[LimitKind::Tokens.index()].refund(now, ticket.at, unused);
+        let extra = tokens.saturating_sub(ticket.tokens);
+        if extra > 0 {
+            state.kinds[LimitKind::Tokens.index()].spend(now, extra);
+        }
         if ticket.stream {
             state.kinds[LimitKind::Streams.index()].refund(now, ticket.at, 1);
         }
--- a/crates/core/src/plans/usage.rs
+++ b/crates/core/src/plans/usage.rs
@@ -66,6 +66,11 @@
         self.workspaces.iter().map(|(name, usage)| (name.as_str(), usage))
     }
 
+    /// Use of one workspace; zero for one that was not seen.
+    pub fn get(&self, workspace: &str) -> WorkspaceUsage {
+        self.workspaces.get(workspace).copied().unwrap_or_default()
+    }
+
     fn usage_mut(&mut self, workspace: &str) -> &mut WorkspaceUsage {
         if !self.workspaces.contains_key(workspace) {
             self.workspaces.insert(workspace.to_string(), WorkspaceUsage::default());
--- a/crates/host/src/entry/admin.rs
+++ b/crates/host/src/entry/admin.rs
@@ -1,7 +1,14 @@
 //! The operators' HTTP of an entry: health, metrics and status.
 
 use actix_web::{HttpResponse, web};
-use carobvane_proto::admin::{NodeRole, NodeStatus};
+use carobvane_core::{
+    lists::WorkspaceEntry,
+    membership::{self, MemberChange},
+    plans::LimitKind,
+};
+use carobvane_proto::admin::{
+    HealthState, LimitUsage, MemberStatus, NodeRole, NodeStatus, WorkspaceUsage,
+};
 
 use super::{
     discovery::{healthz, readyz},
@@ -32,6 +39,57 @@
         build: env!("CARGO_PKG_VERSION").to_string(),
         list_version: lists.as_ref().map(|lists| lists.version.number),
         list_digest: lists.map(|lists| lists.version.digest.to_string()).unwrap_or_default(),
+        members: members(&shared),
+        usage: usage(&shared),
         ..NodeStatus::default()
     })
 }
+
+fn members(shared: &EntryShared) -> Vec<MemberStatus> {
+    let Some(lists) = shared.lists() else { return Vec::new() };
+    let members = shared.members();
+    let member = |change: &MemberChange| {
+        let (_, entry) = lists.document.entry_of(change.node)?;
+        Some(MemberStatus {
+            node: change.node.0,
+            role: NodeRole::Entry,
+            incarnation: change.incarnation.0,
+            address: entry.peer_address.clone(),
+            data_centre: entry.data_centre.clone(),
+            state: match change.status {
+                membership::MemberStatus::Dead => HealthState::Dead,
+                _ if change.draining => HealthState::Leaving,
+                membership::MemberStatus::Suspect => HealthState::Suspect,
+                membership::MemberStatus::Live => HealthState::Live,
+            },
+            list_version: None,
+        })
+    };
+    members.table().others().filter_map(member).collect()
+}
+
+fn usage(shared: &EntryShared) -> Vec<WorkspaceUsage> {
+    let Some(lists) = shared.lists() else { return Vec::new() };
+    let report = |(name, entry): (&String, &WorkspaceEntry)| {
+        let plan = lists.document.plans.get(&entry.plan)?;
+        let units = shared.plans.plan_usage(&entry.plan);
+        let limit = |kind: LimitKind| LimitUsage {
+            limit: kind.as_str().to_string(),
+            amount: plan.limits.amount(kind),
+            window_ms: match kind {
+                LimitKind::Streams => 0,
+                kind => kind.window().as_millis() as u64,
+            },
+            cap: units.cap[kind.index()],
+            used: units.used[kind.index()],
+        };
+        Some(WorkspaceUsage {
+            workspace: name.clone(),
+            plan: entry.plan.clone(),
+            in_progress: shared.plans.workspace_usage(name).open_streams as u32,
+            limits: LimitKind::ALL.map(limit).to_vec(),
+            ..WorkspaceUsage::default()
+        })
+    };
+    lists.document.workspaces.iter().filter_map(report).collect()
+}
--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -11,6 +11,7 @@
 use super::{
     active::{ActiveLists, CallerWorkspace},
     error::{CallerError, ErrorCode},
+    plans::PlanTicket,
     relay::{RelayRequest, relay},
     shared::EntryShared,
     sink::{BodySink, StreamSink},
@@ -19,6 +20,9 @@
 /// Longest pause between two parts of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most tokens of an answer if the caller gives no limit. The plan's token limit needs a bound.
+const DEFAULT_MAX_TOKENS: u32 = 4_096;
+
 /// Adds the endpoints.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -82,7 +86,11 @@
     check_model(&lists, &workspace, &completion.model)?;
     let is_chat = path == "/v1/chat/completions";
     let include_usage = completion.stream_options.is_some_and(|options| options.include_usage);
-    let relayed = relay_request(path, id, &shared, lists, workspace, &completion, fields)?;
+    let prompt = prompt_text(&completion)?;
+    let tokens = reserved_tokens(&shared, &prompt, completion.max_tokens);
+    let ticket = shared.plans.admit(&workspace, tokens, completion.stream).await?;
+    let admitted = (workspace, prompt, ticket);
+    let relayed = relay_request(path, id, &shared, lists, admitted, &completion, fields);
     if completion.stream {
         let (sink, head) = StreamSink::new(include_usage);
         actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
@@ -109,17 +117,19 @@
     id: &str,
     shared: &EntryShared,
     lists: Arc<ActiveLists>,
-    workspace: CallerWorkspace,
+    (workspace, prompt, ticket): (CallerWorkspace, String, PlanTicket),
     completion: &CompletionRequest,
     mut body: Map<String, Value>,
-) -> Result<RelayRequest, CallerError> {
+) -> RelayRequest {
     let weights = lists.weights(&completion.model);
     let salt = format!("{}/{weights}", workspace.name);
-    let prompt = prompt_text(completion)?;
     let piece_hashes = chain_hashes(&salt, prompt.as_bytes(), shared.settings.piece_bytes);
     body.insert("stream".to_string(), true.into());
     body.insert("stream_options".to_string(), serde_json::json!({ "include_usage": true }));
-    Ok(RelayRequest {
+    if completion.max_tokens.is_none() {
+        body.insert("max_tokens".to_string(), DEFAULT_MAX_TOKENS.into());
+    }
+    RelayRequest {
         id: id.to_string(),
         workspace: workspace.name,
         model: completion.model.clone(),
@@ -128,7 +138,20 @@
         extension: EngineExtension { cache_salt: salt, piece_hashes, ..Default::default() },
         weights,
         lists,
-    })
+        prompt_tokens: prompt_tokens(shared, &prompt),
+        ticket,
+    }
+}
+
+/// Tokens of a prompt, from the size of a piece in bytes and tokens.
+fn prompt_tokens(shared: &EntryShared, prompt: &str) -> u64 {
+    let tokens = prompt.len() as u64 * u64::from(shared.settings.piece_tokens);
+    tokens.div_ceil(shared.settings.piece_bytes as u64)
+}
+
+/// Tokens that a request may use; what it does not use is returned at its end.
+fn reserved_tokens(shared: &EntryShared, prompt: &str, max_tokens: Option<u32>) -> u64 {
+    prompt_tokens(shared, prompt) + u64::from(max_tokens.unwrap_or(DEFAULT_MAX_TOKENS))
 }
 
 fn chain_hashes(salt: &str, prompt: &[u8], piece_bytes: usize) -> Vec<u64> {
--- a/crates/host/src/entry/discovery.rs
+++ b/crates/host/src/entry/discovery.rs
@@ -1,6 +1,7 @@
 //! `GET /v1/entries` and `GET /v1/models`.
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use carobvane_core::membership::EntryDirectory;
 use carobvane_proto::openai::{EntryAddress, EntryList};
 use serde_json::json;
 
@@ -22,14 +23,11 @@
     request: HttpRequest,
     shared: web::Data<EntryShared>,
 ) -> Result<HttpResponse, CallerError> {
-    let (lists, _) = shared.admit(&request)?;
-    let own = shared.own.node;
-    let draining = shared.is_draining();
-    let entries = lists
-        .document
-        .entries
-        .values()
-        .filter(|entry| !(draining && entry.node == own))
+    let (lists, workspace) = shared.admit(&request)?;
+    let members = shared.members();
+    let entries = EntryDirectory::new(&lists.document, members.table())
+        .order(&workspace.name)
+        .into_iter()
         .map(|entry| EntryAddress {
             url: format!("http://{}", entry.http_address),
             data_centre: entry.data_centre.clone(),
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
-use carobvane_core::{clock::ClockTime, ids::NodeLife, lists::ListSnapshot};
+use carobvane_core::{
+    clock::ClockTime, ids::NodeLife, lists::ListSnapshot, membership::MemberEffect,
+};
 use carobvane_proto::peer::{PeerMessage, PeerRole};
+use rand::{SeedableRng, rngs::SmallRng};
 
 use super::shared::EntryShared;
 use crate::node::NodeHost;
@@ -11,12 +14,32 @@
 /// The entry's side of its node.
 pub struct EntryHost {
     shared: Arc<EntryShared>,
+    rng: SmallRng,
 }
 
 impl EntryHost {
     /// Creates the host of an entry.
     pub fn new(shared: Arc<EntryShared>) -> EntryHost {
-        EntryHost { shared }
+        let rng = SmallRng::seed_from_u64(shared.own.incarnation.0);
+        EntryHost { shared, rng }
+    }
+}
+
+impl EntryHost {
+    fn carry_out(&self, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::Send { to, message } => {
+                    self.shared.sender.send(to, PeerMessage::Members(message));
+                }
+                MemberEffect::Changed(change) => {
+                    let (node, draining) = (change.node.0, change.draining);
+                    log::info!(node, status:? = change.status, draining; "member changed");
+                }
+                // List summaries travel in messages of their own, to stewards as well.
+                MemberEffect::Heard { .. } | MemberEffect::ServerLeaving(_) => {}
+            }
+        }
     }
 }
 
@@ -32,13 +55,31 @@
         }
     }
 
-    fn peer_joined(&mut self, _now: ClockTime, _life: NodeLife, _role: PeerRole) {}
+    fn peer_joined(&mut self, _now: ClockTime, life: NodeLife, _role: PeerRole) {
+        self.shared.plans.joined(life.node);
+    }
 
-    fn peer_left(&mut self, _now: ClockTime, _life: NodeLife) {}
+    fn peer_left(&mut self, now: ClockTime, life: NodeLife) {
+        let effects = self.shared.members().on_failed_call(now, life.node);
+        self.carry_out(effects);
+    }
 
-    fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
-        log::debug!(node = life.node.0; "message without a receiver");
+    fn peer_message(&mut self, now: ClockTime, life: NodeLife, message: PeerMessage) {
+        match message {
+            PeerMessage::Shares(message) => self.shared.plans.receive(now, life.node, message),
+            PeerMessage::Members(message) => {
+                let mut members = self.shared.members();
+                let effects = members.on_message(now, life.node, message, &mut self.rng);
+                drop(members);
+                self.carry_out(effects);
+            }
+            _ => log::debug!(node = life.node.0; "message without a receiver"),
+        }
     }
 
-    fn tick(&mut self, _now: ClockTime) {}
+    fn tick(&mut self, now: ClockTime) {
+        self.shared.plans.tick(now);
+        let effects = self.shared.members().on_timer(now, &mut self.rng);
+        self.carry_out(effects);
+    }
 }
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod error;
 mod host;
+mod plans;
 mod relay;
 mod servers;
 mod services;
--- /dev/null
+++ b/crates/host/src/entry/plans.rs
@@ -0,0 +1,169 @@
+//! Plan limits at this entry: every request takes its units before it starts.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::{NodeId, NodeLife},
+    lists::ListSnapshot,
+    plans::{
+        PlanId, PlanRejection, PlanUsage, ShareEffect, ShareLedger, ShareMessage, SpendTicket,
+        UsageBook, WorkspaceUsage,
+    },
+};
+use carobvane_proto::peer::PeerMessage;
+
+use super::{
+    active::CallerWorkspace,
+    error::{CallerError, ErrorCode},
+};
+use crate::{clock, peer::PeerSender};
+
+/// How long a refused request waits for units of other entries: a few round trips inside a
+/// region. A request that could only be served later is refused at once with `Retry-After`.
+const BORROW_WAIT: Duration = Duration::from_millis(100);
+/// Pause between two tries while units are borrowed.
+const BORROW_POLL: Duration = Duration::from_millis(10);
+
+/// The shares and use of all plans at this entry.
+pub struct PlanGate {
+    ledger: Mutex<ShareLedger>,
+    usage: Mutex<UsageBook>,
+    sender: PeerSender,
+}
+
+impl PlanGate {
+    /// Creates the gate of a process. `fresh` says that no earlier process of this node can have
+    /// spent or lent units that still count.
+    pub fn new(own: NodeLife, fresh: bool, sender: PeerSender) -> PlanGate {
+        let ledger = match fresh {
+            true => ShareLedger::start_fresh(own),
+            false => ShareLedger::start(clock::now(), own),
+        };
+        PlanGate { ledger: Mutex::new(ledger), usage: Mutex::new(UsageBook::new()), sender }
+    }
+
+    /// Puts a list version into use.
+    pub fn activate(&self, snapshot: &ListSnapshot) {
+        self.ledger().apply(clock::now(), snapshot.version.number, &snapshot.document);
+    }
+
+    /// Handles a message of another entry.
+    pub fn receive(&self, now: ClockTime, from: NodeId, message: ShareMessage) {
+        let effects = self.ledger().on_message(now, from, message);
+        self.carry_out(effects);
+    }
+
+    /// Handles that another entry can be reached.
+    pub fn joined(&self, node: NodeId) {
+        let effects = self.ledger().on_joined(node);
+        self.carry_out(effects);
+    }
+
+    /// Handles due timers.
+    pub fn tick(&self, now: ClockTime) {
+        let effects = self.ledger().on_timer(now);
+        self.carry_out(effects);
+    }
+
+    /// Hands unused units over to other entries.
+    pub fn drain(&self) {
+        self.ledger().drain(clock::now());
+    }
+
+    /// Takes the units of one request.
+    ///
+    /// # Errors
+    ///
+    /// A limit of the plan is reached.
+    pub async fn admit(
+        self: &Arc<Self>,
+        workspace: &CallerWorkspace,
+        tokens: u64,
+        stream: bool,
+    ) -> Result<PlanTicket, CallerError> {
+        let plan = PlanId::of_name(&workspace.plan);
+        let end = clock::now() + BORROW_WAIT;
+        let ticket = loop {
+            let now = clock::now();
+            let result = self.ledger().try_spend(now, plan, tokens, stream);
+            match result {
+                Ok(ticket) => break ticket,
+                Err(rejection) if now >= end => return Err(self.reject(workspace, rejection)),
+                Err(_) => {}
+            }
+            self.tick(now);
+            tokio::time::sleep(BORROW_POLL).await;
+        };
+        self.usage().admitted(&workspace.name, stream);
+        Ok(PlanTicket {
+            gate: Arc::clone(self),
+            ticket,
+            workspace: workspace.name.clone(),
+            used: tokens,
+        })
+    }
+
+    fn reject(&self, workspace: &CallerWorkspace, rejection: PlanRejection) -> CallerError {
+        let PlanRejection { limit, retry_after } = rejection;
+        self.usage().rejected(&workspace.name, limit);
+        metrics::counter!("carobvane_plan_rejections_total", "limit" => limit.as_str())
+            .increment(1);
+        let message = format!("limit {limit} of plan {:?} is reached", workspace.plan);
+        CallerError::not_run(ErrorCode::LimitReached, message)
+            .with_param(limit.as_str())
+            .with_retry_after(retry_after)
+    }
+
+    /// Use of a workspace since the start.
+    pub fn workspace_usage(&self, workspace: &str) -> WorkspaceUsage {
+        self.usage().get(workspace)
+    }
+
+    /// Units and use of a plan here.
+    pub fn plan_usage(&self, plan: &str) -> PlanUsage {
+        self.ledger().usage(clock::now(), PlanId::of_name(plan))
+    }
+
+    fn carry_out(&self, effects: Vec<ShareEffect>) {
+        for effect in effects {
+            if let ShareEffect::Send { to, message } = effect {
+                self.sender.send(to, PeerMessage::Shares(message));
+            }
+        }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, ShareLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn usage(&self) -> MutexGuard<'_, UsageBook> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The units of one request; settled when it is dropped.
+pub struct PlanTicket {
+    gate: Arc<PlanGate>,
+    ticket: SpendTicket,
+    workspace: String,
+    used: u64,
+}
+
+impl PlanTicket {
+    /// Sets the tokens that the request used; without a call all reserved ones count.
+    pub fn set_used(&mut self, tokens: u64) {
+        self.used = tokens;
+    }
+}
+
+impl Drop for PlanTicket {
+    fn drop(&mut self) {
+        let (ticket, used) = (self.ticket, self.used);
+        self.gate.ledger().settle(clock::now(), ticket, used);
+        self.gate.usage().finished(&self.workspace, ticket.stream, used);
+    }
+}
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -12,6 +12,7 @@
         AttemptError, AttemptEvent, AttemptRequest, EngineChunk, EngineStream, open_attempt,
     },
     error::{CallerError, ErrorCode},
+    plans::PlanTicket,
     shared::EntryShared,
     sink::{CallerGone, ChunkSink},
 };
@@ -37,6 +38,10 @@
     pub weights: u64,
     /// The lists under which the request was admitted.
     pub lists: Arc<ActiveLists>,
+    /// Tokens of the prompt, as reserved.
+    pub prompt_tokens: u64,
+    /// The units of the plan.
+    pub ticket: PlanTicket,
 }
 
 /// What has reached the caller.
@@ -59,10 +64,11 @@
 pub async fn relay<K: ChunkSink>(
     shared: Arc<EntryShared>,
     client: awc::Client,
-    request: RelayRequest,
+    mut request: RelayRequest,
     mut sink: K,
 ) {
     let _guard = shared.begin_request();
+    request.ticket.set_used(0);
     let mut delivered = DeliveredAnswer::default();
     let mut excluded = Vec::new();
     let mut last_error = None;
@@ -78,6 +84,7 @@
         shared.pool().begin(&server);
         let end = run_attempt(&client, &request, &server, number, &mut delivered, &mut sink).await;
         shared.pool().end(&server);
+        request.ticket.set_used(used_tokens(&request, &delivered));
         match end {
             AttemptEnd::Complete => {
                 metrics::counter!("carobvane_requests_total", "outcome" => "complete").increment(1);
@@ -104,6 +111,14 @@
     sink.fail(final_error(last_error, &delivered)).await;
 }
 
+/// Tokens to settle: the engine's count, or the prompt and what was delivered.
+fn used_tokens(request: &RelayRequest, delivered: &DeliveredAnswer) -> u64 {
+    match delivered.usage.total_tokens {
+        0 => request.prompt_tokens + u64::from(delivered.tokens),
+        total => u64::from(total),
+    }
+}
+
 async fn run_attempt<K: ChunkSink>(
     client: &awc::Client,
     request: &RelayRequest,
--- a/crates/host/src/entry/services.rs
+++ b/crates/host/src/entry/services.rs
@@ -57,6 +57,7 @@
             "calls that must not be repeated cannot be recorded",
         ));
     }
+    let _ticket = shared.plans.admit(&workspace, 0, false).await?;
     let _guard = shared.begin_request();
     forward(&shared, &lists, &service, &path, &id, &request, body, &client).await
 }
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -9,15 +9,17 @@
 };
 
 use actix_web::{HttpRequest, http::header};
-use carobvane_core::{ids::NodeLife, lists::ListSnapshot};
+use carobvane_core::{ids::NodeLife, lists::ListSnapshot, membership::MemberProbe};
 use carobvane_proto::headers;
+use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{
     active::{ActiveLists, CallerWorkspace},
     error::{CallerError, ErrorCode},
+    plans::PlanGate,
     servers::ServerPool,
 };
-use crate::{peer::PeerSender, settings::EntrySettings};
+use crate::{clock, peer::PeerSender, settings::EntrySettings};
 
 /// How long a discovery answer may be kept.
 pub const DISCOVERY_LIFETIME: Duration = Duration::from_secs(5);
@@ -36,6 +38,9 @@
     pub own: NodeLife,
     /// Sends to other processes.
     pub sender: PeerSender,
+    /// Limits of the plans.
+    pub plans: Arc<PlanGate>,
+    members: Mutex<MemberProbe>,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
     draining: AtomicBool,
@@ -47,10 +52,14 @@
 impl EntryShared {
     /// Creates the state of an entry without lists.
     pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
+        let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
+        let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
         EntryShared {
             settings,
             own,
             sender,
+            plans,
+            members: Mutex::new(MemberProbe::start(clock::now(), own, &mut rng)),
             lists: RwLock::new(None),
             pool: Mutex::new(ServerPool::new(own.incarnation.0)),
             draining: AtomicBool::new(false),
@@ -68,11 +77,19 @@
     /// Puts a version into force.
     pub fn activate(&self, snapshot: &ListSnapshot) {
         let lists = Arc::new(ActiveLists::new(snapshot));
+        self.plans.activate(snapshot);
+        let nodes: Vec<_> = snapshot.document.entries.values().map(|entry| entry.node).collect();
+        self.members().set_listed(&nodes);
         self.pool().set_servers(&lists, self.own.node);
         *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
         metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
     }
 
+    /// The other entries as this one sees them.
+    pub fn members(&self) -> MutexGuard<'_, MemberProbe> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The backend servers.
     pub fn pool(&self) -> MutexGuard<'_, ServerPool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
@@ -143,12 +160,14 @@
     /// Takes this entry out of discovery.
     pub fn begin_drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
+        self.members().drain();
         log::info!(in_progress = self.in_progress(); "drain begun");
     }
 
     /// Redirects new requests from now on.
     pub fn refuse_new(&self) {
         self.refusing.store(true, Ordering::SeqCst);
+        self.plans.drain();
     }
 
     /// Whether this entry is leaving.
--- a/crates/host/src/settings/entry.rs
+++ b/crates/host/src/settings/entry.rs
@@ -48,6 +48,9 @@
         optional --piece-tokens tokens: String
         /// Threads that serve callers. Default: 4.
         optional --workers threads: String
+        /// Says that no earlier process of this node ran in the last two minutes, such as on a new
+        /// VM. Its plan shares are then usable at once. Default: false.
+        optional --fresh fresh: String
         /// Least severe log level: error, warn, info or debug. Default: info.
         optional --log-level level: String
         /// Prints the version.
@@ -82,6 +85,8 @@
     pub piece_tokens: u32,
     /// Threads that serve callers.
     pub workers: usize,
+    /// Whether no earlier process of this node ran recently.
+    pub fresh: bool,
     /// Least severe log level.
     pub log_level: log::LevelFilter,
 }
@@ -122,6 +127,7 @@
         let piece_tokens =
             reader.or_default("piece-tokens", flags.piece_tokens, DEFAULT_PIECE_TOKENS);
         let workers = reader.or_default("workers", flags.workers, DEFAULT_WORKERS);
+        let fresh = reader.or_default("fresh", flags.fresh, false);
         let log_level = reader.or_default("log-level", flags.log_level, log::LevelFilter::Info);
         for (flag, value) in [
             ("max-body-bytes", max_body_bytes),
@@ -155,6 +161,7 @@
             piece_bytes,
             piece_tokens,
             workers,
+            fresh,
             log_level,
         })
     }
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -3,6 +3,8 @@
 use carobvane_core::{
     ids::NodeLife,
     lists::{ListMessage, VersionSummary},
+    membership::MemberMessage,
+    plans::ShareMessage,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -90,4 +92,8 @@
     Summary(VersionSummary),
     /// Spread of the lists.
     Lists(ListMessage),
+    /// Shares of plans, between entries.
+    Shares(ShareMessage),
+    /// Membership of entries.
+    Members(MemberMessage),
 }
--- a/crates/replay/src/fleet.rs
+++ b/crates/replay/src/fleet.rs
@@ -183,6 +183,7 @@
             piece_bytes: settings.piece_bytes,
             piece_tokens: settings.piece_tokens,
             workers: settings.workers,
+            fresh: true,
             log_level: log::LevelFilter::Info,
         })?);
     }
