Serve bookings by claims and permits

Cause: the entry refused every call that must not be repeated. Change: ClaimDesk hosts the book under a lock, one task makes its calls to the key-value service, and `POST /v1/permits` issues permits. A call runs in a task of its own, so that its result is recorded although its caller has gone. With key and permit, the claim protects the key while claims can be made. Claims are kept for at least an hour by leases that rotate every ten minutes. A claim request has an end of its wait besides its deadline. A call that no server has taken goes to another server. Fault found: awc reports a connection that the server closes after it has the request as Connect(Disconnected), which the entry answered with not_run; the test `faults_do_not_run_a_booking_twice` failed so (503 not_run for a booking that had run). Errors of making a connection are now named one by one, for engines too. Ruled out: refusing a request with key and permit (callers keep their key when they turn to permits).

--- a/crates/core/src/claims/book.rs
+++ b/crates/core/src/claims/book.rs
@@ -47,6 +47,7 @@
     key: ClaimKey,
     fingerprint: BodyFingerprint,
     sequence: u64,
+    dispatch_by: ClockTime,
     deadline: ClockTime,
     phase: ClaimPhase,
 }
@@ -119,7 +120,7 @@
         if let Some(ticket) = self.by_key.get(&request.key) {
             return Err(self.answer_known(*ticket, request.fingerprint));
         }
-        if let Some(cause) = self.refuse(request.deadline, now) {
+        if let Some(cause) = self.refuse(request.dispatch_by, now) {
             return Err(ClaimAnswer::NotRun(cause));
         }
         self.sequence += 1;
@@ -127,11 +128,13 @@
             key: request.key,
             fingerprint: request.fingerprint,
             sequence: self.sequence,
+            dispatch_by: request.dispatch_by,
             deadline: request.deadline,
             phase: ClaimPhase::Queued,
         });
         self.by_key.insert(request.key, ticket);
         self.queue.push_back(ticket);
+        self.timers.subscribe(request.dispatch_by, ClaimTimer::Deadline(ticket));
         self.timers.subscribe(request.deadline, ClaimTimer::Deadline(ticket));
         self.pump(now, effects);
         Ok(ticket)
@@ -233,7 +236,7 @@
     pub fn tick(&mut self, now: ClockTime, effects: &mut Vec<ClaimEffect>) {
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
-                ClaimTimer::Deadline(ticket) => self.expire(ticket, effects),
+                ClaimTimer::Deadline(ticket) => self.expire(ticket, now, effects),
                 ClaimTimer::Forget(ticket) => {
                     if let Some(ClaimPhase::Running { .. }) =
                         self.claims.get(ticket).map(|claim| &claim.phase)
@@ -276,8 +279,8 @@
         }
     }
 
-    fn refuse(&mut self, deadline: ClockTime, now: ClockTime) -> Option<NotRunCause> {
-        if deadline <= now {
+    fn refuse(&mut self, dispatch_by: ClockTime, now: ClockTime) -> Option<NotRunCause> {
+        if dispatch_by <= now {
             return Some(NotRunCause::Expired);
         }
         if self.pace.is_held(now) {
@@ -294,8 +297,8 @@
         (self.queue.len() >= limit).then_some(NotRunCause::StoreDown)
     }
 
-    /// The deadline of a request has passed.
-    fn expire(&mut self, ticket: ClaimTicket, effects: &mut Vec<ClaimEffect>) {
+    /// A request has waited, or has run, for as long as it may.
+    fn expire(&mut self, ticket: ClaimTicket, now: ClockTime, effects: &mut Vec<ClaimEffect>) {
         let Some(claim) = self.claims.get_mut(ticket) else { return };
         let answer = match &mut claim.phase {
             ClaimPhase::Queued => {
@@ -306,7 +309,7 @@
                 *answered = true;
                 ClaimAnswer::NotRun(NotRunCause::Expired)
             }
-            ClaimPhase::Running { answered, .. } if !*answered => {
+            ClaimPhase::Running { answered, .. } if !*answered && claim.deadline <= now => {
                 *answered = true;
                 let due = claim.deadline + RESULT_GRACE;
                 self.timers.subscribe(due, ClaimTimer::Forget(ticket));
--- a/crates/core/src/claims/book/batch.rs
+++ b/crates/core/src/claims/book/batch.rs
@@ -35,7 +35,7 @@
             let Some(ticket) = self.queue.pop_front() else { break };
             let Some(claim) = self.claims.get_mut(ticket) else { continue };
             // The deadline timer answers it.
-            if claim.deadline <= now {
+            if claim.dispatch_by <= now {
                 continue;
             }
             claim.phase = ClaimPhase::Writing { answered: false };
--- a/crates/core/src/claims/book/settle.rs
+++ b/crates/core/src/claims/book/settle.rs
@@ -14,9 +14,9 @@
         let held = self.pace.is_held(now);
         let Some(claim) = self.claims.get_mut(ticket) else { return };
         let ClaimPhase::Writing { answered } = claim.phase else { return };
-        if !answered && !held && now < claim.deadline {
+        if !answered && !held && now < claim.dispatch_by {
             claim.phase = ClaimPhase::Running { revision, answered: false };
-            effects.push(ClaimEffect::Dispatch { ticket, not_after: claim.deadline });
+            effects.push(ClaimEffect::Dispatch { ticket, not_after: claim.dispatch_by });
             return;
         }
         // A paused process may see the acknowledgement before its own deadline timer.
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -79,7 +79,9 @@
     pub key: ClaimKey,
     /// The request's content.
     pub fingerprint: BodyFingerprint,
-    /// The request is not dispatched from this time on, and is answered by then.
+    /// The request is not dispatched from this time on; it is answered by then if it waits.
+    pub dispatch_by: ClockTime,
+    /// A dispatched request is answered by this time; at least `dispatch_by`.
     pub deadline: ClockTime,
 }
 
@@ -145,7 +147,7 @@
     Dispatch {
         /// The request.
         ticket: ClaimTicket,
-        /// The request's deadline.
+        /// End of the request's wait.
         not_after: ClockTime,
     },
     /// Answer the caller. Given once for each ticket.
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -48,7 +48,12 @@
     }
 
     fn submit(&mut self, name: &str, now: u64) -> Result<ClaimTicket, ClaimAnswer> {
-        let request = ClaimRequest { key: key(name), fingerprint: body("a"), deadline: at(10_000) };
+        let request = ClaimRequest {
+            key: key(name),
+            fingerprint: body("a"),
+            dispatch_by: at(10_000),
+            deadline: at(20_000),
+        };
         self.book.submit(request, at(now), &mut self.effects)
     }
 
@@ -243,7 +248,12 @@
     let (write, _) = test.take_call().expect("a lone claim is written at once");
     test.book.acknowledged(write, 7, at(2), &mut test.effects);
     assert_eq!(test.submit("k", 3), in_progress);
-    let other = ClaimRequest { key: key("k"), fingerprint: body("b"), deadline: at(10_000) };
+    let other = ClaimRequest {
+        key: key("k"),
+        fingerprint: body("b"),
+        dispatch_by: at(10_000),
+        deadline: at(20_000),
+    };
     let mismatch = test.book.submit(other, at(3), &mut test.effects);
     assert_eq!(mismatch, Err(ClaimAnswer::BodyMismatch));
     let outcome = DispatchOutcome::Response(response(3));
@@ -308,8 +318,9 @@
         if now * 400 / ENTRIES / 1_000 > submitted {
             submitted += 1;
             let name = submitted.to_string();
-            let deadline = at(now + 5_000);
-            let request = ClaimRequest { key: key(&name), fingerprint: body("a"), deadline };
+            let (dispatch_by, deadline) = (at(now + 5_000), at(now + 10_000));
+            let request =
+                ClaimRequest { key: key(&name), fingerprint: body("a"), dispatch_by, deadline };
             test.book.submit(request, at(now), &mut test.effects).expect("the book has room");
         }
         test.book.tick(at(now), &mut test.effects);
--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
+use super::send_error::is_not_sent;
+
 /// Longest time to connect to a backend server.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time without a byte from an engine before the attempt counts as failed.
@@ -213,8 +215,7 @@
 fn send_error(error: awc::error::SendRequestError) -> AttemptError {
     use awc::error::SendRequestError;
     match error {
-        SendRequestError::Connect(error) => AttemptError::NotSent(error.to_string()),
-        SendRequestError::Url(error) => AttemptError::NotSent(error.to_string()),
+        error if is_not_sent(&error) => AttemptError::NotSent(error.to_string()),
         SendRequestError::Timeout => AttemptError::Silent,
         other => AttemptError::Broken(other.to_string()),
     }
--- /dev/null
+++ b/crates/host/src/entry/claims/link.rs
@@ -0,0 +1,117 @@
+//! The task that makes a desk's calls to the key-value service.
+
+use std::{sync::Arc, time::Duration};
+
+use carobvane_core::{
+    claims::{BatchItem, CLAIM_WRITES_PER_SECOND, ClaimKey},
+    clock::ClockTime,
+};
+use tokio::sync::mpsc;
+
+use super::{
+    ClaimCall, ClaimReply,
+    codec::{batch_transaction, existing_claims, key_text},
+};
+use crate::{
+    clock,
+    entry::shared::EntryShared,
+    keyvalue::{KeyvalueClient, KeyvalueError, KeyvalueSettings},
+};
+
+/// How long claims and stored results are kept at least. A resend after that may run again. At 400
+/// bookings a second an hour is 1.4 million keys.
+pub const CLAIM_RETENTION: Duration = Duration::from_secs(3_600);
+/// Claims are written under a lease that is at most this old, so they live between
+/// [`CLAIM_RETENTION`] and this much longer.
+const LEASE_ROTATION: Duration = Duration::from_secs(600);
+
+/// Longest time for one call; below the book's own timeout, so that the book hears of a failure
+/// instead of giving up on a call that goes on.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// HTTP status of a call above the service's rate.
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// Starts the task on the current arbiter.
+pub fn launch(shared: Arc<EntryShared>, url: &str, calls: mpsc::UnboundedReceiver<ClaimCall>) {
+    // The book paces itself, so this rate only has to stay out of its way.
+    let settings = KeyvalueSettings {
+        timeout: CALL_TIMEOUT,
+        writes_per_second: CLAIM_WRITES_PER_SECOND as u32 + 1,
+        ..KeyvalueSettings::new(url)
+    };
+    let link = ClaimLink { client: KeyvalueClient::new(settings), lease: None };
+    actix_rt::spawn(link.run(shared, calls));
+}
+
+struct ClaimLink {
+    client: KeyvalueClient,
+    /// The present lease and when it was granted.
+    lease: Option<(i64, ClockTime)>,
+}
+
+impl ClaimLink {
+    async fn run(
+        mut self,
+        shared: Arc<EntryShared>,
+        mut calls: mpsc::UnboundedReceiver<ClaimCall>,
+    ) {
+        while let Some(call) = calls.recv().await {
+            let (exchange, result) = match call {
+                ClaimCall::Write { exchange, items } => (exchange, self.write(&items).await),
+                ClaimCall::ReadBack { exchange, keys } => (exchange, self.read_back(&keys).await),
+            };
+            let reply = result.unwrap_or_else(|error| {
+                log::warn!(error:% = error; "failed to record calls");
+                ClaimReply::Lost
+            });
+            shared.claims.reply(exchange, reply);
+        }
+    }
+
+    async fn write(&mut self, items: &[BatchItem]) -> Result<ClaimReply, KeyvalueError> {
+        let lease = self.lease().await;
+        let transaction = batch_transaction(items, lease)
+            .map_err(|error| KeyvalueError::NotSent(error.to_string()))?;
+        let result = self.client.txn(transaction).await;
+        if let Err(KeyvalueError::Refused { status, .. }) = result
+            && status != TOO_MANY_REQUESTS
+        {
+            // A restored service does not know the lease.
+            self.lease = None;
+        }
+        let result = result?;
+        if result.succeeded {
+            return Ok(ClaimReply::Acknowledged(result.revision));
+        }
+        let keys = items.iter().map(BatchItem::key).collect::<Vec<_>>();
+        Ok(ClaimReply::Seen(result.revision, existing_claims(&keys, result.values)))
+    }
+
+    async fn read_back(&self, keys: &[ClaimKey]) -> Result<ClaimReply, KeyvalueError> {
+        let texts = keys.iter().map(key_text).collect::<Vec<_>>();
+        let (values, revision) = self.client.get_many(&texts).await?;
+        Ok(ClaimReply::Seen(revision, existing_claims(keys, values)))
+    }
+
+    /// The lease for claims written now; 0 if none can be had, then they are kept for ever.
+    async fn lease(&mut self) -> i64 {
+        let now = clock::now();
+        if let Some((lease, granted)) = self.lease
+            && now.since(granted) < LEASE_ROTATION
+        {
+            return lease;
+        }
+        let seconds = (CLAIM_RETENTION + LEASE_ROTATION).as_secs() as u32;
+        match self.client.lease_grant(seconds).await {
+            Ok(grant) => {
+                self.lease = Some((grant.id, now));
+                grant.id
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "failed to get a lease for claims");
+                self.lease.map_or(0, |(lease, _)| lease)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry/claims/mod.rs
@@ -0,0 +1,214 @@
+//! Hosts the [`ClaimBook`] of an entry.
+//!
+//! Request handlers run on several threads and share the book under a lock; one task on the
+//! entry's arbiter makes its calls to the key-value service. The node's tick drives its timers.
+
+mod codec;
+mod link;
+
+pub use link::launch;
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+};
+
+use carobvane_core::{
+    claims::{
+        BatchItem, ClaimAnswer, ClaimBook, ClaimEffect, ClaimKey, ClaimRequest, ClaimTicket,
+        DispatchOutcome, ExistingClaim, NotRunCause,
+    },
+    clock::ClockTime,
+    ids::NodeLife,
+};
+use tokio::sync::mpsc;
+
+use crate::clock;
+
+/// What a waiting request is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimSignal {
+    /// Send the request now, unless the time has come, and report the outcome.
+    Dispatch {
+        /// End of the request's wait.
+        not_after: ClockTime,
+    },
+    /// Answer the caller. The last signal.
+    Answer(ClaimAnswer),
+}
+
+/// A call to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimCall {
+    /// One transaction.
+    Write {
+        /// Names the call in the reply.
+        exchange: u64,
+        /// The operations.
+        items: Vec<BatchItem>,
+    },
+    /// One read.
+    ReadBack {
+        /// Names the call in the reply.
+        exchange: u64,
+        /// The keys.
+        keys: Vec<ClaimKey>,
+    },
+}
+
+/// The result of a call to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimReply {
+    /// The batch was written at this revision.
+    Acknowledged(i64),
+    /// The service at this revision holds these claims.
+    Seen(i64, Vec<ExistingClaim>),
+    /// No usable answer.
+    Lost,
+}
+
+/// A request's place in the book, and what it is told.
+pub struct WaitingRequest {
+    /// Its ticket.
+    pub ticket: ClaimTicket,
+    /// Its signals.
+    pub signals: mpsc::UnboundedReceiver<ClaimSignal>,
+}
+
+/// The claims of an entry, shared by its threads.
+pub struct ClaimDesk {
+    state: Mutex<DeskState>,
+}
+
+struct DeskState {
+    book: ClaimBook,
+    waiting: HashMap<ClaimTicket, mpsc::UnboundedSender<ClaimSignal>>,
+    calls: mpsc::UnboundedSender<ClaimCall>,
+    /// Reused between inputs.
+    effects: Vec<ClaimEffect>,
+}
+
+impl ClaimDesk {
+    /// Creates the desk and the receiver of its calls, of which the book has one open at a time.
+    pub fn new(life: NodeLife) -> (ClaimDesk, mpsc::UnboundedReceiver<ClaimCall>) {
+        let (calls, receiver) = mpsc::unbounded_channel();
+        let (book, waiting) = (ClaimBook::new(life), HashMap::new());
+        let state = DeskState { book, waiting, calls, effects: Vec::new() };
+        (ClaimDesk { state: Mutex::new(state) }, receiver)
+    }
+
+    /// Takes a request, or answers it at once.
+    ///
+    /// # Errors
+    ///
+    /// The answer, if the book needs no call to know it.
+    pub fn submit(&self, request: ClaimRequest) -> Result<WaitingRequest, ClaimAnswer> {
+        self.with(|state, effects| {
+            let ticket = state.book.submit(request, clock::now(), effects)?;
+            let (sender, signals) = mpsc::unbounded_channel();
+            state.waiting.insert(ticket, sender);
+            Ok(WaitingRequest { ticket, signals })
+        })
+    }
+
+    /// Reports how a dispatched request ended.
+    pub fn dispatched(&self, ticket: ClaimTicket, outcome: DispatchOutcome) {
+        self.with(|state, effects| state.book.dispatched(ticket, outcome, clock::now(), effects));
+    }
+
+    /// Reports the result of a call.
+    pub fn reply(&self, exchange: u64, reply: ClaimReply) {
+        let now = clock::now();
+        self.with(|state, effects| match reply {
+            ClaimReply::Acknowledged(revision) => {
+                state.book.acknowledged(exchange, revision, now, effects);
+            }
+            ClaimReply::Seen(revision, existing) => {
+                state.book.seen(exchange, revision, &existing, now, effects);
+            }
+            ClaimReply::Lost => state.book.lost(exchange, now),
+        });
+    }
+
+    /// Handles what is due.
+    pub fn tick(&self, now: ClockTime) {
+        let stats = self.with(|state, effects| {
+            if state.book.next_due().is_some_and(|due| due <= now) {
+                state.book.tick(now, effects);
+            }
+            state.book.stats()
+        });
+        metrics::gauge!("carobvane_claims_open").set(stats.claims as f64);
+        metrics::gauge!("carobvane_claims_store_down").set(f64::from(u8::from(stats.down)));
+    }
+
+    /// Sets the number of live entries, this one included.
+    pub fn set_live_entries(&self, count: u32) {
+        self.with(|state, _| state.book.set_live_entries(count));
+    }
+
+    /// Whether the key-value service counts as down.
+    pub fn is_down(&self) -> bool {
+        self.with(|state, _| state.book.stats().down)
+    }
+
+    /// Gives an input to the book and carries out its effects.
+    fn with<T>(&self, input: impl FnOnce(&mut DeskState, &mut Vec<ClaimEffect>) -> T) -> T {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut effects = std::mem::take(&mut state.effects);
+        let result = input(&mut state, &mut effects);
+        while !effects.is_empty() {
+            for effect in std::mem::take(&mut effects) {
+                state.carry_out(effect, &mut effects);
+            }
+        }
+        state.effects = effects;
+        result
+    }
+}
+
+impl DeskState {
+    fn carry_out(&mut self, effect: ClaimEffect, effects: &mut Vec<ClaimEffect>) {
+        match effect {
+            // The task ends with the process; calls without it count as lost after their timeout.
+            ClaimEffect::Write { exchange, items } => {
+                metrics::counter!("carobvane_claim_writes_total").increment(1);
+                metrics::counter!("carobvane_claim_items_total").increment(items.len() as u64);
+                self.calls.send(ClaimCall::Write { exchange, items }).ok();
+            }
+            ClaimEffect::ReadBack { exchange, keys } => {
+                metrics::counter!("carobvane_claim_read_backs_total").increment(1);
+                self.calls.send(ClaimCall::ReadBack { exchange, keys }).ok();
+            }
+            ClaimEffect::Dispatch { ticket, not_after } => {
+                let signal = ClaimSignal::Dispatch { not_after };
+                let sent = self.waiting.get(&ticket).is_some_and(|to| to.send(signal).is_ok());
+                if !sent {
+                    // The caller has gone before the dispatch, so the request does not run.
+                    self.waiting.remove(&ticket);
+                    let outcome = DispatchOutcome::NotRun;
+                    self.book.dispatched(ticket, outcome, clock::now(), effects);
+                }
+            }
+            ClaimEffect::Answer { ticket, answer } => {
+                if let Some(to) = self.waiting.remove(&ticket) {
+                    to.send(ClaimSignal::Answer(answer)).ok();
+                }
+            }
+        }
+    }
+}
+
+/// Why a request did not run, for a person.
+pub fn not_run_message(cause: NotRunCause) -> &'static str {
+    match cause {
+        NotRunCause::Full => "too many calls wait to be recorded",
+        NotRunCause::StoreDown => "calls cannot be recorded now; use a permit",
+        NotRunCause::StoreRestored => {
+            "the record of calls went back to an older state; use a permit"
+        }
+        NotRunCause::Expired => "the call could not be recorded in time; use a permit",
+        NotRunCause::Settling => "an earlier call with this key is being withdrawn",
+        NotRunCause::NotSent => "no server of the service took the call",
+    }
+}
--- a/crates/host/src/entry/error.rs
+++ b/crates/host/src/entry/error.rs
@@ -46,6 +46,8 @@
     ResultUnknown,
     /// A non-idempotent call needs an idempotency key or a permit.
     IdempotencyKeyMissing,
+    /// The permit was not issued by this fleet for this workspace.
+    PermitInvalid,
     /// Calls cannot be recorded now, so a non-idempotent call is not started.
     RecordUnavailable,
     /// The request has crashed backend servers.
@@ -72,6 +74,7 @@
             ErrorCode::IdempotencyMismatch => "idempotency_mismatch",
             ErrorCode::ResultUnknown => "result_unknown",
             ErrorCode::IdempotencyKeyMissing => "idempotency_key_missing",
+            ErrorCode::PermitInvalid => "permit_invalid",
             ErrorCode::RecordUnavailable => "record_unavailable",
             ErrorCode::CrashesServers => "request_crashes_servers",
         }
@@ -79,7 +82,9 @@
 
     fn status(self) -> StatusCode {
         match self {
-            ErrorCode::InvalidBody | ErrorCode::IdempotencyKeyMissing => StatusCode::BAD_REQUEST,
+            ErrorCode::InvalidBody
+            | ErrorCode::IdempotencyKeyMissing
+            | ErrorCode::PermitInvalid => StatusCode::BAD_REQUEST,
             ErrorCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ErrorCode::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             ErrorCode::InvalidKey => StatusCode::UNAUTHORIZED,
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -11,12 +11,20 @@
 /// The entry's side of its node.
 pub struct EntryHost {
     shared: Arc<EntryShared>,
+    /// Other live entries.
+    entries: Vec<NodeLife>,
 }
 
 impl EntryHost {
     /// Creates the host of an entry.
     pub fn new(shared: Arc<EntryShared>) -> EntryHost {
-        EntryHost { shared }
+        EntryHost { shared, entries: Vec::new() }
+    }
+}
+
+impl EntryHost {
+    fn update_entries(&self) {
+        self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
     }
 }
 
@@ -32,13 +40,24 @@
         }
     }
 
-    fn peer_joined(&mut self, _now: ClockTime, _life: NodeLife, _role: PeerRole) {}
+    fn peer_joined(&mut self, _now: ClockTime, life: NodeLife, role: PeerRole) {
+        if role == PeerRole::Entry {
+            self.entries.retain(|entry| entry.node != life.node);
+            self.entries.push(life);
+            self.update_entries();
+        }
+    }
 
-    fn peer_left(&mut self, _now: ClockTime, _life: NodeLife) {}
+    fn peer_left(&mut self, _now: ClockTime, life: NodeLife) {
+        self.entries.retain(|entry| *entry != life);
+        self.update_entries();
+    }
 
     fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
         log::debug!(node = life.node.0; "message without a receiver");
     }
 
-    fn tick(&mut self, _now: ClockTime) {}
+    fn tick(&mut self, now: ClockTime) {
+        self.shared.claims.tick(now);
+    }
 }
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -3,12 +3,16 @@
 mod active;
 mod admin;
 mod attempt;
+mod claims;
 mod completions;
 mod discovery;
 mod error;
 mod host;
+mod permits;
 mod relay;
+mod send_error;
 mod servers;
+mod service_call;
 mod services;
 mod shared;
 mod sink;
@@ -93,7 +97,10 @@
     let (peer, sender, inputs) =
         PeerLinks::start(own, PeerRole::Entry, settings.peer, &settings.join, &settings.fleet_key)?;
     let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.keyvalue.as_str()));
-    let shared = Arc::new(EntryShared::new(settings, own, sender.clone()));
+    let keyvalue_url = settings.keyvalue.to_string();
+    let (shared, calls) = EntryShared::new(settings, own, sender.clone());
+    let shared = Arc::new(shared);
+    claims::launch(Arc::clone(&shared), &keyvalue_url, calls);
     let source = ListSource::new(keyvalue);
     let host = host::EntryHost::new(Arc::clone(&shared));
     NodeActor::launch(host, source, sender, inputs, false, incarnation.0);
@@ -122,6 +129,7 @@
             .app_data(data.clone())
             .app_data(web::Data::new(client))
             .configure(completions::configure)
+            .configure(permits::configure)
             .configure(services::configure)
             .configure(discovery::configure)
     })
--- /dev/null
+++ b/crates/host/src/entry/permits.rs
@@ -0,0 +1,125 @@
+//! `POST /v1/permits`, and the entry's ledger.
+
+use std::sync::{Mutex, PoisonError};
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use carobvane_core::{
+    claims::{Permit, PermitError, PermitLedger, PermitVerdict},
+    ids::NodeLife,
+};
+use carobvane_proto::{headers, openai::PermitResponse};
+
+use super::{
+    active::ActiveLists,
+    error::{CallerError, ErrorCode},
+    shared::EntryShared,
+};
+use crate::{clock, peer::FleetKey};
+
+/// Permits that one request may ask for.
+const MAX_PERMITS_PER_REQUEST: u32 = 100;
+
+/// Adds the endpoint.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config.route("/v1/permits", web::post().to(issue_permits));
+}
+
+/// The permits of this incarnation, shared by its threads.
+pub struct PermitDesk {
+    ledger: Mutex<PermitLedger>,
+}
+
+impl PermitDesk {
+    /// Creates the desk of an incarnation.
+    pub fn new(life: NodeLife, fleet_key: &FleetKey) -> PermitDesk {
+        PermitDesk { ledger: Mutex::new(PermitLedger::new(life, fleet_key.derive("permits"))) }
+    }
+
+    /// Issues one permit.
+    ///
+    /// # Errors
+    ///
+    /// The ledger is full.
+    pub fn issue(&self, workspace: &str) -> Result<Permit, PermitError> {
+        self.ledger().issue(workspace, clock::now())
+    }
+
+    /// Redeems the permit of a request. After success it is spent.
+    ///
+    /// # Errors
+    ///
+    /// The answer to the caller.
+    pub fn redeem(
+        &self,
+        text: &str,
+        workspace: &str,
+        lists: &ActiveLists,
+    ) -> Result<Permit, CallerError> {
+        let invalid =
+            || CallerError::not_run(ErrorCode::PermitInvalid, "the permit is not one of yours");
+        let permit: Permit = text.parse().map_err(|_| invalid())?;
+        let verdict = self.ledger().redeem(&permit, workspace);
+        let unknown = |message: &str| CallerError::unknown(ErrorCode::ResultUnknown, message);
+        match verdict {
+            PermitVerdict::Run => Ok(permit),
+            PermitVerdict::Invalid => Err(invalid()),
+            PermitVerdict::Spent => Err(unknown("the permit has been used")),
+            PermitVerdict::IssuerGone => {
+                Err(unknown("the entry that issued the permit has restarted"))
+            }
+            PermitVerdict::Elsewhere(node) => {
+                let entries = &mut lists.document.entries.values();
+                let issuer = entries.find(|entry| entry.node == node);
+                let mut error = unknown("another entry issued the permit");
+                error.location = issuer.map(|entry| format!("http://{}", entry.http_address));
+                Err(error)
+            }
+        }
+    }
+
+    /// Makes a permit valid again, because its request was not sent.
+    pub fn restore(&self, permit: &Permit) {
+        self.ledger().restore(permit);
+    }
+
+    fn ledger(&self) -> std::sync::MutexGuard<'_, PermitLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn issue_permits(
+    request: HttpRequest,
+    shared: web::Data<EntryShared>,
+) -> Result<HttpResponse, CallerError> {
+    let (lists, workspace) = shared.admit(&request)?;
+    if shared.is_draining() {
+        // Permits die with this process.
+        return Err(shared.draining_error());
+    }
+    let count = requested_count(request.query_string())?;
+    let mut permits = Vec::new();
+    for _ in 0..count {
+        let permit = shared.permits.issue(&workspace.name).map_err(|error| {
+            CallerError::not_run(ErrorCode::Overloaded, error.to_string())
+                .with_retry_after(std::time::Duration::from_secs(1))
+        })?;
+        permits.push(permit.to_string());
+    }
+    let own = lists.document.entries.values().find(|entry| entry.node == shared.own.node);
+    let entry = own.map(|entry| format!("http://{}", entry.http_address));
+    Ok(HttpResponse::Ok()
+        .insert_header((headers::INCARNATION, shared.own.incarnation.0.to_string()))
+        .json(PermitResponse { permits, entry }))
+}
+
+/// The number of permits in `?count=`; 1 if absent.
+fn requested_count(query: &str) -> Result<u32, CallerError> {
+    let Some(text) = query.split('&').find_map(|pair| pair.strip_prefix("count=")) else {
+        return Ok(1);
+    };
+    let count = text.parse().ok().filter(|count| (1..=MAX_PERMITS_PER_REQUEST).contains(count));
+    count.ok_or_else(|| {
+        let message = format!("count must be from 1 to {MAX_PERMITS_PER_REQUEST}");
+        CallerError::not_run(ErrorCode::InvalidBody, message).with_param("count")
+    })
+}
--- /dev/null
+++ b/crates/host/src/entry/service_call.rs
@@ -0,0 +1,194 @@
+//! One call to a plain service.
+
+use std::{sync::Arc, time::Duration};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{
+        Method, StatusCode,
+        header::{CONTENT_TYPE, HeaderName, HeaderValue},
+    },
+};
+use bytes::Bytes;
+use carobvane_core::claims::StoredResponse;
+use carobvane_proto::{headers, openai::RunOutcome};
+
+use super::{active::ActiveLists, send_error::is_not_sent, shared::EntryShared};
+
+/// Longest time for a call to a plain service.
+pub const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Servers that are tried while none has taken the call.
+const MAX_SERVERS: usize = 3;
+/// Headers that are not passed on: they belong to one connection, or to the router.
+const HIDDEN_HEADERS: [&str; 10] = [
+    "authorization",
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "content-length",
+    "host",
+    headers::PERMIT,
+];
+
+/// A call, independent of the caller's connection.
+pub struct ServiceCall {
+    /// Name of the request.
+    pub id: String,
+    /// The service.
+    pub service: String,
+    /// Path and query at the service.
+    pub path: String,
+    /// The method.
+    pub method: Method,
+    /// The body.
+    pub body: Bytes,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    lists: Arc<ActiveLists>,
+}
+
+/// The answer of a service.
+pub struct ServiceAnswer {
+    status: StatusCode,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallFailure {
+    /// No byte of the call has left, or the server says that it did not run.
+    NotRun(String),
+    /// The call may have run.
+    Unknown(String),
+}
+
+impl ServiceCall {
+    /// Takes over what a caller has sent.
+    pub fn new(
+        id: String,
+        service: String,
+        path: &str,
+        request: &HttpRequest,
+        body: Bytes,
+        lists: Arc<ActiveLists>,
+    ) -> ServiceCall {
+        let query = request.query_string();
+        let separator = if query.is_empty() { "" } else { "?" };
+        let headers = request.headers().iter().filter(|(name, _)| is_passed_on(name));
+        ServiceCall {
+            id,
+            service,
+            path: format!("/{path}{separator}{query}"),
+            method: request.method().clone(),
+            body,
+            headers: headers.map(|(name, value)| (name.clone(), value.clone())).collect(),
+            lists,
+        }
+    }
+
+    /// Sends the call to a server, and to another one as long as none has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Tells apart a call that did not run from one that may have.
+    pub async fn run(
+        &self,
+        shared: &EntryShared,
+        client: &awc::Client,
+    ) -> Result<ServiceAnswer, CallFailure> {
+        let mut excluded = Vec::new();
+        let mut refusal = "no backend server runs the service".to_string();
+        for _ in 0..MAX_SERVERS {
+            let names = self.lists.services(&self.service);
+            let Some(server) = shared.pool().choose(names, &excluded).map(str::to_string) else {
+                break;
+            };
+            log::info!(request = self.id, service = self.service, server = server; "routed");
+            shared.pool().begin(&server);
+            let result = self.send(client, &server).await;
+            shared.pool().end(&server);
+            match result {
+                Err(CallFailure::NotRun(message)) => refusal = message,
+                result => return result,
+            }
+            excluded.push(server);
+        }
+        Err(CallFailure::NotRun(refusal))
+    }
+
+    async fn send(&self, client: &awc::Client, server: &str) -> Result<ServiceAnswer, CallFailure> {
+        let target = self
+            .lists
+            .server(server)
+            .ok_or_else(|| CallFailure::NotRun("the server has left the lists".to_string()))?;
+        let url = format!("http://{}{}", target.address, self.path);
+        let mut sending = client.request(self.method.clone(), url).timeout(SERVICE_TIMEOUT);
+        for (name, value) in &self.headers {
+            sending = sending.append_header((name.clone(), value.clone()));
+        }
+        sending = sending.insert_header((headers::REQUEST_ID, self.id.as_str()));
+        let sent = sending.send_body(self.body.clone()).await;
+        let mut response = sent.map_err(|error| {
+            if is_not_sent(&error) {
+                CallFailure::NotRun(format!("failed to connect: {error}"))
+            } else {
+                CallFailure::Unknown(error.to_string())
+            }
+        })?;
+        let unknown = |error: awc::error::PayloadError| CallFailure::Unknown(error.to_string());
+        let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(unknown)?;
+        let outcome = response.headers().get(headers::OUTCOME).and_then(|text| text.to_str().ok());
+        if outcome == Some(RunOutcome::NotRun.as_str()) {
+            return Err(CallFailure::NotRun(format!("refused with {}", response.status())));
+        }
+        let headers = response.headers().iter().filter(|(name, _)| is_passed_on(name));
+        let headers = headers.map(|(name, value)| (name.clone(), value.clone())).collect();
+        Ok(ServiceAnswer { status: response.status(), headers, body })
+    }
+}
+
+fn is_passed_on(name: &HeaderName) -> bool {
+    !HIDDEN_HEADERS.contains(&name.as_str())
+}
+
+impl ServiceAnswer {
+    /// The answer to the caller.
+    pub fn into_response(self) -> HttpResponse {
+        let mut reply = HttpResponse::build(self.status);
+        for header in self.headers {
+            reply.append_header(header);
+        }
+        reply.body(self.body)
+    }
+
+    /// The answer as it is stored for resends.
+    pub fn to_stored(&self) -> StoredResponse {
+        let is_type = |(name, _): &&(HeaderName, HeaderValue)| name == CONTENT_TYPE;
+        let content_type =
+            self.headers.iter().find(is_type).and_then(|(_, value)| value.to_str().ok());
+        StoredResponse {
+            status: self.status.as_u16(),
+            content_type: content_type.unwrap_or_default().to_string(),
+            body: self.body.to_vec(),
+        }
+    }
+
+    /// A stored answer.
+    pub fn from_stored(stored: StoredResponse) -> ServiceAnswer {
+        let content_type = HeaderValue::from_str(&stored.content_type).ok();
+        ServiceAnswer {
+            status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
+            headers: content_type
+                .filter(|value| !value.is_empty())
+                .map(|value| (CONTENT_TYPE, value))
+                .into_iter()
+                .collect(),
+            body: stored.body.into(),
+        }
+    }
+}
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -11,10 +11,13 @@
 use actix_web::{HttpRequest, http::header};
 use carobvane_core::{ids::NodeLife, lists::ListSnapshot};
 use carobvane_proto::headers;
+use tokio::sync::mpsc;
 
 use super::{
     active::{ActiveLists, CallerWorkspace},
+    claims::{ClaimCall, ClaimDesk},
     error::{CallerError, ErrorCode},
+    permits::PermitDesk,
     servers::ServerPool,
 };
 use crate::{peer::PeerSender, settings::EntrySettings};
@@ -36,6 +39,10 @@
     pub own: NodeLife,
     /// Sends to other processes.
     pub sender: PeerSender,
+    /// Claims of non-idempotent calls.
+    pub claims: ClaimDesk,
+    /// Permits for non-idempotent calls.
+    pub permits: PermitDesk,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
     draining: AtomicBool,
@@ -45,9 +52,17 @@
 }
 
 impl EntryShared {
-    /// Creates the state of an entry without lists.
-    pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
-        EntryShared {
+    /// Creates the state of an entry without lists, and the receiver of its claims' calls.
+    pub fn new(
+        settings: EntrySettings,
+        own: NodeLife,
+        sender: PeerSender,
+    ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
+        let (claims, calls) = ClaimDesk::new(own);
+        let permits = PermitDesk::new(own, &settings.fleet_key);
+        let shared = EntryShared {
+            claims,
+            permits,
             settings,
             own,
             sender,
@@ -57,7 +72,8 @@
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
-        }
+        };
+        (shared, calls)
     }
 
     /// The lists in force, if there are any.
@@ -121,7 +137,8 @@
         Ok((lists, workspace))
     }
 
-    fn draining_error(&self) -> CallerError {
+    /// The answer to new requests while this entry leaves.
+    pub fn draining_error(&self) -> CallerError {
         let mut error = CallerError::not_run(ErrorCode::Draining, "this entry is leaving")
             .with_retry_after(Duration::from_secs(1));
         error.location = self.pool().other_entry();
--- a/crates/host/src/keyvalue/client.rs
+++ b/crates/host/src/keyvalue/client.rs
@@ -151,6 +151,19 @@
         Ok((values?, response.header.revision))
     }
 
+    /// Reads several keys in one call, with the store's revision.
+    pub async fn get_many(
+        &self,
+        keys: &[String],
+    ) -> Result<(Vec<StoredValue>, i64), KeyvalueError> {
+        let transaction = keys.iter().fold(Transaction::new(), |reads, key| reads.read(key));
+        let response: TxnResponse = self
+            .call("get_many", CallClass::Read, "/v3/kv/txn", &transaction.into_request()?)
+            .await?;
+        let result = TransactionResult::from_response(response)?;
+        Ok((result.values, result.revision))
+    }
+
     /// Runs a transaction.
     pub async fn txn(&self, transaction: Transaction) -> Result<TransactionResult, KeyvalueError> {
         let request = transaction.into_request()?;
--- a/crates/host/src/keyvalue/transaction.rs
+++ b/crates/host/src/keyvalue/transaction.rs
@@ -1,7 +1,8 @@
 //! Compare-and-swap transactions.
 
 use carobvane_proto::keyvalue::{
-    Compare, PutRequest, RangeRequest, RequestOp, TxnRequest, TxnResponse, decode, encode,
+    Compare, DeleteRangeRequest, PutRequest, RangeRequest, RequestOp, TxnRequest, TxnResponse,
+    decode, encode,
 };
 
 use super::{KeyvalueError, MAX_VALUE_BYTES, client::StoredValue};
@@ -97,18 +98,30 @@
         self
     }
 
-    /// Reads `key` when the conditions do not hold.
-    pub fn read_on_failure(mut self, key: &str) -> Transaction {
-        self.request.failure.push(RequestOp {
-            request_range: Some(RangeRequest {
+    /// Deletes `key` when the conditions hold.
+    pub fn delete(mut self, key: &str) -> Transaction {
+        self.request.success.push(RequestOp {
+            request_delete_range: Some(DeleteRangeRequest {
                 key: encode(key.as_bytes()),
-                ..RangeRequest::default()
+                ..DeleteRangeRequest::default()
             }),
             ..RequestOp::default()
         });
         self
     }
 
+    /// Reads `key` when the conditions hold.
+    pub fn read(mut self, key: &str) -> Transaction {
+        self.request.success.push(read_operation(key));
+        self
+    }
+
+    /// Reads `key` when the conditions do not hold.
+    pub fn read_on_failure(mut self, key: &str) -> Transaction {
+        self.request.failure.push(read_operation(key));
+        self
+    }
+
     /// The gateway's request.
     pub(super) fn into_request(self) -> Result<TxnRequest, KeyvalueError> {
         if self.largest > MAX_VALUE_BYTES {
@@ -118,6 +131,11 @@
     }
 }
 
+fn read_operation(key: &str) -> RequestOp {
+    let range = RangeRequest { key: encode(key.as_bytes()), ..RangeRequest::default() };
+    RequestOp { request_range: Some(range), ..RequestOp::default() }
+}
+
 impl TransactionResult {
     pub(super) fn from_response(response: TxnResponse) -> Result<TransactionResult, KeyvalueError> {
         let mut values = Vec::new();
--- a/crates/proto/src/headers.rs
+++ b/crates/proto/src/headers.rs
@@ -10,6 +10,10 @@
 pub const INCARNATION: &str = "x-incarnation";
 /// Names one logical call of a non-idempotent request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// A single-use permit for a non-idempotent request.
+pub const PERMIT: &str = "x-permit";
+/// `true` on an answer that was stored for an earlier request with the same key.
+pub const REPLAYED: &str = "idempotent-replayed";
 /// Whether the request ran: `not_run` or `outcome_unknown`.
 pub const OUTCOME: &str = "x-outcome";
 /// The fencing number of an order.
--- a/crates/proto/src/openai.rs
+++ b/crates/proto/src/openai.rs
@@ -102,6 +102,15 @@
     pub outcome: RunOutcome,
 }
 
+/// The answer of `POST /v1/permits`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitResponse {
+    /// Single-use permits, each for the header `x-permit`.
+    pub permits: Vec<String>,
+    /// Base URL of the entry that redeems them.
+    pub entry: Option<String>,
+}
+
 /// The answer of `GET /v1/entries`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryList {
--- a/crates/replay/src/check/machines/claims.rs
+++ b/crates/replay/src/check/machines/claims.rs
@@ -214,7 +214,8 @@
         let request = ClaimRequest {
             key: ClaimKey::new(WORKSPACE, "bookings", &format!("{call:?}")),
             fingerprint: BodyFingerprint::new("POST", "/book", &[body]),
-            deadline: context.now + std::time::Duration::from_micros(wait),
+            dispatch_by: context.now + std::time::Duration::from_micros(wait),
+            deadline: context.now + std::time::Duration::from_micros(wait + MAX_WAIT_MICROS / 2),
         };
         let mut effects = Vec::new();
         match entry.book.submit(request, context.now, &mut effects) {
