--- a/crates/replay/src/check/machines.rs
+++ b/crates/replay/src/check/machines.rs
@@ -1,6 +1,8 @@
 //! The machines that `carobvane-replay check` runs.
 
 pub mod claims;
+pub mod lists;
+pub mod shares;
 pub mod streams;
 pub mod suspects;
 
@@ -10,6 +12,8 @@
 pub fn all() -> Vec<MachineEntry> {
     vec![
         MachineEntry::of::<claims::ClaimMachine>(),
+        MachineEntry::of::<shares::SharesMachine>(),
+        MachineEntry::of::<lists::ListsMachine>(),
         MachineEntry::of::<streams::StreamMachine>(),
         MachineEntry::of::<suspects::SuspectMachine>(),
     ]
