Relay streams through the assembler and count crashes

Cause: the relay accepted any position of its own attempt and resumed without bound on text; requests that crash servers ran on. Change: StreamAssembler decides about chunks, resumes and errors; SuspectDesk hosts the registry, exchanges crashes with the other entries, and a failure is told to the caller after they know it. A suspect waits up to 300 ms for a server without requests, then takes one without another suspect. Ruled out: holding a suspect until a server is free; after a crash under load every request of that server is a suspect, and their streams would break.

--- a/crates/core/src/streams/assembler.rs
+++ b/crates/core/src/streams/assembler.rs
@@ -49,6 +49,11 @@
         self.delivered
     }
 
+    /// Whether any attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Whether the caller has the whole answer.
     pub fn is_finished(&self) -> bool {
         self.finished
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -91,6 +91,12 @@
         self.records.get(&fingerprint).map_or(0, |record| record.crashes.len())
     }
 
+    /// Whether this crash is counted.
+    pub fn counts(&self, crash: ServerCrash) -> bool {
+        let record = self.records.get(&crash.fingerprint);
+        record.is_some_and(|record| record.crashes.contains(&crash.server))
+    }
+
     /// Number of suspects.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -157,14 +163,19 @@
         self.report(running.into_iter().map(crash).collect(), now, effects)
     }
 
-    /// A server answers in the same life in which it was taken for dead.
+    /// A server has answered a request that was sent to it at `sent`. Crashes of this life that
+    /// were counted before are none; an answer to an older request proves nothing.
     pub fn server_alive(
         &mut self,
         server: ServerLife,
+        sent: ClockTime,
         now: ClockTime,
         effects: &mut Vec<SuspectEffect>,
     ) {
-        let counted = self.records.iter().filter(|(_, record)| record.crashes.contains(&server));
+        let counted = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.crashes.contains(&server) && record.last_change < sent);
         let crashes = counted.map(|(&fingerprint, _)| ServerCrash { fingerprint, server });
         self.withdraw(crashes.collect(), now, effects);
     }
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -115,7 +115,12 @@
         Case {
             name: "server alive",
             end: |registry, effects| {
-                registry.server_alive(ServerLife::new("a", 1), ClockTime::ZERO, effects);
+                let server = ServerLife::new("a", 1);
+                // The answer was on the way when the server died.
+                registry.server_alive(server, ClockTime::ZERO, ClockTime::ZERO, effects);
+                assert_eq!(registry.admit(suspect("r")), SuspectAdmission::RunAlone);
+                let sent = ClockTime::from_millis(1);
+                registry.server_alive(server, sent, sent, effects);
             },
         },
     ];
--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -4,6 +4,7 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
+use carobvane_core::{streams::AttemptFault, suspects::RunEnd};
 use carobvane_proto::{engine::ChunkPosition, headers, openai::TokenUsage};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
@@ -99,6 +100,28 @@
     }
 }
 
+impl AttemptError {
+    /// The fault as the stream's assembler knows it.
+    pub fn fault(&self) -> AttemptFault {
+        match self {
+            AttemptError::NotSent(_) | AttemptError::Rejected { .. } => AttemptFault::NotRun,
+            AttemptError::Broken(_) | AttemptError::ServerError(_) | AttemptError::Silent => {
+                AttemptFault::Broken
+            }
+            AttemptError::Short => AttemptFault::Short,
+            AttemptError::Garbage(_) => AttemptFault::Garbage,
+        }
+    }
+
+    /// How the run on the server ended. Only a broken connection looks like a server's death.
+    pub fn run_end(&self) -> RunEnd {
+        match self {
+            AttemptError::Broken(_) => RunEnd::Crashed,
+            _ => RunEnd::Ended,
+        }
+    }
+}
+
 /// What an engine sends next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AttemptEvent {
@@ -120,8 +143,12 @@
         /// The engine's reason.
         message: String,
     },
-    /// The connection broke, or the stream ended without `[DONE]`.
+    /// The connection broke.
     Broken(String),
+    /// The engine answered with an error that does not say whether the request ran.
+    ServerError(u16),
+    /// The stream ended without `[DONE]`.
+    Short,
     /// The engine sent something that is no chunk.
     Garbage(String),
     /// The engine sent nothing for [`SILENCE_TIMEOUT`].
@@ -136,6 +163,8 @@
                 write!(f, "engine refused with status {status}: {message}")
             }
             AttemptError::Broken(cause) => write!(f, "stream broke: {cause}"),
+            AttemptError::ServerError(status) => write!(f, "engine answered with status {status}"),
+            AttemptError::Short => write!(f, "stream ended early"),
             AttemptError::Garbage(cause) => write!(f, "engine sent an invalid chunk: {cause}"),
             AttemptError::Silent => write!(f, "engine sent nothing for {SILENCE_TIMEOUT:?}"),
         }
@@ -177,7 +206,7 @@
         return Err(if response.status().is_client_error() || status == 503 {
             AttemptError::Rejected { status, message }
         } else {
-            AttemptError::Broken(format!("status {status}"))
+            AttemptError::ServerError(status)
         });
     }
     let incarnation = response
@@ -206,7 +235,7 @@
     pub async fn next(&mut self) -> Result<AttemptEvent, AttemptError> {
         match tokio::time::timeout(SILENCE_TIMEOUT, self.events.next()).await {
             Ok(Some(event)) => event,
-            Ok(None) => Err(AttemptError::Broken("ended without [DONE]".to_string())),
+            Ok(None) => Err(AttemptError::Short),
             Err(_) => Err(AttemptError::Silent),
         }
     }
--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -4,6 +4,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
+use carobvane_core::suspects::SuspectFingerprint;
 use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
 use futures::{StreamExt, stream::unfold};
 use serde_json::{Map, Value};
@@ -77,12 +78,11 @@
 ) -> Result<HttpResponse, CallerError> {
     let (lists, workspace) = shared.admit(&request)?;
     let body = read_body(body, shared.settings.max_body_bytes).await?;
-    let fields: Map<String, Value> = parse_body(&body)?;
     let completion: CompletionRequest = parse_body(&body)?;
     check_model(&lists, &workspace, &completion.model)?;
     let is_chat = path == "/v1/chat/completions";
     let include_usage = completion.stream_options.is_some_and(|options| options.include_usage);
-    let relayed = relay_request(path, id, &shared, lists, workspace, &completion, fields)?;
+    let relayed = relay_request(path, id, &shared, lists, workspace, &completion, &body)?;
     if completion.stream {
         let (sink, head) = StreamSink::new(include_usage);
         actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
@@ -111,8 +111,10 @@
     lists: Arc<ActiveLists>,
     workspace: CallerWorkspace,
     completion: &CompletionRequest,
-    mut body: Map<String, Value>,
+    body: &[u8],
 ) -> Result<RelayRequest, CallerError> {
+    let fingerprint = SuspectFingerprint::new(&workspace.name, body);
+    let mut body: Map<String, Value> = parse_body(body)?;
     let weights = lists.weights(&completion.model);
     let salt = format!("{}/{weights}", workspace.name);
     let prompt = prompt_text(completion)?;
@@ -125,6 +127,7 @@
         model: completion.model.clone(),
         path,
         body,
+        fingerprint,
         extension: EngineExtension { cache_salt: salt, piece_hashes, ..Default::default() },
         weights,
         lists,
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -25,6 +25,7 @@
 impl EntryHost {
     fn update_entries(&self) {
         self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
+        self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
     }
 }
 
@@ -45,6 +46,7 @@
             self.entries.retain(|entry| entry.node != life.node);
             self.entries.push(life);
             self.update_entries();
+            self.shared.suspects.peer_joined(life.node);
         }
     }
 
@@ -53,11 +55,17 @@
         self.update_entries();
     }
 
-    fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
-        log::debug!(node = life.node.0; "message without a receiver");
+    fn peer_message(&mut self, now: ClockTime, life: NodeLife, message: PeerMessage) {
+        match message {
+            PeerMessage::Suspects(message) => {
+                self.shared.suspects.receive(life.node, message, now);
+            }
+            _ => log::debug!(node = life.node.0; "message without a receiver"),
+        }
     }
 
     fn tick(&mut self, now: ClockTime) {
         self.shared.claims.tick(now);
+        self.shared.suspects.tick(now);
     }
 }
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -10,12 +10,14 @@
 mod host;
 mod permits;
 mod relay;
+mod relay_attempt;
 mod send_error;
 mod servers;
 mod service_call;
 mod services;
 mod shared;
 mod sink;
+mod suspects;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -1,23 +1,31 @@
 //! Carries one completion through: choose an engine, relay its stream, retry or resume.
 
-use std::{sync::Arc, time::Instant};
+use std::{sync::Arc, time::Duration};
 
+use carobvane_core::{
+    streams::{NextStep, StreamAssembler, StreamSpec},
+    suspects::{RunEnd, SuspectAdmission, SuspectFingerprint},
+};
 use carobvane_proto::{engine::EngineExtension, openai::TokenUsage};
-use futures::Stream;
 use serde_json::{Map, Value};
+use tokio::sync::oneshot;
 
 use super::{
     active::ActiveLists,
-    attempt::{
-        AttemptError, AttemptEvent, AttemptRequest, EngineChunk, EngineStream, open_attempt,
-    },
+    attempt::AttemptError,
     error::{CallerError, ErrorCode},
+    relay_attempt::{AttemptEnd, RelayAttempt},
     shared::EntryShared,
-    sink::{CallerGone, ChunkSink},
+    sink::ChunkSink,
 };
 
-/// Attempts at one request, resumes included.
-const MAX_ATTEMPTS: u32 = 4;
+/// Longest wait of a suspect for a server without requests. After that it shares a server with
+/// requests that are no suspects, because under load no server would ever be free.
+const ALONE_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which a suspect looks for a server.
+const ALONE_POLL: Duration = Duration::from_millis(10);
+/// When to come back with a suspect that runs already.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
 
 /// A completion that has been admitted.
 pub struct RelayRequest {
@@ -31,6 +39,8 @@
     pub path: &'static str,
     /// The caller's body, as it goes to the engine.
     pub body: Map<String, Value>,
+    /// The caller's body and workspace, for the count of crashes.
+    pub fingerprint: SuspectFingerprint,
     /// Fields that the entry adds.
     pub extension: EngineExtension,
     /// The weights version of the answer.
@@ -39,20 +49,16 @@
     pub lists: Arc<ActiveLists>,
 }
 
-/// What has reached the caller.
-#[derive(Debug, Default)]
-struct DeliveredAnswer {
-    tokens: u32,
-    text: String,
-    finished: bool,
-    usage: TokenUsage,
-}
-
-/// Why the relay of one attempt ended.
-enum AttemptEnd {
-    Complete,
-    Failed(AttemptError),
-    CallerGone,
+/// A request on its way.
+pub(super) struct RelayState {
+    /// What has reached the caller.
+    pub(super) stream: StreamAssembler,
+    /// Token counts from the engine.
+    pub(super) usage: TokenUsage,
+    excluded: Vec<String>,
+    last_error: Option<AttemptError>,
+    /// Resolve when the other entries know of this request's crashes.
+    told: Vec<oneshot::Receiver<()>>,
 }
 
 /// Relays a completion into `sink`.
@@ -63,167 +69,158 @@
     mut sink: K,
 ) {
     let _guard = shared.begin_request();
-    let mut delivered = DeliveredAnswer::default();
-    let mut excluded = Vec::new();
-    let mut last_error = None;
-    for number in 0..MAX_ATTEMPTS {
-        let names = request.lists.engines(&request.model);
-        let Some(server) = shared.pool().choose(names, &excluded).map(str::to_string) else {
-            break;
+    let spec = StreamSpec {
+        weights_version: request.weights,
+        cache_salt: request.extension.cache_salt.clone(),
+    };
+    let mut state = RelayState {
+        stream: StreamAssembler::new(shared.own, shared.next_stream(), spec),
+        usage: TokenUsage::default(),
+        excluded: Vec::new(),
+        last_error: None,
+        told: Vec::new(),
+    };
+    let outcome = match relay_attempts(&shared, &client, &request, &mut state, &mut sink).await {
+        RelayEnd::Complete => {
+            sink.finish(state.usage).await.ok();
+            "complete"
+        }
+        RelayEnd::CallerGone => {
+            log::info!(request = request.id; "caller has gone");
+            "caller_gone"
+        }
+        RelayEnd::Failed(error) => {
+            // A caller that resends at another entry must find the crash known there.
+            for told in state.told {
+                told.await.ok();
+            }
+            sink.fail(error).await;
+            "failed"
+        }
+    };
+    metrics::counter!("carobvane_requests_total", "outcome" => outcome).increment(1);
+}
+
+enum RelayEnd {
+    Complete,
+    CallerGone,
+    Failed(CallerError),
+}
+
+async fn relay_attempts<K: ChunkSink>(
+    shared: &EntryShared,
+    client: &awc::Client,
+    request: &RelayRequest,
+    state: &mut RelayState,
+    sink: &mut K,
+) -> RelayEnd {
+    loop {
+        let admission = shared.suspects.admit(request.fingerprint);
+        if let Some(error) = refusal(admission, state) {
+            return RelayEnd::Failed(error);
+        }
+        let Some(start) = state.stream.open() else {
+            return RelayEnd::Failed(final_error(state));
+        };
+        let Some(server) = choose_server(shared, request, admission, &state.excluded).await else {
+            return RelayEnd::Failed(final_error(state));
         };
         log::info!(
             request = request.id, workspace = request.workspace, model = request.model,
-            server = server, attempt = number, offset = delivered.tokens; "routed"
+            server = server, attempt = start.id.number, offset = start.resume.offset; "routed"
         );
+        let id = start.id;
         shared.pool().begin(&server);
-        let end = run_attempt(&client, &request, &server, number, &mut delivered, &mut sink).await;
+        let mut run = shared.suspects.begin(request.fingerprint, &server);
+        let run_on = &mut run;
+        let attempt = RelayAttempt { shared, client, request, server: &server, start, run: run_on };
+        let end = attempt.relay(state, sink).await;
         shared.pool().end(&server);
-        match end {
+        if admission == SuspectAdmission::RunAlone {
+            shared.pool().end_suspect(&server);
+        }
+        let error = match end {
             AttemptEnd::Complete => {
-                metrics::counter!("carobvane_requests_total", "outcome" => "complete").increment(1);
-                sink.finish(delivered.usage).await.ok();
-                return;
+                shared.suspects.end(run, RunEnd::Completed);
+                return RelayEnd::Complete;
             }
             AttemptEnd::CallerGone => {
-                metrics::counter!("carobvane_requests_total", "outcome" => "caller_gone")
-                    .increment(1);
-                log::info!(request = request.id; "caller has gone");
-                return;
-            }
-            AttemptEnd::Failed(error) => {
-                log::warn!(
-                    request = request.id, server = server, attempt = number, error:% = error;
-                    "attempt failed"
-                );
-                excluded.push(server);
-                last_error = Some(error);
+                shared.suspects.end(run, RunEnd::Ended);
+                return RelayEnd::CallerGone;
             }
+            AttemptEnd::Failed(error) => error,
+        };
+        log::warn!(
+            request = request.id, server = server, attempt = id.number, error:% = error;
+            "attempt failed"
+        );
+        state.told.extend(shared.suspects.end(run, error.run_end()));
+        let step = state.stream.fail(id, error.fault());
+        state.excluded.push(server);
+        state.last_error = Some(error);
+        match step {
+            NextStep::Complete => return RelayEnd::Complete,
+            NextStep::Resume | NextStep::Wait => {}
+            NextStep::Stop(_) => return RelayEnd::Failed(final_error(state)),
         }
     }
-    metrics::counter!("carobvane_requests_total", "outcome" => "failed").increment(1);
-    sink.fail(final_error(last_error, &delivered)).await;
 }
 
-async fn run_attempt<K: ChunkSink>(
-    client: &awc::Client,
-    request: &RelayRequest,
-    server: &str,
-    number: u32,
-    delivered: &mut DeliveredAnswer,
-    sink: &mut K,
-) -> AttemptEnd {
-    let Some(target) = request.lists.server(server) else {
-        return AttemptEnd::Failed(AttemptError::NotSent("server left the lists".to_string()));
-    };
-    let attempt = AttemptRequest {
-        url: format!("http://{}{}", target.address, request.path),
-        attempt: format!("{}-{number}", request.id),
-        request: request.id.clone(),
-        weights: request.weights,
-        body: attempt_body(request, delivered),
+/// The error for a suspect that may not run.
+fn refusal(admission: SuspectAdmission, state: &RelayState) -> Option<CallerError> {
+    let error = match admission {
+        SuspectAdmission::Run | SuspectAdmission::RunAlone => return None,
+        SuspectAdmission::Busy => {
+            CallerError::not_run(ErrorCode::Overloaded, "the same request runs alone already")
+                .with_retry_after(BUSY_RETRY)
+        }
+        SuspectAdmission::Reject => CallerError::not_run(
+            ErrorCode::CrashesServers,
+            "backend servers have crashed while they ran this request",
+        ),
     };
-    let started = Instant::now();
-    match open_attempt(client, &attempt).await {
-        Ok(mut stream) => {
-            log::debug!(
-                request = request.id, server, incarnation = stream.incarnation.unwrap_or(0);
-                "engine answers"
-            );
-            let end = relay_stream(&mut stream, &attempt.attempt, delivered, sink).await;
-            metrics::histogram!("carobvane_attempt_seconds")
-                .record(started.elapsed().as_secs_f64());
-            end
+    Some(match &state.last_error {
+        Some(_) => {
+            CallerError { retry_after: None, ..CallerError::unknown(error.code, error.message) }
         }
-        Err(error) => AttemptEnd::Failed(error),
-    }
+        None => error,
+    })
 }
 
-fn attempt_body(request: &RelayRequest, delivered: &DeliveredAnswer) -> bytes::Bytes {
-    let extension = EngineExtension {
-        resume_offset: delivered.tokens,
-        resume_text: delivered.text.clone(),
-        ..request.extension.clone()
-    };
-    let mut body = request.body.clone();
-    if let Ok(Value::Object(fields)) = serde_json::to_value(extension) {
-        body.extend(fields);
+async fn choose_server(
+    shared: &EntryShared,
+    request: &RelayRequest,
+    admission: SuspectAdmission,
+    excluded: &[String],
+) -> Option<String> {
+    let names = request.lists.engines(&request.model);
+    if admission != SuspectAdmission::RunAlone {
+        return shared.pool().choose(names, excluded).map(str::to_string);
     }
-    serde_json::to_vec(&body).unwrap_or_default().into()
-}
-
-async fn relay_stream<S, K>(
-    stream: &mut EngineStream<S>,
-    attempt: &str,
-    delivered: &mut DeliveredAnswer,
-    sink: &mut K,
-) -> AttemptEnd
-where
-    S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
-    K: ChunkSink,
-{
-    loop {
-        let chunk = match stream.next().await {
-            Ok(AttemptEvent::Chunk(chunk)) => chunk,
-            Ok(AttemptEvent::Done) if delivered.finished => return AttemptEnd::Complete,
-            Ok(AttemptEvent::Done) => {
-                let cause = "[DONE] without a finish reason".to_string();
-                return AttemptEnd::Failed(AttemptError::Broken(cause));
+    let waiting = async {
+        loop {
+            if let Some(server) = shared.pool().choose_for_suspect(names, excluded, false) {
+                return server;
             }
-            Err(error) => return AttemptEnd::Failed(error),
-        };
-        match accept_chunk(attempt, &chunk, delivered) {
-            Ok(true) => {
-                if sink.chunk(chunk).await == Err(CallerGone) {
-                    return AttemptEnd::CallerGone;
-                }
-            }
-            Ok(false) => {}
-            Err(error) => return AttemptEnd::Failed(error),
+            tokio::time::sleep(ALONE_POLL).await;
         }
-    }
-}
-
-/// Decides whether a chunk is the next one. Duplicates and chunks of other attempts are dropped.
-fn accept_chunk(
-    attempt: &str,
-    chunk: &EngineChunk,
-    delivered: &mut DeliveredAnswer,
-) -> Result<bool, AttemptError> {
-    if let Some(usage) = chunk.usage {
-        delivered.usage = usage;
-    }
-    let Some(position) = &chunk.position else {
-        return Ok(chunk.choices.is_empty());
     };
-    if position.attempt != attempt || position.offset < delivered.tokens {
-        return Ok(false);
+    match tokio::time::timeout(ALONE_WAIT, waiting).await {
+        Ok(server) => Some(server),
+        Err(_) => shared.pool().choose_for_suspect(names, excluded, true),
     }
-    if position.offset > delivered.tokens {
-        let cause = format!("expected offset {}, got {}", delivered.tokens, position.offset);
-        return Err(AttemptError::Garbage(cause));
-    }
-    if delivered.finished {
-        return Ok(false);
-    }
-    delivered.tokens += position.tokens;
-    delivered.text.push_str(chunk.content());
-    delivered.finished = chunk.finish_reason().is_some();
-    Ok(true)
 }
 
-fn final_error(error: Option<AttemptError>, delivered: &DeliveredAnswer) -> CallerError {
-    let message = match &error {
+fn final_error(state: &RelayState) -> CallerError {
+    let message = match &state.last_error {
         Some(error) => error.to_string(),
         None => "no backend server can take the request".to_string(),
     };
-    if delivered.tokens > 0 {
+    if state.stream.delivered() > 0 {
         return CallerError::unknown(ErrorCode::StreamBroken, message);
     }
-    match error {
-        None | Some(AttemptError::NotSent(_) | AttemptError::Rejected { .. }) => {
-            CallerError::not_run(ErrorCode::NoServer, message)
-                .with_retry_after(std::time::Duration::from_secs(1))
-        }
-        Some(_) => CallerError::unknown(ErrorCode::BackendFailed, message),
+    if state.stream.may_have_run() {
+        return CallerError::unknown(ErrorCode::BackendFailed, message);
     }
+    CallerError::not_run(ErrorCode::NoServer, message).with_retry_after(Duration::from_secs(1))
 }
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -19,6 +19,7 @@
     error::{CallerError, ErrorCode},
     permits::PermitDesk,
     servers::ServerPool,
+    suspects::SuspectDesk,
 };
 use crate::{peer::PeerSender, settings::EntrySettings};
 
@@ -43,6 +44,8 @@
     pub claims: ClaimDesk,
     /// Permits for non-idempotent calls.
     pub permits: PermitDesk,
+    /// Requests that crash servers.
+    pub suspects: SuspectDesk,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
     draining: AtomicBool,
@@ -60,9 +63,11 @@
     ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
         let (claims, calls) = ClaimDesk::new(own);
         let permits = PermitDesk::new(own, &settings.fleet_key);
+        let suspects = SuspectDesk::new(own, sender.clone());
         let shared = EntryShared {
             claims,
             permits,
+            suspects,
             settings,
             own,
             sender,
@@ -145,6 +150,11 @@
         error
     }
 
+    /// A number that no other stream of this process has.
+    pub fn next_stream(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
--- /dev/null
+++ b/crates/host/src/entry/suspects.rs
@@ -0,0 +1,146 @@
+//! Hosts the [`SuspectRegistry`] of an entry.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+};
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::{NodeId, NodeLife},
+    suspects::{
+        RunEnd, ServerCrash, ServerLife, SuspectAdmission, SuspectEffect, SuspectFingerprint,
+        SuspectMessage, SuspectRegistry,
+    },
+};
+use carobvane_proto::peer::PeerMessage;
+use tokio::sync::oneshot;
+
+use crate::{clock, peer::PeerSender};
+
+/// The suspects that an entry knows, shared by its threads.
+pub struct SuspectDesk {
+    own: NodeLife,
+    sender: PeerSender,
+    state: Mutex<DeskState>,
+}
+
+#[derive(Default)]
+struct DeskState {
+    registry: SuspectRegistry,
+    /// Incarnation in the last answer, by server name.
+    incarnations: HashMap<String, u64>,
+    /// Requests that wait for a report, by report.
+    waiting: HashMap<u64, Vec<oneshot::Sender<()>>>,
+}
+
+/// A run of a request on a server, from its start to its end.
+#[derive(Debug, Clone)]
+pub struct ServerRun {
+    fingerprint: SuspectFingerprint,
+    server: String,
+    life: ServerLife,
+    opened: ClockTime,
+}
+
+impl SuspectDesk {
+    /// Creates a desk without suspects.
+    pub fn new(own: NodeLife, sender: PeerSender) -> SuspectDesk {
+        SuspectDesk { own, sender, state: Mutex::default() }
+    }
+
+    /// Whether and how a request may run.
+    pub fn admit(&self, fingerprint: SuspectFingerprint) -> SuspectAdmission {
+        self.with(|state, _| state.registry.admit(fingerprint))
+    }
+
+    /// A request starts on a server.
+    pub fn begin(&self, fingerprint: SuspectFingerprint, server: &str) -> ServerRun {
+        let opened = clock::now();
+        self.with(|state, _| {
+            let known = state.incarnations.get(server);
+            let mut life = ServerLife::new(server, known.copied().unwrap_or_default());
+            if known.is_none() || state.registry.counts(ServerCrash { fingerprint, server: life }) {
+                // The server's present life is not known. A name that no other run has makes a
+                // second death count, at the price of counting one death twice when two entries
+                // run the same request there.
+                let unique = self.own.incarnation.0.wrapping_add(opened.as_micros());
+                life = ServerLife::new(&format!("{server} {}", self.own.node.0), unique);
+            }
+            state.registry.begin(fingerprint, life);
+            ServerRun { fingerprint, server: server.to_string(), life, opened }
+        })
+    }
+
+    /// The server has answered the run in this life, so it was alive after the run's start.
+    pub fn answered(&self, run: &mut ServerRun, incarnation: u64) {
+        self.with(|state, effects| {
+            let life = ServerLife::new(&run.server, incarnation);
+            if life != run.life {
+                state.incarnations.insert(run.server.clone(), incarnation);
+                state.registry.end(run.fingerprint, run.life, RunEnd::Ended, run.opened, effects);
+                state.registry.begin(run.fingerprint, life);
+                run.life = life;
+            }
+            state.registry.server_alive(life, run.opened, clock::now(), effects);
+        });
+    }
+
+    /// A run has ended. After a crash, `told` resolves when the caller may be told.
+    pub fn end(&self, run: ServerRun, end: RunEnd) -> Option<oneshot::Receiver<()>> {
+        self.with(|state, effects| {
+            let now = clock::now();
+            let report = state.registry.end(run.fingerprint, run.life, end, now, effects)?;
+            let (sender, told) = oneshot::channel();
+            state.waiting.entry(report).or_default().push(sender);
+            Some(told)
+        })
+    }
+
+    /// Handles a message of another entry.
+    pub fn receive(&self, from: NodeId, message: SuspectMessage, now: ClockTime) {
+        self.with(|state, effects| state.registry.receive(from, message, now, effects));
+    }
+
+    /// Sets the other live entries.
+    pub fn set_peers(&self, peers: Vec<NodeId>) {
+        self.with(|state, effects| state.registry.set_peers(peers, effects));
+    }
+
+    /// Tells an entry that has joined what this one knows.
+    pub fn peer_joined(&self, node: NodeId) {
+        self.with(|state, effects| state.registry.peer_joined(node, effects));
+    }
+
+    /// Handles what is due.
+    pub fn tick(&self, now: ClockTime) {
+        let count = self.with(|state, effects| {
+            state.registry.tick(now, effects);
+            state.registry.len()
+        });
+        metrics::gauge!("carobvane_suspects").set(count as f64);
+    }
+
+    /// Gives an input to the registry and carries out its effects.
+    fn with<T>(&self, input: impl FnOnce(&mut DeskState, &mut Vec<SuspectEffect>) -> T) -> T {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut effects = Vec::new();
+        let result = input(&mut state, &mut effects);
+        for effect in effects {
+            match effect {
+                SuspectEffect::Send { to, message } => {
+                    self.sender.send(to, PeerMessage::Suspects(message));
+                }
+                SuspectEffect::Settled { report, everywhere } => {
+                    if !everywhere {
+                        log::warn!(report; "an entry has not acknowledged a crash");
+                    }
+                    for told in state.waiting.remove(&report).into_iter().flatten() {
+                        told.send(()).ok();
+                    }
+                }
+            }
+        }
+        result
+    }
+}
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -3,6 +3,7 @@
 use carobvane_core::{
     ids::NodeLife,
     lists::{ListMessage, VersionSummary},
+    suspects::SuspectMessage,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -90,4 +91,6 @@
     Summary(VersionSummary),
     /// Spread of the lists.
     Lists(ListMessage),
+    /// Requests that crash servers.
+    Suspects(SuspectMessage),
 }
