--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -15,13 +15,15 @@
 pub struct EntryHost {
     shared: Arc<EntryShared>,
     rng: SmallRng,
+    /// Other live entries.
+    entries: Vec<NodeLife>,
 }
 
 impl EntryHost {
     /// Creates the host of an entry.
     pub fn new(shared: Arc<EntryShared>) -> EntryHost {
         let rng = SmallRng::seed_from_u64(shared.own.incarnation.0);
-        EntryHost { shared, rng }
+        EntryHost { shared, rng, entries: Vec::new() }
     }
 }
 
@@ -41,6 +43,11 @@
             }
         }
     }
+
+    fn update_entries(&self) {
+        self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
+        self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
+    }
 }
 
 impl NodeHost for EntryHost {
@@ -55,13 +62,21 @@
         }
     }
 
-    fn peer_joined(&mut self, _now: ClockTime, life: NodeLife, _role: PeerRole) {
+    fn peer_joined(&mut self, _now: ClockTime, life: NodeLife, role: PeerRole) {
         self.shared.plans.joined(life.node);
+        if role == PeerRole::Entry {
+            self.entries.retain(|entry| entry.node != life.node);
+            self.entries.push(life);
+            self.update_entries();
+            self.shared.suspects.peer_joined(life.node);
+        }
     }
 
     fn peer_left(&mut self, now: ClockTime, life: NodeLife) {
         let effects = self.shared.members().on_failed_call(now, life.node);
         self.carry_out(effects);
+        self.entries.retain(|entry| *entry != life);
+        self.update_entries();
     }
 
     fn peer_message(&mut self, now: ClockTime, life: NodeLife, message: PeerMessage) {
@@ -73,6 +88,9 @@
                 drop(members);
                 self.carry_out(effects);
             }
+            PeerMessage::Suspects(message) => {
+                self.shared.suspects.receive(life.node, message, now);
+            }
             _ => log::debug!(node = life.node.0; "message without a receiver"),
         }
     }
@@ -81,5 +99,7 @@
         self.shared.plans.tick(now);
         let effects = self.shared.members().on_timer(now, &mut self.rng);
         self.carry_out(effects);
+        self.shared.claims.tick(now);
+        self.shared.suspects.tick(now);
     }
 }
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -12,12 +12,16 @@
 use carobvane_core::{ids::NodeLife, lists::ListSnapshot, membership::MemberProbe};
 use carobvane_proto::headers;
 use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::mpsc;
 
 use super::{
     active::{ActiveLists, CallerWorkspace},
+    claims::{ClaimCall, ClaimDesk},
     error::{CallerError, ErrorCode},
+    permits::PermitDesk,
     plans::PlanGate,
     servers::ServerPool,
+    suspects::SuspectDesk,
 };
 use crate::{clock, peer::PeerSender, settings::EntrySettings};
 
@@ -41,6 +45,12 @@
     /// Limits of the plans.
     pub plans: Arc<PlanGate>,
     members: Mutex<MemberProbe>,
+    /// Claims of non-idempotent calls.
+    pub claims: ClaimDesk,
+    /// Permits for non-idempotent calls.
+    pub permits: PermitDesk,
+    /// Requests that crash servers.
+    pub suspects: SuspectDesk,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
     draining: AtomicBool,
@@ -50,11 +60,21 @@
 }
 
 impl EntryShared {
-    /// Creates the state of an entry without lists.
-    pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
+    /// Creates the state of an entry without lists, and the receiver of its claims' calls.
+    pub fn new(
+        settings: EntrySettings,
+        own: NodeLife,
+        sender: PeerSender,
+    ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
         let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
         let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
-        EntryShared {
+        let (claims, calls) = ClaimDesk::new(own);
+        let permits = PermitDesk::new(own, &settings.fleet_key);
+        let suspects = SuspectDesk::new(own, sender.clone());
+        let shared = EntryShared {
+            claims,
+            permits,
+            suspects,
             settings,
             own,
             sender,
@@ -66,7 +86,8 @@
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
-        }
+        };
+        (shared, calls)
     }
 
     /// The lists in force, if there are any.
@@ -138,13 +159,19 @@
         Ok((lists, workspace))
     }
 
-    fn draining_error(&self) -> CallerError {
+    /// The answer to new requests while this entry leaves.
+    pub fn draining_error(&self) -> CallerError {
         let mut error = CallerError::not_run(ErrorCode::Draining, "this entry is leaving")
             .with_retry_after(Duration::from_secs(1));
         error.location = self.pool().other_entry();
         error
     }
 
+    /// A number that no other stream of this process has.
+    pub fn next_stream(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
