Run scenario files against the fleet

Cause: stated outcomes under faults are to be checked by scripts that operators can read.

Change: carobvane-replay run FILES reads a small language (fleet sizes, faults at times, expectations), reports all errors with file, line and reason, plays the trace through entries over real sockets and fails when an expectation does not hold.

--- a/crates/replay/src/demo/mod.rs
+++ b/crates/replay/src/demo/mod.rs
@@ -1,7 +1,7 @@
 //! `carobvane-demo`: the whole path in one process, fed with a recorded trace.
 
 mod faults;
-mod run;
+pub(crate) mod run;
 mod summary;
 
 use std::{process::ExitCode, time::Duration};
--- a/crates/replay/src/demo/run.rs
+++ b/crates/replay/src/demo/run.rs
@@ -62,7 +62,8 @@
     results.take()
 }
 
-async fn send_request(
+/// Sends one request, and a booking again after an unclear answer.
+pub(crate) async fn send_request(
     fleet: &Fleet,
     client: &awc::Client,
     request: &TraceRequest,
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod probe;
 pub mod program;
 pub mod report;
+pub mod scenario;
 pub mod stats;
 pub mod trace;
--- a/crates/replay/src/ops/mod.rs
+++ b/crates/replay/src/ops/mod.rs
@@ -3,3 +3,4 @@
 pub mod check;
 pub mod compare;
 pub mod generate;
+pub mod run;
--- a/crates/replay/src/program.rs
+++ b/crates/replay/src/program.rs
@@ -8,6 +8,7 @@
     check::{self, CheckFlags},
     compare::{self, CompareOptions},
     generate::{self, GenerateOptions},
+    run,
 };
 
 mod flags {
@@ -40,6 +41,11 @@
                 /// The folder for the report (`target/compare`).
                 optional --output folder: PathBuf
             }
+            /// Runs scenario files; fails if an expectation does not hold.
+            cmd run {
+                /// Scenario files.
+                repeated files: PathBuf
+            }
             /// Writes a seeded trace.
             cmd generate {
                 /// `irazabal` or `kelani`.
@@ -57,6 +63,11 @@
     }
 }
 
+/// Starts logging to standard error; messages of single requests are left out.
+fn start_logging() -> Result<()> {
+    carobvane_host::logging::start_logging(log::LevelFilter::Error)
+}
+
 /// Runs the program. The exit code is 1 when an expectation or an invariant does not hold.
 pub fn run() -> Result<ExitCode> {
     let held = match flags::CarobvaneReplay::from_env_or_exit().subcommand {
@@ -74,10 +85,15 @@
                 policies: flags.policy,
                 output: flags.output.unwrap_or_else(|| "target/compare".into()),
             };
+            start_logging()?;
             let table = actix_rt::System::new().block_on(compare::compare(&options))?;
             println!("{table}");
             true
         }
+        flags::CarobvaneReplayCmd::Run(flags) => {
+            start_logging()?;
+            actix_rt::System::new().block_on(run::run(&flags.files))?
+        }
         flags::CarobvaneReplayCmd::Generate(flags) => {
             let requests = generate::generate(&GenerateOptions {
                 deployment: flags.deployment,
