--- a/crates/replay/src/deployment.rs
+++ b/crates/replay/src/deployment.rs
@@ -45,7 +45,7 @@
     services: 4,
     concurrent_loads: 2,
     group: "float",
-    rate_per_engine: 2.0,
+    rate_per_engine: 1.5,
     draft_share: 0.12,
     booking_rate: 2.0,
     workspaces: [
@@ -67,7 +67,7 @@
     services: 3,
     concurrent_loads: 3,
     group: "tenancy",
-    rate_per_engine: 1.9,
+    rate_per_engine: 1.4,
     draft_share: 0.08,
     booking_rate: 1.5,
     workspaces: [
--- a/crates/replay/src/ops/compare.rs
+++ b/crates/replay/src/ops/compare.rs
@@ -32,6 +32,8 @@
 const QUICK_DURATION_MS: u64 = 15_000;
 /// Length of the warm-up in milliseconds; the engines are then busy for about half of it.
 const WARM_UP_MS: u64 = 25_000;
+/// Factor on the deployment's rate, so that the crest exceeds what the engines can compute.
+const RATE_FACTOR: f64 = 1.4;
 /// Simulated milliseconds that pass in one real millisecond.
 const TIME_SCALE: f64 = 4.0;
 /// Slow engines of the runs with stragglers.
@@ -142,7 +144,7 @@
         seed,
         duration_ms,
         crest_factor: if kind == RunKind::Crest { CREST_FACTOR } else { 1.0 },
-        rate_factor: 1.0,
+        rate_factor: RATE_FACTOR,
     };
     let mut results = Vec::new();
     for kind in RunKind::ALL {
--- a/crates/replay/src/scenario/parse.rs
+++ b/crates/replay/src/scenario/parse.rs
@@ -81,11 +81,10 @@
             report(*line, reason);
         }
     }
-    if fleet.deployment.is_none() {
-        report(0, "statement \"deployment NAME\" is missing".to_string());
-    }
-    if fleet.trace.is_none() {
-        report(0, "statement \"trace FILE\" is missing".to_string());
+    for (word, form) in [("deployment", "deployment NAME"), ("trace", "trace FILE")] {
+        if !statements.iter().any(|(_, text)| text.split_whitespace().next() == Some(word)) {
+            report(0, format!("statement {form:?} is missing"));
+        }
     }
     let counts = fleet.counts();
     let (mut events, mut expectations) = (Vec::new(), Vec::new());
