Start the process tests' entries as fresh nodes

Cause: an entry that may have run before waits a minute before it uses its own plan shares, so the first requests of the test were refused.

--- a/crates/programs/tests/testsuite/processes/fleet.rs
+++ b/crates/programs/tests/testsuite/processes/fleet.rs
@@ -67,7 +67,8 @@
             peers: vec![peer],
         };
         for number in 0..ENTRIES {
-            let (entry, started) = fleet.start_entry(number, "127.0.0.1:0", "127.0.0.1:0").await;
+            let any = "127.0.0.1:0";
+            let (entry, started) = fleet.start_entry(number, any, any, true).await;
             fleet.entries.push(entry);
             fleet.addresses.push(text(&started["address"]));
             fleet.peers.push(text(&started["peer"]));
@@ -84,10 +85,12 @@
         number: usize,
         listen: &str,
         peer: &str,
+        fresh: bool,
     ) -> (RunningProgram, Value) {
         let mut arguments = node_arguments(number + 1, &self.keyvalue, &self.peers, peer);
         arguments.extend(["--listen".to_string(), listen.to_string()]);
         arguments.extend(["--piece-bytes".to_string(), "64".to_string()]);
+        arguments.extend(["--fresh".to_string(), fresh.to_string()]);
         let mut entry =
             RunningProgram::start(env!("CARGO_BIN_EXE_carobvane-entry"), &arguments, false);
         let started = entry.message("entry started").await;
@@ -98,7 +101,7 @@
     pub async fn restart_entry(&mut self, number: usize) {
         let listen = self.addresses[number].clone();
         let peer = self.peers[number + 1].clone();
-        let (mut entry, _) = self.start_entry(number, &listen, &peer).await;
+        let (mut entry, _) = self.start_entry(number, &listen, &peer, false).await;
         entry.message("lists active").await;
         self.entries[number] = entry;
     }
