Let the first requests of a started entry wait for borrowed units

Cause: a started entry borrows until its own shares are confirmed, and the first loans take up to 1.5 s; requests waited 100 ms and got 429. A request could also arrive between the log line 'lists active' and the activation. Ruled out: a longer wait for every request, since a caller over its limit must get its answer at once; missing links, since a wait of 3 s passed. Change: within 1.5 s of its first lists an entry lets requests wait for units; the log line follows the activation.

--- a/crates/host/src/entry/plans.rs
+++ b/crates/host/src/entry/plans.rs
@@ -1,7 +1,7 @@
 //! Plan limits at this entry: every request takes its units before it starts.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -25,6 +25,9 @@
 /// How long a refused request waits for units of other entries: a few round trips inside a
 /// region. A request that could only be served later is refused at once with `Retry-After`.
 const BORROW_WAIT: Duration = Duration::from_millis(100);
+/// How long after its first lists an entry lets requests wait for units. Until its own shares are
+/// confirmed it lives on loans, and the first ones take a round of list confirmations.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between two tries while units are borrowed.
 const BORROW_POLL: Duration = Duration::from_millis(10);
 
@@ -32,6 +35,8 @@
 pub struct PlanGate {
     ledger: Mutex<ShareLedger>,
     usage: Mutex<UsageBook>,
+    /// End of [`SETTLE_TIME`] after the first lists.
+    settled_at: OnceLock<ClockTime>,
     sender: PeerSender,
 }
 
@@ -43,12 +48,19 @@
             true => ShareLedger::start_fresh(own),
             false => ShareLedger::start(clock::now(), own),
         };
-        PlanGate { ledger: Mutex::new(ledger), usage: Mutex::new(UsageBook::new()), sender }
+        PlanGate {
+            ledger: Mutex::new(ledger),
+            usage: Mutex::new(UsageBook::new()),
+            settled_at: OnceLock::new(),
+            sender,
+        }
     }
 
     /// Puts a list version into use.
     pub fn activate(&self, snapshot: &ListSnapshot) {
-        self.ledger().apply(clock::now(), snapshot.version.number, &snapshot.document);
+        let now = clock::now();
+        self.settled_at.get_or_init(|| now + SETTLE_TIME);
+        self.ledger().apply(now, snapshot.version.number, &snapshot.document);
     }
 
     /// Handles a message of another entry.
@@ -86,7 +98,8 @@
         stream: bool,
     ) -> Result<PlanTicket, CallerError> {
         let plan = PlanId::of_name(&workspace.plan);
-        let end = clock::now() + BORROW_WAIT;
+        let settled_at = self.settled_at.get().copied().unwrap_or_default();
+        let end = settled_at.max(clock::now() + BORROW_WAIT);
         let ticket = loop {
             let now = clock::now();
             let result = self.ledger().try_spend(now, plan, tokens, stream);
--- a/crates/host/src/node/actor.rs
+++ b/crates/host/src/node/actor.rs
@@ -108,8 +108,8 @@
                     self.sender.send(to, PeerMessage::Lists(message));
                 }
                 SpreadEffect::Activate(version) => {
-                    log::info!(version = version.number, digest:% = version.digest; "lists active");
                     self.host.activate(self.spread.holder().snapshot());
+                    log::info!(version = version.number, digest:% = version.digest; "lists active");
                 }
                 SpreadEffect::ReadService => self.read_service(context),
                 SpreadEffect::WriteBack { version, revision } => {
