--- a/crates/replay/src/ops/compare.rs
+++ b/crates/replay/src/ops/compare.rs
@@ -41,6 +41,9 @@
 /// How many times slower they are.
 const STRAGGLER_FACTOR: f64 = 4.0;
 
+/// Lets every request out at once; engines queue.
+const NO_LIMITS: SlotLimits = SlotLimits { short_reserved: 0.0, long_cap: 1.0, overcommit: 1e6 };
+
 /// What to compare.
 #[derive(Debug, Clone)]
 pub struct CompareOptions {
@@ -63,6 +66,10 @@
     LeastLoaded,
     PrefixHashing,
     Carobvane,
+    NoHedging,
+    NoPriorities,
+    NoAdmission,
+    NoObservation,
     Oracle,
 }
 
@@ -75,12 +82,24 @@
         PolicyName::Oracle,
     ];
 
+    /// Our policy without one of its parts; played only when named.
+    const WITHOUT: [PolicyName; 4] = [
+        PolicyName::NoHedging,
+        PolicyName::NoPriorities,
+        PolicyName::NoAdmission,
+        PolicyName::NoObservation,
+    ];
+
     fn as_str(self) -> &'static str {
         match self {
             PolicyName::RoundRobin => "round-robin",
             PolicyName::LeastLoaded => "least-loaded",
             PolicyName::PrefixHashing => "prefix-hashing",
             PolicyName::Carobvane => "carobvane",
+            PolicyName::NoHedging => "carobvane-no-hedging",
+            PolicyName::NoPriorities => "carobvane-no-priorities",
+            PolicyName::NoAdmission => "carobvane-no-admission",
+            PolicyName::NoObservation => "carobvane-no-observation",
             PolicyName::Oracle => "oracle",
         }
     }
@@ -90,12 +109,12 @@
 pub async fn compare(options: &CompareOptions) -> Result<String> {
     let deployment = deployment::find(&options.deployment)
         .ok_or_else(|| eyre!("deployment {:?} does not exist", options.deployment))?;
-    let policies: Vec<PolicyName> = PolicyName::ALL
-        .into_iter()
-        .filter(|policy| {
-            options.policies.is_empty() || options.policies.iter().any(|it| it == policy.as_str())
-        })
-        .collect();
+    let named = |policy: &PolicyName| options.policies.iter().any(|it| it == policy.as_str());
+    let all = PolicyName::ALL.into_iter().chain(PolicyName::WITHOUT);
+    let policies: Vec<PolicyName> = match options.policies.is_empty() {
+        true => PolicyName::ALL.to_vec(),
+        false => all.filter(named).collect(),
+    };
     ensure!(!policies.is_empty(), "no policy has one of the names {:?}", options.policies);
     let duration_ms = if options.quick { QUICK_DURATION_MS } else { DURATION_MS };
     let count = options.seeds.unwrap_or(if options.quick { 1 } else { SEEDS.len() });
@@ -191,10 +210,27 @@
         PolicyName::PrefixHashing => {
             play(&fleet, baseline::<PrefixHashing>(&fleet, seed), &warm_up, &trace, plain).await
         }
-        PolicyName::Carobvane => {
-            let limits = SlotLimits::default();
-            let chooser = router::<CostPolicy>(&fleet, limits, seed, true);
-            play(&fleet, chooser, &warm_up, &trace, full).await
+        PolicyName::Carobvane
+        | PolicyName::NoHedging
+        | PolicyName::NoPriorities
+        | PolicyName::NoObservation => {
+            let chooser = router::<CostPolicy>(
+                &fleet,
+                SlotLimits::default(),
+                seed,
+                policy != PolicyName::NoObservation,
+            );
+            let settings = PlaySettings {
+                hedging: policy != PolicyName::NoHedging,
+                priorities: policy != PolicyName::NoPriorities,
+                ..full
+            };
+            play(&fleet, chooser, &warm_up, &trace, settings).await
+        }
+        PolicyName::NoAdmission => {
+            let chooser = router::<CostPolicy>(&fleet, NO_LIMITS, seed, true);
+            let settings = PlaySettings { admission: false, ..full };
+            play(&fleet, chooser, &warm_up, &trace, settings).await
         }
         PolicyName::Oracle => {
             let settings = PlaySettings { priorities: true, ..plain };
@@ -207,8 +243,7 @@
 
 /// A simple policy: every request goes out at once, and engines queue.
 fn baseline<P: RoutingPolicy + 'static>(fleet: &EngineFleet, seed: u64) -> RouterChooser<P> {
-    let limits = SlotLimits { short_reserved: 0.0, long_cap: 1.0, overcommit: 1e6 };
-    router(fleet, limits, seed, false)
+    router(fleet, NO_LIMITS, seed, false)
 }
 
 fn router<P: RoutingPolicy + 'static>(
