Measure state over the number of nodes; batch loans

Change: carobvane-bench state; loans of all plans to one lender are renewed together, fewer lenders are asked for more each, and only refused requests press other borrowers. Ruled out: a longer loan time, which would lengthen a shift of traffic.

--- a/crates/core/src/plans/kind.rs
+++ b/crates/core/src/plans/kind.rs
@@ -15,16 +15,24 @@
 const RECENT_BUCKETS: usize = 4;
 /// Time over which demand is measured.
 const RECENT_TIME: Duration = Duration::from_secs(1);
-/// A loan is renewed when less than this is left: three ticks, so two may be lost.
-const RENEW_BEFORE: Duration = Duration::from_millis(750);
+/// A loan is renewed when less than this is left: two ticks, so one may be lost.
+const RENEW_BEFORE: Duration = Duration::from_millis(600);
 /// A lender that gave less than asked is left out for this time.
 const DRY_TIME: Duration = Duration::from_millis(500);
 /// An unanswered statement is repeated after this time. Without that, a lost answer would bind
 /// stream units for the longest stream.
 const RESTATE_TIME: Duration = Duration::from_secs(1);
-/// Borrowed units are kept while the unneeded part is below 1/8 of the cap, against repeated
+/// Loans older than this are renewed with any other statement to the same lender, so that the
+/// loans of all plans share their messages.
+const RENEW_TOGETHER: Duration = Duration::from_millis(500);
+/// Units in reserve, as a part of the last second's use.
+const AHEAD_DIVISOR: u64 = 4;
+/// Borrowed units are kept while the unneeded part is below 1/4 of the cap, against repeated
 /// lending and returning of the same units.
-const EXCESS_DIVISOR: u64 = 8;
+const EXCESS_DIVISOR: u64 = 4;
+/// Nothing is asked for while less than 1/8 of the cap is missing, unless requests are refused
+/// or all units are in use.
+const MISSING_DIVISOR: u64 = 8;
 
 #[derive(Debug, Clone)]
 enum UsedAmount {
@@ -160,14 +168,14 @@
         freed.unwrap_or(RECENT_TIME)
     }
 
-    /// Units that this entry wants to have: use, refused demand and half a second's growth.
+    /// Units that this entry wants to have: use, refused demand and a reserve.
     fn target(&mut self, now: ClockTime, draining: bool) -> u64 {
         let used = self.used(now);
         if draining {
             return used;
         }
         let recent = self.recent.total(now);
-        let ahead = recent.div_ceil(2) + self.denied.total(now);
+        let ahead = recent.div_ceil(AHEAD_DIVISOR) + self.denied.total(now);
         (used + ahead).min(self.amount.max(used))
     }
 
@@ -193,18 +201,23 @@
         lenders: &[NodeId],
         draining: bool,
         asks: &mut Vec<(NodeId, ShareAsk)>,
-        make: impl Fn(u64, u64) -> ShareAsk,
+        make: impl Fn(u64, u64, bool) -> ShareAsk,
     ) {
         let before: Vec<u64> = self.borrowed.iter().map(|share| share.amount).collect();
         let target = self.target(now, draining);
         self.give_back(now, target);
-        let missing = target.saturating_sub(self.cap(now));
+        let cap = self.cap(now);
+        let missing = target.saturating_sub(cap);
+        let short = self.denied.total(now) > 0;
+        let used_up = self.used(now) >= cap;
+        let urgent = short || used_up || missing > cap / MISSING_DIVISOR;
+        let missing = if urgent { missing } else { 0 };
         let mut wet: Vec<NodeId> = lenders.to_vec();
         wet.retain(|id| self.dry_until(*id) <= now);
         // The lender that ran short longest ago first, so that all of them are tried in turn.
         wet.sort_by_key(|id| self.dry_until(*id));
-        // Few lenders for a small need: each is asked for at least half a home's share.
-        let share = (self.amount / (lenders.len() as u64 + 1)).div_ceil(2).max(1);
+        // As few lenders as can have the missing units: each loan costs messages.
+        let share = (self.amount / (lenders.len() as u64 + 1)).max(1);
         let count = (missing.div_ceil(share) as usize).min(wet.len());
         let each = missing.div_ceil(count.max(1) as u64);
         let start = self.borrowed.len();
@@ -231,12 +244,32 @@
                 continue;
             }
             (share.stated_at, share.answered) = (now, false);
-            share.wanted = share.amount + if asked { each } else { 0 };
-            asks.push((share.from, make(share.amount, share.wanted)));
+            let more = if asked { each } else { 0 };
+            share.wanted = share.amount + more;
+            asks.push((share.from, make(share.amount, more, short)));
         }
         self.borrowed.retain(|share| share.amount > 0 || !share.answered || share.dry_until > now);
     }
 
+    /// Renews loans of lenders to which a statement goes anyway.
+    pub fn renew_with(
+        &mut self,
+        now: ClockTime,
+        lenders: impl Fn(NodeId) -> bool,
+        asks: &mut Vec<(NodeId, ShareAsk)>,
+        make: impl Fn(u64, u64, bool) -> ShareAsk,
+    ) {
+        let short = self.denied.total(now) > 0;
+        for share in &mut self.borrowed {
+            let old = share.expires > now && share.expires.since(now) < LOAN_TIME - RENEW_TOGETHER;
+            if old && share.amount > 0 && share.stated_at != now && lenders(share.from) {
+                (share.stated_at, share.answered) = (now, false);
+                share.wanted = share.amount;
+                asks.push((share.from, make(share.amount, 0, short)));
+            }
+        }
+    }
+
     /// Shrinks loans to what is needed. Units that are in use stay with their loan.
     fn give_back(&mut self, now: ClockTime, target: u64) {
         let (used, cap) = (self.used(now), self.cap(now));
@@ -300,14 +333,14 @@
         &mut self,
         now: ClockTime,
         to: NodeLife,
-        (hold, want): (u64, u64),
+        ask: &ShareAsk,
         may_lend: bool,
         draining: bool,
     ) -> (u64, bool) {
         let target = self.target(now, draining);
         // Returned units first, so that they are free for others.
         for share in self.lent.iter_mut().filter(|share| share.to == to) {
-            share.amount = share.amount.min(hold);
+            share.amount = share.amount.min(ask.hold);
         }
         let lent = self.lent(now);
         let index = self.lent.iter().position(|share| share.to == to);
@@ -317,8 +350,9 @@
         let fair = self.base / (self.lent.len() as u64 + 1);
         self.unmet.retain(|(_, at)| now.since(*at) < RECENT_TIME);
         let pressed = held > fair && self.unmet.iter().any(|(node, _)| *node != to.node);
+        let want = ask.hold + ask.more;
         let extra = if may_lend { want.saturating_sub(held).min(free) } else { 0 };
-        if may_lend && want > held + extra {
+        if may_lend && ask.short && want > held + extra {
             self.unmet.retain(|(node, _)| *node != to.node);
             self.unmet.push((to.node, now));
         }
--- a/crates/core/src/plans/ledger.rs
+++ b/crates/core/src/plans/ledger.rs
@@ -284,8 +284,7 @@
             let Some(state) = self.plans.get_mut(&ask.plan) else { continue };
             state.refresh(now, &self.quarantine);
             let kind = &mut state.kinds[ask.kind.index()];
-            let units = (ask.hold, ask.want);
-            let (amount, extended) = kind.grant(now, borrower, units, may_lend, self.draining);
+            let (amount, extended) = kind.grant(now, borrower, ask, may_lend, self.draining);
             grants.push(ShareGrant { plan: ask.plan, kind: ask.kind, amount, extended });
         }
         let life = self.life.incarnation;
@@ -337,6 +336,11 @@
                 batches.entry(to).or_default().push(ask);
             }
         }
+        for (&plan, state) in &mut self.plans {
+            for (to, ask) in state.renewals(now, plan, |lender| batches.contains_key(&lender)) {
+                batches.entry(to).or_default().push(ask);
+            }
+        }
         for (to, asks) in batches {
             self.asked.insert(to, now);
             let message = ShareMessage::Asks { life: self.life.incarnation, sent_at: now, asks };
--- a/crates/core/src/plans/messages.rs
+++ b/crates/core/src/plans/messages.rs
@@ -51,8 +51,10 @@
     pub kind: LimitKind,
     /// Units of this lender that the borrower still has; everything above is returned unused.
     pub hold: u64,
-    /// Units that it wants to have in all.
-    pub want: u64,
+    /// Units that it wants beyond these.
+    pub more: u64,
+    /// Whether requests were refused for want of units, so that other loans should not be renewed.
+    pub short: bool,
 }
 
 /// A lender's answer about one limit of one plan.
--- a/crates/core/src/plans/state.rs
+++ b/crates/core/src/plans/state.rs
@@ -100,9 +100,24 @@
         let lenders: Vec<NodeId> = others.collect();
         let mut asks = Vec::new();
         for kind in LimitKind::ALL {
-            let make = |hold, want| ShareAsk { plan, kind, hold, want };
+            let make = |hold, more, short| ShareAsk { plan, kind, hold, more, short };
             self.kinds[kind.index()].asks(now, &lenders, draining, &mut asks, make);
         }
         asks
     }
+
+    /// Renewals to lenders to which a statement goes anyway.
+    pub fn renewals(
+        &mut self,
+        now: ClockTime,
+        plan: PlanId,
+        lenders: impl Fn(NodeId) -> bool,
+    ) -> Vec<(NodeId, ShareAsk)> {
+        let mut asks = Vec::new();
+        for kind in LimitKind::ALL {
+            let make = |hold, more, short| ShareAsk { plan, kind, hold, more, short };
+            self.kinds[kind.index()].renew_with(now, &lenders, &mut asks, make);
+        }
+        asks
+    }
 }
--- a/crates/replay/src/bench/mod.rs
+++ b/crates/replay/src/bench/mod.rs
@@ -4,6 +4,7 @@
 //! run, because other work on the machine moves single runs.
 
 pub mod decide;
+pub mod state;
 
 use std::{fs, path::Path};
 
--- /dev/null
+++ b/crates/replay/src/bench/state/fleet.rs
@@ -0,0 +1,401 @@
+//! The entries of a fleet on a queue.
+
+use std::time::{Duration, Instant};
+
+use carobvane_core::{
+    clock::{ClockTime, TimerService},
+    ids::{IncarnationId, NodeId, NodeLife},
+    lists::{
+        BackendServer, EntryVm, ListDelta, ListDocument, ListSnapshot, ListSpread, ListVersion,
+        PlanEntry, ServerRole, ServiceReport, SpreadEffect,
+    },
+    membership::{EntryDirectory, MemberEffect, MemberProbe, ProbeBlobs},
+    plans::{PlanId, PlanLimits, ShareEffect, ShareLedger, SpendTicket},
+};
+use carobvane_proto::peer::{PeerMessage, encode_frame};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::{RunValue, service};
+
+/// Latency of every message.
+const LATENCY: Duration = Duration::from_millis(2);
+/// Time of the measured part: three list changes.
+const MEASURED: Duration = Duration::from_millis(10_800);
+/// Time before it, in which entries confirm their shares.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Interval of list changes: 24,000 a day.
+const CHANGE_TIME: Duration = Duration::from_millis(3_600);
+const TRAFFIC_TIME: Duration = Duration::from_millis(10);
+/// How long a request holds its stream.
+const REQUEST_TIME: Duration = Duration::from_millis(1_500);
+/// Requests a second of one plan, and tokens of a request, at the two-year size.
+const PLAN_RATE: f64 = 71.0;
+const REQUEST_TOKENS: u64 = 435;
+/// Parts of a plan's requests at its first three entries.
+const ENTRY_PARTS: [f64; 3] = [0.6, 0.3, 0.1];
+/// Nodes, servers and plans at the two-year size; other sizes are scaled.
+const LARGE_NODES: usize = 780;
+const LARGE_SERVERS: usize = 12_000;
+const LARGE_PLANS: usize = 280;
+const START: ClockTime = ClockTime::from_millis(100_000);
+
+/// A part of the control logic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Component {
+    /// Probes and statements about members.
+    Members,
+    /// Spread of the lists.
+    Lists,
+    /// Shares of plans.
+    Shares,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ComponentTotal {
+    bytes: u64,
+    messages: u64,
+    time: Duration,
+}
+
+enum FleetEvent {
+    Deliver { from: usize, to: usize, message: PeerMessage },
+    Wake(usize),
+    Traffic,
+    Settle(usize, SpendTicket),
+    Change,
+}
+
+struct FleetNode {
+    probe: MemberProbe,
+    spread: ListSpread,
+    ledger: ShareLedger,
+    wake: ClockTime,
+}
+
+/// All entries.
+pub struct BenchFleet {
+    now: ClockTime,
+    nodes: Vec<FleetNode>,
+    queue: TimerService<FleetEvent>,
+    rng: SmallRng,
+    totals: [ComponentTotal; 3],
+    accepted: ListSnapshot,
+    /// First entries of each plan, with the requests that are due.
+    traffic: Vec<(PlanId, [usize; 3], [f64; 3])>,
+    offered: u64,
+    admitted: u64,
+    changes: u64,
+    reads: u64,
+    changed_at: ClockTime,
+    slowest: Duration,
+}
+
+impl BenchFleet {
+    /// Runs one fleet and returns its figures, each for one node and second.
+    pub(super) fn measure(nodes: usize, seed: u64, live_bytes: fn() -> usize) -> Vec<RunValue> {
+        let before = live_bytes();
+        let mut fleet = BenchFleet::new(nodes, seed);
+        fleet.run(WARM_UP);
+        fleet.totals = Default::default();
+        (fleet.offered, fleet.admitted, fleet.reads) = (0, 0, 0);
+        fleet.queue.subscribe(fleet.now, FleetEvent::Change);
+        fleet.run(MEASURED);
+        let held = live_bytes().saturating_sub(before);
+        fleet.values(held, nodes, seed)
+    }
+
+    fn values(&self, held: usize, nodes: usize, seed: u64) -> Vec<RunValue> {
+        let node_seconds = nodes as f64 * MEASURED.as_secs_f64();
+        let mut values = Vec::new();
+        for component in [Component::Members, Component::Lists, Component::Shares] {
+            let total = self.totals[component as usize];
+            let [bytes, messages, time] = component.names();
+            let target = if component == Component::Shares { 512.0 } else { 1_024.0 };
+            let rate = total.bytes as f64 / node_seconds;
+            values.push(RunValue::new(bytes, "B/s", rate).target(target));
+            values.push(RunValue::new(messages, "1/s", total.messages as f64 / node_seconds));
+            let percent = total.time.as_secs_f64() / node_seconds * 100.0;
+            values.push(RunValue::new(time, "% core", percent));
+        }
+        let kilobytes = held as f64 / nodes as f64 / 1_024.0;
+        values.push(RunValue::new("memory with lists", "KiB", kilobytes));
+        let admitted = self.admitted as f64 / self.offered.max(1) as f64 * 100.0;
+        values.push(RunValue::new("requests admitted at 80 % of the limits", "%", admitted));
+        let slowest = self.slowest.as_secs_f64() * 1_000.0;
+        values.push(RunValue::new("list change at the last node", "ms", slowest).target(8_000.0));
+        let reads = self.reads as f64 / self.changes.max(1) as f64;
+        values.push(RunValue::new("service reads a change", "1", reads).target(5.0));
+        values.extend(service::values(nodes, seed, &self.accepted));
+        values
+    }
+
+    fn new(count: usize, seed: u64) -> BenchFleet {
+        let document = document(count);
+        let accepted = ListSnapshot { version: ListVersion::first(1, &document), document };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let listed: Vec<NodeId> = (0..count).map(|node| NodeId(node as u32)).collect();
+        let mut nodes = Vec::with_capacity(count);
+        for &node in &listed {
+            let life = NodeLife { node, incarnation: IncarnationId(1_700_000_000_000_000) };
+            let mut probe = MemberProbe::start(START, life, &mut rng);
+            probe.set_listed(&listed);
+            let watches = EntryDirectory::new(&accepted.document, probe.table()).is_watcher(node);
+            let mut spread = ListSpread::start(START, watches, &mut rng);
+            spread.on_service(ServiceReport::Snapshot(Box::new(accepted.clone())), &mut rng);
+            spread.set_peers(listed.iter().copied().filter(|peer| *peer != node).collect());
+            let mut ledger = ShareLedger::start_fresh(life);
+            ledger.apply(START, 1, &accepted.document);
+            nodes.push(FleetNode { probe, spread, ledger, wake: ClockTime::ZERO });
+        }
+        let order = |name: &str| {
+            let directory = EntryDirectory::new(&accepted.document, nodes[0].probe.table());
+            let entries = directory.order(name);
+            [0, 1, 2].map(|rank| entries[rank % entries.len()].node.0 as usize)
+        };
+        let traffic = accepted.document.plans.keys();
+        let traffic = traffic.map(|name| (PlanId::of_name(name), order(name), [0.0; 3])).collect();
+        let mut fleet = BenchFleet {
+            now: START,
+            nodes,
+            queue: TimerService::new(),
+            rng,
+            totals: Default::default(),
+            accepted,
+            traffic,
+            offered: 0,
+            admitted: 0,
+            changes: 0,
+            reads: 0,
+            changed_at: START,
+            slowest: Duration::ZERO,
+        };
+        (0..count).for_each(|node| fleet.wake(node));
+        fleet.queue.subscribe(START, FleetEvent::Traffic);
+        fleet
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(due) = self.queue.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            let Some(event) = self.queue.pop_due(self.now) else { continue };
+            match event {
+                FleetEvent::Deliver { from, to, message } => self.deliver(from, to, message),
+                FleetEvent::Wake(node) => self.on_timer(node),
+                FleetEvent::Traffic => self.offer_traffic(),
+                FleetEvent::Settle(node, ticket) => {
+                    let now = self.now;
+                    self.timed(node, Component::Shares, |node, _| {
+                        node.ledger.settle(now, ticket, REQUEST_TOKENS);
+                    });
+                }
+                FleetEvent::Change => self.change(),
+            }
+        }
+        self.now = end;
+    }
+
+    fn timed<T>(
+        &mut self,
+        index: usize,
+        component: Component,
+        handle: impl FnOnce(&mut FleetNode, &mut SmallRng) -> T,
+    ) -> T {
+        let started = Instant::now();
+        let result = handle(&mut self.nodes[index], &mut self.rng);
+        self.totals[component as usize].time += started.elapsed();
+        result
+    }
+
+    fn wake(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let dues = [node.probe.next_due(), node.spread.next_due(), node.ledger.next_due()];
+        let Some(due) = dues.into_iter().flatten().min() else { return };
+        if node.wake <= self.now || due < node.wake {
+            node.wake = due;
+            self.queue.subscribe(due, FleetEvent::Wake(index));
+        }
+    }
+
+    fn on_timer(&mut self, index: usize) {
+        let now = self.now;
+        let effects = self.timed(index, Component::Members, |node, rng| {
+            node.probe.set_blobs(ProbeBlobs { lists: node.spread.summary(), load: [7; 16] });
+            node.probe.on_timer(now, rng)
+        });
+        self.members(index, effects);
+        let effects =
+            self.timed(index, Component::Lists, |node, rng| node.spread.on_timer(now, rng));
+        self.lists(index, effects);
+        let effects = self.timed(index, Component::Shares, |node, _| node.ledger.on_timer(now));
+        self.shares(index, effects);
+        self.nodes[index].wake = ClockTime::ZERO;
+        self.wake(index);
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let (now, peer) = (self.now, NodeId(from as u32));
+        match message {
+            PeerMessage::Members(message) => {
+                let effects = self.timed(to, Component::Members, |node, rng| {
+                    node.probe.on_message(now, peer, message, rng)
+                });
+                self.members(to, effects);
+            }
+            PeerMessage::Lists(message) => {
+                let effects = self.timed(to, Component::Lists, |node, rng| {
+                    node.spread.on_message(now, peer, message, rng)
+                });
+                self.lists(to, effects);
+            }
+            PeerMessage::Shares(message) => {
+                let effects = self.timed(to, Component::Shares, |node, _| {
+                    node.ledger.on_message(now, peer, message)
+                });
+                self.shares(to, effects);
+            }
+            _ => {}
+        }
+        self.wake(to);
+    }
+
+    fn send(&mut self, component: Component, from: usize, to: NodeId, message: PeerMessage) {
+        let started = Instant::now();
+        let bytes = encode_frame(&message).map_or(0, |frame| frame.len());
+        let total = &mut self.totals[component as usize];
+        total.time += started.elapsed();
+        total.bytes += bytes as u64;
+        total.messages += 1;
+        let event = FleetEvent::Deliver { from, to: to.0 as usize, message };
+        self.queue.subscribe(self.now + LATENCY, event);
+    }
+
+    fn members(&mut self, from: usize, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::Send { to, message } => {
+                    self.send(Component::Members, from, to, PeerMessage::Members(message));
+                }
+                MemberEffect::Heard { from: peer, blobs } => {
+                    let now = self.now;
+                    let effects = self.timed(from, Component::Lists, |node, _| {
+                        node.spread.on_summary(now, peer, blobs.lists)
+                    });
+                    self.lists(from, effects);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn lists(&mut self, from: usize, effects: Vec<SpreadEffect>) {
+        for effect in effects {
+            match effect {
+                SpreadEffect::Send { to, message } => {
+                    self.send(Component::Lists, from, to, PeerMessage::Lists(message));
+                }
+                SpreadEffect::Activate(version) => {
+                    let now = self.now;
+                    self.slowest = self.slowest.max(now.since(self.changed_at));
+                    self.timed(from, Component::Shares, |node, _| {
+                        let document = node.spread.holder().document();
+                        node.ledger.apply(now, version.number, document);
+                    });
+                }
+                SpreadEffect::ReadService => self.reads += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn shares(&mut self, from: usize, effects: Vec<ShareEffect>) {
+        for effect in effects {
+            if let ShareEffect::Send { to, message } = effect {
+                self.send(Component::Shares, from, to, PeerMessage::Shares(message));
+            }
+        }
+    }
+
+    fn offer_traffic(&mut self) {
+        for index in 0..self.traffic.len() {
+            for rank in 0..ENTRY_PARTS.len() {
+                let (plan, entries, due) = &mut self.traffic[index];
+                due[rank] += PLAN_RATE * ENTRY_PARTS[rank] * TRAFFIC_TIME.as_secs_f64();
+                let count = due[rank] as u64;
+                due[rank] -= count as f64;
+                let (plan, node, now) = (*plan, entries[rank], self.now);
+                for _ in 0..count {
+                    self.offered += 1;
+                    let result = self.timed(node, Component::Shares, |node, _| {
+                        node.ledger.try_spend(now, plan, REQUEST_TOKENS, true)
+                    });
+                    if let Ok(ticket) = result {
+                        self.admitted += 1;
+                        let end = now + REQUEST_TIME;
+                        self.queue.subscribe(end, FleetEvent::Settle(node, ticket));
+                    }
+                }
+                self.wake(node);
+            }
+        }
+        self.queue.subscribe(self.now + TRAFFIC_TIME, FleetEvent::Traffic);
+    }
+
+    /// One server changes; the watchers hear of it.
+    fn change(&mut self) {
+        self.changes += 1;
+        self.changed_at = self.now;
+        let mut document = self.accepted.document.clone();
+        let index = self.changes as usize % document.servers.len();
+        if let Some(server) = document.servers.values_mut().nth(index) {
+            server.slots += 1;
+        }
+        let delta = ListDelta::next(&self.accepted, &document);
+        self.accepted = ListSnapshot { version: delta.to, document };
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            let directory = EntryDirectory::new(&self.accepted.document, node.probe.table());
+            if directory.is_watcher(NodeId(index as u32)) {
+                let report = ServiceReport::Change(Box::new(delta.clone()));
+                let effects = self.timed(index, Component::Lists, |node, rng| {
+                    node.spread.on_service(report, rng)
+                });
+                self.lists(index, effects);
+            }
+        }
+        self.queue.subscribe(self.now + CHANGE_TIME, FleetEvent::Change);
+    }
+}
+
+fn document(nodes: usize) -> ListDocument {
+    let centres = service::data_centres(nodes);
+    let scaled = |large: usize, least: usize| (large * nodes / LARGE_NODES).max(least);
+    let centre = |index: usize| format!("dc-{}", index % centres);
+    let limits = PlanLimits {
+        requests_per_second: (PLAN_RATE / 0.8) as u64,
+        tokens_per_minute: (PLAN_RATE / 0.8 * 60.0) as u64 * REQUEST_TOKENS,
+        concurrent_streams: (PLAN_RATE / 0.8 * REQUEST_TIME.as_secs_f64()) as u64,
+    };
+    let entry = |index: usize| EntryVm {
+        node: NodeId(index as u32),
+        http_address: format!("10.0.{}.{}:8080", index / 250, index % 250),
+        peer_address: format!("10.0.{}.{}:7080", index / 250, index % 250),
+        data_centre: centre(index),
+    };
+    let server = |index: usize| BackendServer {
+        address: format!("10.1.{}.{}:8000", index / 250, index % 250),
+        role: ServerRole::Engine(format!("model-{}", index % 3)),
+        data_centre: centre(index),
+        checks_fencing: true,
+        slots: 8,
+    };
+    let plan = |index: usize| (format!("plan-{index}"), PlanEntry { limits, weight: 1 });
+    ListDocument {
+        plans: (0..scaled(LARGE_PLANS, 8)).map(plan).collect(),
+        servers: (0..scaled(LARGE_SERVERS, 18))
+            .map(|index| (format!("server-{index}"), server(index)))
+            .collect(),
+        entries: (0..nodes).map(|index| (format!("entry-{index}"), entry(index))).collect(),
+        ..ListDocument::default()
+    }
+}
--- /dev/null
+++ b/crates/replay/src/bench/state/service.rs
@@ -0,0 +1,159 @@
+//! Calls at the key-value service: quiet, and when all nodes restart at once.
+
+use std::time::Duration;
+
+use carobvane_core::{
+    clock::{ClockTime, TimerService},
+    ids::NodeId,
+    lists::{ListMessage, ListSnapshot, ListSpread, ServiceReport, SpreadEffect},
+    membership::WATCHERS_PER_DATA_CENTRE,
+    orders::{LEASE_TIME, LeaseEvent, OrderEffect, OrderMachine},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::RunValue;
+
+const START: ClockTime = ClockTime::from_millis(100_000);
+const LATENCY: Duration = Duration::from_millis(2);
+/// Time for the service to answer a read.
+const READ_TIME: Duration = Duration::from_millis(5);
+/// All nodes restart within this time.
+const HERD_TIME: Duration = Duration::from_secs(1);
+/// Time over which quiet calls are counted.
+const QUIET_TIME: Duration = Duration::from_secs(120);
+/// A watch is opened again after this time without a change (`WATCH_IDLE` of the host).
+const WATCH_TIME: Duration = Duration::from_secs(60);
+
+/// Data centres of a fleet: 21 at 780 nodes, at least 3.
+pub fn data_centres(nodes: usize) -> usize {
+    (nodes * 21 / 780).clamp(3, 21)
+}
+
+/// Figures of the service.
+pub(super) fn values(nodes: usize, seed: u64, accepted: &ListSnapshot) -> Vec<RunValue> {
+    let watchers = data_centres(nodes) * WATCHERS_PER_DATA_CENTRE;
+    let quiet = quiet_calls(watchers, seed);
+    let (reads, busiest, ready) = herd(nodes, watchers, seed, accepted);
+    vec![
+        RunValue::new("service calls, quiet", "1/s", quiet),
+        RunValue::new("service reads, herd", "1", reads),
+        RunValue::new("service reads in 100 ms, herd", "1", busiest).target(200.0),
+        RunValue::new("last node with lists, herd", "ms", ready),
+    ]
+}
+
+/// Calls a second of the order lease and of watches that are opened again.
+fn quiet_calls(candidates: usize, seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut machines: Vec<OrderMachine> = (0..candidates).map(|_| OrderMachine::new(2)).collect();
+    machines.iter_mut().for_each(|machine| machine.set_candidate(START, true, &mut rng));
+    let (mut holder, mut end, mut calls) = (None, START, 0_u64);
+    let mut now = START;
+    while now < START + QUIET_TIME {
+        now = now + Duration::from_millis(20);
+        if now >= end {
+            holder = None;
+        }
+        for (index, machine) in machines.iter_mut().enumerate() {
+            for effect in machine.on_timer(now, &mut rng) {
+                let event = match effect {
+                    OrderEffect::Acquire if holder.is_none() => {
+                        // A read, a grant and a write.
+                        calls += 3;
+                        (holder, end) = (Some(index), now + LEASE_TIME);
+                        LeaseEvent::Acquired { fencing: 1, sent_at: now }
+                    }
+                    OrderEffect::Acquire => {
+                        calls += 1;
+                        LeaseEvent::Taken
+                    }
+                    OrderEffect::Renew => {
+                        calls += 1;
+                        end = now + LEASE_TIME;
+                        LeaseEvent::Renewed { sent_at: now }
+                    }
+                    _ => continue,
+                };
+                machine.on_lease(now, event, &mut rng);
+            }
+        }
+    }
+    calls as f64 / QUIET_TIME.as_secs_f64() + candidates as f64 / WATCH_TIME.as_secs_f64()
+}
+
+enum HerdEvent {
+    Start(usize),
+    Wake(usize),
+    Deliver(usize, usize, ListMessage),
+    Answer(usize),
+}
+
+/// All nodes start without lists: reads, most reads in 100 ms, and milliseconds until the last
+/// node has lists.
+fn herd(nodes: usize, watchers: usize, seed: u64, accepted: &ListSnapshot) -> (f64, f64, f64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut queue = TimerService::new();
+    for node in 0..nodes {
+        let micros = rng.random_range(0..HERD_TIME.as_micros() as u64);
+        queue.subscribe(START + Duration::from_micros(micros), HerdEvent::Start(node));
+    }
+    let mut spreads: Vec<Option<ListSpread>> = vec![None; nodes];
+    let (mut reads, mut last, mut ready) = (Vec::new(), START, 0);
+    while let Some(now) = queue.next_due() {
+        if ready == nodes || now.since(START) > Duration::from_secs(60) {
+            break;
+        }
+        let Some(event) = queue.pop_due(now) else { break };
+        let (index, effects) = match event {
+            HerdEvent::Start(index) => {
+                let mut spread = ListSpread::start(now, index < watchers, &mut rng);
+                let peers = (0..nodes).filter(|peer| *peer != index);
+                spread.set_peers(peers.map(|peer| NodeId(peer as u32)).collect());
+                spreads[index] = Some(spread);
+                queue.subscribe(now, HerdEvent::Wake(index));
+                (index, Vec::new())
+            }
+            HerdEvent::Wake(index) => {
+                let Some(spread) = &mut spreads[index] else { continue };
+                let effects = spread.on_timer(now, &mut rng);
+                if let Some(due) = spread.next_due() {
+                    queue.subscribe(due, HerdEvent::Wake(index));
+                }
+                (index, effects)
+            }
+            HerdEvent::Deliver(from, to, message) => {
+                let Some(spread) = &mut spreads[to] else { continue };
+                let from = NodeId(from as u32);
+                (to, spread.on_message(now, from, message, &mut rng))
+            }
+            HerdEvent::Answer(index) => {
+                let Some(spread) = &mut spreads[index] else { continue };
+                let report = ServiceReport::Snapshot(Box::new(accepted.clone()));
+                (index, spread.on_service(report, &mut rng))
+            }
+        };
+        for effect in effects {
+            match effect {
+                SpreadEffect::Send { to, message } => {
+                    let event = HerdEvent::Deliver(index, to.0 as usize, message);
+                    queue.subscribe(now + LATENCY, event);
+                }
+                SpreadEffect::ReadService => {
+                    reads.push(now);
+                    queue.subscribe(now + READ_TIME, HerdEvent::Answer(index));
+                }
+                SpreadEffect::Activate(_) => {
+                    ready += 1;
+                    last = now;
+                }
+                _ => {}
+            }
+        }
+    }
+    let window = Duration::from_millis(100);
+    let in_window = |end: &ClockTime| {
+        reads.iter().filter(|at| **at <= *end && end.since(**at) < window).count()
+    };
+    let busiest = reads.iter().map(in_window).max().unwrap_or(0);
+    (reads.len() as f64, busiest as f64, last.since(START).as_secs_f64() * 1_000.0)
+}
--- a/crates/replay/src/bin/carobvane-bench.rs
+++ b/crates/replay/src/bin/carobvane-bench.rs
@@ -3,7 +3,10 @@
 use std::{alloc::System, path::PathBuf, process::ExitCode};
 
 use self::flags::{CarobvaneBench, CarobvaneBenchCmd};
-use carobvane_replay::bench::decide::{self, DecideOptions};
+use carobvane_replay::bench::{
+    decide::{self, DecideOptions},
+    state::{self, StateOptions},
+};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 /// Counts allocations, because a decision must make none once the router is warm.
@@ -30,6 +33,15 @@
                 /// File for the figures as JSON.
                 optional --json json: PathBuf
             }
+            /// Measures membership, shares and lists over the number of nodes.
+            cmd state {
+                /// Runs of each figure; at least 5.
+                optional --runs runs: usize
+                /// Number of nodes; default 9, 50, 200 and 780.
+                optional --nodes nodes: usize
+                /// File for the figures as JSON.
+                optional --json json: PathBuf
+            }
         }
     }
 }
@@ -49,6 +61,15 @@
                 stats.allocations + stats.reallocations
             },
         }),
+        CarobvaneBenchCmd::State(flags) => state::run(&StateOptions {
+            runs: flags.runs.unwrap_or(MIN_RUNS).max(MIN_RUNS),
+            sizes: flags.nodes.map_or(vec![9, 50, 200, 780], |nodes| vec![nodes]),
+            json: flags.json.unwrap_or_else(|| PathBuf::from("target/bench/state.json")),
+            live_bytes: || {
+                let stats = ALLOCATOR.stats();
+                stats.bytes_allocated - stats.bytes_deallocated
+            },
+        }),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
