Route completions in the entry by the decision library

Cause: the entry chose the least loaded engine and knew nothing of prefixes. Change: RouteBook holds router, queue, predictor and budget behind one lock; a task follows each engine's state, load and cache events; requests wait in the fair queue or are refused at once; a short request whose first chunk is late is hedged; retries and resumes take from the shared budget, except after attempts that provably did not run. One log line for each decision.

--- a/crates/core/src/prefix/index.rs
+++ b/crates/core/src/prefix/index.rs
@@ -6,11 +6,13 @@
 //! processor overlaps their misses. There are no tombstones and no growth: a full window of buckets
 //! replaces its oldest record.
 
-use super::{PieceHash, scratch::HolderScratch};
+use super::{
+    PieceHash,
+    bucket::{BUCKET_RECORDS, BlockRecord, CONFIRMED, IndexBucket, PASSED_STEP},
+    scratch::HolderScratch,
+};
 use crate::{clock::ClockTime, ids::ServerKey};
 
-/// Records in a bucket; four records of 16 bytes fill a cache line.
-const BUCKET_RECORDS: usize = 4;
 /// Buckets that may hold a record: its home and the following ones.
 const WINDOW_BUCKETS: usize = 4;
 /// Buckets for each eight blocks, which gives 24 bytes a block and leaves a third of the records
@@ -27,10 +29,6 @@
 const MICROS_PER_SECOND: u64 = 1_000_000;
 /// Pieces whose buckets are read before their records are judged.
 const LOOKUP_BATCH: usize = 32;
-/// Bit of [`BlockRecord::flags`]: a cache event confirmed the record.
-const CONFIRMED: u8 = 1;
-/// Step of the bucket's count of passing records, in the flags of its first record.
-const PASSED_STEP: u8 = 2;
 
 /// Why a record exists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,56 +39,6 @@
     Event,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct BlockRecord {
-    /// Zero marks an empty record.
-    hash: u64,
-    server: u16,
-    /// Counter of the server's lives; a record with another value is void.
-    epoch: u16,
-    /// Second of the last refresh, modulo 65,536.
-    seen: u16,
-    /// Counter of the server's event gaps; a record with another value is uncertain.
-    gap: u8,
-    /// [`CONFIRMED`], and in a bucket's first record the bucket's count of passing records. At most
-    /// twelve records can pass a bucket, so the count does not overflow.
-    flags: u8,
-}
-
-impl BlockRecord {
-    fn is_confirmed(&self) -> bool {
-        self.flags & CONFIRMED != 0
-    }
-}
-
-#[derive(Debug, Clone, Default)]
-#[repr(align(64))]
-struct IndexBucket {
-    records: [BlockRecord; BUCKET_RECORDS],
-}
-
-impl IndexBucket {
-    /// Whether records of this home or an earlier one stand in a later bucket.
-    fn is_passed(&self) -> bool {
-        self.records[0].flags >= PASSED_STEP
-    }
-
-    /// One bit for each record with this hash.
-    fn matches(&self, piece: PieceHash) -> u8 {
-        let mut mask = 0;
-        for (slot, record) in self.records.iter().enumerate() {
-            mask |= u8::from(record.hash == piece.as_raw()) << slot;
-        }
-        mask
-    }
-
-    /// Writes a record and keeps the bucket's count.
-    fn write(&mut self, slot: usize, record: BlockRecord) {
-        let kept = self.records[slot].flags & !CONFIRMED;
-        self.records[slot] = BlockRecord { flags: kept | record.flags & CONFIRMED, ..record };
-    }
-}
-
 /// Where a record stands: a step from its home bucket, and a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct RecordPlace {
--- a/crates/core/src/prefix/mod.rs
+++ b/crates/core/src/prefix/mod.rs
@@ -5,6 +5,7 @@
 //! therefore cannot be expressed. The index is a hint for the cost model only: engines check their
 //! own caches.
 
+mod bucket;
 mod chain;
 mod feed;
 mod index;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -16,6 +16,7 @@
 mod state;
 mod straggler;
 mod table;
+mod update;
 
 pub use self::{
     baselines::{LeastLoaded, LeastLoadedPrefix, PrefixHashing, RoundRobin},
@@ -26,8 +27,9 @@
     policy::{CostPolicy, RoutingPolicy},
     request::{RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest},
     ring::ServerRing,
-    router::{CacheUpdate, DispatchKey, FailureKind, PrefixRouter, ROOM_TRIES},
+    router::{DispatchKey, PrefixRouter, ROOM_TRIES},
     state::{RouterSettings, RouterState},
     straggler::{StragglerDetector, StragglerState},
     table::{ClassCounts, ReportedLoad, ServerRecord, ServerSeen, ServerTable},
+    update::{CacheUpdate, FailureKind},
 };
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -5,8 +5,8 @@
 use rand::Rng;
 
 use super::{
-    CostPolicy, ReportedLoad, RequestClass, RouteDecision, RouteRefusal, RouteRequest,
-    RouterSettings, RouterState, RoutingPolicy, ServerSeen, ServerTable,
+    CacheUpdate, CostPolicy, FailureKind, ReportedLoad, RequestClass, RouteDecision, RouteRefusal,
+    RouteRequest, RouterSettings, RouterState, RoutingPolicy, ServerSeen, ServerTable,
     state::{STORE_INDEX, server_number},
     table::TableChange,
 };
@@ -15,7 +15,7 @@
     clock::ClockTime,
     define_key,
     ids::{IncarnationId, ModelKey, ServerKey},
-    prefix::{BlockSource, FeedVerdict, PieceHash, PrefixChain},
+    prefix::{BlockSource, FeedVerdict, PrefixChain},
 };
 
 /// Servers that [`PrefixRouter::has_room`] looks at.
@@ -26,28 +26,6 @@
     DispatchKey
 );
 
-/// A change of a server's cache.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CacheUpdate<'a> {
-    /// Pieces entered the cache.
-    Stored(&'a [PieceHash]),
-    /// Pieces left the cache.
-    Removed(&'a [PieceHash]),
-    /// The whole cache was dropped.
-    Cleared,
-}
-
-/// Why an attempt failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FailureKind {
-    /// The server refused the request before it ran.
-    Refused,
-    /// The connection broke or the server died.
-    Broken,
-    /// The entry gave the attempt up, for example because a hedge won.
-    Cancelled,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Dispatch {
     server: ServerKey,
@@ -307,6 +285,23 @@
         self.new_life(server, incarnation);
     }
 
+    /// Notes that a server in this life has computed a prompt. Needed when the life has begun since
+    /// the dispatch, or was not known then: the records of the dispatch belong to the earlier one.
+    pub fn prefix_computed(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        incarnation: IncarnationId,
+        chain: &PrefixChain,
+    ) {
+        let current = self.state.table.get(server).map(|record| record.incarnation);
+        if let Some(number) = server_number(server).filter(|_| current == Some(incarnation)) {
+            for &piece in chain.pieces() {
+                self.state.index.insert(now, number, piece, BlockSource::Decision);
+            }
+        }
+    }
+
     /// Stops new work for a server that is to be shut down, or allows it again.
     pub fn server_leaving(&mut self, server: ServerKey, leaving: bool) {
         if let Some(record) = self.state.table.get_mut(server) {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -234,6 +234,24 @@
     assert!(after > during, "recovered server got {after} of 300, as straggler {during}");
 }
 
+/// Guards against a prefix that is forgotten because the response to its first prompt reveals the
+/// server's life, as after the start of an entry.
+#[test]
+fn a_prefix_survives_the_first_known_life() {
+    let mut fleet = Fleet::<CostPolicy>::new(2);
+    let chain = chain("a", WEIGHTS, 4);
+    let decision = fleet.decide(&chain).expect("servers are idle");
+    let request = fleet.request(&chain, RequestClass::Short);
+    fleet.router.dispatched(fleet.now, &request, &decision);
+    let (server, life) = (decision.server, IncarnationId(9));
+    fleet.router.incarnation_seen(server, life);
+    fleet.router.prefix_computed(fleet.now, server, IncarnationId(1), &chain);
+    assert_eq!(fleet.decide(&chain).map(|decision| decision.hit_pieces), Ok(0));
+    fleet.router.prefix_computed(fleet.now, server, life, &chain);
+    let second = fleet.decide(&chain).expect("servers are idle");
+    assert_eq!((second.server, second.hit_pieces), (server, 4));
+}
+
 /// Guards against lost attempts holding a slot for ever, and against counting them twice.
 #[test]
 fn ended_attempts_release_their_slots() {
--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -4,6 +4,11 @@
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
+use carobvane_core::{
+    admission::WorkFeatures,
+    ids::WeightsVersion,
+    prefix::{ChainSalt, PrefixChain},
+};
 use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
 use futures::{StreamExt, stream::unfold};
 use serde_json::{Map, Value};
@@ -12,9 +17,11 @@
     active::{ActiveLists, CallerWorkspace},
     error::{CallerError, ErrorCode},
     relay::{RelayRequest, relay},
+    routes::RouteQuery,
     shared::EntryShared,
     sink::{BodySink, StreamSink},
 };
+use crate::clock;
 
 /// Longest pause between two parts of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -114,9 +121,15 @@
     mut body: Map<String, Value>,
 ) -> Result<RelayRequest, CallerError> {
     let weights = lists.weights(&completion.model);
-    let salt = format!("{}/{weights}", workspace.name);
     let prompt = prompt_text(completion)?;
-    let piece_hashes = chain_hashes(&salt, prompt.as_bytes(), shared.settings.piece_bytes);
+    let query = route_query(shared, &lists, &workspace, completion, weights, &prompt);
+    let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
+    let extension = EngineExtension {
+        priority: query.work.engine_priority(),
+        cache_salt: salt.to_text(),
+        piece_hashes: query.chain.pieces().iter().map(|piece| piece.as_raw()).collect(),
+        ..Default::default()
+    };
     body.insert("stream".to_string(), true.into());
     body.insert("stream_options".to_string(), serde_json::json!({ "include_usage": true }));
     Ok(RelayRequest {
@@ -125,24 +138,42 @@
         model: completion.model.clone(),
         path,
         body,
-        extension: EngineExtension { cache_salt: salt, piece_hashes, ..Default::default() },
+        extension,
         weights,
+        query,
         lists,
     })
 }
 
-fn chain_hashes(salt: &str, prompt: &[u8], piece_bytes: usize) -> Vec<u64> {
-    let mut parent = *blake3::hash(salt.as_bytes()).as_bytes();
-    let mut hashes = Vec::with_capacity(prompt.len() / piece_bytes);
-    for piece in prompt.chunks_exact(piece_bytes) {
-        let mut hasher = blake3::Hasher::new_keyed(&parent);
-        hasher.update(piece);
-        parent = *hasher.finalize().as_bytes();
-        let mut short = [0; 8];
-        short.copy_from_slice(&parent[..8]);
-        hashes.push(u64::from_le_bytes(short));
+fn route_query(
+    shared: &EntryShared,
+    lists: &ActiveLists,
+    workspace: &CallerWorkspace,
+    completion: &CompletionRequest,
+    weights: u64,
+    prompt: &str,
+) -> RouteQuery {
+    let settings = &shared.settings;
+    let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
+    let chain = PrefixChain::from_prompt(&salt, prompt.as_bytes(), settings.piece_bytes);
+    let tokens = prompt.len() as u64 * u64::from(settings.piece_tokens);
+    let plan = lists.document.plans.get(&workspace.plan);
+    let mut routes = shared.routes();
+    let mut features = WorkFeatures {
+        workspace: routes.workspace_key(&workspace.name),
+        prompt_tokens: (tokens / settings.piece_bytes as u64) as u32,
+        cached_tokens: 0,
+        max_tokens: completion.max_tokens,
+    };
+    let work = routes.predict(clock::now(), &chain, &mut features);
+    RouteQuery {
+        model: completion.model.clone(),
+        weights,
+        chain,
+        features,
+        work,
+        weight: plan.map_or(1, |plan| plan.weight.max(1)) as f32,
     }
-    hashes
 }
 
 /// The text whose pieces engines cache.
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -7,11 +7,14 @@
 mod discovery;
 mod error;
 mod host;
+mod launch;
 mod relay;
+mod routes;
 mod servers;
 mod services;
 mod shared;
 mod sink;
+mod watch;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- /dev/null
+++ b/crates/host/src/entry/routes.rs
@@ -0,0 +1,336 @@
+//! The decision library's router, queue and budget as the entry's threads share them.
+//!
+//! One lock guards all of it: a decision takes microseconds, and each request takes the lock a few
+//! times.
+
+use std::{collections::HashMap, time::Duration};
+
+use carobvane_core::{
+    admission::{
+        FairQueue, QueueEntry, QueueRefusal, QueueSettings, WorkFeatures, WorkPrediction,
+        WorkPredictor, WorkSpeeds,
+    },
+    arena::KeyArena,
+    clock::ClockTime,
+    ids::{
+        AddressId, IncarnationId, ModelKey, RequestKey, ServerKey, WeightsVersion, WorkspaceKey,
+    },
+    prefix::PrefixChain,
+    routing::{
+        CostSettings, DispatchKey, FailureKind, HedgeBudget, PrefixRouter, RequestClass,
+        RouteDecision, RouteRefusal, RouteRequest, RouterSettings, ServerSeen,
+    },
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::oneshot;
+
+use super::active::ActiveLists;
+
+/// Longest wait of a short request for a slot.
+const SHORT_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of a long request for a slot.
+const LONG_WAIT: Duration = Duration::from_secs(10);
+/// Requests that one tick starts at most. Others start when requests end.
+const STARTS_PER_TICK: usize = 4;
+/// Records of the block index: 48 MB would exceed an entry's 64 MB with streams, so the index holds
+/// half a million blocks in 12 MB.
+const BLOCK_CAPACITY: usize = 500_000;
+
+/// What the routing of one request needs, apart from earlier attempts.
+#[derive(Debug, Clone)]
+pub struct RouteQuery {
+    /// The model's name.
+    pub model: String,
+    /// The weights version of the answer.
+    pub weights: u64,
+    /// The prompt's chain.
+    pub chain: PrefixChain,
+    /// What the prediction of its work is based on.
+    pub features: WorkFeatures,
+    /// Predicted work.
+    pub work: WorkPrediction,
+    /// Relative share of the workspace in the queue.
+    pub weight: f32,
+}
+
+/// An attempt that was routed and counts as sent.
+#[derive(Debug, Clone)]
+pub struct RoutedAttempt {
+    /// Names the attempt in later calls.
+    pub dispatch: DispatchKey,
+    /// The server's key.
+    pub server: ServerKey,
+    /// The server's name in the lists.
+    pub name: String,
+    /// The decision.
+    pub decision: RouteDecision,
+}
+
+/// Why a waiting request stops waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// A slot is free.
+    Start,
+    /// Its time has passed.
+    Expired,
+}
+
+/// Routing state of an entry.
+pub struct RouteBook {
+    /// The router.
+    pub router: PrefixRouter,
+    /// The shared budget of extra attempts.
+    pub budget: HedgeBudget,
+    queue: FairQueue,
+    predictor: WorkPredictor,
+    servers: HashMap<String, ServerKey>,
+    names: HashMap<ServerKey, String>,
+    models: KeyArena<ModelKey, String>,
+    workspaces: KeyArena<WorkspaceKey, String>,
+    workspace_keys: HashMap<String, WorkspaceKey>,
+    /// Invariant: holds exactly the requests in the queue.
+    waiters: KeyArena<RequestKey, (ModelKey, oneshot::Sender<WaitEnd>)>,
+    entries: u32,
+    rng: SmallRng,
+}
+
+impl RouteBook {
+    /// Creates the state of an entry without servers.
+    pub fn new(seed: u64, piece_tokens: u32) -> RouteBook {
+        let cost = CostSettings { piece_tokens, ..CostSettings::default() };
+        let speeds = WorkSpeeds { prefill_ms: cost.prefill_ms, decode_ms: cost.decode_ms };
+        // No store events reach the entry yet, so no transfer is planned.
+        let settings = RouterSettings {
+            cost,
+            block_capacity: BLOCK_CAPACITY,
+            store: false,
+            ..RouterSettings::default()
+        };
+        RouteBook {
+            router: PrefixRouter::new(settings, ()),
+            budget: HedgeBudget::new(),
+            queue: FairQueue::new(QueueSettings::default(), 1.0),
+            predictor: WorkPredictor::new(speeds),
+            servers: HashMap::new(),
+            names: HashMap::new(),
+            models: KeyArena::new(),
+            workspaces: KeyArena::new(),
+            workspace_keys: HashMap::new(),
+            waiters: KeyArena::new(),
+            entries: 1,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes over the engines of the lists in force. An engine counts as holding the wanted weights
+    /// until its own state says otherwise.
+    pub fn set_servers(&mut self, lists: &ActiveLists) {
+        self.entries = lists.document.entries.len().max(1) as u32;
+        let gone: Vec<String> =
+            self.servers.keys().filter(|name| lists.server(name).is_none()).cloned().collect();
+        for key in gone.iter().filter_map(|name| self.servers.remove(name)) {
+            self.router.server_leaving(key, true);
+        }
+        let mut slots = 0;
+        for (model, weights) in &lists.document.weights {
+            let held = [(self.model_key(model), WeightsVersion(weights.version))];
+            for name in lists.engines(model) {
+                let Some(server) = lists.server(name) else { continue };
+                slots += server.slots;
+                if !self.servers.contains_key(name) {
+                    self.add(name, &server.address, server.slots, &held);
+                }
+            }
+        }
+        self.queue.set_drain_rate(slots.max(1) as f32 / self.entries as f32);
+    }
+
+    fn add(
+        &mut self,
+        name: &str,
+        address: &str,
+        slots: u32,
+        models: &[(ModelKey, WeightsVersion)],
+    ) {
+        let address = AddressId::of(address);
+        let known = self.router.table().by_address(address);
+        let incarnation = known
+            .and_then(|key| self.router.table().get(key))
+            .map_or(IncarnationId(0), |record| record.incarnation);
+        let seen = ServerSeen { address, incarnation, models, slots };
+        if let Some(key) = self.router.server_seen(&seen) {
+            self.router.server_leaving(key, false);
+            self.servers.insert(name.to_string(), key);
+            self.names.insert(key, name.to_string());
+        }
+    }
+
+    /// The key of an engine, while it is in the lists.
+    pub fn server(&self, name: &str) -> Option<ServerKey> {
+        self.servers.get(name).copied()
+    }
+
+    /// The key of a model.
+    pub fn model_key(&mut self, model: &str) -> ModelKey {
+        let known = self.models.iter().find(|(_, name)| *name == model).map(|(key, _)| key);
+        known.unwrap_or_else(|| self.models.insert(model.to_string()))
+    }
+
+    /// The key of a workspace.
+    pub fn workspace_key(&mut self, workspace: &str) -> WorkspaceKey {
+        if let Some(&key) = self.workspace_keys.get(workspace) {
+            return key;
+        }
+        let key = self.workspaces.insert(workspace.to_string());
+        self.workspace_keys.insert(workspace.to_string(), key);
+        key
+    }
+
+    /// Predicts the work of a request. `features` has its cached tokens filled in.
+    pub fn predict(
+        &mut self,
+        now: ClockTime,
+        chain: &PrefixChain,
+        features: &mut WorkFeatures,
+    ) -> WorkPrediction {
+        let piece_tokens = self.router.state().settings.cost.piece_tokens;
+        let hit = u32::from(self.router.longest_hit(now, chain));
+        features.cached_tokens = (hit * piece_tokens).min(features.prompt_tokens);
+        self.predictor.predict(features)
+    }
+
+    /// Chooses an engine and counts the request as sent there.
+    ///
+    /// # Errors
+    ///
+    /// No engine can take the request now.
+    pub fn route(
+        &mut self,
+        now: ClockTime,
+        query: &RouteQuery,
+        excluded: &[ServerKey],
+    ) -> Result<RoutedAttempt, RouteRefusal> {
+        let model = self.model_key(&query.model);
+        let request = RouteRequest {
+            model,
+            weights: WeightsVersion(query.weights),
+            chain: &query.chain,
+            class: query.work.class,
+            prompt_tokens: query.features.prompt_tokens,
+            decode_tokens: query.work.decode_tokens,
+            excluded,
+            alone: false,
+        };
+        let decision = self.router.decide(now, &request, &mut self.rng)?;
+        let dispatch = self.router.dispatched(now, &request, &decision);
+        let server = decision.server;
+        let name = self.names.get(&server).cloned().unwrap_or_default();
+        Ok(RoutedAttempt { dispatch, server, name, decision })
+    }
+
+    /// Whether requests of this class wait, which a new one must not overtake.
+    pub fn must_wait(&self, class: RequestClass) -> bool {
+        !self.queue.may_bypass(class)
+    }
+
+    /// Queues a request. `waited` is the time it has waited before.
+    ///
+    /// # Errors
+    ///
+    /// The request cannot start in time, or the queue is full.
+    pub fn wait(
+        &mut self,
+        now: ClockTime,
+        query: &RouteQuery,
+        waited: Duration,
+    ) -> Result<oneshot::Receiver<WaitEnd>, QueueRefusal> {
+        let (sender, receiver) = oneshot::channel();
+        let model = self.model_key(&query.model);
+        let request = self.waiters.insert((model, sender));
+        let limit = match query.work.class {
+            RequestClass::Short => SHORT_WAIT,
+            RequestClass::Long => LONG_WAIT,
+        };
+        let entry = QueueEntry {
+            request,
+            workspace: query.features.workspace,
+            class: query.work.class,
+            work_ms: query.work.work_ms,
+            weight: query.weight,
+            start_by: now + limit.saturating_sub(waited),
+        };
+        if let Err(refusal) = self.queue.push(now, entry) {
+            self.waiters.remove(request);
+            return Err(refusal);
+        }
+        Ok(receiver)
+    }
+
+    /// Ends an attempt that is complete, and learns the length of its answer.
+    pub fn finished(
+        &mut self,
+        now: ClockTime,
+        attempt: &RoutedAttempt,
+        query: &RouteQuery,
+        tokens: u32,
+    ) {
+        self.router.finished(now, attempt.dispatch);
+        self.predictor.observe(&query.features, tokens);
+        self.start_waiting(now, 1);
+    }
+
+    /// Ends an attempt that failed or was given up.
+    pub fn failed(&mut self, now: ClockTime, attempt: &RoutedAttempt, kind: FailureKind) {
+        self.router.failed(now, attempt.dispatch, kind);
+        self.start_waiting(now, 1);
+    }
+
+    /// Ends waits whose time has passed, and starts requests that have a slot.
+    pub fn tick(&mut self, now: ClockTime) {
+        while let Some(entry) = self.queue.take_expired(now) {
+            self.end_wait(entry.request, WaitEnd::Expired);
+        }
+        self.start_waiting(now, STARTS_PER_TICK);
+        metrics::gauge!("carobvane_queue_requests").set(self.queue.len() as f64);
+    }
+
+    fn start_waiting(&mut self, now: ClockTime, limit: usize) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let models: Vec<ModelKey> = self.models.iter().map(|(key, _)| key).collect();
+        let mut room = |class| {
+            models.iter().any(|&model| self.router.has_room(now, model, class, &mut self.rng))
+        };
+        let (short, long) = (room(RequestClass::Short), room(RequestClass::Long));
+        for _ in 0..limit {
+            let free = |class| match class {
+                RequestClass::Short => short,
+                RequestClass::Long => long,
+            };
+            let Some(entry) = self.queue.pop(free) else { return };
+            self.end_wait(entry.request, WaitEnd::Start);
+        }
+    }
+
+    fn end_wait(&mut self, request: RequestKey, end: WaitEnd) {
+        if let Some((_, sender)) = self.waiters.remove(request) {
+            // A caller that has gone needs no answer.
+            sender.send(end).ok();
+        }
+    }
+
+    /// The candidates of a decision as text: name, pieces held, cost in ms.
+    pub fn describe(&self, decision: &RouteDecision) -> String {
+        let mut text = String::new();
+        for candidate in decision.candidates.iter() {
+            let name = self.names.get(&candidate.server).map_or("?", String::as_str);
+            if !text.is_empty() {
+                text.push(' ');
+            }
+            let total = candidate.cost.total();
+            text.push_str(&format!("{name}:{}:{total:.1}", candidate.hit_pieces));
+        }
+        text
+    }
+}
--- a/crates/host/src/entry/servers.rs
+++ b/crates/host/src/entry/servers.rs
@@ -47,11 +47,14 @@
     }
 
     /// Counts a request that starts at a server.
+    // Engines are counted by the router; the calls of plain services are to be counted here.
+    #[allow(dead_code)]
     pub fn begin(&mut self, name: &str) {
         *self.in_flight.entry(name.to_string()).or_default() += 1;
     }
 
     /// Counts a request that has ended at a server.
+    #[allow(dead_code)]
     pub fn end(&mut self, name: &str) {
         if let Some(count) = self.in_flight.get_mut(name) {
             *count = count.saturating_sub(1);
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -15,6 +15,7 @@
 use super::{
     active::{ActiveLists, CallerWorkspace},
     error::{CallerError, ErrorCode},
+    routes::RouteBook,
     servers::ServerPool,
 };
 use crate::{peer::PeerSender, settings::EntrySettings};
@@ -38,6 +39,7 @@
     pub sender: PeerSender,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
+    routes: Mutex<RouteBook>,
     draining: AtomicBool,
     refusing: AtomicBool,
     in_progress: AtomicUsize,
@@ -47,12 +49,14 @@
 impl EntryShared {
     /// Creates the state of an entry without lists.
     pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
+        let routes = RouteBook::new(own.incarnation.0, settings.piece_tokens);
         EntryShared {
             settings,
             own,
             sender,
             lists: RwLock::new(None),
             pool: Mutex::new(ServerPool::new(own.incarnation.0)),
+            routes: Mutex::new(routes),
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
@@ -69,6 +73,7 @@
     pub fn activate(&self, snapshot: &ListSnapshot) {
         let lists = Arc::new(ActiveLists::new(snapshot));
         self.pool().set_servers(&lists, self.own.node);
+        self.routes().set_servers(&lists);
         *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
         metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
     }
@@ -78,6 +83,11 @@
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Routing state of the engines.
+    pub fn routes(&self) -> MutexGuard<'_, RouteBook> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A request id: the caller's, if it is usable, or a new one.
     pub fn request_id(&self, request: &HttpRequest) -> String {
         let given = request.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
--- /dev/null
+++ b/crates/host/src/entry/watch.rs
@@ -0,0 +1,174 @@
+//! Follows each engine: its state, load reports and cache events.
+//!
+//! What is learned here affects the cost of decisions only. An engine that does not answer gets no
+//! requests until it does.
+
+use std::{sync::Arc, time::Duration};
+
+use carobvane_core::{
+    ids::{AddressId, IncarnationId, ServerKey, WeightsVersion},
+    prefix::PieceHash,
+    routing::{CacheUpdate, ReportedLoad, ServerSeen},
+};
+use carobvane_proto::engine::{CacheChange, CacheEvent, EngineState, LoadReport};
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use serde::de::DeserializeOwned;
+
+use super::shared::EntryShared;
+use crate::clock;
+
+/// Interval of load reports and states. Nine entries that ask each engine twice a second cost it
+/// 36 small requests a second.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before an engine that did not answer is asked again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for an engine's state or load report.
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Follows an engine until it leaves the lists.
+pub async fn watch_engine(shared: Arc<EntryShared>, name: String, address: String) {
+    let client = awc::Client::builder().timeout(POLL_TIMEOUT).finish();
+    let mut watch = EngineWatch { shared, name, address, client, position: None };
+    while watch.is_listed() {
+        if watch.poll().await {
+            watch.follow_events().await;
+            watch.lost_events();
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+struct EngineWatch {
+    shared: Arc<EntryShared>,
+    name: String,
+    address: String,
+    client: awc::Client,
+    /// Life and sequence number of the last event.
+    position: Option<(u64, u64)>,
+}
+
+impl EngineWatch {
+    fn is_listed(&self) -> bool {
+        let Some(lists) = self.shared.lists() else { return false };
+        lists.server(&self.name).is_some_and(|server| server.address == self.address)
+    }
+
+    fn key(&self) -> Option<ServerKey> {
+        self.shared.routes().server(&self.name)
+    }
+
+    /// Reads state and load. Returns whether the engine answered.
+    async fn poll(&self) -> bool {
+        let state = self.read::<EngineState>("/state").await;
+        let load = self.read::<LoadReport>("/load").await;
+        let Some(key) = self.key() else { return false };
+        let (Some(state), Some(load)) = (state, load) else {
+            self.shared.routes().router.server_unreachable(key, true);
+            return false;
+        };
+        self.take_state(key, &state);
+        let report = ReportedLoad {
+            running: load.running,
+            waiting: load.waiting,
+            waiting_tokens: load.waiting_tokens,
+        };
+        let incarnation = IncarnationId(load.incarnation);
+        self.shared.routes().router.load_report(clock::now(), key, incarnation, report);
+        true
+    }
+
+    fn take_state(&self, key: ServerKey, state: &EngineState) {
+        let slots = match self.shared.lists() {
+            Some(lists) => lists.server(&self.name).map_or(1, |server| server.slots),
+            None => 1,
+        };
+        let mut routes = self.shared.routes();
+        let models: Vec<_> = state
+            .models
+            .iter()
+            .map(|held| (routes.model_key(&held.model), WeightsVersion(held.version)))
+            .collect();
+        routes.router.server_seen(&ServerSeen {
+            address: AddressId::of(&self.address),
+            incarnation: IncarnationId(state.incarnation),
+            models: &models,
+            slots,
+        });
+        routes.router.server_unreachable(key, false);
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
+        let url = format!("http://{}{path}", self.address);
+        let mut response = self.client.get(url).send().await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        response.json().await.ok()
+    }
+
+    /// Applies cache events, and polls between them, until the connection breaks.
+    async fn follow_events(&mut self) {
+        let after = self.position.map_or(0, |(_, sequence)| sequence);
+        let url = format!("http://{}/cache/events?after={after}", self.address);
+        let Ok(response) = self.client.get(url).send().await else { return };
+        if !response.status().is_success() {
+            return;
+        }
+        let mut events = Box::pin(response.eventsource());
+        loop {
+            let next = tokio::time::timeout(POLL_INTERVAL, self.take_events(&mut events)).await;
+            let broken = next.is_ok();
+            if broken || !self.is_listed() || !self.poll().await {
+                return;
+            }
+        }
+    }
+
+    /// Applies events until the connection breaks.
+    async fn take_events<S, E>(&mut self, events: &mut S)
+    where
+        S: Stream<Item = Result<eventsource_stream::Event, E>> + Unpin,
+    {
+        while let Some(Ok(event)) = events.next().await {
+            match serde_json::from_str(&event.data) {
+                Ok(event) => self.take_event(&event),
+                Err(error) => {
+                    log::warn!(server = self.name, error:% = error; "invalid cache event");
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take_event(&mut self, event: &CacheEvent) {
+        let Some(key) = self.key() else { return };
+        let pieces: Vec<PieceHash> = match &event.change {
+            CacheChange::Stored { hashes } | CacheChange::Removed { hashes } => {
+                hashes.iter().copied().map(PieceHash::from_raw).collect()
+            }
+            CacheChange::Cleared => Vec::new(),
+        };
+        let update = match event.change {
+            CacheChange::Stored { .. } => CacheUpdate::Stored(&pieces),
+            CacheChange::Removed { .. } => CacheUpdate::Removed(&pieces),
+            CacheChange::Cleared => CacheUpdate::Cleared,
+        };
+        let incarnation = IncarnationId(event.incarnation);
+        let now = clock::now();
+        let mut routes = self.shared.routes();
+        routes.router.cache_event(now, key, incarnation, event.sequence, update);
+        self.position = Some((event.incarnation, event.sequence));
+    }
+
+    /// Notes a broken event connection.
+    fn lost_events(&mut self) {
+        let Some(key) = self.key() else { return };
+        let mut routes = self.shared.routes();
+        let life = routes.router.table().get(key).map(|record| record.incarnation.0);
+        if self.position.map(|(incarnation, _)| incarnation) != life {
+            self.position = None;
+        }
+        routes.router.event_gap(key);
+    }
+}
--- /dev/null
+++ b/crates/replay/tests/routing.rs
@@ -0,0 +1,131 @@
+//! Routing of the entry over real sockets: prefixes, hedges, resumes and refusals.
+
+use carobvane_replay::fleet::{Fleet, FleetSettings, MODEL, key_of};
+use carobvane_standin::engine::{EngineSettings, FaultUpdate};
+use futures::StreamExt;
+use serde_json::{Value, json};
+
+/// Pieces of the prompt; a piece has 64 bytes here.
+const PIECES: usize = 8;
+
+fn fleet(engines: usize) -> FleetSettings {
+    let engine = EngineSettings { time_scale: 20.0, ..EngineSettings::default() };
+    FleetSettings { entries: 1, engines: vec![engine; engines], ..FleetSettings::default() }
+}
+
+fn body(tokens: u32, stream: bool) -> Value {
+    let prompt = "the carob harvest of the north ".repeat(PIECES * 64 / 31 + 1);
+    let prompt = &prompt[..PIECES * 64];
+    json!({ "model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": stream })
+}
+
+async fn complete(fleet: &Fleet, tokens: u32) -> (u16, Value) {
+    let url = format!("{}/v1/completions", fleet.entry_url(0));
+    let request = awc::Client::default().post(url).bearer_auth(key_of("workspace-1"));
+    let timeout = std::time::Duration::from_secs(20);
+    let mut response = request.timeout(timeout).send_json(&body(tokens, false)).await.unwrap();
+    (response.status().as_u16(), response.json().await.unwrap())
+}
+
+fn text(body: &Value) -> &str {
+    body["choices"][0]["text"].as_str().unwrap_or_default()
+}
+
+/// Position of the engine with the most requests.
+fn busiest(fleet: &Fleet) -> usize {
+    let requests = |index: &usize| fleet.engines[*index].counters().requests;
+    (0..fleet.engines.len()).max_by_key(requests).unwrap()
+}
+
+/// Guards against a prefix that is computed again although an idle engine holds it.
+#[actix_rt::test]
+async fn a_prefix_is_computed_once() {
+    let fleet = Fleet::start(&fleet(3)).await.unwrap();
+    for _ in 0..6 {
+        assert_eq!(complete(&fleet, 4).await.0, 200);
+    }
+    let counters: Vec<_> = fleet.engines.iter().map(|engine| engine.counters()).collect();
+    let used = counters.iter().filter(|counters| counters.requests > 0).count();
+    let hits: u64 = counters.iter().map(|counters| counters.hit_tokens).sum();
+    let prompts: u64 = counters.iter().map(|counters| counters.prompt_tokens).sum();
+    assert_eq!(used, 1, "{counters:?}");
+    assert!(hits * 6 >= prompts * 5 - prompts / 10, "{hits} of {prompts} tokens were hits");
+    fleet.stop().await;
+}
+
+/// Guards against a request that waits for an engine that has stopped computing.
+#[actix_rt::test]
+async fn a_hedge_overtakes_a_stalled_engine() {
+    let fleet = Fleet::start(&fleet(2)).await.unwrap();
+    let (_, expected) = complete(&fleet, 8).await;
+    let stalled = busiest(&fleet);
+    fleet.engines[stalled].faults(&FaultUpdate { stall: Some(true), ..FaultUpdate::default() });
+    let (status, body) = complete(&fleet, 8).await;
+    assert_eq!((status, text(&body)), (200, text(&expected)));
+    fleet.stop().await;
+}
+
+/// Guards against a stream that ends, or repeats or loses text, when its engine crashes.
+#[actix_rt::test]
+async fn a_stream_survives_the_crash_of_its_engine() {
+    let fleet = Fleet::start(&fleet(2)).await.unwrap();
+    let (_, expected) = complete(&fleet, 200).await;
+    let url = format!("{}/v1/completions", fleet.entry_url(0));
+    let request = awc::Client::default().post(url).bearer_auth(key_of("workspace-1"));
+    let mut response = request.send_json(&body(200, true)).await.unwrap();
+    let mut received = Vec::new();
+    let mut crashed = false;
+    while let Some(part) = response.next().await {
+        received.extend_from_slice(&part.unwrap());
+        if !crashed {
+            crashed = true;
+            let crash = FaultUpdate { crash: Some(true), ..FaultUpdate::default() };
+            fleet.engines[busiest(&fleet)].faults(&crash);
+        }
+    }
+    let received = String::from_utf8(received).unwrap();
+    let mut answer = String::new();
+    for line in received.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if let Ok(chunk) = serde_json::from_str::<Value>(line) {
+            answer.push_str(text(&chunk));
+        }
+    }
+    assert_eq!(answer, text(&expected));
+    assert!(received.trim_end().ends_with("data: [DONE]"), "{received}");
+    fleet.stop().await;
+}
+
+/// Guards against a refusal without its outcome, and against one that claims a request did not run
+/// although an attempt may have run.
+#[actix_rt::test]
+async fn refusals_tell_the_outcome() {
+    struct Case {
+        name: &'static str,
+        fault: FaultUpdate,
+        stopped: bool,
+        outcome: &'static str,
+    }
+    let none = FaultUpdate::default;
+    let cases = [
+        Case { name: "stopped", fault: none(), stopped: true, outcome: "not_run" },
+        Case {
+            name: "garbage",
+            fault: FaultUpdate { garbage: Some(true), ..none() },
+            stopped: false,
+            outcome: "outcome_unknown",
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::start(&fleet(2)).await.unwrap();
+        for engine in &fleet.engines {
+            engine.faults(&case.fault);
+            if case.stopped {
+                engine.stop().await;
+            }
+        }
+        let (status, body) = complete(&fleet, 4).await;
+        assert!(status >= 500, "{}: {status} {body}", case.name);
+        assert_eq!(body["error"]["outcome"], case.outcome, "{}: {body}", case.name);
+        fleet.stop().await;
+    }
+}
