Look up every fourth piece of a prefix

Cause: at 18 servers and 2.6 M blocks a decision took 8.3 to 9.7 us at the median on the busy machine, of which the lookup of 64 pieces 5.9 to 6.5 us. Change: one piece stands for a group of four, because an engine that holds a piece uses it only with all earlier ones and evicts from the end of a prefix; the pieces after a server's last whole group are looked up one by one. Ruled out: a binary search over the whole chain, whose reads depend on each other, so their cache misses add up.

--- a/crates/core/src/prefix/index.rs
+++ b/crates/core/src/prefix/index.rs
@@ -9,8 +9,10 @@
 use super::{
     PieceHash,
     bucket::{BUCKET_RECORDS, BlockRecord, CONFIRMED, IndexBucket, PASSED_STEP},
-    scratch::HolderScratch,
+    scratch::{HolderScratch, PieceSpan},
 };
+use smallvec::SmallVec;
+
 use crate::{clock::ClockTime, ids::ServerKey};
 
 /// Buckets that may hold a record: its home and the following ones.
@@ -27,8 +29,10 @@
 /// evict within seconds and publish events late.
 pub const OPTIMISTIC_LIFETIME_S: u16 = 30;
 const MICROS_PER_SECOND: u64 = 1_000_000;
-/// Pieces whose buckets are read before their records are judged.
-const LOOKUP_BATCH: usize = 32;
+/// Groups whose buckets are read before their records are judged.
+const LOOKUP_BATCH: usize = 16;
+/// Pieces of a prompt for each one that a lookup reads. One by one, 64 pieces took 5.9 us.
+const GROUP_PIECES: usize = 4;
 
 /// Why a record exists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -155,46 +159,80 @@
     }
 
     /// Finds the servers that hold leading pieces of `pieces`, into `scratch`.
+    ///
+    /// Only the last piece of each group of [`GROUP_PIECES`] is looked up; it stands for the group,
+    /// because an engine that holds a piece can use it only with all earlier ones. The pieces after
+    /// a server's last whole group are looked up one by one.
     pub fn lookup(&self, now: ClockTime, pieces: &[PieceHash], scratch: &mut HolderScratch) {
         scratch.begin();
         let second = second_of(now);
+        let groups = pieces.len() / GROUP_PIECES;
         let mut masks = [0u8; LOOKUP_BATCH];
-        for (batch, chunk) in pieces.chunks(LOOKUP_BATCH).enumerate() {
+        let mut group = 0;
+        let mut grown = true;
+        while group < groups && grown {
+            let batch = (groups - group).min(LOOKUP_BATCH);
             // No iteration of this loop depends on another, so their cache misses overlap.
-            for (mask, &piece) in masks.iter_mut().zip(chunk) {
+            for (step, mask) in masks[..batch].iter_mut().enumerate() {
+                let piece = pieces[(group + step + 1) * GROUP_PIECES - 1];
                 *mask = self.buckets[self.home(piece.as_raw())].matches(piece);
             }
-            for (offset, (&piece, &mask)) in chunk.iter().zip(&masks).enumerate() {
-                let number = batch * LOOKUP_BATCH + offset;
-                if !self.extend_holders(piece, mask, number, second, scratch) {
-                    return;
+            for &mask in &masks[..batch] {
+                let span = PieceSpan { first: group * GROUP_PIECES, count: GROUP_PIECES };
+                let piece = pieces[span.first + span.count - 1];
+                grown = self.extend_holders(piece, Some(mask), span, second, scratch);
+                group += 1;
+                if !grown {
+                    break;
                 }
             }
         }
+        self.refine(pieces, second, scratch);
     }
 
-    /// Judges the records of one piece. Returns whether any server's prefix grew.
+    /// Looks up the pieces after each server's last whole group.
+    fn refine(&self, pieces: &[PieceHash], second: u16, scratch: &mut HolderScratch) {
+        // Servers without a whole group are not known yet, so the first group is always refined.
+        let mut starts: SmallVec<[usize; MAX_HOLDERS + 1]> = SmallVec::new();
+        starts.push(0);
+        for holder in scratch.holders() {
+            let start = usize::from(holder.pieces);
+            if !starts.contains(&start) {
+                starts.push(start);
+            }
+        }
+        for start in starts {
+            let end = pieces.len().min(start + GROUP_PIECES - 1);
+            for (offset, &piece) in pieces[start..end].iter().enumerate() {
+                let span = PieceSpan { first: start + offset, count: 1 };
+                if !self.extend_holders(piece, None, span, second, scratch) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Judges the records of one piece, which stands for `span`. Returns whether any server's
+    /// prefix grew.
     fn extend_holders(
         &self,
         piece: PieceHash,
-        home_mask: u8,
-        number: usize,
+        home_mask: Option<u8>,
+        span: PieceSpan,
         second: u16,
         scratch: &mut HolderScratch,
     ) -> bool {
         let home = self.home(piece.as_raw());
         let mut grown = false;
-        let mut mask = home_mask;
+        let mut known_mask = home_mask;
         for step in 0..WINDOW_BUCKETS {
             let bucket = &self.buckets[self.bucket_at(home, step)];
-            if step > 0 {
-                mask = bucket.matches(piece);
-            }
+            let mut mask = known_mask.take().unwrap_or_else(|| bucket.matches(piece));
             while mask != 0 {
                 let record = &bucket.records[mask.trailing_zeros() as usize];
                 mask &= mask - 1;
                 if let Some(uncertain) = self.judge(record, second) {
-                    grown |= scratch.extend(record.server, number, uncertain);
+                    grown |= scratch.extend(record.server, span, uncertain);
                 }
             }
             if !bucket.is_passed() {
--- a/crates/core/src/prefix/scratch.rs
+++ b/crates/core/src/prefix/scratch.rs
@@ -11,6 +11,13 @@
     pub uncertain: u16,
 }
 
+/// Consecutive pieces of a chain.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PieceSpan {
+    pub(super) first: usize,
+    pub(super) count: usize,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct HolderMark {
     stamp: u32,
@@ -57,23 +64,25 @@
         }
     }
 
-    /// Notes that `server` holds piece number `piece`. Returns whether that extends its prefix.
-    pub(super) fn extend(&mut self, server: u16, piece: usize, uncertain: bool) -> bool {
+    /// Notes that `server` holds a span of pieces. Returns whether that extends its prefix.
+    pub(super) fn extend(&mut self, server: u16, span: PieceSpan, uncertain: bool) -> bool {
         let Some(mark) = self.marks.get_mut(server as usize) else { return false };
+        let count = span.count as u16;
+        let doubt = if uncertain { count } else { 0 };
         if mark.stamp == self.stamp {
             let holder = &mut self.holders[mark.position as usize];
-            if holder.pieces as usize != piece {
+            if usize::from(holder.pieces) != span.first {
                 return false;
             }
-            holder.pieces += 1;
-            holder.uncertain += u16::from(uncertain);
+            holder.pieces += count;
+            holder.uncertain += doubt;
             return true;
         }
-        if piece != 0 {
+        if span.first != 0 {
             return false;
         }
         *mark = HolderMark { stamp: self.stamp, position: self.holders.len() as u32 };
-        self.holders.push(PrefixHolder { server, pieces: 1, uncertain: u16::from(uncertain) });
+        self.holders.push(PrefixHolder { server, pieces: count, uncertain: doubt });
         true
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -160,6 +160,39 @@
     }
 }
 
+/// Guards against a lookup that miscounts prefixes that end inside a group of pieces, at different
+/// places on different servers.
+#[test]
+fn each_server_has_its_own_prefix_length() {
+    struct Case {
+        pieces: usize,
+        held: [usize; 3],
+    }
+    let cases = [
+        Case { pieces: 1, held: [1, 0, 1] },
+        Case { pieces: 3, held: [2, 3, 0] },
+        Case { pieces: 8, held: [8, 4, 3] },
+        Case { pieces: 11, held: [11, 9, 7] },
+        Case { pieces: 70, held: [70, 66, 5] },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(3);
+        let chain = chain("a", WEIGHTS, case.pieces);
+        for (&server, held) in fleet.servers.clone().iter().zip(case.held) {
+            let update = CacheUpdate::Stored(&chain.pieces()[..held]);
+            fleet.router.cache_event(fleet.now, server, IncarnationId(1), 1, update);
+        }
+        let decision = fleet.decide(&chain).expect("servers are idle");
+        for candidate in decision.candidates.iter() {
+            let number = fleet.servers.iter().position(|&server| server == candidate.server);
+            let held = number.map(|number| case.held[number] as u16);
+            assert_eq!(Some(candidate.hit_pieces), held, "{} pieces", case.pieces);
+        }
+        let longest = *case.held.iter().max().expect("three servers") as u16;
+        assert_eq!(decision.hit_pieces, longest, "{} pieces", case.pieces);
+    }
+}
+
 /// Guards against new work for servers that leave, are excluded or hold other weights, and against
 /// wrong refusals.
 #[test]
