Keep a leaving server out of work over a restart, and remove retired ones

Cause: a sighting of a new life cleared the leaving mark, so a process that restarted on a VM that leaves got new requests; and servers that left the lists stayed in the table for ever. Change: only server_leaving clears the mark; the entry removes a retired server when its last request has ended. The number of entries comes from the lists.

--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -68,6 +68,11 @@
         &self.state
     }
 
+    /// Sets the number of entries that share the servers.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.state.settings.entries = entries.max(1);
+    }
+
     /// Chooses a server. The caller then sends the request and calls
     /// [`PrefixRouter::dispatched`].
     pub fn decide<R: Rng>(
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -81,7 +81,8 @@
     pub in_flight: ClassCounts,
     /// Tokens of the entry's own requests that have not produced a first token.
     pub waiting_tokens: u64,
-    /// Whether it gets no new work because it is to be shut down.
+    /// Whether it gets no new work because it is to be shut down. A new life does not end this,
+    /// because a process may restart on a VM that leaves.
     pub leaving: bool,
     /// Whether a request runs there that must run alone.
     pub exclusive: bool,
@@ -146,7 +147,6 @@
         self.waiting_tokens = 0;
         self.exclusive = false;
         self.unreachable = false;
-        self.leaving = false;
         self.report = None;
         self.straggler = StragglerState::default();
         self.feed.advance(incarnation);
@@ -296,9 +296,7 @@
             return false;
         }
         self.in_flight -= record.in_flight.total();
-        let leaving = record.leaving;
         record.begin_life(incarnation);
-        record.leaving = leaving;
         let state = AddressState { key: Some(key), incarnation };
         self.addresses.insert(record.address, state);
         true
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -213,6 +213,20 @@
             prepare: |fleet| fleet.router.server_leaving(fleet.servers[0], true),
             expected: RouteRefusal::NoneEligible,
         },
+        Case {
+            name: "restarted while leaving",
+            prepare: |fleet| {
+                let model = fleet.model;
+                fleet.router.server_leaving(fleet.servers[0], true);
+                see(&mut fleet.router, model, 0, 2, WEIGHTS);
+            },
+            expected: RouteRefusal::NoneEligible,
+        },
+        Case {
+            name: "unreachable",
+            prepare: |fleet| fleet.router.server_unreachable(fleet.servers[0], true),
+            expected: RouteRefusal::NoneEligible,
+        },
         Case {
             name: "older weights",
             prepare: |fleet| {
--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -173,6 +173,7 @@
         features,
         work,
         weight: plan.map_or(1, |plan| plan.weight.max(1)) as f32,
+        alone: false,
     }
 }
 
--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -129,7 +129,9 @@
     StartedAttempt<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
     Vec<FailedAttempt>,
 > {
-    let may_hedge = delivered.tokens == 0 && request.query.work.class == RequestClass::Short;
+    let query = &request.query;
+    let may_hedge =
+        delivered.tokens == 0 && query.work.class == RequestClass::Short && !query.alone;
     let delay = hedge_delay(&routed.decision.cost);
     let primary_server = routed.server;
     let name = names.take(&request.id);
--- a/crates/host/src/entry/routes.rs
+++ b/crates/host/src/entry/routes.rs
@@ -51,6 +51,8 @@
     pub work: WorkPrediction,
     /// Relative share of the workspace in the queue.
     pub weight: f32,
+    /// Whether the request may only run alone on a server, because it may crash servers.
+    pub alone: bool,
 }
 
 /// An attempt that was routed and counts as sent.
@@ -90,7 +92,8 @@
     workspace_keys: HashMap<String, WorkspaceKey>,
     /// Invariant: holds exactly the requests in the queue.
     waiters: KeyArena<RequestKey, (ModelKey, oneshot::Sender<WaitEnd>)>,
-    entries: u32,
+    /// Servers that have left the lists and still run requests.
+    retired: Vec<ServerKey>,
     rng: SmallRng,
 }
 
@@ -117,7 +120,7 @@
             workspaces: KeyArena::new(),
             workspace_keys: HashMap::new(),
             waiters: KeyArena::new(),
-            entries: 1,
+            retired: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -125,11 +128,13 @@
     /// Takes over the engines of the lists in force. An engine counts as holding the wanted weights
     /// until its own state says otherwise.
     pub fn set_servers(&mut self, lists: &ActiveLists) {
-        self.entries = lists.document.entries.len().max(1) as u32;
+        let entries = lists.document.entries.len().max(1) as u32;
+        self.router.set_entries(entries);
         let gone: Vec<String> =
             self.servers.keys().filter(|name| lists.server(name).is_none()).cloned().collect();
         for key in gone.iter().filter_map(|name| self.servers.remove(name)) {
             self.router.server_leaving(key, true);
+            self.retired.push(key);
         }
         let mut slots = 0;
         for (model, weights) in &lists.document.weights {
@@ -142,7 +147,7 @@
                 }
             }
         }
-        self.queue.set_drain_rate(slots.max(1) as f32 / self.entries as f32);
+        self.queue.set_drain_rate(slots.max(1) as f32 / entries as f32);
     }
 
     fn add(
@@ -160,6 +165,7 @@
         let seen = ServerSeen { address, incarnation, models, slots };
         if let Some(key) = self.router.server_seen(&seen) {
             self.router.server_leaving(key, false);
+            self.retired.retain(|retired| *retired != key);
             self.servers.insert(name.to_string(), key);
             self.names.insert(key, name.to_string());
         }
@@ -219,7 +225,7 @@
             prompt_tokens: query.features.prompt_tokens,
             decode_tokens: query.work.decode_tokens,
             excluded,
-            alone: false,
+            alone: query.alone,
         };
         let decision = self.router.decide(now, &request, &mut self.rng)?;
         let dispatch = self.router.dispatched(now, &request, &decision);
@@ -291,9 +297,24 @@
             self.end_wait(entry.request, WaitEnd::Expired);
         }
         self.start_waiting(now, STARTS_PER_TICK);
+        self.remove_retired();
         metrics::gauge!("carobvane_queue_requests").set(self.queue.len() as f64);
     }
 
+    /// Removes servers that have left the lists and finished their requests.
+    fn remove_retired(&mut self) {
+        let router = &mut self.router;
+        let names = &mut self.names;
+        self.retired.retain(|&key| {
+            let busy = router.table().get(key).is_some_and(|record| record.in_flight.total() > 0);
+            if !busy {
+                router.server_dead(key);
+                names.remove(&key);
+            }
+            busy
+        });
+    }
+
     fn start_waiting(&mut self, now: ClockTime, limit: usize) {
         if self.queue.is_empty() {
             return;
--- a/crates/host/src/entry/watch.rs
+++ b/crates/host/src/entry/watch.rs
@@ -156,6 +156,7 @@
         };
         let incarnation = IncarnationId(event.incarnation);
         let now = clock::now();
+        metrics::counter!("carobvane_cache_events_total").increment(1);
         let mut routes = self.shared.routes();
         routes.router.cache_event(now, key, incarnation, event.sequence, update);
         self.position = Some((event.incarnation, event.sequence));
