--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -4,6 +4,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::{Bytes, BytesMut};
+use carobvane_core::suspects::SuspectFingerprint;
 use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
 use futures::{StreamExt, stream::unfold};
 use serde_json::{Map, Value};
@@ -81,7 +82,6 @@
 ) -> Result<HttpResponse, CallerError> {
     let (lists, workspace) = shared.admit(&request)?;
     let body = read_body(body, shared.settings.max_body_bytes).await?;
-    let fields: Map<String, Value> = parse_body(&body)?;
     let completion: CompletionRequest = parse_body(&body)?;
     check_model(&lists, &workspace, &completion.model)?;
     let is_chat = path == "/v1/chat/completions";
@@ -90,7 +90,7 @@
     let tokens = reserved_tokens(&shared, &prompt, completion.max_tokens);
     let ticket = shared.plans.admit(&workspace, tokens, completion.stream).await?;
     let admitted = (workspace, prompt, ticket);
-    let relayed = relay_request(path, id, &shared, lists, admitted, &completion, fields);
+    let relayed = relay_request(path, id, &shared, lists, admitted, &completion, &body)?;
     if completion.stream {
         let (sink, head) = StreamSink::new(include_usage);
         actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
@@ -119,8 +119,10 @@
     lists: Arc<ActiveLists>,
     (workspace, prompt, ticket): (CallerWorkspace, String, PlanTicket),
     completion: &CompletionRequest,
-    mut body: Map<String, Value>,
-) -> RelayRequest {
+    body: &[u8],
+) -> Result<RelayRequest, CallerError> {
+    let fingerprint = SuspectFingerprint::new(&workspace.name, body);
+    let mut body: Map<String, Value> = parse_body(body)?;
     let weights = lists.weights(&completion.model);
     let salt = format!("{}/{weights}", workspace.name);
     let piece_hashes = chain_hashes(&salt, prompt.as_bytes(), shared.settings.piece_bytes);
@@ -129,18 +131,19 @@
     if completion.max_tokens.is_none() {
         body.insert("max_tokens".to_string(), DEFAULT_MAX_TOKENS.into());
     }
-    RelayRequest {
+    Ok(RelayRequest {
         id: id.to_string(),
         workspace: workspace.name,
         model: completion.model.clone(),
         path,
         body,
+        fingerprint,
         extension: EngineExtension { cache_salt: salt, piece_hashes, ..Default::default() },
         weights,
         lists,
         prompt_tokens: prompt_tokens(shared, &prompt),
         ticket,
-    }
+    })
 }
 
 /// Tokens of a prompt, from the size of a piece in bytes and tokens.
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -5,6 +5,7 @@
     lists::{ListMessage, VersionSummary},
     membership::MemberMessage,
     plans::ShareMessage,
+    suspects::SuspectMessage,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -96,4 +97,6 @@
     Shares(ShareMessage),
     /// Membership of entries.
     Members(MemberMessage),
+    /// Requests that crash servers.
+    Suspects(SuspectMessage),
 }
--- a/crates/replay/src/ops/mod.rs
+++ b/crates/replay/src/ops/mod.rs
@@ -1,4 +1,6 @@
 //! One function per command.
 
 pub mod check;
+pub mod compare;
 pub mod generate;
+pub mod run;
