--- a/crates/host/src/node/actor.rs
+++ b/crates/host/src/node/actor.rs
@@ -12,7 +12,7 @@
 };
 use carobvane_proto::peer::{PeerMessage, PeerRole};
 use futures::stream::unfold;
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use tokio::sync::mpsc;
 
 use super::source::{CHANGE_PREFIX, ListSource, decode_stored};
@@ -24,6 +24,9 @@
 
 /// Interval at which due timers are looked for.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Peers that get a version summary in each interval. With all of them, 780 nodes would each
+/// send 780 messages a second.
+const SUMMARY_PEERS: usize = 3;
 /// Interval of version summaries to peers.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 /// A watch without a change for this long is opened again, in case its connection is dead.
@@ -96,7 +99,9 @@
         self.carry_out(effects, context);
         if now.since(self.last_summary) >= SUMMARY_INTERVAL {
             self.last_summary = now;
-            self.sender.broadcast(PeerMessage::Summary(self.spread.summary()));
+            for peer in self.peers.choose_multiple(&mut self.rng, SUMMARY_PEERS) {
+                self.sender.send(peer.node, PeerMessage::Summary(self.spread.summary()));
+            }
         }
         self.host.tick(now);
     }
