Tell a server's death from a broken stream, and test both over sockets

Cause: socket tests showed four faults. awc reports a connection that closes inside a body as the body's end, so a crash looked like a short stream and was not counted; a request sent to a server that was down already counted as the cause of a further death; identical requests of one dead server rejected each other as busy; and a report right after a start was sent to no entry and counted as known everywhere. Change: after a broken or short stream the server is asked for its life; a run on a life that is known to be dead counts nothing, and such a server gets no request before it answers; a suspect waits for its own like; reports wait for all entries of the lists. A service answer shorter than its content-length is outcome_unknown. Planted bugs are searched for until the first violation. Ruled out: a name of its own for each run on an unknown life without asking (counted one death twice, and rejected innocent requests). Two servers die of a request that is resent at nine entries' turns.

--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -19,6 +19,8 @@
 pub const MAX_CRASHES: usize = 2;
 /// Most suspects that are remembered. Beyond this the one with the oldest crash is forgotten.
 pub const MAX_SUSPECTS: usize = 4_096;
+/// Most dead server lives that are remembered. Beyond this the oldest is forgotten.
+pub const MAX_DEAD_LIVES: usize = 1_024;
 /// How long a suspect is remembered after its last crash.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(600);
 /// Longest wait for the other entries' acknowledgement of a crash. The caller is told of the
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -5,9 +5,9 @@
 use smallvec::SmallVec;
 
 use super::{
-    MAX_CRASHES, MAX_REPORTED_CRASHES, MAX_SUSPECTS, REPORT_RETRY, REPORT_WAIT, RunEnd,
-    SUSPECT_LIFETIME, ServerCrash, ServerLife, SuspectAdmission, SuspectEffect, SuspectFingerprint,
-    SuspectMessage,
+    MAX_CRASHES, MAX_DEAD_LIVES, MAX_REPORTED_CRASHES, MAX_SUSPECTS, REPORT_RETRY, REPORT_WAIT,
+    RunEnd, SUSPECT_LIFETIME, ServerCrash, ServerLife, SuspectAdmission, SuspectEffect,
+    SuspectFingerprint, SuspectMessage,
 };
 use crate::{
     clock::{ClockTime, TimerService},
@@ -20,7 +20,10 @@
     records: HashMap<SuspectFingerprint, SuspectRecord>,
     /// Requests that run, by server.
     running: HashMap<ServerLife, Vec<SuspectFingerprint>>,
-    /// Other live entries.
+    /// Server lives with a counted crash, and when this entry learned of it. A request that was
+    /// sent after that cannot have caused the death.
+    dead: HashMap<ServerLife, ClockTime>,
+    /// Other entries that serve.
     peers: Vec<NodeId>,
     reports: HashMap<u64, OpenReport>,
     next_report: u64,
@@ -55,7 +58,7 @@
         SuspectRegistry::default()
     }
 
-    /// Sets the other live entries. Reports no longer wait for entries that have left.
+    /// Sets the other entries that may serve. Reports no longer wait for others.
     pub fn set_peers(&mut self, peers: Vec<NodeId>, effects: &mut Vec<SuspectEffect>) {
         for report in self.reports.values_mut() {
             report.waiting.retain(|node| peers.contains(node));
@@ -91,10 +94,9 @@
         self.records.get(&fingerprint).map_or(0, |record| record.crashes.len())
     }
 
-    /// Whether this crash is counted.
-    pub fn counts(&self, crash: ServerCrash) -> bool {
-        let record = self.records.get(&crash.fingerprint);
-        record.is_some_and(|record| record.crashes.contains(&crash.server))
+    /// When this entry learned that a server's life has ended.
+    pub fn died_at(&self, server: ServerLife) -> Option<ClockTime> {
+        self.dead.get(&server).copied()
     }
 
     /// Number of suspects.
@@ -172,10 +174,11 @@
         now: ClockTime,
         effects: &mut Vec<SuspectEffect>,
     ) {
-        let counted = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.crashes.contains(&server) && record.last_change < sent);
+        if self.dead.get(&server).is_none_or(|died| *died >= sent) {
+            return;
+        }
+        self.dead.remove(&server);
+        let counted = self.records.iter().filter(|(_, record)| record.crashes.contains(&server));
         let crashes = counted.map(|(&fingerprint, _)| ServerCrash { fingerprint, server });
         self.withdraw(crashes.collect(), now, effects);
     }
@@ -291,6 +294,7 @@
     }
 
     fn count(&mut self, crash: ServerCrash, now: ClockTime) {
+        self.note_dead(crash.server, now);
         let record = self.record(crash.fingerprint, now);
         let known = record.crashes.contains(&crash.server)
             || record.withdrawn.contains(&crash.server)
@@ -301,6 +305,18 @@
         }
     }
 
+    fn note_dead(&mut self, server: ServerLife, now: ClockTime) {
+        if self.dead.contains_key(&server) {
+            return;
+        }
+        if self.dead.len() >= MAX_DEAD_LIVES
+            && let Some((&oldest, _)) = self.dead.iter().min_by_key(|(_, died)| **died)
+        {
+            self.dead.remove(&oldest);
+        }
+        self.dead.insert(server, now);
+    }
+
     fn uncount(&mut self, crash: ServerCrash, now: ClockTime) {
         let record = self.record(crash.fingerprint, now);
         record.crashes.retain(|server| *server != crash.server);
--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
-use carobvane_core::{streams::AttemptFault, suspects::RunEnd};
+use carobvane_core::streams::AttemptFault;
 use carobvane_proto::{engine::ChunkPosition, headers, openai::TokenUsage};
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
@@ -113,12 +113,10 @@
         }
     }
 
-    /// How the run on the server ended. Only a broken connection looks like a server's death.
-    pub fn run_end(&self) -> RunEnd {
-        match self {
-            AttemptError::Broken(_) => RunEnd::Crashed,
-            _ => RunEnd::Ended,
-        }
+    /// Whether a server's death looks like this. awc reports a connection that closes in the
+    /// middle of a body as the body's end.
+    pub fn may_be_crash(&self) -> bool {
+        matches!(self, AttemptError::Broken(_) | AttemptError::Short | AttemptError::Silent)
     }
 }
 
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -25,13 +25,18 @@
 impl EntryHost {
     fn update_entries(&self) {
         self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
-        self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
     }
 }
 
 impl NodeHost for EntryHost {
     fn activate(&mut self, snapshot: &ListSnapshot) {
         self.shared.activate(snapshot);
+        // Entries of the lists, not only linked ones: right after a start no link is up, and a
+        // crash that is reported to nobody would count as known everywhere.
+        let nodes = snapshot.document.entries.values().map(|entry| entry.node);
+        self.shared
+            .suspects
+            .set_peers(nodes.filter(|node| *node != self.shared.own.node).collect());
         for entry in snapshot.document.entries.values() {
             if entry.node != self.shared.own.node
                 && let Ok(address) = entry.peer_address.parse()
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod host;
 mod permits;
+mod placement;
 mod relay;
 mod relay_attempt;
 mod send_error;
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -4,7 +4,7 @@
 
 use carobvane_core::{
     streams::{NextStep, StreamAssembler, StreamSpec},
-    suspects::{RunEnd, SuspectAdmission, SuspectFingerprint},
+    suspects::{RunEnd, SuspectFingerprint},
 };
 use carobvane_proto::{engine::EngineExtension, openai::TokenUsage};
 use serde_json::{Map, Value};
@@ -14,19 +14,12 @@
     active::ActiveLists,
     attempt::AttemptError,
     error::{CallerError, ErrorCode},
+    placement::{PlacementError, place},
     relay_attempt::{AttemptEnd, RelayAttempt},
     shared::EntryShared,
     sink::ChunkSink,
 };
 
-/// Longest wait of a suspect for a server without requests. After that it shares a server with
-/// requests that are no suspects, because under load no server would ever be free.
-const ALONE_WAIT: Duration = Duration::from_millis(300);
-/// Interval at which a suspect looks for a server.
-const ALONE_POLL: Duration = Duration::from_millis(10);
-/// When to come back with a suspect that runs already.
-const BUSY_RETRY: Duration = Duration::from_secs(1);
-
 /// A completion that has been admitted.
 pub struct RelayRequest {
     /// Name of the request.
@@ -115,48 +108,44 @@
     sink: &mut K,
 ) -> RelayEnd {
     loop {
-        let admission = shared.suspects.admit(request.fingerprint);
-        if let Some(error) = refusal(admission, state) {
-            return RelayEnd::Failed(error);
-        }
         let Some(start) = state.stream.open() else {
             return RelayEnd::Failed(final_error(state));
         };
-        let Some(server) = choose_server(shared, request, admission, &state.excluded).await else {
-            return RelayEnd::Failed(final_error(state));
+        let mut placement = match place(shared, client, request, &state.excluded).await {
+            Ok(placement) => placement,
+            Err(PlacementError::NoServer) => return RelayEnd::Failed(final_error(state)),
+            Err(PlacementError::Refused(error)) => {
+                return RelayEnd::Failed(refusal(error, state));
+            }
         };
         log::info!(
             request = request.id, workspace = request.workspace, model = request.model,
-            server = server, attempt = start.id.number, offset = start.resume.offset; "routed"
+            server = placement.server, attempt = start.id.number, offset = start.resume.offset;
+            "routed"
         );
         let id = start.id;
-        shared.pool().begin(&server);
-        let mut run = shared.suspects.begin(request.fingerprint, &server);
-        let run_on = &mut run;
-        let attempt = RelayAttempt { shared, client, request, server: &server, start, run: run_on };
+        let attempt = RelayAttempt { shared, client, request, start, placement: &mut placement };
         let end = attempt.relay(state, sink).await;
-        shared.pool().end(&server);
-        if admission == SuspectAdmission::RunAlone {
-            shared.pool().end_suspect(&server);
-        }
         let error = match end {
             AttemptEnd::Complete => {
-                shared.suspects.end(run, RunEnd::Completed);
+                shared.suspects.end(placement.leave(shared), RunEnd::Completed);
                 return RelayEnd::Complete;
             }
             AttemptEnd::CallerGone => {
-                shared.suspects.end(run, RunEnd::Ended);
+                shared.suspects.end(placement.leave(shared), RunEnd::Ended);
                 return RelayEnd::CallerGone;
             }
             AttemptEnd::Failed(error) => error,
         };
         log::warn!(
-            request = request.id, server = server, attempt = id.number, error:% = error;
+            request = request.id, server = placement.server, attempt = id.number, error:% = error;
             "attempt failed"
         );
-        state.told.extend(shared.suspects.end(run, error.run_end()));
+        let crashed = error.may_be_crash() && !placement.is_alive(client, request).await;
+        let run_end = if crashed { RunEnd::Crashed } else { RunEnd::Ended };
+        state.excluded.push(placement.server.clone());
+        state.told.extend(shared.suspects.end(placement.leave(shared), run_end));
         let step = state.stream.fail(id, error.fault());
-        state.excluded.push(server);
         state.last_error = Some(error);
         match step {
             NextStep::Complete => return RelayEnd::Complete,
@@ -166,48 +155,12 @@
     }
 }
 
-/// The error for a suspect that may not run.
-fn refusal(admission: SuspectAdmission, state: &RelayState) -> Option<CallerError> {
-    let error = match admission {
-        SuspectAdmission::Run | SuspectAdmission::RunAlone => return None,
-        SuspectAdmission::Busy => {
-            CallerError::not_run(ErrorCode::Overloaded, "the same request runs alone already")
-                .with_retry_after(BUSY_RETRY)
-        }
-        SuspectAdmission::Reject => CallerError::not_run(
-            ErrorCode::CrashesServers,
-            "backend servers have crashed while they ran this request",
-        ),
-    };
-    Some(match &state.last_error {
-        Some(_) => {
-            CallerError { retry_after: None, ..CallerError::unknown(error.code, error.message) }
-        }
-        None => error,
-    })
-}
-
-async fn choose_server(
-    shared: &EntryShared,
-    request: &RelayRequest,
-    admission: SuspectAdmission,
-    excluded: &[String],
-) -> Option<String> {
-    let names = request.lists.engines(&request.model);
-    if admission != SuspectAdmission::RunAlone {
-        return shared.pool().choose(names, excluded).map(str::to_string);
-    }
-    let waiting = async {
-        loop {
-            if let Some(server) = shared.pool().choose_for_suspect(names, excluded, false) {
-                return server;
-            }
-            tokio::time::sleep(ALONE_POLL).await;
-        }
-    };
-    match tokio::time::timeout(ALONE_WAIT, waiting).await {
-        Ok(server) => Some(server),
-        Err(_) => shared.pool().choose_for_suspect(names, excluded, true),
+/// The error for a suspect that may not run, after attempts that may have run.
+fn refusal(error: CallerError, state: &RelayState) -> CallerError {
+    if state.stream.may_have_run() {
+        CallerError::unknown(error.code, error.message)
+    } else {
+        error
     }
 }
 
--- a/crates/host/src/entry/relay_attempt.rs
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -11,10 +11,10 @@
     attempt::{
         AttemptError, AttemptEvent, AttemptRequest, EngineChunk, EngineStream, open_attempt,
     },
+    placement::Placement,
     relay::{RelayRequest, RelayState},
     shared::EntryShared,
     sink::{CallerGone, ChunkSink},
-    suspects::ServerRun,
 };
 
 /// Why the relay of one attempt ended.
@@ -35,12 +35,10 @@
     pub(super) client: &'a awc::Client,
     /// The request.
     pub(super) request: &'a RelayRequest,
-    /// The server's name.
-    pub(super) server: &'a str,
     /// Where the attempt begins.
     pub(super) start: AttemptStart,
-    /// The run in the count of crashes.
-    pub(super) run: &'a mut ServerRun,
+    /// The server, and the run in the count of crashes.
+    pub(super) placement: &'a mut Placement,
 }
 
 impl RelayAttempt<'_> {
@@ -50,7 +48,7 @@
         state: &mut RelayState,
         sink: &mut K,
     ) -> AttemptEnd {
-        let Some(target) = self.request.lists.server(self.server) else {
+        let Some(target) = self.request.lists.server(&self.placement.server) else {
             return AttemptEnd::Failed(AttemptError::NotSent("server left the lists".to_string()));
         };
         let attempt = AttemptRequest {
@@ -66,7 +64,7 @@
             Err(error) => return AttemptEnd::Failed(error),
         };
         if let Some(incarnation) = stream.incarnation {
-            self.shared.suspects.answered(self.run, incarnation);
+            self.shared.suspects.answered(&mut self.placement.run, incarnation);
         }
         let end = relay_stream(&mut stream, self.start.id, state, sink).await;
         metrics::histogram!("carobvane_attempt_seconds").record(started.elapsed().as_secs_f64());
--- a/crates/host/src/entry/service_call.rs
+++ b/crates/host/src/entry/service_call.rs
@@ -6,7 +6,7 @@
     HttpRequest, HttpResponse,
     http::{
         Method, StatusCode,
-        header::{CONTENT_TYPE, HeaderName, HeaderValue},
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue},
     },
 };
 use bytes::Bytes;
@@ -142,6 +142,12 @@
         })?;
         let unknown = |error: awc::error::PayloadError| CallFailure::Unknown(error.to_string());
         let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(unknown)?;
+        // awc takes a connection that closes in the middle of a body for the body's end.
+        let length = response.headers().get(CONTENT_LENGTH).and_then(|text| text.to_str().ok());
+        let has_body = self.method != Method::HEAD;
+        if has_body && length.is_some_and(|length| length.parse() != Ok(body.len())) {
+            return Err(CallFailure::Unknown("the answer broke off".to_string()));
+        }
         let outcome = response.headers().get(headers::OUTCOME).and_then(|text| text.to_str().ok());
         if outcome == Some(RunOutcome::NotRun.as_str()) {
             return Err(CallFailure::NotRun(format!("refused with {}", response.status())));
--- a/crates/host/src/entry/suspects.rs
+++ b/crates/host/src/entry/suspects.rs
@@ -9,8 +9,8 @@
     clock::ClockTime,
     ids::{NodeId, NodeLife},
     suspects::{
-        RunEnd, ServerCrash, ServerLife, SuspectAdmission, SuspectEffect, SuspectFingerprint,
-        SuspectMessage, SuspectRegistry,
+        RunEnd, ServerLife, SuspectAdmission, SuspectEffect, SuspectFingerprint, SuspectMessage,
+        SuspectRegistry,
     },
 };
 use carobvane_proto::peer::PeerMessage;
@@ -34,6 +34,13 @@
     waiting: HashMap<u64, Vec<oneshot::Sender<()>>>,
 }
 
+impl DeskState {
+    fn present_life(&self, server: &str) -> Option<ServerLife> {
+        let life = ServerLife::new(server, *self.incarnations.get(server)?);
+        self.registry.died_at(life).is_none().then_some(life)
+    }
+}
+
 /// A run of a request on a server, from its start to its end.
 #[derive(Debug, Clone)]
 pub struct ServerRun {
@@ -43,6 +50,13 @@
     opened: ClockTime,
 }
 
+impl ServerRun {
+    /// Whether the run was sent to this life of its server.
+    pub fn is_in_life(&self, incarnation: u64) -> bool {
+        self.life == ServerLife::new(&self.server, incarnation)
+    }
+}
+
 impl SuspectDesk {
     /// Creates a desk without suspects.
     pub fn new(own: NodeLife, sender: PeerSender) -> SuspectDesk {
@@ -54,21 +68,41 @@
         self.with(|state, _| state.registry.admit(fingerprint))
     }
 
-    /// A request starts on a server.
-    pub fn begin(&self, fingerprint: SuspectFingerprint, server: &str) -> ServerRun {
+    /// Whether the server's present life is not known, or is known to have ended.
+    pub fn must_ask(&self, server: &str) -> bool {
+        self.with(|state, _| state.present_life(server).is_none())
+    }
+
+    /// Notes the life in which a server has answered a question of `asked`.
+    pub fn learn(&self, server: &str, incarnation: u64, asked: ClockTime) {
+        self.with(|state, effects| {
+            state.incarnations.insert(server.to_string(), incarnation);
+            let life = ServerLife::new(server, incarnation);
+            state.registry.server_alive(life, asked, clock::now(), effects);
+        });
+    }
+
+    /// A request that has been admitted so starts on a server. `None` if that has changed.
+    pub fn begin(
+        &self,
+        fingerprint: SuspectFingerprint,
+        server: &str,
+        admission: SuspectAdmission,
+    ) -> Option<ServerRun> {
         let opened = clock::now();
         self.with(|state, _| {
-            let known = state.incarnations.get(server);
-            let mut life = ServerLife::new(server, known.copied().unwrap_or_default());
-            if known.is_none() || state.registry.counts(ServerCrash { fingerprint, server: life }) {
-                // The server's present life is not known. A name that no other run has makes a
+            if state.registry.admit(fingerprint) != admission {
+                return None;
+            }
+            let life = state.present_life(server).unwrap_or_else(|| {
+                // The server has not said its present life. A name that no other run has makes a
                 // second death count, at the price of counting one death twice when two entries
                 // run the same request there.
                 let unique = self.own.incarnation.0.wrapping_add(opened.as_micros());
-                life = ServerLife::new(&format!("{server} {}", self.own.node.0), unique);
-            }
+                ServerLife::new(&format!("{server} {}", self.own.node.0), unique)
+            });
             state.registry.begin(fingerprint, life);
-            ServerRun { fingerprint, server: server.to_string(), life, opened }
+            Some(ServerRun { fingerprint, server: server.to_string(), life, opened })
         })
     }
 
@@ -90,6 +124,12 @@
     pub fn end(&self, run: ServerRun, end: RunEnd) -> Option<oneshot::Receiver<()>> {
         self.with(|state, effects| {
             let now = clock::now();
+            // A server that had died before the run was sent did not die of it.
+            let died = state.registry.died_at(run.life);
+            let end = match end {
+                RunEnd::Crashed if died.is_some_and(|died| died < run.opened) => RunEnd::Ended,
+                end => end,
+            };
             let report = state.registry.end(run.fingerprint, run.life, end, now, effects)?;
             let (sender, told) = oneshot::channel();
             state.waiting.entry(report).or_default().push(sender);
@@ -102,7 +142,7 @@
         self.with(|state, effects| state.registry.receive(from, message, now, effects));
     }
 
-    /// Sets the other live entries.
+    /// Sets the other entries that may serve.
     pub fn set_peers(&self, peers: Vec<NodeId>) {
         self.with(|state, effects| state.registry.set_peers(peers, effects));
     }
--- a/crates/replay/src/check/runner.rs
+++ b/crates/replay/src/check/runner.rs
@@ -21,6 +21,8 @@
     pub threads: usize,
     /// Name of the planted bug.
     pub bug: Option<String>,
+    /// Whether the first violation ends the run.
+    pub stop_at_first: bool,
 }
 
 /// Totals of one machine.
@@ -115,6 +117,9 @@
         report.faults += outcome.faults;
         if outcome.violation.is_some() {
             report.violations += 1;
+            if options.stop_at_first {
+                next.store(options.histories, Ordering::Relaxed);
+            }
             first = Some(first.map_or(seed, |known: u64| known.min(seed)));
         }
     }
--- a/crates/replay/src/ops/check.rs
+++ b/crates/replay/src/ops/check.rs
@@ -51,6 +51,7 @@
         seed: flags.seed.unwrap_or(1),
         threads: thread::available_parallelism().map_or(1, |count| count.get()),
         bug: flags.mutate.clone(),
+        stop_at_first: false,
     };
     let held = entries.iter().map(|entry| run_entry(entry, &options)).filter(|held| !held).count();
     Ok(held == 0)
--- a/crates/replay/tests/check.rs
+++ b/crates/replay/tests/check.rs
@@ -82,7 +82,13 @@
 }
 
 fn options(bug: Option<&str>) -> CheckOptions {
-    CheckOptions { histories: 200, seed: 1, threads: 2, bug: bug.map(str::to_owned) }
+    CheckOptions {
+        histories: 200,
+        seed: 1,
+        threads: 2,
+        bug: bug.map(str::to_owned),
+        stop_at_first: false,
+    }
 }
 
 /// Guards against a scheduler that reports violations of a correct machine or injects nothing.
@@ -121,7 +127,8 @@
         let report = (entry.run)(&options(None));
         assert_eq!(report.violations, 0, "{}", report.example.unwrap_or_default());
         for bug in entry.bugs {
-            let options = CheckOptions { histories: 4_000, threads: 8, ..options(Some(bug)) };
+            let options =
+                CheckOptions { histories: 4_000, stop_at_first: true, ..options(Some(bug)) };
             assert!((entry.run)(&options).violations > 0, "{bug} is not caught");
         }
     }
--- /dev/null
+++ b/crates/replay/tests/streams.rs
@@ -0,0 +1,133 @@
+//! Streams over loopback: engines that crash, mix chunks up, send garbage or end early.
+
+use std::time::Duration;
+
+use carobvane_replay::fleet::{Fleet, FleetSettings, MODEL, key_of};
+use carobvane_standin::engine::{EngineSettings, FaultUpdate};
+use futures::future::join_all;
+use serde_json::{Value, json};
+
+const TOKENS: u32 = 40;
+
+/// Engines that answer [`TOKENS`] tokens in some tens of milliseconds.
+fn fleet(engines: usize) -> FleetSettings {
+    let engine = EngineSettings { time_scale: 10.0, ..EngineSettings::default() };
+    FleetSettings { engines: vec![engine; engines], ..FleetSettings::default() }
+}
+
+/// What a caller gets of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct Answer {
+    status: u16,
+    outcome: String,
+    text: String,
+    finishes: usize,
+    done: bool,
+    error: bool,
+}
+
+async fn ask(fleet: &Fleet, entry: usize, prompt: &str) -> Answer {
+    let url = format!("{}/v1/completions", fleet.entry_url(entry));
+    let client = awc::Client::builder().timeout(Duration::from_secs(20)).finish();
+    let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": true });
+    let request = client.post(url).bearer_auth(key_of("workspace-1"));
+    let mut response = request.send_json(&body).await.unwrap();
+    let outcome = response.headers().get("x-outcome").and_then(|value| value.to_str().ok());
+    let mut answer = Answer {
+        status: response.status().as_u16(),
+        outcome: outcome.unwrap_or_default().to_owned(),
+        ..Answer::default()
+    };
+    let body = response.body().await.unwrap_or_default();
+    for event in String::from_utf8_lossy(&body).split("\n\n") {
+        let Some(data) = event.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            answer.done = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap();
+        answer.error |= chunk.get("error").is_some();
+        let choice = &chunk["choices"][0];
+        answer.text += choice["text"].as_str().unwrap_or_default();
+        answer.finishes += usize::from(choice["finish_reason"].is_string());
+    }
+    answer
+}
+
+/// Guards against a stream that is not the whole answer in order when its engine misbehaves.
+#[actix_rt::test]
+async fn streams_are_whole_under_faults() {
+    struct Case {
+        name: &'static str,
+        faults: FaultUpdate,
+    }
+    let cases = [
+        Case {
+            name: "mixed up",
+            faults: FaultUpdate { mix_up: Some(true), ..FaultUpdate::default() },
+        },
+        Case {
+            name: "garbage",
+            faults: FaultUpdate { garbage: Some(true), ..FaultUpdate::default() },
+        },
+        Case {
+            name: "short",
+            faults: FaultUpdate { short_stream: Some(7), ..FaultUpdate::default() },
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::start(&fleet(3)).await.unwrap();
+        let expected = ask(&fleet, 0, "is the float ready?").await;
+        assert!(expected.done && expected.finishes == 1, "{expected:?}");
+        fleet.engines[0].faults(&case.faults);
+        fleet.engines[1].faults(&case.faults);
+        let answers = (0..12).map(|entry| ask(&fleet, entry, "is the float ready?"));
+        for answer in join_all(answers).await {
+            assert_eq!(answer, expected, "{}", case.name);
+        }
+        fleet.stop().await;
+    }
+}
+
+/// Guards against streams that break, repeat or lose text when an engine crashes under them.
+#[actix_rt::test]
+async fn streams_resume_after_a_crash() {
+    let fleet = Fleet::start(&fleet(4)).await.unwrap();
+    let expected = ask(&fleet, 0, "is the float ready?").await;
+    let answers = join_all((0..12).map(|entry| ask(&fleet, entry, "is the float ready?")));
+    let crash = async {
+        // Until the engine has something to lose.
+        while fleet.engines[0].true_load().running == 0 {
+            tokio::task::yield_now().await;
+        }
+        fleet.engines[0].faults(&FaultUpdate { crash: Some(true), ..FaultUpdate::default() });
+    };
+    let (answers, ()) = futures::join!(answers, crash);
+    assert!(fleet.engines[0].counters().lost > 0);
+    for answer in answers {
+        assert_eq!(answer, expected);
+    }
+    fleet.stop().await;
+}
+
+/// Guards against a request that crashes more than two servers because its caller resends it at
+/// other entries at once, and against others that it takes along.
+#[actix_rt::test]
+async fn poison_crashes_two_servers_at_most() {
+    let fleet = Fleet::start(&fleet(6)).await.unwrap();
+    for engine in &fleet.engines {
+        engine.faults(&FaultUpdate { poison: Some("poison".into()), ..FaultUpdate::default() });
+    }
+    for entry in 0..9 {
+        let answer = ask(&fleet, entry, "a poison prompt").await;
+        assert!(!answer.done, "{answer:?}");
+        if entry > 0 {
+            assert_eq!((answer.status, answer.outcome.as_str()), (422, "not_run"), "{entry}");
+        }
+    }
+    let crashes: u64 = fleet.engines.iter().map(|engine| engine.counters().crashes).sum();
+    assert_eq!(crashes, 2);
+    let other = ask(&fleet, 1, "is the float ready?").await;
+    assert!(other.done, "{other:?}");
+    fleet.stop().await;
+}
