--- a/crates/core/src/plans/state.rs
+++ b/crates/core/src/plans/state.rs
@@ -1,7 +1,7 @@
 //! One plan at one entry.
 
 use super::{
-    LimitKind, PlanId, ShareAsk,
+    LimitKind, PlanId, PlanLimits, ShareAsk,
     kind::KindShare,
     steps::{PlanSteps, ShareStep},
 };
@@ -47,6 +47,8 @@
         let same = latest == base && self.homes == homes;
         self.homes = homes;
         awaited.retain(|node| *node != own);
+        // A loan from before may be more than the lender has in this version.
+        self.kinds.iter_mut().for_each(KindShare::drop_loans);
         if skipped {
             // A version in between may have given all units of this entry to others.
             let awaited = Vec::new();
@@ -59,6 +61,14 @@
         !restart && (loses || skipped)
     }
 
+    /// Whether the plan is in the active version with these limits.
+    pub fn has_limits(&self, limits: &PlanLimits) -> bool {
+        !self.homes.is_empty()
+            && LimitKind::ALL
+                .iter()
+                .all(|kind| self.kinds[kind.index()].amount == limits.amount(*kind))
+    }
+
     /// Sets the usable base units at `now`.
     pub fn refresh(&mut self, now: ClockTime, quarantine: &[ClockTime; 3]) {
         let usable = self.steps.usable();
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod host;
 mod permits;
 mod placement;
+mod plans;
 mod relay;
 mod relay_attempt;
 mod send_error;
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -15,6 +15,7 @@
     attempt::AttemptError,
     error::{CallerError, ErrorCode},
     placement::{PlacementError, place},
+    plans::PlanTicket,
     relay_attempt::{AttemptEnd, RelayAttempt},
     shared::EntryShared,
     sink::ChunkSink,
@@ -40,6 +41,10 @@
     pub weights: u64,
     /// The lists under which the request was admitted.
     pub lists: Arc<ActiveLists>,
+    /// Tokens of the prompt, as reserved.
+    pub prompt_tokens: u64,
+    /// The units of the plan.
+    pub ticket: PlanTicket,
 }
 
 /// A request on its way.
@@ -58,10 +63,11 @@
 pub async fn relay<K: ChunkSink>(
     shared: Arc<EntryShared>,
     client: awc::Client,
-    request: RelayRequest,
+    mut request: RelayRequest,
     mut sink: K,
 ) {
     let _guard = shared.begin_request();
+    request.ticket.set_used(0);
     let spec = StreamSpec {
         weights_version: request.weights,
         cache_salt: request.extension.cache_salt.clone(),
@@ -73,7 +79,9 @@
         last_error: None,
         told: Vec::new(),
     };
-    let outcome = match relay_attempts(&shared, &client, &request, &mut state, &mut sink).await {
+    let end = relay_attempts(&shared, &client, &request, &mut state, &mut sink).await;
+    request.ticket.set_used(used_tokens(&request, &state));
+    let outcome = match end {
         RelayEnd::Complete => {
             sink.finish(state.usage).await.ok();
             "complete"
@@ -94,6 +102,16 @@
     metrics::counter!("carobvane_requests_total", "outcome" => outcome).increment(1);
 }
 
+/// Tokens to settle: the engine's count, or the prompt and what was delivered.
+fn used_tokens(request: &RelayRequest, state: &RelayState) -> u64 {
+    match state.usage.total_tokens {
+        0 if state.stream.may_have_run() => {
+            request.prompt_tokens + u64::from(state.stream.delivered())
+        }
+        total => u64::from(total),
+    }
+}
+
 enum RelayEnd {
     Complete,
     CallerGone,
--- a/crates/host/src/entry/services.rs
+++ b/crates/host/src/entry/services.rs
@@ -60,6 +60,7 @@
         return Err(CallerError::not_run(ErrorCode::ServiceNotFound, message));
     }
     let body = read_body(body, shared.settings.max_body_bytes).await?;
+    let _ticket = shared.plans.admit(&workspace, 0, false).await?;
     let call = ServiceCall::new(id.clone(), service, &path, &request, body, Arc::clone(&lists));
     let response = if is_idempotent(request.method()) {
         let _guard = shared.begin_request();
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -9,8 +9,9 @@
 };
 
 use actix_web::{HttpRequest, http::header};
-use carobvane_core::{ids::NodeLife, lists::ListSnapshot};
+use carobvane_core::{ids::NodeLife, lists::ListSnapshot, membership::MemberProbe};
 use carobvane_proto::headers;
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::mpsc;
 
 use super::{
@@ -18,10 +19,11 @@
     claims::{ClaimCall, ClaimDesk},
     error::{CallerError, ErrorCode},
     permits::PermitDesk,
+    plans::PlanGate,
     servers::ServerPool,
     suspects::SuspectDesk,
 };
-use crate::{peer::PeerSender, settings::EntrySettings};
+use crate::{clock, peer::PeerSender, settings::EntrySettings};
 
 /// How long a discovery answer may be kept.
 pub const DISCOVERY_LIFETIME: Duration = Duration::from_secs(5);
@@ -40,6 +42,9 @@
     pub own: NodeLife,
     /// Sends to other processes.
     pub sender: PeerSender,
+    /// Limits of the plans.
+    pub plans: Arc<PlanGate>,
+    members: Mutex<MemberProbe>,
     /// Claims of non-idempotent calls.
     pub claims: ClaimDesk,
     /// Permits for non-idempotent calls.
@@ -61,6 +66,8 @@
         own: NodeLife,
         sender: PeerSender,
     ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
+        let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
+        let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
         let (claims, calls) = ClaimDesk::new(own);
         let permits = PermitDesk::new(own, &settings.fleet_key);
         let suspects = SuspectDesk::new(own, sender.clone());
@@ -71,6 +78,8 @@
             settings,
             own,
             sender,
+            plans,
+            members: Mutex::new(MemberProbe::start(clock::now(), own, &mut rng)),
             lists: RwLock::new(None),
             pool: Mutex::new(ServerPool::new(own.incarnation.0)),
             draining: AtomicBool::new(false),
@@ -89,11 +98,19 @@
     /// Puts a version into force.
     pub fn activate(&self, snapshot: &ListSnapshot) {
         let lists = Arc::new(ActiveLists::new(snapshot));
+        self.plans.activate(snapshot);
+        let nodes: Vec<_> = snapshot.document.entries.values().map(|entry| entry.node).collect();
+        self.members().set_listed(&nodes);
         self.pool().set_servers(&lists, self.own.node);
         *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
         metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
     }
 
+    /// The other entries as this one sees them.
+    pub fn members(&self) -> MutexGuard<'_, MemberProbe> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The backend servers.
     pub fn pool(&self) -> MutexGuard<'_, ServerPool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
@@ -170,12 +187,14 @@
     /// Takes this entry out of discovery.
     pub fn begin_drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
+        self.members().drain();
         log::info!(in_progress = self.in_progress(); "drain begun");
     }
 
     /// Redirects new requests from now on.
     pub fn refuse_new(&self) {
         self.refusing.store(true, Ordering::SeqCst);
+        self.plans.drain();
     }
 
     /// Whether this entry is leaving.
--- a/crates/host/src/keyvalue/transaction.rs
+++ b/crates/host/src/keyvalue/transaction.rs
@@ -98,6 +98,18 @@
         self
     }
 
+    /// Deletes the keys from `key` to before `end` when the conditions hold.
+    pub fn delete_range(mut self, key: &str, end: &str) -> Transaction {
+        self.request.success.push(RequestOp {
+            request_delete_range: Some(DeleteRangeRequest {
+                key: encode(key.as_bytes()),
+                range_end: encode(end.as_bytes()),
+            }),
+            ..RequestOp::default()
+        });
+        self
+    }
+
     /// Deletes `key` when the conditions hold.
     pub fn delete(mut self, key: &str) -> Transaction {
         self.request.success.push(RequestOp {
--- a/crates/replay/src/program.rs
+++ b/crates/replay/src/program.rs
@@ -6,7 +6,9 @@
 
 use crate::ops::{
     check::{self, CheckFlags},
+    compare::{self, CompareOptions},
     generate::{self, GenerateOptions},
+    run,
 };
 
 mod flags {
@@ -26,6 +28,24 @@
                 /// The planted bug to run with, or `list`.
                 optional --mutate bug: String
             }
+            /// Compares routing policies over simulated engines.
+            cmd compare {
+                /// `irazabal` or `kelani`.
+                required --deployment name: String
+                /// Plays one seed of shorter traces.
+                optional --quick
+                /// Number of seeds (5; 1 with `--quick`).
+                optional --seeds count: usize
+                /// Only this policy; may be repeated.
+                repeated --policy name: String
+                /// The folder for the report (`target/compare`).
+                optional --output folder: PathBuf
+            }
+            /// Runs scenario files; fails if an expectation does not hold.
+            cmd run {
+                /// Scenario files.
+                repeated files: PathBuf
+            }
             /// Writes a seeded trace.
             cmd generate {
                 /// `irazabal` or `kelani`.
@@ -43,6 +63,11 @@
     }
 }
 
+/// Starts logging to standard error; messages of single requests are left out.
+fn start_logging() -> Result<()> {
+    carobvane_host::logging::start_logging(log::LevelFilter::Error)
+}
+
 /// Runs the program. The exit code is 1 when an expectation or an invariant does not hold.
 pub fn run() -> Result<ExitCode> {
     let held = match flags::CarobvaneReplay::from_env_or_exit().subcommand {
@@ -52,6 +77,23 @@
             machine: flags.machine,
             mutate: flags.mutate,
         })?,
+        flags::CarobvaneReplayCmd::Compare(flags) => {
+            let options = CompareOptions {
+                deployment: flags.deployment,
+                quick: flags.quick,
+                seeds: flags.seeds,
+                policies: flags.policy,
+                output: flags.output.unwrap_or_else(|| "target/compare".into()),
+            };
+            start_logging()?;
+            let table = actix_rt::System::new().block_on(compare::compare(&options))?;
+            println!("{table}");
+            true
+        }
+        flags::CarobvaneReplayCmd::Run(flags) => {
+            start_logging()?;
+            actix_rt::System::new().block_on(run::run(&flags.files))?
+        }
         flags::CarobvaneReplayCmd::Generate(flags) => {
             let requests = generate::generate(&GenerateOptions {
                 deployment: flags.deployment,
--- a/crates/replay/tests/check.rs
+++ b/crates/replay/tests/check.rs
@@ -2,7 +2,9 @@
 
 use carobvane_core::clock::ClockTime;
 use carobvane_replay::check::{
-    CheckOptions, CheckedMachine, History, StepContext, machines, run_machine,
+    CheckOptions, CheckedMachine, History, MachineEntry, StepContext,
+    machines::{claims::ClaimMachine, streams::StreamMachine, suspects::SuspectMachine},
+    run_machine,
 };
 
 /// Node 0 counts numbered messages of nodes 1 and 2 and ignores those that it has seen.
@@ -123,7 +125,13 @@
 /// notice.
 #[test]
 fn machines_hold_and_catch_their_planted_bugs() {
-    for entry in machines::all() {
+    // `state_machines.rs` has the others.
+    let entries = [
+        MachineEntry::of::<ClaimMachine>(),
+        MachineEntry::of::<StreamMachine>(),
+        MachineEntry::of::<SuspectMachine>(),
+    ];
+    for entry in entries {
         let report = (entry.run)(&options(None));
         assert_eq!(report.violations, 0, "{}", report.example.unwrap_or_default());
         for bug in entry.bugs {
