--- a/crates/core/src/routing/hedge.rs
+++ b/crates/core/src/routing/hedge.rs
@@ -9,8 +9,9 @@
 const BUDGET_SECONDS: usize = 10;
 /// Extra attempts allowed for each request.
 const EXTRA_SHARE: f32 = 0.05;
-/// Extra attempts always allowed in the window, so that a quiet entry can still retry.
-const EXTRA_FLOOR: u32 = 4;
+/// Extra attempts always allowed in the window: the batch of one engine, so that all its requests
+/// can be resumed when it crashes. With 4, three of four were cut off.
+const EXTRA_FLOOR: u32 = 16;
 /// Part of the budget that hedges may use; the rest is left for retries and resumes, without which
 /// a caller gets an error.
 const HEDGE_PART: f32 = 0.5;
--- a/crates/host/src/entry/relay_attempt.rs
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -60,7 +60,7 @@
     S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
     K: ChunkSink,
 {
-    let dispatch = started.launched.routed.dispatch;
+    let dispatch = started.launched.place.routed.dispatch;
     let attempt = started.launched.start.id;
     let mut meter = GapMeter { dispatch, since: Instant::now(), chunks: 0 };
     let mut first = Some(std::mem::replace(&mut started.first, AttemptEvent::Done));
--- a/crates/host/src/entry/servers.rs
+++ b/crates/host/src/entry/servers.rs
@@ -79,20 +79,20 @@
 }
 
 /// Keeps an engine marked as running a suspect until it is dropped.
-pub struct SuspectSlot<'a> {
-    shared: &'a Arc<EntryShared>,
+pub struct SuspectSlot {
+    shared: Arc<EntryShared>,
     server: ServerKey,
 }
 
-impl<'a> SuspectSlot<'a> {
+impl SuspectSlot {
     /// Marks an engine.
-    pub fn take(shared: &'a Arc<EntryShared>, server: ServerKey) -> SuspectSlot<'a> {
+    pub fn take(shared: &Arc<EntryShared>, server: ServerKey) -> SuspectSlot {
         shared.pool().suspects.insert(server);
-        SuspectSlot { shared, server }
+        SuspectSlot { shared: Arc::clone(shared), server }
     }
 }
 
-impl Drop for SuspectSlot<'_> {
+impl Drop for SuspectSlot {
     fn drop(&mut self) {
         self.shared.pool().suspects.remove(&self.server);
     }
