Estimate a candidate's load once

Change: one load estimate for a candidate's limits and its cost, and no exponential for servers that are not slow. Ruled out: fewer candidates, which would cost choice at a load peak.

--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ServerRecord, StragglerDetector};
+use super::{ServerRecord, StragglerDetector, table::LoadEstimate};
 use crate::{
     clock::ClockTime,
     ids::{ModelKey, WeightsVersion},
@@ -138,6 +138,7 @@
         &self,
         demand: &CostDemand,
         server: &ServerRecord,
+        load: LoadEstimate,
         hit: PrefixHit,
         detector: &StragglerDetector,
     ) -> (CostParts, u16) {
@@ -158,7 +159,7 @@
                 transfer_pieces = extra;
             }
         }
-        let queue = self.queue_ms(demand.now, server);
+        let queue = self.queue_ms(load, server.slots);
         let weights = if server.weights_of(demand.model) == Some(demand.weights) {
             0.0
         } else {
@@ -172,9 +173,8 @@
     }
 
     /// Time in ms until a new request on this server starts its prefill.
-    fn queue_ms(&self, now: ClockTime, server: &ServerRecord) -> f32 {
-        let load = server.load_at(now);
-        let slots = server.slots.max(1) as f32;
+    fn queue_ms(&self, load: LoadEstimate, slots: u32) -> f32 {
+        let slots = slots.max(1) as f32;
         let over = (load.requests + 1.0 - slots).max(0.0);
         let backlog = load.waiting_tokens * self.settings.prefill_ms;
         let batch = (load.requests / slots).min(1.0) * BATCH_DELAY_MS;
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -4,9 +4,10 @@
 
 use super::{
     CandidateCost, CandidateList, CandidateSource, CostModel, CostSettings, HeatTracker,
-    RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest, ServerTable,
-    StragglerDetector,
+    RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest, ServerRecord,
+    ServerTable, StragglerDetector,
     cost::{CostDemand, PrefixHit},
+    table::LoadEstimate,
 };
 use crate::{
     admission::SlotLimits,
@@ -116,7 +117,17 @@
         request: &RouteRequest<'_>,
         server: ServerKey,
     ) -> bool {
-        let Some(record) = self.table.get(server) else { return false };
+        let record = self.table.get(server);
+        record.is_some_and(|record| self.admits(now, request, record, record.load_at(now)))
+    }
+
+    fn admits(
+        &self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        record: &ServerRecord,
+        load: LoadEstimate,
+    ) -> bool {
         if record.exclusive || (request.alone && record.in_flight.total() > 0) {
             return false;
         }
@@ -125,8 +136,8 @@
         {
             return false;
         }
-        let total = record.load_at(now).requests;
-        self.settings.limits.admits(request.class, record.in_flight, total, record.slots)
+        let limits = &self.settings.limits;
+        limits.admits(request.class, record.in_flight, load.requests, record.slots)
     }
 
     /// The costs of one server; absent if it cannot answer the request at all.
@@ -151,11 +162,12 @@
             weights: request.weights,
             prompt_tokens: request.prompt_tokens,
         };
-        let (cost, transfer_pieces) = self.cost.cost(&demand, record, hit, &self.detector);
+        let load = record.load_at(now);
+        let (cost, transfer_pieces) = self.cost.cost(&demand, record, load, hit, &self.detector);
         Some(CandidateCost {
             server,
             source,
-            eligible: self.has_slot(now, request, server),
+            eligible: self.admits(now, request, record, load),
             home_rank: home_rank as u8,
             hit_pieces: hit.pieces,
             uncertain_pieces: hit.uncertain,
--- a/crates/core/src/routing/straggler.rs
+++ b/crates/core/src/routing/straggler.rs
@@ -109,9 +109,9 @@
 impl StragglerDetector {
     /// How many times slower than its peers a server is; at least 1.
     pub fn slowdown(&self, now: ClockTime, state: &StragglerState, in_flight: u32) -> f32 {
-        let age = now.since(state.observed).as_secs_f32() / SLOWDOWN_HALF_LIFE.as_secs_f32();
         let mut factor = self.observed_factor(state);
         if factor > 1.0 {
+            let age = now.since(state.observed).as_secs_f32() / SLOWDOWN_HALF_LIFE.as_secs_f32();
             factor = 1.0 + (factor - 1.0) * (-age).exp2();
         }
         // A probe is judged as if the server were normal, or no probe would ever be sent.
@@ -130,7 +130,9 @@
             (Some(server), Some(fleet)) => server - fleet,
             _ => 0.0,
         };
-        first_token.max(gap).exp().clamp(1.0, MAX_SLOWDOWN)
+        let logarithm = first_token.max(gap);
+        // Most servers are not slow, and the exponential is a large part of their cost.
+        if logarithm <= 0.0 { 1.0 } else { logarithm.exp().min(MAX_SLOWDOWN) }
     }
 
     pub(super) fn first_token(
