--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -8,6 +8,7 @@
     admission::WorkFeatures,
     ids::WeightsVersion,
     prefix::{ChainSalt, PrefixChain},
+    suspects::SuspectFingerprint,
 };
 use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
 use futures::{StreamExt, stream::unfold};
@@ -16,6 +17,7 @@
 use super::{
     active::{ActiveLists, CallerWorkspace},
     error::{CallerError, ErrorCode},
+    plans::PlanTicket,
     relay::{RelayRequest, relay},
     routes::RouteQuery,
     shared::EntryShared,
@@ -26,6 +28,9 @@
 /// Longest pause between two parts of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most tokens of an answer if the caller gives no limit. The plan's token limit needs a bound.
+const DEFAULT_MAX_TOKENS: u32 = 4_096;
+
 /// Adds the endpoints.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -84,12 +89,15 @@
 ) -> Result<HttpResponse, CallerError> {
     let (lists, workspace) = shared.admit(&request)?;
     let body = read_body(body, shared.settings.max_body_bytes).await?;
-    let fields: Map<String, Value> = parse_body(&body)?;
     let completion: CompletionRequest = parse_body(&body)?;
     check_model(&lists, &workspace, &completion.model)?;
     let is_chat = path == "/v1/chat/completions";
     let include_usage = completion.stream_options.is_some_and(|options| options.include_usage);
-    let relayed = relay_request(path, id, &shared, lists, workspace, &completion, fields)?;
+    let prompt = prompt_text(&completion)?;
+    let tokens = reserved_tokens(&shared, &prompt, completion.max_tokens);
+    let ticket = shared.plans.admit(&workspace, tokens, completion.stream).await?;
+    let admitted = (workspace, prompt, ticket);
+    let relayed = relay_request(path, id, &shared, lists, admitted, &completion, &body)?;
     if completion.stream {
         let (sink, head) = StreamSink::new(include_usage);
         actix_rt::spawn(relay(shared, client.clone(), relayed, sink));
@@ -116,14 +124,18 @@
     id: &str,
     shared: &EntryShared,
     lists: Arc<ActiveLists>,
-    workspace: CallerWorkspace,
+    (workspace, prompt, ticket): (CallerWorkspace, String, PlanTicket),
     completion: &CompletionRequest,
-    mut body: Map<String, Value>,
+    body: &[u8],
 ) -> Result<RelayRequest, CallerError> {
+    let fingerprint = SuspectFingerprint::new(&workspace.name, body);
+    let mut body: Map<String, Value> = parse_body(body)?;
     let weights = lists.weights(&completion.model);
-    let prompt = prompt_text(completion)?;
-    let query = route_query(shared, &lists, &workspace, completion, weights, &prompt);
     let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
+    let piece_bytes = shared.settings.piece_bytes;
+    let chain = PrefixChain::from_prompt(&salt, prompt.as_bytes(), piece_bytes);
+    let prompt_tokens = prompt_tokens(shared, &prompt);
+    let query = route_query(shared, &lists, &workspace, completion, chain, prompt_tokens);
     let extension = EngineExtension {
         priority: query.work.engine_priority(),
         cache_salt: salt.to_text(),
@@ -132,48 +144,60 @@
     };
     body.insert("stream".to_string(), true.into());
     body.insert("stream_options".to_string(), serde_json::json!({ "include_usage": true }));
+    if completion.max_tokens.is_none() {
+        body.insert("max_tokens".to_string(), DEFAULT_MAX_TOKENS.into());
+    }
     Ok(RelayRequest {
         id: id.to_string(),
         workspace: workspace.name,
         model: completion.model.clone(),
         path,
         body,
+        fingerprint,
         extension,
         weights,
-        query,
         lists,
+        query,
+        prompt_tokens,
+        ticket,
     })
 }
 
+/// Tokens of a prompt, from the size of a piece in bytes and tokens.
+fn prompt_tokens(shared: &EntryShared, prompt: &str) -> u64 {
+    let tokens = prompt.len() as u64 * u64::from(shared.settings.piece_tokens);
+    tokens.div_ceil(shared.settings.piece_bytes as u64)
+}
+
+/// Tokens that a request may use; what it does not use is returned at its end.
+fn reserved_tokens(shared: &EntryShared, prompt: &str, max_tokens: Option<u32>) -> u64 {
+    prompt_tokens(shared, prompt) + u64::from(max_tokens.unwrap_or(DEFAULT_MAX_TOKENS))
+}
+
 fn route_query(
     shared: &EntryShared,
     lists: &ActiveLists,
     workspace: &CallerWorkspace,
     completion: &CompletionRequest,
-    weights: u64,
-    prompt: &str,
+    chain: PrefixChain,
+    prompt_tokens: u64,
 ) -> RouteQuery {
-    let settings = &shared.settings;
-    let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
-    let chain = PrefixChain::from_prompt(&salt, prompt.as_bytes(), settings.piece_bytes);
-    let tokens = prompt.len() as u64 * u64::from(settings.piece_tokens);
     let plan = lists.document.plans.get(&workspace.plan);
     let mut routes = shared.routes();
     let mut features = WorkFeatures {
         workspace: routes.workspace_key(&workspace.name),
-        prompt_tokens: (tokens / settings.piece_bytes as u64) as u32,
+        prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
         cached_tokens: 0,
         max_tokens: completion.max_tokens,
     };
     let work = routes.predict(clock::now(), &chain, &mut features);
     RouteQuery {
         model: completion.model.clone(),
-        weights,
+        weights: lists.weights(&completion.model),
         chain,
         features,
         work,
         weight: plan.map_or(1, |plan| plan.weight.max(1)) as f32,
-        alone: false,
     }
 }
 
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -6,8 +6,10 @@
     clock::ClockTime,
     ids::NodeLife,
     lists::{ListSnapshot, ServerRole},
+    membership::MemberEffect,
 };
 use carobvane_proto::peer::{PeerMessage, PeerRole};
+use rand::{SeedableRng, rngs::SmallRng};
 
 use super::{shared::EntryShared, watch::watch_engine};
 use crate::node::NodeHost;
@@ -15,6 +17,9 @@
 /// The entry's side of its node.
 pub struct EntryHost {
     shared: Arc<EntryShared>,
+    rng: SmallRng,
+    /// Other live entries.
+    entries: Vec<NodeLife>,
     /// Names and addresses of the engines that are followed.
     watched: BTreeSet<(String, String)>,
 }
@@ -22,7 +27,8 @@
 impl EntryHost {
     /// Creates the host of an entry.
     pub fn new(shared: Arc<EntryShared>) -> EntryHost {
-        EntryHost { shared, watched: BTreeSet::new() }
+        let rng = SmallRng::seed_from_u64(shared.own.incarnation.0);
+        EntryHost { shared, rng, entries: Vec::new(), watched: BTreeSet::new() }
     }
 
     /// Follows each engine of the lists. An engine that has left ends its own task.
@@ -40,6 +46,29 @@
     }
 }
 
+impl EntryHost {
+    fn carry_out(&self, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::Send { to, message } => {
+                    self.shared.sender.send(to, PeerMessage::Members(message));
+                }
+                MemberEffect::Changed(change) => {
+                    let (node, draining) = (change.node.0, change.draining);
+                    log::info!(node, status:? = change.status, draining; "member changed");
+                }
+                // List summaries travel in messages of their own, to stewards as well.
+                MemberEffect::Heard { .. } | MemberEffect::ServerLeaving(_) => {}
+            }
+        }
+    }
+
+    fn update_entries(&self) {
+        self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
+        self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
+    }
+}
+
 impl NodeHost for EntryHost {
     fn activate(&mut self, snapshot: &ListSnapshot) {
         self.shared.activate(snapshot);
@@ -53,15 +82,45 @@
         }
     }
 
-    fn peer_joined(&mut self, _now: ClockTime, _life: NodeLife, _role: PeerRole) {}
+    fn peer_joined(&mut self, _now: ClockTime, life: NodeLife, role: PeerRole) {
+        self.shared.plans.joined(life.node);
+        if role == PeerRole::Entry {
+            self.entries.retain(|entry| entry.node != life.node);
+            self.entries.push(life);
+            self.update_entries();
+            self.shared.suspects.peer_joined(life.node);
+        }
+    }
 
-    fn peer_left(&mut self, _now: ClockTime, _life: NodeLife) {}
+    fn peer_left(&mut self, now: ClockTime, life: NodeLife) {
+        let effects = self.shared.members().on_failed_call(now, life.node);
+        self.carry_out(effects);
+        self.entries.retain(|entry| *entry != life);
+        self.update_entries();
+    }
 
-    fn peer_message(&mut self, _now: ClockTime, life: NodeLife, _message: PeerMessage) {
-        log::debug!(node = life.node.0; "message without a receiver");
+    fn peer_message(&mut self, now: ClockTime, life: NodeLife, message: PeerMessage) {
+        match message {
+            PeerMessage::Shares(message) => self.shared.plans.receive(now, life.node, message),
+            PeerMessage::Members(message) => {
+                let mut members = self.shared.members();
+                let effects = members.on_message(now, life.node, message, &mut self.rng);
+                drop(members);
+                self.carry_out(effects);
+            }
+            PeerMessage::Suspects(message) => {
+                self.shared.suspects.receive(life.node, message, now);
+            }
+            _ => log::debug!(node = life.node.0; "message without a receiver"),
+        }
     }
 
     fn tick(&mut self, now: ClockTime) {
+        self.shared.plans.tick(now);
         self.shared.routes().tick(now);
+        let effects = self.shared.members().on_timer(now, &mut self.rng);
+        self.carry_out(effects);
+        self.shared.claims.tick(now);
+        self.shared.suspects.tick(now);
     }
 }
--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -1,10 +1,15 @@
 //! Starts an attempt: waits for a slot, chooses an engine, and hedges a late first chunk.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::MutexGuard,
+    time::{Duration, Instant},
+};
 
 use carobvane_core::{
     ids::{IncarnationId, ServerKey},
     routing::{FailureKind, RequestClass, RouteRefusal, hedge_delay},
+    streams::{AttemptFault, AttemptStart},
+    suspects::RunEnd,
 };
 use carobvane_proto::engine::EngineExtension;
 use futures::{
@@ -12,62 +17,168 @@
     future::{Either, select},
 };
 use serde_json::Value;
+use tokio::sync::oneshot;
 
 use super::{
     attempt::{AttemptError, AttemptEvent, AttemptRequest, EngineStream, open_attempt},
     error::{CallerError, ErrorCode},
-    relay::{DeliveredAnswer, RelayRequest},
-    routes::{RoutedAttempt, WaitEnd},
+    relay::{RelayRequest, RelayState},
+    routes::{RouteBook, RoutedAttempt, WaitEnd},
     shared::EntryShared,
+    suspects::ServerRun,
 };
 use crate::clock;
 
 /// When to come back if no engine of the model can be used.
-const NO_SERVER_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
 
-/// An attempt whose first event has arrived.
-pub struct StartedAttempt<S> {
-    /// The answer.
-    pub stream: EngineStream<S>,
-    /// Its first event.
-    pub first: AttemptEvent,
-    /// Where it runs.
-    pub routed: RoutedAttempt,
-    /// Its name, as the engine repeats it in each chunk.
-    pub name: String,
+/// An attempt on a chosen server.
+pub(super) struct AttemptLeg {
+    /// Where the attempt begins.
+    pub(super) start: AttemptStart,
+    /// The server's name.
+    pub(super) server: String,
+    /// The router's decision; absent for a suspect, which the server pool places.
+    pub(super) routed: Option<RoutedAttempt>,
+    /// The run in the count of crashes.
+    run: ServerRun,
+    suspect: bool,
 }
 
-/// An attempt that failed before its first event.
-pub struct FailedAttempt {
-    /// Where it failed.
-    pub server: ServerKey,
-    /// Why.
-    pub error: AttemptError,
+/// How an attempt ended.
+pub(super) enum LegEnd<'a> {
+    /// The caller has the whole answer of this many tokens.
+    Complete(u32),
+    /// It was given up: the caller has gone or another attempt won.
+    Cancelled,
+    /// It failed.
+    Failed(&'a AttemptError),
 }
 
-/// Names attempts of one request.
-pub struct AttemptNames {
-    next: u32,
-}
+impl AttemptLeg {
+    /// Counts an attempt as sent to a server.
+    pub(super) fn begin(
+        shared: &EntryShared,
+        request: &RelayRequest,
+        start: AttemptStart,
+        server: String,
+        routed: Option<RoutedAttempt>,
+    ) -> AttemptLeg {
+        shared.pool().begin(&server);
+        let run = shared.suspects.begin(request.fingerprint, &server);
+        let suspect = routed.is_none();
+        AttemptLeg { start, server, routed, run, suspect }
+    }
 
-impl AttemptNames {
-    /// Starts with attempt 0.
-    pub fn new() -> AttemptNames {
-        AttemptNames { next: 0 }
+    /// Ends the attempt everywhere it is counted. After a crash, the receiver resolves when the
+    /// other entries know of it.
+    pub(super) fn end(
+        self,
+        shared: &EntryShared,
+        request: &RelayRequest,
+        end: &LegEnd<'_>,
+    ) -> Option<oneshot::Receiver<()>> {
+        let mut pool = shared.pool();
+        pool.end(&self.server);
+        if self.suspect {
+            pool.end_suspect(&self.server);
+        }
+        drop(pool);
+        if let Some(routed) = &self.routed {
+            end_routed(shared.routes(), request, routed, end);
+        }
+        let run_end = match end {
+            LegEnd::Complete(_) => RunEnd::Completed,
+            LegEnd::Cancelled => RunEnd::Ended,
+            LegEnd::Failed(error) => error.run_end(),
+        };
+        shared.suspects.end(self.run, run_end)
     }
 
-    fn take(&mut self, request: &str) -> String {
-        self.next += 1;
-        format!("{request}-{}", self.next - 1)
+    /// Sends the request and waits for the engine's first event.
+    async fn open(
+        &mut self,
+        shared: &EntryShared,
+        client: &awc::Client,
+        request: &RelayRequest,
+    ) -> Result<
+        (
+            EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
+            AttemptEvent,
+        ),
+        AttemptError,
+    > {
+        let Some(target) = request.lists.server(&self.server) else {
+            return Err(AttemptError::NotSent("server left the lists".to_string()));
+        };
+        let attempt = AttemptRequest {
+            url: format!("http://{}{}", target.address, request.path),
+            attempt: self.start.id.to_string(),
+            request: request.id.clone(),
+            weights: self.start.resume.weights_version,
+            body: attempt_body(request, &self.start),
+        };
+        let mut stream = open_attempt(client, &attempt).await?;
+        if let Some(incarnation) = stream.incarnation {
+            shared.suspects.answered(&mut self.run, incarnation);
+        }
+        let first = stream.next().await?;
+        if let Some(routed) = &self.routed {
+            first_event(shared.routes(), request, routed, stream.incarnation);
+        }
+        Ok((stream, first))
     }
 }
 
+fn end_routed(
+    mut routes: MutexGuard<'_, RouteBook>,
+    request: &RelayRequest,
+    routed: &RoutedAttempt,
+    end: &LegEnd<'_>,
+) {
+    let now = clock::now();
+    let kind = match end {
+        LegEnd::Complete(tokens) => {
+            routes.finished(now, routed, &request.query, *tokens);
+            return;
+        }
+        LegEnd::Cancelled => FailureKind::Cancelled,
+        LegEnd::Failed(error) => {
+            if matches!(error, AttemptError::NotSent(_)) {
+                routes.router.server_unreachable(routed.server, true);
+            }
+            match error.fault() {
+                AttemptFault::NotRun => FailureKind::Refused,
+                _ => FailureKind::Broken,
+            }
+        }
+    };
+    routes.failed(now, routed, kind);
+}
+
+fn first_event(
+    mut routes: MutexGuard<'_, RouteBook>,
+    request: &RelayRequest,
+    routed: &RoutedAttempt,
+    incarnation: Option<u64>,
+) {
+    let now = clock::now();
+    if let Some(incarnation) = incarnation.map(IncarnationId) {
+        routes.router.incarnation_seen(routed.server, incarnation);
+        if incarnation != routed.decision.incarnation {
+            let chain = &request.query.chain;
+            routes.router.prefix_computed(now, routed.server, incarnation, chain);
+        }
+    }
+    routes.router.first_token(now, routed.dispatch);
+}
+
 /// Waits for a slot and chooses an engine.
 ///
 /// # Errors
 ///
 /// No engine can be used, or none has a slot in time; nothing was sent.
-pub async fn route_attempt(
+pub(super) async fn route_attempt(
     shared: &EntryShared,
     request: &RelayRequest,
     excluded: &[ServerKey],
@@ -112,75 +223,107 @@
     CallerError::not_run(ErrorCode::NoServer, message).with_retry_after(NO_SERVER_RETRY)
 }
 
-/// Sends a routed attempt and waits for its first event. A short request whose first event is late
-/// is sent once more; the first event wins and the other connection is closed.
+/// Sends an attempt and waits for its first event. A short request whose first event is late is
+/// sent once more; the first event wins and the other connection is closed.
 ///
 /// # Errors
 ///
-/// All attempts that were sent have failed.
-pub async fn start_attempt(
-    shared: &Arc<EntryShared>,
+/// The last attempt that failed, with its error. Earlier failures are ended here.
+pub(super) async fn start_attempt(
+    shared: &EntryShared,
     client: &awc::Client,
     request: &RelayRequest,
-    routed: RoutedAttempt,
-    names: &mut AttemptNames,
-    delivered: &DeliveredAnswer,
+    mut leg: AttemptLeg,
+    state: &mut RelayState,
 ) -> Result<
-    StartedAttempt<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
-    Vec<FailedAttempt>,
+    (
+        AttemptLeg,
+        EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
+        AttemptEvent,
+    ),
+    (AttemptLeg, AttemptError),
 > {
-    let query = &request.query;
-    let may_hedge =
-        delivered.tokens == 0 && query.work.class == RequestClass::Short && !query.alone;
-    let delay = hedge_delay(&routed.decision.cost);
-    let primary_server = routed.server;
-    let name = names.take(&request.id);
-    let primary = Box::pin(launch(shared, client, request, routed.clone(), name, delivered));
-    let timer = Box::pin(tokio::time::sleep(delay));
-    let primary = match select(primary, timer).await {
-        Either::Left((result, _)) => return result.map_err(|error| vec![error]),
-        Either::Right(((), pending)) => pending,
+    let delay = leg.routed.as_ref().map(|routed| hedge_delay(&routed.decision.cost));
+    let primary_server = leg.server.clone();
+    let mut primary = Box::pin(leg.open(shared, client, request));
+    let timer = Box::pin(tokio::time::sleep(delay.unwrap_or(Duration::MAX)));
+    let early = match select(&mut primary, timer).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(_) => None,
     };
-    let hedge = may_hedge.then(|| hedge_route(shared, request, primary_server)).flatten();
-    let Some(hedge) = hedge else { return primary.await.map_err(|error| vec![error]) };
-    let name = names.take(&request.id);
-    let secondary = Box::pin(launch(shared, client, request, hedge.clone(), name, delivered));
-    let (first, other, other_routed) = match select(primary, secondary).await {
-        Either::Left((result, other)) => (result, other, hedge),
-        Either::Right((result, other)) => (result, other, routed),
+    let hedge = match early {
+        Some(_) => None,
+        None => open_hedge(shared, request, state, &primary_server),
     };
-    match first {
-        Ok(started) => {
-            drop(other);
-            shared.routes().failed(clock::now(), &other_routed, FailureKind::Cancelled);
-            log::info!(
-                request = request.id, server = started.routed.name, loser = other_routed.name;
-                "hedge decided"
-            );
-            Ok(started)
-        }
-        Err(failed) => other.await.map_err(|error| vec![failed, error]),
+    let Some(mut hedge) = hedge else {
+        let result = match early {
+            Some(result) => result,
+            None => (&mut primary).await,
+        };
+        drop(primary);
+        return match result {
+            Ok((stream, first)) => Ok((leg, stream, first)),
+            Err(error) => Err((leg, error)),
+        };
+    };
+    let secondary = Box::pin(hedge.open(shared, client, request));
+    let (hedge_ended, result, failed) = match select(primary, secondary).await {
+        Either::Left((Ok(opened), _)) => (false, Ok(opened), None),
+        Either::Right((Ok(opened), _)) => (true, Ok(opened), None),
+        Either::Left((Err(error), other)) => (true, other.await, Some(error)),
+        Either::Right((Err(error), other)) => (false, other.await, Some(error)),
+    };
+    let (last, other) = if hedge_ended { (hedge, leg) } else { (leg, hedge) };
+    state.stream.fail(other.start.id, failed.as_ref().map_or(AttemptFault::Broken, |e| e.fault()));
+    log::info!(request = request.id, server = last.server, loser = other.server; "hedge decided");
+    let end = failed.as_ref().map_or(LegEnd::Cancelled, LegEnd::Failed);
+    state.told.extend(other.end(shared, request, &end));
+    match result {
+        Ok((stream, first)) => Ok((last, stream, first)),
+        Err(error) => Err((last, error)),
     }
 }
 
-fn hedge_route(
+fn open_hedge(
     shared: &EntryShared,
     request: &RelayRequest,
-    primary: ServerKey,
-) -> Option<RoutedAttempt> {
+    state: &mut RelayState,
+    primary: &str,
+) -> Option<AttemptLeg> {
+    let query = &request.query;
+    if query.work.class != RequestClass::Short || !state.stream.may_hedge() {
+        return None;
+    }
+    let mut excluded = state.excluded.clone();
+    excluded.push(primary.to_string());
+    let excluded = excluded_keys(shared, &excluded);
     let now = clock::now();
     let mut routes = shared.routes();
     if !routes.budget.try_hedge(now) {
         return None;
     }
-    let routed = routes.route(now, &request.query, &[primary]).ok()?;
+    let routed = routes.route(now, query, &excluded).ok()?;
     log_decision(&routes.describe(&routed.decision), request, &routed, "hedge", 0);
+    let Some(start) = state.stream.open() else {
+        routes.failed(now, &routed, FailureKind::Cancelled);
+        return None;
+    };
+    drop(routes);
     metrics::counter!("carobvane_hedges_total").increment(1);
-    Some(routed)
+    let server = routed.name.clone();
+    Some(AttemptLeg::begin(shared, request, start, server, Some(routed)))
+}
+
+/// Keys of servers that must not be chosen: those of failed attempts, and those that run a suspect
+/// alone.
+pub(super) fn excluded_keys(shared: &EntryShared, names: &[String]) -> Vec<ServerKey> {
+    let alone = shared.pool().alone_servers();
+    let routes = shared.routes();
+    names.iter().chain(&alone).filter_map(|name| routes.server(name)).collect()
 }
 
 /// Writes the one log line of a decision.
-pub fn log_decision(
+pub(super) fn log_decision(
     candidates: &str,
     request: &RelayRequest,
     routed: &RoutedAttempt,
@@ -202,85 +345,11 @@
     );
 }
 
-async fn launch(
-    shared: &Arc<EntryShared>,
-    client: &awc::Client,
-    request: &RelayRequest,
-    routed: RoutedAttempt,
-    name: String,
-    delivered: &DeliveredAnswer,
-) -> Result<
-    StartedAttempt<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
-    FailedAttempt,
-> {
-    let server = routed.server;
-    match open_first(client, request, &routed, &name, delivered).await {
-        Ok((stream, first)) => {
-            let now = clock::now();
-            let mut routes = shared.routes();
-            if let Some(incarnation) = stream.incarnation.map(IncarnationId) {
-                routes.router.incarnation_seen(server, incarnation);
-                if incarnation != routed.decision.incarnation {
-                    let chain = &request.query.chain;
-                    routes.router.prefix_computed(now, server, incarnation, chain);
-                }
-            }
-            routes.router.first_token(now, routed.dispatch);
-            drop(routes);
-            Ok(StartedAttempt { stream, first, routed, name })
-        }
-        Err(error) => {
-            attempt_failed(shared, &routed, &error);
-            Err(FailedAttempt { server, error })
-        }
-    }
-}
-
-/// Ends a failed attempt, and stops further requests to an engine that cannot be connected to.
-pub fn attempt_failed(shared: &EntryShared, routed: &RoutedAttempt, error: &AttemptError) {
-    let kind = match error {
-        AttemptError::NotSent(_) | AttemptError::Rejected { .. } => FailureKind::Refused,
-        _ => FailureKind::Broken,
-    };
-    let mut routes = shared.routes();
-    if matches!(error, AttemptError::NotSent(_)) {
-        routes.router.server_unreachable(routed.server, true);
-    }
-    routes.failed(clock::now(), routed, kind);
-}
-
-async fn open_first(
-    client: &awc::Client,
-    request: &RelayRequest,
-    routed: &RoutedAttempt,
-    name: &str,
-    delivered: &DeliveredAnswer,
-) -> Result<
-    (
-        EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
-        AttemptEvent,
-    ),
-    AttemptError,
-> {
-    let Some(target) = request.lists.server(&routed.name) else {
-        return Err(AttemptError::NotSent("server left the lists".to_string()));
-    };
-    let attempt = AttemptRequest {
-        url: format!("http://{}{}", target.address, request.path),
-        attempt: name.to_string(),
-        request: request.id.clone(),
-        weights: request.weights,
-        body: attempt_body(request, delivered),
-    };
-    let mut stream = open_attempt(client, &attempt).await?;
-    let first = stream.next().await?;
-    Ok((stream, first))
-}
-
-fn attempt_body(request: &RelayRequest, delivered: &DeliveredAnswer) -> bytes::Bytes {
+fn attempt_body(request: &RelayRequest, start: &AttemptStart) -> bytes::Bytes {
     let extension = EngineExtension {
-        resume_offset: delivered.tokens,
-        resume_text: delivered.text.clone(),
+        resume_offset: start.resume.offset,
+        resume_text: start.resume.text.clone(),
+        cache_salt: start.resume.cache_salt.clone(),
         ..request.extension.clone()
     };
     let mut body = request.body.clone();
--- /dev/null
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -0,0 +1,126 @@
+//! One attempt of a relay.
+
+use std::time::Instant;
+
+use carobvane_core::{
+    routing::DispatchKey,
+    streams::{AttemptFault, AttemptId, ChunkVerdict, StreamChunk},
+};
+use futures::Stream;
+
+use super::{
+    attempt::{AttemptError, AttemptEvent, EngineChunk, EngineStream},
+    launch::AttemptLeg,
+    relay::RelayState,
+    shared::EntryShared,
+    sink::{CallerGone, ChunkSink},
+};
+use crate::clock;
+
+/// Chunks between two reports of the gap between tokens, so that most chunks take no lock.
+const GAP_CHUNKS: u32 = 16;
+
+/// Why the relay of one attempt ended.
+pub(super) enum AttemptEnd {
+    /// The caller has the whole answer.
+    Complete,
+    /// The attempt failed.
+    Failed(AttemptError),
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// Measures the mean gap between the chunks of an attempt.
+struct GapMeter<'a> {
+    shared: &'a EntryShared,
+    dispatch: Option<DispatchKey>,
+    since: Instant,
+    chunks: u32,
+}
+
+impl GapMeter<'_> {
+    fn chunk(&mut self) {
+        self.chunks += 1;
+        if self.chunks < GAP_CHUNKS {
+            return;
+        }
+        if let Some(dispatch) = self.dispatch {
+            let gap = self.since.elapsed() / self.chunks;
+            self.shared.routes().router.token_gap(clock::now(), dispatch, gap);
+        }
+        (self.since, self.chunks) = (Instant::now(), 0);
+    }
+}
+
+/// Relays an engine's stream after its first event.
+pub(super) async fn relay_stream<S, K>(
+    shared: &EntryShared,
+    leg: &AttemptLeg,
+    (mut stream, first): (EngineStream<S>, AttemptEvent),
+    state: &mut RelayState,
+    sink: &mut K,
+) -> AttemptEnd
+where
+    S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
+    K: ChunkSink,
+{
+    let attempt = leg.start.id;
+    let dispatch = leg.routed.as_ref().map(|routed| routed.dispatch);
+    let mut meter = GapMeter { shared, dispatch, since: Instant::now(), chunks: 0 };
+    let mut first = Some(first);
+    loop {
+        let event = match first.take() {
+            Some(event) => Ok(event),
+            None => stream.next().await,
+        };
+        let chunk = match event {
+            Ok(AttemptEvent::Chunk(chunk)) => chunk,
+            Ok(AttemptEvent::Done) => {
+                return match state.stream.end(attempt) {
+                    Ok(()) => AttemptEnd::Complete,
+                    Err(_) => AttemptEnd::Failed(AttemptError::Short),
+                };
+            }
+            Err(error) => return AttemptEnd::Failed(error),
+        };
+        match accept_chunk(&chunk, state) {
+            Ok(true) => {
+                meter.chunk();
+                if sink.chunk(chunk).await == Err(CallerGone) {
+                    return AttemptEnd::CallerGone;
+                }
+            }
+            Ok(false) => {}
+            Err(error) => return AttemptEnd::Failed(error),
+        }
+    }
+}
+
+/// Whether the chunk goes to the caller.
+fn accept_chunk(chunk: &EngineChunk, state: &mut RelayState) -> Result<bool, AttemptError> {
+    if let Some(usage) = chunk.usage {
+        state.usage = usage;
+    }
+    let Some(position) = &chunk.position else {
+        // The chunk with the token counts has no position. Text without a position cannot be
+        // put in order, and is dropped; the gap that it leaves fails the attempt.
+        return Ok(chunk.choices.is_empty());
+    };
+    let Ok(attempt) = position.attempt.parse::<AttemptId>() else { return Ok(false) };
+    let positioned = StreamChunk {
+        offset: position.offset,
+        tokens: position.tokens,
+        text: chunk.content(),
+        finishes: chunk.finish_reason().is_some(),
+    };
+    match state.stream.accept(attempt, positioned) {
+        ChunkVerdict::Deliver { .. } => Ok(true),
+        ChunkVerdict::Drop(_) => Ok(false),
+        ChunkVerdict::Fail(AttemptFault::Gap) => {
+            let cause =
+                format!("expected offset {}, got {}", state.stream.delivered(), position.offset);
+            Err(AttemptError::Garbage(cause))
+        }
+        ChunkVerdict::Fail(_) => Err(AttemptError::Garbage("inconsistent chunk".to_string())),
+    }
+}
--- a/crates/host/src/entry/routes.rs
+++ b/crates/host/src/entry/routes.rs
@@ -51,8 +51,6 @@
     pub work: WorkPrediction,
     /// Relative share of the workspace in the queue.
     pub weight: f32,
-    /// Whether the request may only run alone on a server, because it may crash servers.
-    pub alone: bool,
 }
 
 /// An attempt that was routed and counts as sent.
@@ -225,7 +223,7 @@
             prompt_tokens: query.features.prompt_tokens,
             decode_tokens: query.work.decode_tokens,
             excluded,
-            alone: query.alone,
+            alone: false,
         };
         let decision = self.router.decide(now, &request, &mut self.rng)?;
         let dispatch = self.router.dispatched(now, &request, &decision);
--- a/crates/host/src/node/actor.rs
+++ b/crates/host/src/node/actor.rs
@@ -15,7 +15,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::mpsc;
 
-use super::source::{CHANGE_PREFIX, ListSource, parse};
+use super::source::{CHANGE_PREFIX, ListSource, decode_stored};
 use crate::{
     clock,
     keyvalue::{KeyChange, WatchBatch},
@@ -108,8 +108,8 @@
                     self.sender.send(to, PeerMessage::Lists(message));
                 }
                 SpreadEffect::Activate(version) => {
-                    log::info!(version = version.number, digest:% = version.digest; "lists active");
                     self.host.activate(self.spread.holder().snapshot());
+                    log::info!(version = version.number, digest:% = version.digest; "lists active");
                 }
                 SpreadEffect::ReadService => self.read_service(context),
                 SpreadEffect::WriteBack { version, revision } => {
@@ -209,7 +209,7 @@
         KeyChange::Deleted(_) => None,
     });
     values
-        .filter_map(|value| match parse(value) {
+        .filter_map(|value| match decode_stored(value) {
             Ok(delta) => Some(ServiceReport::Change(Box::new(delta))),
             Err(error) => {
                 log::error!(error:% = format!("{error:#}"); "failed to decode a watched change");
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod caller;
 pub mod check;
+pub mod compare;
 pub mod demo;
 pub mod deployment;
 pub mod fleet;
@@ -12,5 +13,6 @@
 pub mod probe;
 pub mod program;
 pub mod report;
+pub mod scenario;
 pub mod stats;
 pub mod trace;
