--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -131,11 +131,8 @@
     let fingerprint = SuspectFingerprint::new(&workspace.name, body);
     let mut body: Map<String, Value> = parse_body(body)?;
     let weights = lists.weights(&completion.model);
+    let query = route_query(shared, &lists, &workspace, completion, weights, &prompt);
     let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
-    let piece_bytes = shared.settings.piece_bytes;
-    let chain = PrefixChain::from_prompt(&salt, prompt.as_bytes(), piece_bytes);
-    let prompt_tokens = prompt_tokens(shared, &prompt);
-    let query = route_query(shared, &lists, &workspace, completion, chain, prompt_tokens);
     let extension = EngineExtension {
         priority: query.work.engine_priority(),
         cache_salt: salt.to_text(),
@@ -156,9 +153,8 @@
         fingerprint,
         extension,
         weights,
-        lists,
         query,
-        prompt_tokens,
+        lists,
         ticket,
     })
 }
@@ -179,25 +175,29 @@
     lists: &ActiveLists,
     workspace: &CallerWorkspace,
     completion: &CompletionRequest,
-    chain: PrefixChain,
-    prompt_tokens: u64,
+    weights: u64,
+    prompt: &str,
 ) -> RouteQuery {
+    let settings = &shared.settings;
+    let salt = ChainSalt::new(&workspace.name, &completion.model, WeightsVersion(weights));
+    let chain = PrefixChain::from_prompt(&salt, prompt.as_bytes(), settings.piece_bytes);
     let plan = lists.document.plans.get(&workspace.plan);
     let mut routes = shared.routes();
     let mut features = WorkFeatures {
         workspace: routes.workspace_key(&workspace.name),
-        prompt_tokens: u32::try_from(prompt_tokens).unwrap_or(u32::MAX),
+        prompt_tokens: prompt_tokens(shared, prompt).try_into().unwrap_or(u32::MAX),
         cached_tokens: 0,
         max_tokens: completion.max_tokens,
     };
     let work = routes.predict(clock::now(), &chain, &mut features);
     RouteQuery {
         model: completion.model.clone(),
-        weights: lists.weights(&completion.model),
+        weights,
         chain,
         features,
         work,
         weight: plan.map_or(1, |plan| plan.weight.max(1)) as f32,
+        alone: false,
     }
 }
 
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -30,20 +30,6 @@
         let rng = SmallRng::seed_from_u64(shared.own.incarnation.0);
         EntryHost { shared, rng, entries: Vec::new(), watched: BTreeSet::new() }
     }
-
-    /// Follows each engine of the lists. An engine that has left ends its own task.
-    fn watch_engines(&mut self, snapshot: &ListSnapshot) {
-        let servers = snapshot.document.servers.iter();
-        let engines: BTreeSet<(String, String)> = servers
-            .filter(|(_, server)| matches!(server.role, ServerRole::Engine(_)))
-            .map(|(name, server)| (name.clone(), server.address.clone()))
-            .collect();
-        for (name, address) in engines.difference(&self.watched) {
-            let shared = Arc::clone(&self.shared);
-            actix_rt::spawn(watch_engine(shared, name.clone(), address.clone()));
-        }
-        self.watched = engines;
-    }
 }
 
 impl EntryHost {
@@ -67,6 +53,20 @@
         self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
         self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
     }
+
+    /// Follows each engine of the lists. An engine that has left ends its own task.
+    fn watch_engines(&mut self, snapshot: &ListSnapshot) {
+        let servers = snapshot.document.servers.iter();
+        let engines: BTreeSet<(String, String)> = servers
+            .filter(|(_, server)| matches!(server.role, ServerRole::Engine(_)))
+            .map(|(name, server)| (name.clone(), server.address.clone()))
+            .collect();
+        for (name, address) in engines.difference(&self.watched) {
+            let shared = Arc::clone(&self.shared);
+            actix_rt::spawn(watch_engine(shared, name.clone(), address.clone()));
+        }
+        self.watched = engines;
+    }
 }
 
 impl NodeHost for EntryHost {
@@ -117,10 +117,10 @@
 
     fn tick(&mut self, now: ClockTime) {
         self.shared.plans.tick(now);
-        self.shared.routes().tick(now);
         let effects = self.shared.members().on_timer(now, &mut self.rng);
         self.carry_out(effects);
         self.shared.claims.tick(now);
         self.shared.suspects.tick(now);
+        self.shared.routes().tick(now);
     }
 }
--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -1,15 +1,14 @@
 //! Starts an attempt: waits for a slot, chooses an engine, and hedges a late first chunk.
 
 use std::{
-    sync::MutexGuard,
+    future::Future,
     time::{Duration, Instant},
 };
 
 use carobvane_core::{
     ids::{IncarnationId, ServerKey},
-    routing::{FailureKind, RequestClass, RouteRefusal, hedge_delay},
-    streams::{AttemptFault, AttemptStart},
-    suspects::RunEnd,
+    routing::{RequestClass, RouteRefusal, hedge_delay},
+    streams::{AttemptStart, NextStep},
 };
 use carobvane_proto::engine::EngineExtension;
 use futures::{
@@ -17,13 +16,12 @@
     future::{Either, select},
 };
 use serde_json::Value;
-use tokio::sync::oneshot;
 
 use super::{
     attempt::{AttemptError, AttemptEvent, AttemptRequest, EngineStream, open_attempt},
     error::{CallerError, ErrorCode},
     relay::{RelayRequest, RelayState},
-    routes::{RouteBook, RoutedAttempt, WaitEnd},
+    routes::{RouteQuery, RoutedAttempt, WaitEnd},
     shared::EntryShared,
     suspects::ServerRun,
 };
@@ -31,154 +29,62 @@
 
 /// When to come back if no engine of the model can be used.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(1);
+/// Longest wait of a suspect for a server without requests. After that it shares a server, because
+/// under load no server would ever be free.
+const ALONE_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which a suspect looks for a server.
+const ALONE_POLL: Duration = Duration::from_millis(10);
 
-/// An attempt on a chosen server.
-pub(super) struct AttemptLeg {
-    /// Where the attempt begins.
-    pub(super) start: AttemptStart,
-    /// The server's name.
-    pub(super) server: String,
-    /// The router's decision; absent for a suspect, which the server pool places.
-    pub(super) routed: Option<RoutedAttempt>,
+/// An attempt that counts as sent.
+pub struct LaunchedAttempt {
+    /// Its name and where it begins.
+    pub start: AttemptStart,
+    /// Where it runs.
+    pub routed: RoutedAttempt,
     /// The run in the count of crashes.
-    run: ServerRun,
-    suspect: bool,
+    pub run: ServerRun,
 }
 
-/// How an attempt ended.
-pub(super) enum LegEnd<'a> {
-    /// The caller has the whole answer of this many tokens.
-    Complete(u32),
-    /// It was given up: the caller has gone or another attempt won.
-    Cancelled,
-    /// It failed.
-    Failed(&'a AttemptError),
+/// An attempt whose first event has arrived.
+pub struct StartedAttempt<S> {
+    /// The answer.
+    pub stream: EngineStream<S>,
+    /// Its first event.
+    pub first: AttemptEvent,
+    /// The attempt.
+    pub launched: LaunchedAttempt,
 }
 
-impl AttemptLeg {
-    /// Counts an attempt as sent to a server.
-    pub(super) fn begin(
-        shared: &EntryShared,
-        request: &RelayRequest,
-        start: AttemptStart,
-        server: String,
-        routed: Option<RoutedAttempt>,
-    ) -> AttemptLeg {
-        shared.pool().begin(&server);
-        let run = shared.suspects.begin(request.fingerprint, &server);
-        let suspect = routed.is_none();
-        AttemptLeg { start, server, routed, run, suspect }
-    }
-
-    /// Ends the attempt everywhere it is counted. After a crash, the receiver resolves when the
-    /// other entries know of it.
-    pub(super) fn end(
-        self,
-        shared: &EntryShared,
-        request: &RelayRequest,
-        end: &LegEnd<'_>,
-    ) -> Option<oneshot::Receiver<()>> {
-        let mut pool = shared.pool();
-        pool.end(&self.server);
-        if self.suspect {
-            pool.end_suspect(&self.server);
-        }
-        drop(pool);
-        if let Some(routed) = &self.routed {
-            end_routed(shared.routes(), request, routed, end);
-        }
-        let run_end = match end {
-            LegEnd::Complete(_) => RunEnd::Completed,
-            LegEnd::Cancelled => RunEnd::Ended,
-            LegEnd::Failed(error) => error.run_end(),
-        };
-        shared.suspects.end(self.run, run_end)
-    }
-
-    /// Sends the request and waits for the engine's first event.
-    async fn open(
-        &mut self,
-        shared: &EntryShared,
-        client: &awc::Client,
-        request: &RelayRequest,
-    ) -> Result<
-        (
-            EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
-            AttemptEvent,
-        ),
-        AttemptError,
-    > {
-        let Some(target) = request.lists.server(&self.server) else {
-            return Err(AttemptError::NotSent("server left the lists".to_string()));
-        };
-        let attempt = AttemptRequest {
-            url: format!("http://{}{}", target.address, request.path),
-            attempt: self.start.id.to_string(),
-            request: request.id.clone(),
-            weights: self.start.resume.weights_version,
-            body: attempt_body(request, &self.start),
-        };
-        let mut stream = open_attempt(client, &attempt).await?;
-        if let Some(incarnation) = stream.incarnation {
-            shared.suspects.answered(&mut self.run, incarnation);
-        }
-        let first = stream.next().await?;
-        if let Some(routed) = &self.routed {
-            first_event(shared.routes(), request, routed, stream.incarnation);
-        }
-        Ok((stream, first))
-    }
-}
-
-fn end_routed(
-    mut routes: MutexGuard<'_, RouteBook>,
+/// Waits for a slot and chooses an engine. A suspect waits for an engine without requests.
+///
+/// # Errors
+///
+/// No engine can be used, or none has a slot in time; nothing was sent.
+pub async fn route_attempt(
+    shared: &EntryShared,
     request: &RelayRequest,
-    routed: &RoutedAttempt,
-    end: &LegEnd<'_>,
-) {
-    let now = clock::now();
-    let kind = match end {
-        LegEnd::Complete(tokens) => {
-            routes.finished(now, routed, &request.query, *tokens);
-            return;
-        }
-        LegEnd::Cancelled => FailureKind::Cancelled,
-        LegEnd::Failed(error) => {
-            if matches!(error, AttemptError::NotSent(_)) {
-                routes.router.server_unreachable(routed.server, true);
-            }
-            match error.fault() {
-                AttemptFault::NotRun => FailureKind::Refused,
-                _ => FailureKind::Broken,
-            }
+    alone: bool,
+    excluded: &[ServerKey],
+) -> Result<RoutedAttempt, CallerError> {
+    if !alone {
+        return wait_and_route(shared, request, excluded).await;
+    }
+    let query = RouteQuery { alone: true, ..request.query.clone() };
+    let ends = Instant::now() + ALONE_WAIT;
+    loop {
+        let mut excluded = excluded.to_vec();
+        excluded.extend(shared.pool().suspect_servers());
+        if let Ok(routed) = shared.routes().route(clock::now(), &query, &excluded) {
+            return Ok(routed);
         }
-    };
-    routes.failed(now, routed, kind);
-}
-
-fn first_event(
-    mut routes: MutexGuard<'_, RouteBook>,
-    request: &RelayRequest,
-    routed: &RoutedAttempt,
-    incarnation: Option<u64>,
-) {
-    let now = clock::now();
-    if let Some(incarnation) = incarnation.map(IncarnationId) {
-        routes.router.incarnation_seen(routed.server, incarnation);
-        if incarnation != routed.decision.incarnation {
-            let chain = &request.query.chain;
-            routes.router.prefix_computed(now, routed.server, incarnation, chain);
+        if Instant::now() >= ends {
+            return wait_and_route(shared, request, &excluded).await;
         }
+        tokio::time::sleep(ALONE_POLL).await;
     }
-    routes.router.first_token(now, routed.dispatch);
 }
 
-/// Waits for a slot and chooses an engine.
-///
-/// # Errors
-///
-/// No engine can be used, or none has a slot in time; nothing was sent.
-pub(super) async fn route_attempt(
+async fn wait_and_route(
     shared: &EntryShared,
     request: &RelayRequest,
     excluded: &[ServerKey],
@@ -223,115 +129,143 @@
     CallerError::not_run(ErrorCode::NoServer, message).with_retry_after(NO_SERVER_RETRY)
 }
 
-/// Sends an attempt and waits for its first event. A short request whose first event is late is
-/// sent once more; the first event wins and the other connection is closed.
+/// Sends a routed attempt and waits for its first event. A short request whose first event is late
+/// is sent once more; the first event wins and the other connection is closed.
 ///
 /// # Errors
 ///
-/// The last attempt that failed, with its error. Earlier failures are ended here.
-pub(super) async fn start_attempt(
+/// All attempts that were sent have failed and are recorded in `state`; what comes next.
+pub async fn start_attempt(
     shared: &EntryShared,
     client: &awc::Client,
     request: &RelayRequest,
-    mut leg: AttemptLeg,
+    launched: LaunchedAttempt,
+    alone: bool,
     state: &mut RelayState,
 ) -> Result<
-    (
-        AttemptLeg,
-        EngineStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
-        AttemptEvent,
-    ),
-    (AttemptLeg, AttemptError),
+    StartedAttempt<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
+    NextStep,
 > {
-    let delay = leg.routed.as_ref().map(|routed| hedge_delay(&routed.decision.cost));
-    let primary_server = leg.server.clone();
-    let mut primary = Box::pin(leg.open(shared, client, request));
-    let timer = Box::pin(tokio::time::sleep(delay.unwrap_or(Duration::MAX)));
-    let early = match select(&mut primary, timer).await {
-        Either::Left((result, _)) => Some(result),
-        Either::Right(_) => None,
-    };
-    let hedge = match early {
-        Some(_) => None,
-        None => open_hedge(shared, request, state, &primary_server),
+    let delay = hedge_delay(&launched.routed.decision.cost);
+    let primary = Box::pin(open_first(client.clone(), attempt_request(request, &launched)));
+    let timer = Box::pin(tokio::time::sleep(delay));
+    let primary = match select(primary, timer).await {
+        Either::Left((Ok(opened), _)) => return Ok(accept(shared, request, launched, opened)),
+        Either::Left((Err(error), _)) => return Err(state.fail(shared, request, launched, error)),
+        Either::Right(((), pending)) => pending,
     };
-    let Some(mut hedge) = hedge else {
-        let result = match early {
-            Some(result) => result,
-            None => (&mut primary).await,
-        };
-        drop(primary);
-        return match result {
-            Ok((stream, first)) => Ok((leg, stream, first)),
-            Err(error) => Err((leg, error)),
+    let hedge = (!alone).then(|| launch_hedge(shared, request, &launched, state)).flatten();
+    let Some(hedge) = hedge else {
+        return match primary.await {
+            Ok(opened) => Ok(accept(shared, request, launched, opened)),
+            Err(error) => Err(state.fail(shared, request, launched, error)),
         };
     };
-    let secondary = Box::pin(hedge.open(shared, client, request));
-    let (hedge_ended, result, failed) = match select(primary, secondary).await {
-        Either::Left((Ok(opened), _)) => (false, Ok(opened), None),
-        Either::Right((Ok(opened), _)) => (true, Ok(opened), None),
-        Either::Left((Err(error), other)) => (true, other.await, Some(error)),
-        Either::Right((Err(error), other)) => (false, other.await, Some(error)),
-    };
-    let (last, other) = if hedge_ended { (hedge, leg) } else { (leg, hedge) };
-    state.stream.fail(other.start.id, failed.as_ref().map_or(AttemptFault::Broken, |e| e.fault()));
-    log::info!(request = request.id, server = last.server, loser = other.server; "hedge decided");
-    let end = failed.as_ref().map_or(LegEnd::Cancelled, LegEnd::Failed);
-    state.told.extend(other.end(shared, request, &end));
-    match result {
-        Ok((stream, first)) => Ok((last, stream, first)),
-        Err(error) => Err((last, error)),
+    let secondary = Box::pin(open_first(client.clone(), attempt_request(request, &hedge)));
+    let race = HedgeRace { shared, request, state };
+    match select(primary, secondary).await {
+        Either::Left((result, other)) => race.settle(launched, result, hedge, other).await,
+        Either::Right((result, other)) => race.settle(hedge, result, launched, other).await,
     }
 }
 
-fn open_hedge(
+/// Two attempts of one request, of which one has an event or has failed.
+struct HedgeRace<'a> {
+    shared: &'a EntryShared,
+    request: &'a RelayRequest,
+    state: &'a mut RelayState,
+}
+
+impl HedgeRace<'_> {
+    async fn settle<S>(
+        self,
+        first: LaunchedAttempt,
+        result: Result<OpenedStream<S>, AttemptError>,
+        second: LaunchedAttempt,
+        pending: impl Future<Output = Result<OpenedStream<S>, AttemptError>>,
+    ) -> Result<StartedAttempt<S>, NextStep> {
+        let HedgeRace { shared, request, state } = self;
+        match result {
+            Ok(opened) => {
+                drop(pending);
+                let (winner, loser) = (&first.routed.name, &second.routed.name);
+                log::info!(request = request.id, server = winner, loser; "hedge decided");
+                state.cancel(shared, second);
+                Ok(accept(shared, request, first, opened))
+            }
+            Err(error) => {
+                state.fail(shared, request, first, error);
+                match pending.await {
+                    Ok(opened) => Ok(accept(shared, request, second, opened)),
+                    Err(error) => Err(state.fail(shared, request, second, error)),
+                }
+            }
+        }
+    }
+}
+
+fn launch_hedge(
     shared: &EntryShared,
     request: &RelayRequest,
+    launched: &LaunchedAttempt,
     state: &mut RelayState,
-    primary: &str,
-) -> Option<AttemptLeg> {
-    let query = &request.query;
-    if query.work.class != RequestClass::Short || !state.stream.may_hedge() {
-        return None;
-    }
-    let mut excluded = state.excluded.clone();
-    excluded.push(primary.to_string());
-    let excluded = excluded_keys(shared, &excluded);
-    let now = clock::now();
-    let mut routes = shared.routes();
-    if !routes.budget.try_hedge(now) {
+) -> Option<LaunchedAttempt> {
+    if request.query.work.class != RequestClass::Short || !state.stream.may_hedge() {
         return None;
     }
-    let routed = routes.route(now, query, &excluded).ok()?;
-    log_decision(&routes.describe(&routed.decision), request, &routed, "hedge", 0);
-    let Some(start) = state.stream.open() else {
-        routes.failed(now, &routed, FailureKind::Cancelled);
-        return None;
+    let routed = {
+        let now = clock::now();
+        let mut routes = shared.routes();
+        if !routes.budget.try_hedge(now) {
+            return None;
+        }
+        routes.route(now, &request.query, &[launched.routed.server]).ok()?
     };
-    drop(routes);
+    let start = state.stream.open()?;
+    log_decision(shared, request, &routed, "hedge", start.resume.offset);
     metrics::counter!("carobvane_hedges_total").increment(1);
-    let server = routed.name.clone();
-    Some(AttemptLeg::begin(shared, request, start, server, Some(routed)))
+    let run = shared.suspects.begin(request.fingerprint, &routed.name);
+    Some(LaunchedAttempt { start, routed, run })
 }
 
-/// Keys of servers that must not be chosen: those of failed attempts, and those that run a suspect
-/// alone.
-pub(super) fn excluded_keys(shared: &EntryShared, names: &[String]) -> Vec<ServerKey> {
-    let alone = shared.pool().alone_servers();
-    let routes = shared.routes();
-    names.iter().chain(&alone).filter_map(|name| routes.server(name)).collect()
+/// Learns from the first event of an attempt.
+fn accept<S>(
+    shared: &EntryShared,
+    request: &RelayRequest,
+    mut launched: LaunchedAttempt,
+    (stream, first): OpenedStream<S>,
+) -> StartedAttempt<S> {
+    let now = clock::now();
+    let routed = &launched.routed;
+    let mut routes = shared.routes();
+    if let Some(incarnation) = stream.incarnation.map(IncarnationId) {
+        routes.router.incarnation_seen(routed.server, incarnation);
+        if incarnation != routed.decision.incarnation {
+            let chain = &request.query.chain;
+            routes.router.prefix_computed(now, routed.server, incarnation, chain);
+        }
+    }
+    routes.router.first_token(now, routed.dispatch);
+    drop(routes);
+    if let Some(incarnation) = stream.incarnation {
+        shared.suspects.answered(&mut launched.run, incarnation);
+    }
+    StartedAttempt { stream, first, launched }
 }
 
 /// Writes the one log line of a decision.
-pub(super) fn log_decision(
-    candidates: &str,
+pub fn log_decision(
+    shared: &EntryShared,
     request: &RelayRequest,
     routed: &RoutedAttempt,
     kind: &str,
     offset: u32,
 ) {
+    if !log::log_enabled!(log::Level::Info) {
+        return;
+    }
     let decision = &routed.decision;
-    let cost = &decision.cost;
+    let candidates = shared.routes().describe(decision);
     log::info!(
         request = request.id, workspace = request.workspace, model = request.model,
         server = routed.name, kind, offset,
@@ -339,12 +273,43 @@
         reason:serde = decision.reason,
         hit_pieces = decision.hit_pieces, uncertain_pieces = decision.uncertain_pieces,
         pieces = request.query.chain.len(),
-        cost_ms:serde = cost,
+        cost_ms:serde = decision.cost,
         candidates;
         "routed"
     );
 }
 
+/// A stream with its first event.
+type OpenedStream<S> = (EngineStream<S>, AttemptEvent);
+
+async fn open_first(
+    client: awc::Client,
+    request: Result<AttemptRequest, AttemptError>,
+) -> Result<
+    OpenedStream<impl Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin + use<>>,
+    AttemptError,
+> {
+    let mut stream = open_attempt(&client, &request?).await?;
+    let first = stream.next().await?;
+    Ok((stream, first))
+}
+
+fn attempt_request(
+    request: &RelayRequest,
+    launched: &LaunchedAttempt,
+) -> Result<AttemptRequest, AttemptError> {
+    let Some(target) = request.lists.server(&launched.routed.name) else {
+        return Err(AttemptError::NotSent("server left the lists".to_string()));
+    };
+    Ok(AttemptRequest {
+        url: format!("http://{}{}", target.address, request.path),
+        attempt: launched.start.id.to_string(),
+        request: request.id.clone(),
+        weights: launched.start.resume.weights_version,
+        body: attempt_body(request, &launched.start),
+    })
+}
+
 fn attempt_body(request: &RelayRequest, start: &AttemptStart) -> bytes::Bytes {
     let extension = EngineExtension {
         resume_offset: start.resume.offset,
--- a/crates/host/src/entry/relay_attempt.rs
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -1,6 +1,6 @@
-//! One attempt of a relay.
+//! Relays the stream of one attempt.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use carobvane_core::{
     routing::DispatchKey,
@@ -9,8 +9,8 @@
 use futures::Stream;
 
 use super::{
-    attempt::{AttemptError, AttemptEvent, EngineChunk, EngineStream},
-    launch::AttemptLeg,
+    attempt::{AttemptError, AttemptEvent, EngineChunk},
+    launch::StartedAttempt,
     relay::RelayState,
     shared::EntryShared,
     sink::{CallerGone, ChunkSink},
@@ -21,7 +21,7 @@
 const GAP_CHUNKS: u32 = 16;
 
 /// Why the relay of one attempt ended.
-pub(super) enum AttemptEnd {
+pub enum AttemptEnd {
     /// The caller has the whole answer.
     Complete,
     /// The attempt failed.
@@ -30,33 +30,29 @@
     CallerGone,
 }
 
-/// Measures the mean gap between the chunks of an attempt.
-struct GapMeter<'a> {
-    shared: &'a EntryShared,
-    dispatch: Option<DispatchKey>,
+/// Measures the mean gap between the tokens of an attempt.
+struct GapMeter {
+    dispatch: DispatchKey,
     since: Instant,
     chunks: u32,
 }
 
-impl GapMeter<'_> {
-    fn chunk(&mut self) {
+impl GapMeter {
+    fn chunk(&mut self, shared: &EntryShared) {
         self.chunks += 1;
         if self.chunks < GAP_CHUNKS {
             return;
         }
-        if let Some(dispatch) = self.dispatch {
-            let gap = self.since.elapsed() / self.chunks;
-            self.shared.routes().router.token_gap(clock::now(), dispatch, gap);
-        }
+        let gap: Duration = self.since.elapsed() / self.chunks;
+        shared.routes().router.token_gap(clock::now(), self.dispatch, gap);
         (self.since, self.chunks) = (Instant::now(), 0);
     }
 }
 
-/// Relays an engine's stream after its first event.
-pub(super) async fn relay_stream<S, K>(
+/// Relays the stream of a started attempt until it ends.
+pub async fn relay_stream<S, K>(
     shared: &EntryShared,
-    leg: &AttemptLeg,
-    (mut stream, first): (EngineStream<S>, AttemptEvent),
+    started: &mut StartedAttempt<S>,
     state: &mut RelayState,
     sink: &mut K,
 ) -> AttemptEnd
@@ -64,14 +60,14 @@
     S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
     K: ChunkSink,
 {
-    let attempt = leg.start.id;
-    let dispatch = leg.routed.as_ref().map(|routed| routed.dispatch);
-    let mut meter = GapMeter { shared, dispatch, since: Instant::now(), chunks: 0 };
-    let mut first = Some(first);
+    let dispatch = started.launched.routed.dispatch;
+    let attempt = started.launched.start.id;
+    let mut meter = GapMeter { dispatch, since: Instant::now(), chunks: 0 };
+    let mut first = Some(std::mem::replace(&mut started.first, AttemptEvent::Done));
     loop {
         let event = match first.take() {
             Some(event) => Ok(event),
-            None => stream.next().await,
+            None => started.stream.next().await,
         };
         let chunk = match event {
             Ok(AttemptEvent::Chunk(chunk)) => chunk,
@@ -85,7 +81,7 @@
         };
         match accept_chunk(&chunk, state) {
             Ok(true) => {
-                meter.chunk();
+                meter.chunk(shared);
                 if sink.chunk(chunk).await == Err(CallerGone) {
                     return AttemptEnd::CallerGone;
                 }
--- a/crates/host/src/entry/routes.rs
+++ b/crates/host/src/entry/routes.rs
@@ -51,6 +51,8 @@
     pub work: WorkPrediction,
     /// Relative share of the workspace in the queue.
     pub weight: f32,
+    /// Whether the request may only run alone on a server, because it may crash servers.
+    pub alone: bool,
 }
 
 /// An attempt that was routed and counts as sent.
@@ -223,7 +225,7 @@
             prompt_tokens: query.features.prompt_tokens,
             decode_tokens: query.work.decode_tokens,
             excluded,
-            alone: false,
+            alone: query.alone,
         };
         let decision = self.router.decide(now, &request, &mut self.rng)?;
         let dispatch = self.router.dispatched(now, &request, &decision);
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -68,12 +68,12 @@
         own: NodeLife,
         sender: PeerSender,
     ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
+        let routes = RouteBook::new(own.incarnation.0, settings.piece_tokens);
         let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
         let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
         let (claims, calls) = ClaimDesk::new(own);
         let permits = PermitDesk::new(own, &settings.fleet_key);
         let suspects = SuspectDesk::new(own, sender.clone());
-        let routes = RouteBook::new(own.incarnation.0, settings.piece_tokens);
         let shared = EntryShared {
             claims,
             permits,
--- a/crates/replay/src/bench/mod.rs
+++ b/crates/replay/src/bench/mod.rs
@@ -6,6 +6,7 @@
 pub mod decide;
 pub mod path;
 pub mod program;
+pub mod state;
 
 use std::{fs, path::Path};
 
