Use or wait for the last server that can answer

Cause: when every other server was excluded and the last one was a straggler between probes or full, the router found no candidate and refused the request for want of servers; seen as 502 in the streams test under garbage. Ruled out: the budget of extra attempts (the log shows no refusal by it) and the limit of attempts (two of four were used). Change: the overflow search takes a straggler with a slot if nothing else serves, and otherwise reports saturation, so that the request waits.

--- a/crates/core/src/routing/policy.rs
+++ b/crates/core/src/routing/policy.rs
@@ -192,13 +192,20 @@
 ) {
     let Some(ring) = state.table.ring(request.model) else { return };
     let start = rng.random_range(0..ring.len().max(1));
-    let free = (0..ring.len().min(super::ring::WINDOW_SERVERS.max(OVERFLOW_TRIES)))
-        .filter_map(|step| ring.at(start + step))
-        .find(|&server| state.serves(request, server) && state.has_slot(now, request, server));
-    let Some(server) = free else { return };
+    let window = ring.len().min(super::ring::WINDOW_SERVERS.max(OVERFLOW_TRIES));
+    let serving = || {
+        let servers = (0..window).filter_map(|step| ring.at(start + step));
+        servers.filter(|&server| state.serves(request, server))
+    };
+    let free = serving().find(|&server| state.has_slot(now, request, server));
+    // A straggler is better than a wait when nothing else can answer.
+    let straggler = || serving().find(|&server| state.has_straggler_slot(now, request, server));
+    let usable = free.or_else(straggler);
+    // Without a slot anywhere, the candidate only shows that the request may wait for one.
+    let Some(server) = usable.or_else(|| serving().next()) else { return };
     let cost = state.evaluate(now, request, server, CandidateSource::Random, homes);
     if let Some(cost) = cost {
-        candidates.replace_last(cost);
+        candidates.replace_last(CandidateCost { eligible: usable.is_some(), ..cost });
     }
 }
 
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -121,21 +121,38 @@
         record.is_some_and(|record| self.admits(now, request, record, record.load_at(now)))
     }
 
+    /// Whether a server has a slot, even if it is a straggler that is not due for a probe.
+    pub(super) fn has_straggler_slot(
+        &self,
+        now: ClockTime,
+        request: &RouteRequest<'_>,
+        server: ServerKey,
+    ) -> bool {
+        let record = self.table.get(server);
+        record.is_some_and(|record| self.has_room(request, record, record.load_at(now)))
+    }
+
     fn admits(
         &self,
         now: ClockTime,
         request: &RouteRequest<'_>,
         record: &ServerRecord,
         load: LoadEstimate,
+    ) -> bool {
+        let is_held_back = record.straggler.is_straggler()
+            && (record.in_flight.total() > 0 || !record.straggler.probe_due(now));
+        !is_held_back && self.has_room(request, record, load)
+    }
+
+    fn has_room(
+        &self,
+        request: &RouteRequest<'_>,
+        record: &ServerRecord,
+        load: LoadEstimate,
     ) -> bool {
         if record.exclusive || (request.alone && record.in_flight.total() > 0) {
             return false;
         }
-        if record.straggler.is_straggler()
-            && (record.in_flight.total() > 0 || !record.straggler.probe_due(now))
-        {
-            return false;
-        }
         let limits = &self.settings.limits;
         limits.admits(request.class, record.in_flight, load.requests, record.slots)
     }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -339,3 +339,42 @@
     assert_eq!(servers_used::<LeastLoadedPrefix>(), 6);
     assert_eq!(servers_used::<PrefixHashing>(), 6);
 }
+
+/// Guards against a refusal for want of servers while the only one that is left is a straggler or
+/// is full: it is used, or the request waits.
+#[test]
+fn the_last_server_is_used_or_waited_for() {
+    struct Case {
+        name: &'static str,
+        in_flight: usize,
+        refusal: Option<RouteRefusal>,
+    }
+    let cases = [
+        Case { name: "straggler with a slot", in_flight: 1, refusal: None },
+        Case {
+            name: "no slot",
+            in_flight: 64,
+            refusal: Some(RouteRefusal::Saturated { retry_after: Duration::ZERO }),
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(3);
+        let chain = chain("a", WEIGHTS, 0);
+        let last = fleet.servers[2];
+        let excluded = [fleet.servers[0], fleet.servers[1]];
+        let request =
+            RouteRequest { excluded: &excluded, ..fleet.request(&chain, RequestClass::Short) };
+        let slow = fleet.router.decide(fleet.now, &request, &mut fleet.rng).unwrap();
+        assert_eq!(slow.server, last, "{}", case.name);
+        for _ in 0..case.in_flight {
+            fleet.router.dispatched(fleet.now, &request, &slow);
+        }
+        fleet.wait(60_000);
+        let result = fleet.router.decide(fleet.now, &request, &mut fleet.rng);
+        match (result, case.refusal) {
+            (Ok(decision), None) => assert_eq!(decision.server, last, "{}", case.name),
+            (Err(RouteRefusal::Saturated { .. }), Some(RouteRefusal::Saturated { .. })) => {}
+            (result, refusal) => panic!("{}: {result:?}, not {refusal:?}", case.name),
+        }
+    }
+}
