--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -160,6 +160,39 @@
     }
 }
 
+/// Guards against a lookup that miscounts prefixes that end inside a group of pieces, at different
+/// places on different servers.
+#[test]
+fn each_server_has_its_own_prefix_length() {
+    struct Case {
+        pieces: usize,
+        held: [usize; 3],
+    }
+    let cases = [
+        Case { pieces: 1, held: [1, 0, 1] },
+        Case { pieces: 3, held: [2, 3, 0] },
+        Case { pieces: 8, held: [8, 4, 3] },
+        Case { pieces: 11, held: [11, 9, 7] },
+        Case { pieces: 70, held: [70, 66, 5] },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(3);
+        let chain = chain("a", WEIGHTS, case.pieces);
+        for (&server, held) in fleet.servers.clone().iter().zip(case.held) {
+            let update = CacheUpdate::Stored(&chain.pieces()[..held]);
+            fleet.router.cache_event(fleet.now, server, IncarnationId(1), 1, update);
+        }
+        let decision = fleet.decide(&chain).expect("servers are idle");
+        for candidate in decision.candidates.iter() {
+            let number = fleet.servers.iter().position(|&server| server == candidate.server);
+            let held = number.map(|number| case.held[number] as u16);
+            assert_eq!(Some(candidate.hit_pieces), held, "{} pieces", case.pieces);
+        }
+        let longest = *case.held.iter().max().expect("three servers") as u16;
+        assert_eq!(decision.hit_pieces, longest, "{} pieces", case.pieces);
+    }
+}
+
 /// Guards against new work for servers that leave, are excluded or hold other weights, and against
 /// wrong refusals.
 #[test]
@@ -180,6 +213,20 @@
             prepare: |fleet| fleet.router.server_leaving(fleet.servers[0], true),
             expected: RouteRefusal::NoneEligible,
         },
+        Case {
+            name: "restarted while leaving",
+            prepare: |fleet| {
+                let model = fleet.model;
+                fleet.router.server_leaving(fleet.servers[0], true);
+                see(&mut fleet.router, model, 0, 2, WEIGHTS);
+            },
+            expected: RouteRefusal::NoneEligible,
+        },
+        Case {
+            name: "unreachable",
+            prepare: |fleet| fleet.router.server_unreachable(fleet.servers[0], true),
+            expected: RouteRefusal::NoneEligible,
+        },
         Case {
             name: "older weights",
             prepare: |fleet| {
@@ -234,6 +281,24 @@
     assert!(after > during, "recovered server got {after} of 300, as straggler {during}");
 }
 
+/// Guards against a prefix that is forgotten because the response to its first prompt reveals the
+/// server's life, as after the start of an entry.
+#[test]
+fn a_prefix_survives_the_first_known_life() {
+    let mut fleet = Fleet::<CostPolicy>::new(2);
+    let chain = chain("a", WEIGHTS, 4);
+    let decision = fleet.decide(&chain).expect("servers are idle");
+    let request = fleet.request(&chain, RequestClass::Short);
+    fleet.router.dispatched(fleet.now, &request, &decision);
+    let (server, life) = (decision.server, IncarnationId(9));
+    fleet.router.incarnation_seen(server, life);
+    fleet.router.prefix_computed(fleet.now, server, IncarnationId(1), &chain);
+    assert_eq!(fleet.decide(&chain).map(|decision| decision.hit_pieces), Ok(0));
+    fleet.router.prefix_computed(fleet.now, server, life, &chain);
+    let second = fleet.decide(&chain).expect("servers are idle");
+    assert_eq!((second.server, second.hit_pieces), (server, 4));
+}
+
 /// Guards against lost attempts holding a slot for ever, and against counting them twice.
 #[test]
 fn ended_attempts_release_their_slots() {
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -8,11 +8,13 @@
 mod discovery;
 mod error;
 mod host;
+mod launch;
+mod life;
 mod permits;
-mod placement;
 mod plans;
 mod relay;
 mod relay_attempt;
+mod routes;
 mod send_error;
 mod servers;
 mod service_call;
@@ -20,6 +22,7 @@
 mod shared;
 mod sink;
 mod suspects;
+mod watch;
 
 use std::{
     net::{SocketAddr, TcpListener},
--- a/crates/host/src/entry/suspects.rs
+++ b/crates/host/src/entry/suspects.rs
@@ -51,6 +51,11 @@
 }
 
 impl ServerRun {
+    /// The server's name.
+    pub fn server(&self) -> &str {
+        &self.server
+    }
+
     /// Whether the run was sent to this life of its server.
     pub fn is_in_life(&self, incarnation: u64) -> bool {
         self.life == ServerLife::new(&self.server, incarnation)
--- a/crates/replay/src/bench/program.rs
+++ b/crates/replay/src/bench/program.rs
@@ -6,12 +6,15 @@
 use super::{
     decide::{self, DecideOptions},
     path::{self, PathOptions},
+    state::{self, StateOptions},
 };
 
 /// Fewest runs of a figure.
 const MIN_RUNS: usize = 5;
 /// Default of `decide --decisions`.
 const DEFAULT_DECISIONS: usize = 50_000;
+/// Numbers of nodes that `state` measures.
+const FLEET_SIZES: [usize; 4] = [9, 50, 200, 780];
 /// Folder of the JSON files.
 const RESULT_FOLDER: &str = "target/bench";
 
@@ -35,6 +38,15 @@
                 /// File for the figures as JSON.
                 optional --json json: PathBuf
             }
+            /// Measures membership, shares and lists over the number of nodes.
+            cmd state {
+                /// Runs of each figure; at least 5.
+                optional --runs runs: usize
+                /// Number of nodes; default 9, 50, 200 and 780.
+                optional --nodes nodes: usize
+                /// File for the figures as JSON.
+                optional --json json: PathBuf
+            }
             /// Measures what an entry adds to a request, paired with direct calls to an engine.
             cmd path {
                 /// Runs of each figure; at least 5.
@@ -46,8 +58,17 @@
     }
 }
 
-/// Runs the program; `allocations` counts the allocations of the process so far.
-pub fn run(allocations: fn() -> usize) -> ExitCode {
+/// Counters of the process's allocator.
+#[derive(Debug, Clone, Copy)]
+pub struct AllocatorCounters {
+    /// Allocations so far.
+    pub allocations: fn() -> usize,
+    /// Bytes held now.
+    pub live_bytes: fn() -> usize,
+}
+
+/// Runs the program.
+pub fn run(counters: AllocatorCounters) -> ExitCode {
     let flags = match CarobvaneBench::from_env() {
         Ok(flags) => flags,
         Err(error) => error.exit(),
@@ -58,7 +79,13 @@
             decisions: flags.decisions.unwrap_or(DEFAULT_DECISIONS),
             json: json(flags.json, "decide"),
             targets_only: flags.targets_only,
-            allocations,
+            allocations: counters.allocations,
+        }),
+        CarobvaneBenchCmd::State(flags) => state::run(&StateOptions {
+            runs: runs(flags.runs),
+            sizes: flags.nodes.map_or(FLEET_SIZES.to_vec(), |nodes| vec![nodes]),
+            json: json(flags.json, "state"),
+            live_bytes: counters.live_bytes,
         }),
         CarobvaneBenchCmd::Path(flags) => {
             path::run(&PathOptions { runs: runs(flags.runs), json: json(flags.json, "path") })
