--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -6,7 +6,7 @@
     ids::IncarnationId,
     routing::{FailureKind, RequestClass, hedge_delay},
     streams::{AttemptStart, NextStep},
-    suspects::SuspectAdmission,
+    suspects::{RunEnd, SuspectAdmission},
 };
 use carobvane_proto::engine::EngineExtension;
 use futures::{
@@ -137,11 +137,18 @@
         }
         routes.route(now, &request.query, &[launched.place.routed.server]).ok()?
     };
-    let run = shared.suspects.begin(request.fingerprint, &routed.name, SuspectAdmission::Run);
-    let Some((run, start)) = run.and_then(|run| Some((run, state.stream.open()?))) else {
+    // A hedge does not wait for an engine to say its life.
+    let may_begin = !shared.suspects.must_ask(&routed.name);
+    let begin = || shared.suspects.begin(request.fingerprint, &routed.name, SuspectAdmission::Run);
+    let Some(run) = may_begin.then(begin).flatten() else {
         shared.routes().failed(clock::now(), &routed, FailureKind::Cancelled);
         return None;
     };
+    let Some(start) = state.stream.open() else {
+        shared.routes().failed(clock::now(), &routed, FailureKind::Cancelled);
+        shared.suspects.end(run, RunEnd::Ended);
+        return None;
+    };
     log_decision(shared, request, &routed, "hedge", start.resume.offset);
     metrics::counter!("carobvane_hedges_total").increment(1);
     Some(LaunchedAttempt { start, place: Placement { routed, run, slot: None } })
--- a/crates/host/src/entry/placement.rs
+++ b/crates/host/src/entry/placement.rs
@@ -34,8 +34,11 @@
 const SUSPECT_POLL: Duration = Duration::from_millis(10);
 /// When to come back with a suspect that runs already.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
-/// Longest wait for a server to show that it is alive.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for a server's life before a request is sent to it.
+const LIFE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest wait for a server's life after a stream broke. A process that has died refuses the
+/// connection at once; a server that is only busy must not count as dead.
+const DEATH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A server that counts this attempt as its own.
 pub struct Placement {
@@ -200,7 +203,7 @@
         return true;
     }
     let asked = clock::now();
-    match ask_life(client, request, server).await {
+    match ask_life(client, request, server, LIFE_TIMEOUT).await {
         LifeAnswer::Life(incarnation) => {
             shared.suspects.learn(server, incarnation, asked);
             true
@@ -220,14 +223,19 @@
 }
 
 /// Asks a server for its present life.
-async fn ask_life(client: &awc::Client, request: &RelayRequest, server: &str) -> LifeAnswer {
+async fn ask_life(
+    client: &awc::Client,
+    request: &RelayRequest,
+    server: &str,
+    timeout: Duration,
+) -> LifeAnswer {
     let Some(target) = request.lists.server(server) else { return LifeAnswer::Down };
     let probe = async {
         let url = format!("http://{}/state", target.address);
         let mut response = client.get(url).send().await.ok()?;
         response.json::<EngineState>().await.ok()
     };
-    match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
+    match tokio::time::timeout(timeout, probe).await {
         Ok(Some(state)) => LifeAnswer::Life(state.incarnation),
         Ok(None) => LifeAnswer::Down,
         Err(_) => LifeAnswer::Slow,
@@ -242,7 +250,7 @@
     server: &str,
     run: &ServerRun,
 ) -> bool {
-    match ask_life(client, request, server).await {
+    match ask_life(client, request, server, DEATH_TIMEOUT).await {
         LifeAnswer::Life(incarnation) => run.is_in_life(incarnation),
         LifeAnswer::Down | LifeAnswer::Slow => false,
     }
--- a/crates/replay/tests/streams.rs
+++ b/crates/replay/tests/streams.rs
@@ -1,13 +1,15 @@
 //! Streams over loopback: engines that crash, mix chunks up, send garbage or end early.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use carobvane_replay::fleet::{Fleet, FleetSettings, MODEL, key_of};
-use carobvane_standin::engine::{EngineSettings, FaultUpdate};
+use carobvane_standin::engine::{EngineHandle, EngineSettings, FaultUpdate};
 use futures::future::join_all;
 use serde_json::{Value, json};
 
 const TOKENS: u32 = 40;
+/// Rounds of requests within which a faulty engine must be used.
+const MAX_ROUNDS: usize = 50;
 
 /// Engines that answer [`TOKENS`] tokens in some tens of milliseconds.
 fn fleet(engines: usize) -> FleetSettings {
@@ -79,11 +81,25 @@
         let fleet = Fleet::start(&fleet(3)).await.unwrap();
         let expected = ask(&fleet, 0, "is the float ready?").await;
         assert!(expected.done && expected.finishes == 1, "{expected:?}");
-        fleet.engines[0].faults(&case.faults);
-        fleet.engines[1].faults(&case.faults);
-        let answers = (0..12).map(|entry| ask(&fleet, entry, "is the float ready?"));
-        for answer in join_all(answers).await {
-            assert_eq!(answer, expected, "{}", case.name);
+        // The engine that has the prefix and one more fail.
+        let served = |engine: &&EngineHandle| Reverse(engine.counters().requests);
+        let mut faulty = fleet.engines.iter().collect::<Vec<_>>();
+        faulty.sort_by_key(served);
+        faulty.truncate(2);
+        let requests = || faulty.iter().map(|engine| engine.counters().requests).sum::<u64>();
+        let before = requests();
+        faulty.iter().for_each(|engine| engine.faults(&case.faults));
+        // Four requests for each entry, which its budget of extra attempts covers; again while
+        // routing avoids the faulty engines.
+        for round in 0.. {
+            let answers = (0..12).map(|entry| ask(&fleet, entry, "is the float ready?"));
+            for answer in join_all(answers).await {
+                assert_eq!(answer, expected, "{}", case.name);
+            }
+            if requests() > before {
+                break;
+            }
+            assert!(round < MAX_ROUNDS, "{}: no faulty engine was used", case.name);
         }
         fleet.stop().await;
     }
