--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -9,15 +9,21 @@
 };
 
 use actix_web::{HttpRequest, http::header};
-use carobvane_core::{ids::NodeLife, lists::ListSnapshot};
+use carobvane_core::{ids::NodeLife, lists::ListSnapshot, membership::MemberProbe};
 use carobvane_proto::headers;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::mpsc;
 
 use super::{
     active::{ActiveLists, CallerWorkspace},
+    claims::{ClaimCall, ClaimDesk},
     error::{CallerError, ErrorCode},
+    permits::PermitDesk,
+    plans::PlanGate,
     servers::ServerPool,
+    suspects::SuspectDesk,
 };
-use crate::{peer::PeerSender, settings::EntrySettings};
+use crate::{clock, peer::PeerSender, settings::EntrySettings};
 
 /// How long a discovery answer may be kept.
 pub const DISCOVERY_LIFETIME: Duration = Duration::from_secs(5);
@@ -36,6 +42,15 @@
     pub own: NodeLife,
     /// Sends to other processes.
     pub sender: PeerSender,
+    /// Limits of the plans.
+    pub plans: Arc<PlanGate>,
+    members: Mutex<MemberProbe>,
+    /// Claims of non-idempotent calls.
+    pub claims: ClaimDesk,
+    /// Permits for non-idempotent calls.
+    pub permits: PermitDesk,
+    /// Requests that crash servers.
+    pub suspects: SuspectDesk,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
     draining: AtomicBool,
@@ -45,19 +60,34 @@
 }
 
 impl EntryShared {
-    /// Creates the state of an entry without lists.
-    pub fn new(settings: EntrySettings, own: NodeLife, sender: PeerSender) -> EntryShared {
-        EntryShared {
+    /// Creates the state of an entry without lists, and the receiver of its claims' calls.
+    pub fn new(
+        settings: EntrySettings,
+        own: NodeLife,
+        sender: PeerSender,
+    ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
+        let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
+        let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
+        let (claims, calls) = ClaimDesk::new(own);
+        let permits = PermitDesk::new(own, &settings.fleet_key);
+        let suspects = SuspectDesk::new(own, sender.clone());
+        let shared = EntryShared {
+            claims,
+            permits,
+            suspects,
             settings,
             own,
             sender,
+            plans,
+            members: Mutex::new(MemberProbe::start(clock::now(), own, &mut rng)),
             lists: RwLock::new(None),
             pool: Mutex::new(ServerPool::new(own.incarnation.0)),
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
-        }
+        };
+        (shared, calls)
     }
 
     /// The lists in force, if there are any.
@@ -68,11 +98,19 @@
     /// Puts a version into force.
     pub fn activate(&self, snapshot: &ListSnapshot) {
         let lists = Arc::new(ActiveLists::new(snapshot));
+        self.plans.activate(snapshot);
+        let nodes: Vec<_> = snapshot.document.entries.values().map(|entry| entry.node).collect();
+        self.members().set_listed(&nodes);
         self.pool().set_servers(&lists, self.own.node);
         *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
         metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
     }
 
+    /// The other entries as this one sees them.
+    pub fn members(&self) -> MutexGuard<'_, MemberProbe> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The backend servers.
     pub fn pool(&self) -> MutexGuard<'_, ServerPool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
@@ -121,13 +159,19 @@
         Ok((lists, workspace))
     }
 
-    fn draining_error(&self) -> CallerError {
+    /// The answer to new requests while this entry leaves.
+    pub fn draining_error(&self) -> CallerError {
         let mut error = CallerError::not_run(ErrorCode::Draining, "this entry is leaving")
             .with_retry_after(Duration::from_secs(1));
         error.location = self.pool().other_entry();
         error
     }
 
+    /// A number that no other stream of this process has.
+    pub fn next_stream(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
@@ -143,12 +187,14 @@
     /// Takes this entry out of discovery.
     pub fn begin_drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
+        self.members().drain();
         log::info!(in_progress = self.in_progress(); "drain begun");
     }
 
     /// Redirects new requests from now on.
     pub fn refuse_new(&self) {
         self.refusing.store(true, Ordering::SeqCst);
+        self.plans.drain();
     }
 
     /// Whether this entry is leaving.
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -3,6 +3,9 @@
 use carobvane_core::{
     ids::NodeLife,
     lists::{ListMessage, VersionSummary},
+    membership::MemberMessage,
+    plans::ShareMessage,
+    suspects::SuspectMessage,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -90,4 +93,10 @@
     Summary(VersionSummary),
     /// Spread of the lists.
     Lists(ListMessage),
+    /// Shares of plans, between entries.
+    Shares(ShareMessage),
+    /// Membership of entries.
+    Members(MemberMessage),
+    /// Requests that crash servers.
+    Suspects(SuspectMessage),
 }
