--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -1,14 +1,17 @@
 //! What an entry does with what its node learns.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use carobvane_core::{
-    clock::ClockTime, ids::NodeLife, lists::ListSnapshot, membership::MemberEffect,
+    clock::ClockTime,
+    ids::NodeLife,
+    lists::{ListSnapshot, ServerRole},
+    membership::MemberEffect,
 };
 use carobvane_proto::peer::{PeerMessage, PeerRole};
 use rand::{SeedableRng, rngs::SmallRng};
 
-use super::shared::EntryShared;
+use super::{shared::EntryShared, watch::watch_engine};
 use crate::node::NodeHost;
 
 /// The entry's side of its node.
@@ -17,13 +20,15 @@
     rng: SmallRng,
     /// Other live entries.
     entries: Vec<NodeLife>,
+    /// Names and addresses of the engines that are followed.
+    watched: BTreeSet<(String, String)>,
 }
 
 impl EntryHost {
     /// Creates the host of an entry.
     pub fn new(shared: Arc<EntryShared>) -> EntryHost {
         let rng = SmallRng::seed_from_u64(shared.own.incarnation.0);
-        EntryHost { shared, rng, entries: Vec::new() }
+        EntryHost { shared, rng, entries: Vec::new(), watched: BTreeSet::new() }
     }
 }
 
@@ -48,11 +53,26 @@
         self.shared.claims.set_live_entries(self.entries.len() as u32 + 1);
         self.shared.suspects.set_peers(self.entries.iter().map(|entry| entry.node).collect());
     }
+
+    /// Follows each engine of the lists. An engine that has left ends its own task.
+    fn watch_engines(&mut self, snapshot: &ListSnapshot) {
+        let servers = snapshot.document.servers.iter();
+        let engines: BTreeSet<(String, String)> = servers
+            .filter(|(_, server)| matches!(server.role, ServerRole::Engine(_)))
+            .map(|(name, server)| (name.clone(), server.address.clone()))
+            .collect();
+        for (name, address) in engines.difference(&self.watched) {
+            let shared = Arc::clone(&self.shared);
+            actix_rt::spawn(watch_engine(shared, name.clone(), address.clone()));
+        }
+        self.watched = engines;
+    }
 }
 
 impl NodeHost for EntryHost {
     fn activate(&mut self, snapshot: &ListSnapshot) {
         self.shared.activate(snapshot);
+        self.watch_engines(snapshot);
         for entry in snapshot.document.entries.values() {
             if entry.node != self.shared.own.node
                 && let Ok(address) = entry.peer_address.parse()
@@ -101,5 +121,6 @@
         self.carry_out(effects);
         self.shared.claims.tick(now);
         self.shared.suspects.tick(now);
+        self.shared.routes().tick(now);
     }
 }
--- a/crates/host/src/entry/relay_attempt.rs
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -1,24 +1,27 @@
-//! One attempt of a relay.
+//! Relays the stream of one attempt.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use carobvane_core::streams::{AttemptFault, AttemptId, AttemptStart, ChunkVerdict, StreamChunk};
-use carobvane_proto::engine::EngineExtension;
+use carobvane_core::{
+    routing::DispatchKey,
+    streams::{AttemptFault, AttemptId, ChunkVerdict, StreamChunk},
+};
 use futures::Stream;
-use serde_json::Value;
 
 use super::{
-    attempt::{
-        AttemptError, AttemptEvent, AttemptRequest, EngineChunk, EngineStream, open_attempt,
-    },
-    relay::{RelayRequest, RelayState},
+    attempt::{AttemptError, AttemptEvent, EngineChunk},
+    launch::StartedAttempt,
+    relay::RelayState,
     shared::EntryShared,
     sink::{CallerGone, ChunkSink},
-    suspects::ServerRun,
 };
+use crate::clock;
+
+/// Chunks between two reports of the gap between tokens, so that most chunks take no lock.
+const GAP_CHUNKS: u32 = 16;
 
 /// Why the relay of one attempt ended.
-pub(super) enum AttemptEnd {
+pub enum AttemptEnd {
     /// The caller has the whole answer.
     Complete,
     /// The attempt failed.
@@ -27,70 +30,29 @@
     CallerGone,
 }
 
-/// An attempt on a chosen server.
-pub(super) struct RelayAttempt<'a> {
-    /// What the threads of the entry share.
-    pub(super) shared: &'a EntryShared,
-    /// The HTTP client of this thread.
-    pub(super) client: &'a awc::Client,
-    /// The request.
-    pub(super) request: &'a RelayRequest,
-    /// The server's name.
-    pub(super) server: &'a str,
-    /// Where the attempt begins.
-    pub(super) start: AttemptStart,
-    /// The run in the count of crashes.
-    pub(super) run: &'a mut ServerRun,
+/// Measures the mean gap between the tokens of an attempt.
+struct GapMeter {
+    dispatch: DispatchKey,
+    since: Instant,
+    chunks: u32,
 }
 
-impl RelayAttempt<'_> {
-    /// Sends the request and relays the engine's stream.
-    pub(super) async fn relay<K: ChunkSink>(
-        self,
-        state: &mut RelayState,
-        sink: &mut K,
-    ) -> AttemptEnd {
-        let Some(target) = self.request.lists.server(self.server) else {
-            return AttemptEnd::Failed(AttemptError::NotSent("server left the lists".to_string()));
-        };
-        let attempt = AttemptRequest {
-            url: format!("http://{}{}", target.address, self.request.path),
-            attempt: self.start.id.to_string(),
-            request: self.request.id.clone(),
-            weights: self.start.resume.weights_version,
-            body: attempt_body(self.request, &self.start),
-        };
-        let started = Instant::now();
-        let mut stream = match open_attempt(self.client, &attempt).await {
-            Ok(stream) => stream,
-            Err(error) => return AttemptEnd::Failed(error),
-        };
-        if let Some(incarnation) = stream.incarnation {
-            self.shared.suspects.answered(self.run, incarnation);
+impl GapMeter {
+    fn chunk(&mut self, shared: &EntryShared) {
+        self.chunks += 1;
+        if self.chunks < GAP_CHUNKS {
+            return;
         }
-        let end = relay_stream(&mut stream, self.start.id, state, sink).await;
-        metrics::histogram!("carobvane_attempt_seconds").record(started.elapsed().as_secs_f64());
-        end
+        let gap: Duration = self.since.elapsed() / self.chunks;
+        shared.routes().router.token_gap(clock::now(), self.dispatch, gap);
+        (self.since, self.chunks) = (Instant::now(), 0);
     }
 }
 
-fn attempt_body(request: &RelayRequest, start: &AttemptStart) -> bytes::Bytes {
-    let extension = EngineExtension {
-        resume_offset: start.resume.offset,
-        resume_text: start.resume.text.clone(),
-        cache_salt: start.resume.cache_salt.clone(),
-        ..request.extension.clone()
-    };
-    let mut body = request.body.clone();
-    if let Ok(Value::Object(fields)) = serde_json::to_value(extension) {
-        body.extend(fields);
-    }
-    serde_json::to_vec(&body).unwrap_or_default().into()
-}
-
-async fn relay_stream<S, K>(
-    stream: &mut EngineStream<S>,
-    attempt: AttemptId,
+/// Relays the stream of a started attempt until it ends.
+pub async fn relay_stream<S, K>(
+    shared: &EntryShared,
+    started: &mut StartedAttempt<S>,
     state: &mut RelayState,
     sink: &mut K,
 ) -> AttemptEnd
@@ -98,8 +60,16 @@
     S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
     K: ChunkSink,
 {
+    let dispatch = started.launched.routed.dispatch;
+    let attempt = started.launched.start.id;
+    let mut meter = GapMeter { dispatch, since: Instant::now(), chunks: 0 };
+    let mut first = Some(std::mem::replace(&mut started.first, AttemptEvent::Done));
     loop {
-        let chunk = match stream.next().await {
+        let event = match first.take() {
+            Some(event) => Ok(event),
+            None => started.stream.next().await,
+        };
+        let chunk = match event {
             Ok(AttemptEvent::Chunk(chunk)) => chunk,
             Ok(AttemptEvent::Done) => {
                 return match state.stream.end(attempt) {
@@ -111,6 +81,7 @@
         };
         match accept_chunk(&chunk, state) {
             Ok(true) => {
+                meter.chunk(shared);
                 if sink.chunk(chunk).await == Err(CallerGone) {
                     return AttemptEnd::CallerGone;
                 }
--- a/crates/programs/src/bin/carobvane-bench.rs
+++ b/crates/programs/src/bin/carobvane-bench.rs
@@ -2,6 +2,7 @@
 
 use std::{alloc::System, process::ExitCode};
 
+use carobvane_replay::bench::program::AllocatorCounters;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 /// Counts allocations, because a decision must make none once the router is warm.
@@ -9,8 +10,14 @@
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 fn main() -> ExitCode {
-    carobvane_replay::bench::program::run(|| {
-        let stats = ALLOCATOR.stats();
-        stats.allocations + stats.reallocations
+    carobvane_replay::bench::program::run(AllocatorCounters {
+        allocations: || {
+            let stats = ALLOCATOR.stats();
+            stats.allocations + stats.reallocations
+        },
+        live_bytes: || {
+            let stats = ALLOCATOR.stats();
+            stats.bytes_allocated - stats.bytes_deallocated
+        },
     })
 }
