--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -20,6 +20,7 @@
     error::{CallerError, ErrorCode},
     permits::PermitDesk,
     plans::PlanGate,
+    routes::RouteBook,
     servers::ServerPool,
     suspects::SuspectDesk,
 };
@@ -53,6 +54,7 @@
     pub suspects: SuspectDesk,
     lists: RwLock<Option<Arc<ActiveLists>>>,
     pool: Mutex<ServerPool>,
+    routes: Mutex<RouteBook>,
     draining: AtomicBool,
     refusing: AtomicBool,
     in_progress: AtomicUsize,
@@ -66,6 +68,7 @@
         own: NodeLife,
         sender: PeerSender,
     ) -> (EntryShared, mpsc::UnboundedReceiver<ClaimCall>) {
+        let routes = RouteBook::new(own.incarnation.0, settings.piece_tokens);
         let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
         let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
         let (claims, calls) = ClaimDesk::new(own);
@@ -82,6 +85,7 @@
             members: Mutex::new(MemberProbe::start(clock::now(), own, &mut rng)),
             lists: RwLock::new(None),
             pool: Mutex::new(ServerPool::new(own.incarnation.0)),
+            routes: Mutex::new(routes),
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
@@ -102,6 +106,7 @@
         let nodes: Vec<_> = snapshot.document.entries.values().map(|entry| entry.node).collect();
         self.members().set_listed(&nodes);
         self.pool().set_servers(&lists, self.own.node);
+        self.routes().set_servers(&lists);
         *self.lists.write().unwrap_or_else(PoisonError::into_inner) = Some(lists);
         metrics::gauge!("carobvane_list_version").set(snapshot.version.number as f64);
     }
@@ -116,6 +121,11 @@
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Routing state of the engines.
+    pub fn routes(&self) -> MutexGuard<'_, RouteBook> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A request id: the caller's, if it is usable, or a new one.
     pub fn request_id(&self, request: &HttpRequest) -> String {
         let given = request.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
--- a/crates/replay/src/bench/program.rs
+++ b/crates/replay/src/bench/program.rs
@@ -13,8 +13,8 @@
 const MIN_RUNS: usize = 5;
 /// Default of `decide --decisions`.
 const DEFAULT_DECISIONS: usize = 50_000;
-/// Fleet sizes of `state`: today's, two between, and the two-year size.
-const STATE_NODES: [usize; 4] = [9, 50, 200, 780];
+/// Numbers of nodes that `state` measures.
+const FLEET_SIZES: [usize; 4] = [9, 50, 200, 780];
 /// Folder of the JSON files.
 const RESULT_FOLDER: &str = "target/bench";
 
@@ -42,7 +42,7 @@
             cmd state {
                 /// Runs of each figure; at least 5.
                 optional --runs runs: usize
-                /// Number of nodes. Default: 9, 50, 200 and 780.
+                /// Number of nodes; default 9, 50, 200 and 780.
                 optional --nodes nodes: usize
                 /// File for the figures as JSON.
                 optional --json json: PathBuf
@@ -58,9 +58,17 @@
     }
 }
 
-/// Runs the program; `allocations` counts the allocations of the process so far, and `live_bytes`
-/// the bytes that it holds.
-pub fn run(allocations: fn() -> usize, live_bytes: fn() -> usize) -> ExitCode {
+/// Counters of the process's allocator.
+#[derive(Debug, Clone, Copy)]
+pub struct AllocatorCounters {
+    /// Allocations so far.
+    pub allocations: fn() -> usize,
+    /// Bytes held now.
+    pub live_bytes: fn() -> usize,
+}
+
+/// Runs the program.
+pub fn run(counters: AllocatorCounters) -> ExitCode {
     let flags = match CarobvaneBench::from_env() {
         Ok(flags) => flags,
         Err(error) => error.exit(),
@@ -71,17 +79,17 @@
             decisions: flags.decisions.unwrap_or(DEFAULT_DECISIONS),
             json: json(flags.json, "decide"),
             targets_only: flags.targets_only,
-            allocations,
+            allocations: counters.allocations,
         }),
-        CarobvaneBenchCmd::Path(flags) => {
-            path::run(&PathOptions { runs: runs(flags.runs), json: json(flags.json, "path") })
-        }
         CarobvaneBenchCmd::State(flags) => state::run(&StateOptions {
             runs: runs(flags.runs),
-            sizes: flags.nodes.map_or(STATE_NODES.to_vec(), |nodes| vec![nodes]),
+            sizes: flags.nodes.map_or(FLEET_SIZES.to_vec(), |nodes| vec![nodes]),
             json: json(flags.json, "state"),
-            live_bytes,
+            live_bytes: counters.live_bytes,
         }),
+        CarobvaneBenchCmd::Path(flags) => {
+            path::run(&PathOptions { runs: runs(flags.runs), json: json(flags.json, "path") })
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
