--- a/crates/replay/src/bench/state/fleet.rs
+++ b/crates/replay/src/bench/state/fleet.rs
@@ -17,11 +17,9 @@
 
 use super::{RunValue, service};
 
-/// Latency of every message.
 const LATENCY: Duration = Duration::from_millis(2);
 /// Time of the measured part: three list changes.
 const MEASURED: Duration = Duration::from_millis(10_800);
-/// Time before it, in which entries confirm their shares.
 const WARM_UP: Duration = Duration::from_secs(4);
 /// Interval of list changes: 24,000 a day.
 const CHANGE_TIME: Duration = Duration::from_millis(3_600);
@@ -91,7 +89,7 @@
 }
 
 impl BenchFleet {
-    /// Runs one fleet and returns its figures, each for one node and second.
+    /// Runs one fleet; rates are for one node.
     pub(super) fn measure(nodes: usize, seed: u64, live_bytes: fn() -> usize) -> Vec<RunValue> {
         let before = live_bytes();
         let mut fleet = BenchFleet::new(nodes, seed);
