Ask for confirmations of a list version sooner

Cause: the restart test failed again under load (429). Entries that started together ask each other for confirmations at once, when a peer may not have activated the version yet, and then only every second; until then no entry may lend, and a restarted one can borrow nothing. Ruled out: missing links (lists had come over them) and quarantine (the lenders were fresh). Change: the pause between requests starts at 50 ms and doubles up to 1 s.

--- a/crates/core/src/plans/confirm.rs
+++ b/crates/core/src/plans/confirm.rs
@@ -2,7 +2,7 @@
 
 use super::{
     LimitKind, PlanId, ShareEffect, ShareMessage,
-    ledger::{CONFIRM_TIME, LedgerTimer, ShareLedger},
+    ledger::{CONFIRM_TIME, FIRST_CONFIRM_TIME, LedgerTimer, ShareLedger},
 };
 use crate::{
     clock::ClockTime,
@@ -77,7 +77,8 @@
         );
         if !awaited.is_empty() {
             self.confirm_open = true;
-            self.timers.subscribe(now + CONFIRM_TIME, LedgerTimer::Confirm);
+            self.timers.subscribe(now + self.confirm_pause, LedgerTimer::Confirm);
+            self.confirm_pause = (self.confirm_pause * 2).min(CONFIRM_TIME);
         }
     }
 
@@ -93,6 +94,7 @@
     }
 
     pub(super) fn open_confirm(&mut self, now: ClockTime) {
+        self.confirm_pause = FIRST_CONFIRM_TIME;
         if !self.confirm_open {
             self.confirm_open = true;
             self.timers.subscribe(now, LedgerTimer::Confirm);
--- a/crates/core/src/plans/ledger.rs
+++ b/crates/core/src/plans/ledger.rs
@@ -20,6 +20,9 @@
 pub const TICK_TIME: Duration = Duration::from_millis(250);
 /// Time between two requests for a missing confirmation.
 pub(super) const CONFIRM_TIME: Duration = Duration::from_secs(1);
+/// First pause between requests for confirmations; doubled up to [`CONFIRM_TIME`]. With a second
+/// from the start, entries that started together lent nothing for up to 2 s.
+pub(super) const FIRST_CONFIRM_TIME: Duration = Duration::from_millis(50);
 
 /// A use to settle at the request's end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,6 +74,8 @@
     pub(super) timers: TimerService<LedgerTimer>,
     tick_open: bool,
     pub(super) confirm_open: bool,
+    /// Pause before the next request for confirmations.
+    pub(super) confirm_pause: Duration,
     last_tick: ClockTime,
     draining: bool,
 }
@@ -96,6 +101,7 @@
             timers: TimerService::new(),
             tick_open: false,
             confirm_open: false,
+            confirm_pause: FIRST_CONFIRM_TIME,
             last_tick: ClockTime::ZERO,
             draining: false,
         }
