Judge servers by corrected predictions and confirm prefixes by answers

The time to first token was compared with a prediction for the guessed hit and with waits that depend on other entries; the mean gap between tokens widens whenever an engine prefills; the slowdown was part of its own prediction. Lost events left all records of an engine uncertain for good, since engines publish only new pieces. Copies outside a prefix's homes were too cheap. Change: the prediction is corrected with the pieces that the engine found, and skipped when the request mostly waited; the gap is the lower quartile of 16; slowdowns below 1.5 do not count in costs; an answer confirms its whole prefix; a copy costs half of the missed prefill instead of a tenth.

--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -12,7 +12,7 @@
 const UNCERTAIN_WEIGHT: f32 = 0.5;
 /// Share of the missed prefill that a copy outside the prefix's homes costs others by evicting
 /// their blocks.
-const REPLICATION_SHARE: f32 = 0.1;
+const REPLICATION_SHARE: f32 = 0.5;
 /// Milliseconds by which a fully used batch delays a prefill, compared with an idle server.
 const BATCH_DELAY_MS: f32 = 20.0;
 
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -26,14 +26,24 @@
     DispatchKey
 );
 
+/// Largest share of the expected time that may be a wait behind other requests in an observation of
+/// a server's speed. The wait depends on other entries' requests, which this entry does not see.
+const QUEUE_SHARE_MAX: f32 = 0.5;
+
 #[derive(Debug, Clone, Copy)]
 struct Dispatch {
     server: ServerKey,
     incarnation: IncarnationId,
     class: RequestClass,
     at: ClockTime,
-    /// Expected time to the first token in ms.
+    /// Expected time to the first token in ms at normal speed.
     expected_ms: f32,
+    /// Part of `expected_ms` that is spent behind other requests.
+    queue_ms: f32,
+    /// Tokens of the prompt.
+    prompt_tokens: u32,
+    /// Pieces that the decision counted as held or transferred.
+    held_pieces: u16,
     /// Prefill tokens still counted as waiting; zero after the first token.
     waiting_tokens: u32,
     alone: bool,
@@ -134,7 +144,7 @@
         decision: &RouteDecision,
     ) -> DispatchKey {
         let server = decision.server;
-        let expected_ms = decision.cost.first_token();
+        let expected_ms = decision.cost.first_token() - decision.cost.slowdown;
         let held = decision.hit_pieces + decision.transfer_pieces;
         let missing =
             self.state.cost.missing_tokens(request.prompt_tokens, held, decision.uncertain_pieces)
@@ -145,6 +155,9 @@
             class: request.class,
             at: now,
             expected_ms,
+            queue_ms: decision.cost.queue,
+            prompt_tokens: request.prompt_tokens,
+            held_pieces: held,
             waiting_tokens: missing,
             alone: request.alone,
         };
@@ -166,22 +179,44 @@
         self.dispatches.insert(dispatch)
     }
 
-    /// Notes the first token of an attempt.
-    pub fn first_token(&mut self, now: ClockTime, key: DispatchKey) {
+    /// Notes the first token of an attempt. `hit_pieces` is what the server says it found in its
+    /// cache.
+    ///
+    /// The time is compared with the prediction for that hit, because a wrong guess about the cache
+    /// must not make a server look slow. A request that waited behind others says nothing about the
+    /// server's speed.
+    pub fn first_token(&mut self, now: ClockTime, key: DispatchKey, hit_pieces: Option<u32>) {
         let Some(dispatch) = self.dispatches.get_mut(key) else { return };
         let waiting = std::mem::take(&mut dispatch.waiting_tokens);
         let dispatch = *dispatch;
         if !self.record_of(&dispatch) {
             return;
         }
+        let expected_ms = self.corrected_ms(&dispatch, hit_pieces);
         let Some(record) = self.state.table.get_mut(dispatch.server) else { return };
         record.waiting_tokens = record.waiting_tokens.saturating_sub(u64::from(waiting));
+        if dispatch.queue_ms > expected_ms * QUEUE_SHARE_MAX {
+            record.straggler.progressed(now);
+            return;
+        }
         let observed_ms = millis(now.since(dispatch.at));
-        let expected_ms = dispatch.expected_ms;
         self.state.detector.first_token(now, &mut record.straggler, observed_ms, expected_ms);
     }
 
-    /// Notes the mean gap between tokens since the last report of this attempt.
+    /// The expected time to the first token for the hit that the server found.
+    fn corrected_ms(&self, dispatch: &Dispatch, hit_pieces: Option<u32>) -> f32 {
+        let Some(hit_pieces) = hit_pieces else { return dispatch.expected_ms };
+        let settings = &self.state.cost.settings;
+        let prefill = |pieces: u32| {
+            let held = pieces.saturating_mul(settings.piece_tokens);
+            dispatch.prompt_tokens.saturating_sub(held) as f32 * settings.prefill_ms
+        };
+        let guessed = prefill(u32::from(dispatch.held_pieces));
+        (dispatch.expected_ms - guessed + prefill(hit_pieces)).max(0.0)
+    }
+
+    /// Notes a typical gap between tokens since the last report of this attempt: a low quantile,
+    /// since the prefill of other requests widens some gaps of a healthy engine.
     pub fn token_gap(&mut self, now: ClockTime, key: DispatchKey, gap: Duration) {
         let Some(dispatch) = self.dispatches.get(key).copied() else { return };
         if !self.record_of(&dispatch) {
@@ -290,8 +325,9 @@
         self.new_life(server, incarnation);
     }
 
-    /// Notes that a server in this life has computed a prompt. Needed when the life has begun since
-    /// the dispatch, or was not known then: the records of the dispatch belong to the earlier one.
+    /// Notes that a server in this life has computed a prompt, so it holds all its pieces now. This
+    /// confirms records that a gap in the events had made uncertain: engines publish only new
+    /// pieces, so those that are found in the cache never come as events.
     pub fn prefix_computed(
         &mut self,
         now: ClockTime,
@@ -302,7 +338,7 @@
         let current = self.state.table.get(server).map(|record| record.incarnation);
         if let Some(number) = server_number(server).filter(|_| current == Some(incarnation)) {
             for &piece in chain.pieces() {
-                self.state.index.insert(now, number, piece, BlockSource::Decision);
+                self.state.index.insert(now, number, piece, BlockSource::Event);
             }
         }
     }
--- a/crates/core/src/routing/straggler.rs
+++ b/crates/core/src/routing/straggler.rs
@@ -17,6 +17,9 @@
 const STRAGGLER_FACTOR: f32 = 2.0;
 /// Slowdown below which a probe counts as good; lower than the limit above, against flapping.
 const RECOVERED_FACTOR: f32 = 1.4;
+/// Slowdown that is ignored in costs; smaller differences between healthy servers are noise, and
+/// moved requests away from the holders of their prefixes.
+const IGNORED_FACTOR: f32 = 1.5;
 /// Observations before a server can be a straggler.
 const MIN_OBSERVATIONS: u32 = 3;
 /// Good probes in a row after which a straggler is normal again.
@@ -110,6 +113,9 @@
     /// How many times slower than its peers a server is; at least 1.
     pub fn slowdown(&self, now: ClockTime, state: &StragglerState, in_flight: u32) -> f32 {
         let mut factor = self.observed_factor(state);
+        if factor < IGNORED_FACTOR {
+            factor = 1.0;
+        }
         if factor > 1.0 {
             let age = now.since(state.observed).as_secs_f32() / SLOWDOWN_HALF_LIFE.as_secs_f32();
             factor = 1.0 + (factor - 1.0) * (-age).exp2();
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -91,7 +91,7 @@
     let request = fleet.request(&chain, RequestClass::Short);
     let key = fleet.router.dispatched(fleet.now, &request, &first);
     fleet.wait(300);
-    fleet.router.first_token(fleet.now, key);
+    fleet.router.first_token(fleet.now, key, None);
     fleet.router.finished(fleet.now, key);
     let second = fleet.decide(&chain).expect("servers are idle");
     assert_eq!(second.server, first.server);
@@ -272,7 +272,7 @@
         let slowed = decision.server == slow && phase == 1;
         let took = decision.cost.first_token() * if slowed { 6.0 } else { 1.0 };
         fleet.wait(took.max(1.0) as u64);
-        fleet.router.first_token(fleet.now, key);
+        fleet.router.first_token(fleet.now, key, None);
         fleet.wait(20);
         fleet.router.finished(fleet.now, key);
     }
@@ -363,7 +363,7 @@
         for _ in 0..20 {
             let key = fleet.router.dispatched(fleet.now, &request, &slow);
             fleet.wait(5_000);
-            fleet.router.first_token(fleet.now, key);
+            fleet.router.first_token(fleet.now, key, None);
             fleet.router.finished(fleet.now, key);
         }
         for _ in 0..case.in_flight {
--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -166,12 +166,14 @@
     let mut routes = shared.routes();
     if let Some(incarnation) = stream.incarnation.map(IncarnationId) {
         routes.router.incarnation_seen(routed.server, incarnation);
-        if incarnation != routed.decision.incarnation {
-            let chain = &request.query.chain;
-            routes.router.prefix_computed(now, routed.server, incarnation, chain);
-        }
+        let chain = &request.query.chain;
+        routes.router.prefix_computed(now, routed.server, incarnation, chain);
     }
-    routes.router.first_token(now, routed.dispatch);
+    let hit_pieces = match &first {
+        AttemptEvent::Chunk(chunk) => chunk.position.as_ref().and_then(|at| at.hit_pieces),
+        AttemptEvent::Done => None,
+    };
+    routes.router.first_token(now, routed.dispatch, hit_pieces);
     drop(routes);
     if let Some(incarnation) = stream.incarnation {
         shared.suspects.answered(&mut launched.place.run, incarnation);
--- a/crates/host/src/entry/relay_attempt.rs
+++ b/crates/host/src/entry/relay_attempt.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 
 /// Chunks between two reports of the gap between tokens, so that most chunks take no lock.
-const GAP_CHUNKS: u32 = 16;
+const GAP_CHUNKS: usize = 16;
 
 /// Why the relay of one attempt ended.
 pub enum AttemptEnd {
@@ -30,22 +30,30 @@
     CallerGone,
 }
 
-/// Measures the mean gap between the tokens of an attempt.
+/// Measures the typical gap between the chunks of an attempt.
 struct GapMeter {
     dispatch: DispatchKey,
-    since: Instant,
-    chunks: u32,
+    last: Instant,
+    gaps: [Duration; GAP_CHUNKS],
+    chunks: usize,
 }
 
 impl GapMeter {
+    fn new(dispatch: DispatchKey) -> GapMeter {
+        GapMeter { dispatch, last: Instant::now(), gaps: [Duration::ZERO; GAP_CHUNKS], chunks: 0 }
+    }
+
     fn chunk(&mut self, shared: &EntryShared) {
-        self.chunks += 1;
+        let now = Instant::now();
+        self.gaps[self.chunks] = now - self.last;
+        (self.last, self.chunks) = (now, self.chunks + 1);
         if self.chunks < GAP_CHUNKS {
             return;
         }
-        let gap: Duration = self.since.elapsed() / self.chunks;
+        self.chunks = 0;
+        self.gaps.sort_unstable();
+        let gap = self.gaps[GAP_CHUNKS / 4];
         shared.routes().router.token_gap(clock::now(), self.dispatch, gap);
-        (self.since, self.chunks) = (Instant::now(), 0);
     }
 }
 
@@ -62,7 +70,7 @@
 {
     let dispatch = started.launched.place.routed.dispatch;
     let attempt = started.launched.start.id;
-    let mut meter = GapMeter { dispatch, since: Instant::now(), chunks: 0 };
+    let mut meter = GapMeter::new(dispatch);
     let mut first = Some(std::mem::replace(&mut started.first, AttemptEvent::Done));
     loop {
         let event = match first.take() {
--- a/crates/replay/src/bench/decide.rs
+++ b/crates/replay/src/bench/decide.rs
@@ -183,7 +183,7 @@
             let expected = decision.cost.first_token() as f64;
             self.now = self.now + std::time::Duration::from_micros(50);
             let first = self.now + std::time::Duration::from_micros((expected * 1_000.0) as u64);
-            self.router.first_token(first, key);
+            self.router.first_token(first, key, None);
             self.router.finished(first, key);
         }
         took
--- a/crates/replay/src/compare/attempt.rs
+++ b/crates/replay/src/compare/attempt.rs
@@ -12,8 +12,12 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc::UnboundedSender;
 
-/// Tokens between two reports of the mean gap.
-const GAP_TOKENS: u32 = 16;
+use crate::stats::percentile;
+
+/// Chunks between two reports of the typical gap.
+const GAP_TOKENS: usize = 16;
+/// Which gap of a report is the typical one; the entry takes the same.
+const GAP_QUANTILE: f64 = 0.25;
 
 /// What an attempt sends.
 #[derive(Debug, Clone)]
@@ -31,9 +35,9 @@
 /// What an attempt reports.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum AttemptEvent {
-    /// The first token arrived.
-    FirstToken,
-    /// Mean gap between tokens since the last report, in real seconds.
+    /// The first token arrived, with the pieces that the engine found in its cache.
+    FirstToken(Option<u32>),
+    /// Typical gap between tokens since the last report, in real seconds.
     Gap(f64),
     /// The attempt ended; whether with `[DONE]`.
     Ended(bool),
@@ -76,7 +80,8 @@
     let mut buffer: Vec<u8> = Vec::new();
     let mut tokens = 0;
     let mut done = false;
-    let mut gap_start: Option<(Instant, u32)> = None;
+    let mut last_chunk: Option<Instant> = None;
+    let mut gaps: Vec<f64> = Vec::with_capacity(GAP_TOKENS);
     while let Some(Ok(bytes)) = response.next().await {
         buffer.extend_from_slice(&bytes);
         while let Some(end) = buffer.windows(2).position(|pair| pair == b"\n\n") {
@@ -92,15 +97,17 @@
                 continue;
             }
             if tokens == 0 {
-                let _ = events.send((number, AttemptEvent::FirstToken));
+                let _ = events.send((number, AttemptEvent::FirstToken(head.position.hit_pieces)));
             }
             tokens = head.position.offset + head.position.tokens;
             let now = Instant::now();
-            let (start, first) = *gap_start.get_or_insert((now, tokens));
-            if tokens - first >= GAP_TOKENS {
-                let gap = now.duration_since(start).as_secs_f64() / f64::from(tokens - first);
+            if let Some(last) = last_chunk.replace(now) {
+                gaps.push(now.duration_since(last).as_secs_f64());
+            }
+            if gaps.len() >= GAP_TOKENS {
+                let gap = percentile(&gaps, GAP_QUANTILE);
                 let _ = events.send((number, AttemptEvent::Gap(gap)));
-                gap_start = Some((now, tokens));
+                gaps.clear();
             }
         }
     }
--- a/crates/replay/src/compare/chooser.rs
+++ b/crates/replay/src/compare/chooser.rs
@@ -62,9 +62,16 @@
     ) -> Option<EngineChoice<Self::Ticket>>;
     /// Whether an engine may take a request of this class.
     fn has_room(&self, class: RequestClass) -> bool;
-    /// Takes the first token of an attempt.
-    fn first_token(&mut self, now: ClockTime, ticket: Self::Ticket);
-    /// Takes the mean gap between tokens of an attempt.
+    /// Takes the first token of an attempt, with the pieces that the engine found in its cache.
+    fn first_token(
+        &mut self,
+        now: ClockTime,
+        ticket: Self::Ticket,
+        engine: usize,
+        hit_pieces: Option<u32>,
+        chain: &PrefixChain,
+    );
+    /// Takes the typical gap between tokens of an attempt.
     fn token_gap(&mut self, now: ClockTime, ticket: Self::Ticket, gap: Duration);
     /// Takes the end of a complete attempt.
     fn finished(&mut self, now: ClockTime, ticket: Self::Ticket);
@@ -159,9 +166,21 @@
         })
     }
 
-    fn first_token(&mut self, now: ClockTime, ticket: DispatchKey) {
+    fn first_token(
+        &mut self,
+        now: ClockTime,
+        ticket: DispatchKey,
+        engine: usize,
+        hit_pieces: Option<u32>,
+        chain: &PrefixChain,
+    ) {
+        let server = self.servers[engine];
+        let life = self.router.table().get(server).map(|record| record.incarnation);
+        if let Some(life) = life {
+            self.router.prefix_computed(now, server, life, chain);
+        }
         if self.observes {
-            self.router.first_token(now, ticket);
+            self.router.first_token(now, ticket, hit_pieces);
         }
     }
 
--- a/crates/replay/src/compare/oracle.rs
+++ b/crates/replay/src/compare/oracle.rs
@@ -132,7 +132,14 @@
         true
     }
 
-    fn first_token(&mut self, _now: ClockTime, ticket: OracleTicket) {
+    fn first_token(
+        &mut self,
+        _now: ClockTime,
+        ticket: OracleTicket,
+        _engine: usize,
+        _hit_pieces: Option<u32>,
+        _chain: &PrefixChain,
+    ) {
         if let Some(attempt) = self.attempts.get_mut(ticket) {
             attempt.pending = None;
         }
--- a/crates/replay/src/compare/serve.rs
+++ b/crates/replay/src/compare/serve.rs
@@ -313,7 +313,7 @@
         let ticket = self.attempts[number].ticket;
         let now = self.run.now();
         match event {
-            AttemptEvent::FirstToken => self.first_token(now, number),
+            AttemptEvent::FirstToken(hit_pieces) => self.first_token(now, number, hit_pieces),
             AttemptEvent::Gap(seconds) => {
                 let gap = Duration::from_secs_f64(seconds * self.run.time_scale());
                 self.run.chooser.borrow_mut().token_gap(now, ticket, gap);
@@ -323,7 +323,7 @@
         false
     }
 
-    fn first_token(&mut self, now: ClockTime, number: usize) {
+    fn first_token(&mut self, now: ClockTime, number: usize, hit_pieces: Option<u32>) {
         if self.winner.is_some() {
             return;
         }
@@ -333,7 +333,9 @@
         let hashes = self.request.chain.pieces().iter().map(|piece| piece.as_raw());
         self.run.seen.borrow_mut().extend(hashes);
         let mut chooser = self.run.chooser.borrow_mut();
-        chooser.first_token(now, self.attempts[number].ticket);
+        let attempt = &self.attempts[number];
+        let chain = &self.request.chain;
+        chooser.first_token(now, attempt.ticket, attempt.engine, hit_pieces, chain);
         for (index, attempt) in self.attempts.iter_mut().enumerate() {
             // Dropping the response closes the connection, which cancels the engine's work.
             if index != number
