Learn the lives of engines from the watcher, so that hedges find them

Cause: a hedge goes only to an engine whose life the count of crashes knows, and an engine that had never been used was not known; the hedge test timed out. Change: the watcher's answers tell the count of crashes the engine's life.

--- a/crates/host/src/entry/watch.rs
+++ b/crates/host/src/entry/watch.rs
@@ -60,6 +60,7 @@
 
     /// Reads state and load. Returns whether the engine answered.
     async fn poll(&self) -> bool {
+        let asked = clock::now();
         let state = self.read::<EngineState>("/state").await;
         let load = self.read::<LoadReport>("/load").await;
         let Some(key) = self.key() else { return false };
@@ -68,6 +69,8 @@
             return false;
         };
         self.take_state(key, &state);
+        // Hedges go only to engines whose life is known.
+        self.shared.suspects.learn(&self.name, state.incarnation, asked);
         let report = ReportedLoad {
             running: load.running,
             waiting: load.waiting,
