--- /dev/null
+++ b/crates/programs/tests/testsuite/metrics.rs
@@ -0,0 +1,37 @@
+//! The metrics page against the names in the code.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+const PAGE: &str = include_str!("../../../../docs/metrics.md");
+
+fn collect_names(folder: &Path, names: &mut BTreeSet<String>) {
+    for entry in fs::read_dir(folder).expect("the folder can be read") {
+        let path = entry.expect("the entry can be read").path();
+        if path.is_dir() {
+            collect_names(&path, names);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).expect("the file can be read");
+            let literals = text.split('"').skip(1).step_by(2);
+            let metrics = literals.filter(|literal| {
+                literal.strip_prefix("carobvane_").is_some_and(|rest| {
+                    !rest.is_empty()
+                        && rest.bytes().all(|byte| byte.is_ascii_lowercase() || byte == b'_')
+                })
+            });
+            names.extend(metrics.map(str::to_string));
+        }
+    }
+}
+
+/// Guards against a metric that the page does not have, and against one that no longer exists.
+#[test]
+fn page_has_every_metric() {
+    let mut names = BTreeSet::new();
+    let host = Path::new(env!("CARGO_MANIFEST_DIR")).join("../host/src");
+    collect_names(&host, &mut names);
+    let documented: BTreeSet<String> = PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `")?.split('`').next().map(str::to_string))
+        .collect();
+    assert_eq!(documented, names);
+}
