--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod baselines;
 mod candidates;
 mod cost;
+mod dispatch;
 mod heat;
 mod hedge;
 mod policy;
@@ -22,12 +23,13 @@
     baselines::{LeastLoaded, LeastLoadedPrefix, PrefixHashing, RoundRobin},
     candidates::{CandidateCost, CandidateList, CandidateSource, MAX_CANDIDATES},
     cost::{CostModel, CostParts, CostSettings},
+    dispatch::DispatchKey,
     heat::HeatTracker,
     hedge::{HedgeBudget, hedge_delay},
     policy::{CostPolicy, RoutingPolicy},
     request::{RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest},
     ring::ServerRing,
-    router::{DispatchKey, PrefixRouter, ROOM_TRIES},
+    router::{PrefixRouter, ROOM_TRIES},
     state::{RouterSettings, RouterState},
     straggler::{StragglerDetector, StragglerState},
     table::{ClassCounts, ReportedLoad, ServerRecord, ServerSeen, ServerTable},
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -7,13 +7,13 @@
 use super::{
     CacheUpdate, CostPolicy, FailureKind, ReportedLoad, RequestClass, RouteDecision, RouteRefusal,
     RouteRequest, RouterSettings, RouterState, RoutingPolicy, ServerSeen, ServerTable,
+    dispatch::{Dispatch, DispatchKey},
     state::{STORE_INDEX, server_number},
     table::TableChange,
 };
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
-    define_key,
     ids::{IncarnationId, ModelKey, ServerKey},
     prefix::{BlockSource, FeedVerdict, PrefixChain},
 };
@@ -21,34 +21,6 @@
 /// Servers that [`PrefixRouter::has_room`] looks at.
 pub const ROOM_TRIES: usize = 32;
 
-define_key!(
-    /// A request that was sent to a server.
-    DispatchKey
-);
-
-/// Largest share of the expected time that may be a wait behind other requests in an observation of
-/// a server's speed. The wait depends on other entries' requests, which this entry does not see.
-const QUEUE_SHARE_MAX: f32 = 0.5;
-
-#[derive(Debug, Clone, Copy)]
-struct Dispatch {
-    server: ServerKey,
-    incarnation: IncarnationId,
-    class: RequestClass,
-    at: ClockTime,
-    /// Expected time to the first token in ms at normal speed.
-    expected_ms: f32,
-    /// Part of `expected_ms` that is spent behind other requests.
-    queue_ms: f32,
-    /// Tokens of the prompt.
-    prompt_tokens: u32,
-    /// Pieces that the decision counted as held or transferred.
-    held_pieces: u16,
-    /// Prefill tokens still counted as waiting; zero after the first token.
-    waiting_tokens: u32,
-    alone: bool,
-}
-
 /// Chooses servers, and learns from what happens to the requests.
 #[derive(Debug, Clone)]
 pub struct PrefixRouter<P: RoutingPolicy = CostPolicy> {
@@ -192,10 +164,10 @@
         if !self.record_of(&dispatch) {
             return;
         }
-        let expected_ms = self.corrected_ms(&dispatch, hit_pieces);
+        let expected_ms = dispatch.corrected_ms(&self.state.cost.settings, hit_pieces);
         let Some(record) = self.state.table.get_mut(dispatch.server) else { return };
         record.waiting_tokens = record.waiting_tokens.saturating_sub(u64::from(waiting));
-        if dispatch.queue_ms > expected_ms * QUEUE_SHARE_MAX {
+        if dispatch.mostly_waited(expected_ms) {
             record.straggler.progressed(now);
             return;
         }
@@ -203,18 +175,6 @@
         self.state.detector.first_token(now, &mut record.straggler, observed_ms, expected_ms);
     }
 
-    /// The expected time to the first token for the hit that the server found.
-    fn corrected_ms(&self, dispatch: &Dispatch, hit_pieces: Option<u32>) -> f32 {
-        let Some(hit_pieces) = hit_pieces else { return dispatch.expected_ms };
-        let settings = &self.state.cost.settings;
-        let prefill = |pieces: u32| {
-            let held = pieces.saturating_mul(settings.piece_tokens);
-            dispatch.prompt_tokens.saturating_sub(held) as f32 * settings.prefill_ms
-        };
-        let guessed = prefill(u32::from(dispatch.held_pieces));
-        (dispatch.expected_ms - guessed + prefill(hit_pieces)).max(0.0)
-    }
-
     /// Notes a typical gap between tokens since the last report of this attempt: a low quantile,
     /// since the prefill of other requests widens some gaps of a healthy engine.
     pub fn token_gap(&mut self, now: ClockTime, key: DispatchKey, gap: Duration) {
--- /dev/null
+++ b/crates/host/tests/peers.rs
@@ -0,0 +1,72 @@
+//! Links between processes: who gets one, and which frames are taken.
+
+use std::net::SocketAddr;
+
+use carobvane_core::ids::{IncarnationId, NodeId, NodeLife};
+use carobvane_host::peer::{FleetKey, PeerInput, PeerLinks, PeerSender};
+use carobvane_proto::peer::{
+    FRAME_VERSION, FrameError, MAX_FRAME_BYTES, PeerEnvelope, PeerMessage, PeerRole, decode_frame,
+    encode_frame,
+};
+use tokio::sync::mpsc::Receiver;
+
+fn start(
+    node: u32,
+    key: [u8; 32],
+    join: &[SocketAddr],
+) -> (SocketAddr, PeerSender, Receiver<PeerInput>) {
+    let own = NodeLife { node: NodeId(node), incarnation: IncarnationId(1) };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    PeerLinks::start(own, PeerRole::Entry, listen, join, &FleetKey::new(key)).unwrap()
+}
+
+/// Guards against a process without the fleet's key that gets a link.
+#[actix_rt::test]
+async fn only_processes_with_the_fleet_key_are_linked() {
+    let (address, _sender, mut inputs) = start(1, [1; 32], &[]);
+    let (_, _stranger, mut stranger_inputs) = start(2, [2; 32], &[address]);
+    let (_, _peer, mut peer_inputs) = start(3, [1; 32], &[address]);
+    // The process with the right key starts last, so the other one has had its try.
+    let joined = inputs.recv().await.unwrap();
+    assert!(
+        matches!(joined, PeerInput::Joined { life, .. } if life.node == NodeId(3)),
+        "{joined:?}"
+    );
+    let joined = peer_inputs.recv().await.unwrap();
+    assert!(
+        matches!(joined, PeerInput::Joined { life, .. } if life.node == NodeId(1)),
+        "{joined:?}"
+    );
+    assert!(stranger_inputs.try_recv().is_err());
+    assert!(inputs.try_recv().is_err());
+}
+
+/// Guards against frames that are taken although they are cut, too large or of another version.
+#[test]
+fn bad_frames_are_refused() {
+    let life = NodeLife { node: NodeId(1), incarnation: IncarnationId(1) };
+    let envelope = PeerEnvelope { from: life, role: PeerRole::Entry, message: PeerMessage::Hello };
+    let good = encode_frame(&envelope).unwrap();
+    assert_eq!(decode_frame::<PeerEnvelope>(&good), Ok(envelope));
+    let mut other_version = good.clone();
+    other_version[0] = FRAME_VERSION + 1;
+    let mut unknown_message = good.clone();
+    *unknown_message.last_mut().unwrap() = 99;
+    let cases = [
+        ("empty", Vec::new()),
+        ("cut", good[..good.len() - 1].to_vec()),
+        ("other version", other_version),
+        ("unknown message", unknown_message),
+        ("too large", vec![FRAME_VERSION; MAX_FRAME_BYTES + 1]),
+    ];
+    for (name, frame) in cases {
+        let error = decode_frame::<PeerEnvelope>(&frame).unwrap_err();
+        let expected = match name {
+            "empty" => matches!(error, FrameError::Empty),
+            "other version" => matches!(error, FrameError::UnknownVersion(_)),
+            "too large" => matches!(error, FrameError::TooLarge(_)),
+            _ => matches!(error, FrameError::Malformed(_)),
+        };
+        assert!(expected, "{name}: {error}");
+    }
+}
