Read the settings that entries and stewards share in one place

Cause: both programs read and held nine equal settings, and the steward took a list of VMs that nothing read. Change: NodeSettings; the steward's --vm-list is gone.

--- a/crates/host/src/entry/admin.rs
+++ b/crates/host/src/entry/admin.rs
@@ -56,7 +56,7 @@
         node: shared.own.node.0,
         role: NodeRole::Entry,
         incarnation: shared.own.incarnation.0,
-        data_centre: shared.settings.data_centre.clone(),
+        data_centre: shared.settings.node.data_centre.clone(),
         build: env!("CARGO_PKG_VERSION").to_string(),
         list_version: lists.as_ref().map(|lists| lists.version.number),
         list_digest: lists.map(|lists| lists.version.digest.to_string()).unwrap_or_default(),
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -103,15 +103,20 @@
 /// An address cannot be bound, or TLS between processes cannot be configured.
 pub fn start(settings: EntrySettings) -> Result<EntryHandle> {
     let incarnation = clock::new_incarnation();
-    let own = NodeLife { node: settings.node, incarnation };
+    let own = NodeLife { node: settings.node.id, incarnation };
     let listener = bind(settings.listen)?;
     let address = listener.local_addr()?;
-    let admin_listener = bind(settings.admin)?;
+    let admin_listener = bind(settings.node.admin)?;
     let admin = admin_listener.local_addr()?;
-    let (peer, sender, inputs) =
-        PeerLinks::start(own, PeerRole::Entry, settings.peer, &settings.join, &settings.fleet_key)?;
-    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.keyvalue.as_str()));
-    let keyvalue_url = settings.keyvalue.to_string();
+    let (peer, sender, inputs) = PeerLinks::start(
+        own,
+        PeerRole::Entry,
+        settings.node.peer,
+        &settings.node.join,
+        &settings.node.fleet_key,
+    )?;
+    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.node.keyvalue.as_str()));
+    let keyvalue_url = settings.node.keyvalue.to_string();
     let (shared, calls) = EntryShared::new(settings, own, sender.clone());
     let shared = Arc::new(shared);
     claims::launch(Arc::clone(&shared), &keyvalue_url, calls);
--- a/crates/host/src/entry/shared.rs
+++ b/crates/host/src/entry/shared.rs
@@ -82,7 +82,7 @@
         let mut rng = SmallRng::seed_from_u64(own.incarnation.0);
         let plans = Arc::new(PlanGate::new(own, settings.fresh, sender.clone()));
         let (claims, calls) = ClaimDesk::new(own);
-        let permits = PermitDesk::new(own, &settings.fleet_key);
+        let permits = PermitDesk::new(own, &settings.node.fleet_key);
         let suspects = SuspectDesk::new(own, sender.clone());
         let shared = EntryShared {
             claims,
--- a/crates/host/src/settings/entry.rs
+++ b/crates/host/src/settings/entry.rs
@@ -2,11 +2,9 @@
 
 use std::net::SocketAddr;
 
-use carobvane_core::ids::NodeId;
 use url::Url;
 
-use super::{SettingFinding, SettingsReader};
-use crate::peer::FleetKey;
+use super::{NodeSettings, SettingFinding, SettingsReader, node::NodeFlags};
 
 /// Default of `--max-body-bytes`, in bytes.
 const DEFAULT_BODY_BYTES: usize = 8 << 20;
@@ -63,22 +61,10 @@
 /// Checked settings of an entry.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
-    /// Number of this node.
-    pub node: NodeId,
-    /// Data centre of this VM.
-    pub data_centre: String,
+    /// What every node has.
+    pub node: NodeSettings,
     /// Address for callers.
     pub listen: SocketAddr,
-    /// Address for operators and metrics.
-    pub admin: SocketAddr,
-    /// Address for other carobvane processes.
-    pub peer: SocketAddr,
-    /// Processes to join.
-    pub join: Vec<SocketAddr>,
-    /// Secret of the fleet.
-    pub fleet_key: FleetKey,
-    /// Key-value service.
-    pub keyvalue: Url,
     /// List of live and leaving VMs.
     pub vm_list: Option<Url>,
     /// Largest request body, in bytes.
@@ -91,8 +77,6 @@
     pub workers: usize,
     /// Whether no earlier process of this node ran recently.
     pub fresh: bool,
-    /// Least severe log level.
-    pub log_level: log::LevelFilter,
 }
 
 impl EntrySettings {
@@ -117,14 +101,20 @@
         lookup: impl Fn(&str) -> Option<String>,
     ) -> Result<EntrySettings, Vec<SettingFinding>> {
         let mut reader = SettingsReader::new(lookup);
-        let node = reader.required("node", flags.node).map(NodeId);
-        let data_centre = reader.required("data-centre", flags.data_centre);
+        let node = NodeSettings::read(
+            &mut reader,
+            NodeFlags {
+                node: flags.node,
+                data_centre: flags.data_centre,
+                admin: flags.admin,
+                peer: flags.peer,
+                join: flags.join,
+                fleet_key: flags.fleet_key,
+                keyvalue: flags.keyvalue,
+                log_level: flags.log_level,
+            },
+        );
         let listen = reader.required("listen", flags.listen);
-        let admin = reader.required("admin", flags.admin);
-        let peer = reader.required("peer", flags.peer);
-        let join = reader.list("join", flags.join);
-        let fleet_key = reader.required("fleet-key", flags.fleet_key);
-        let keyvalue = reader.required("keyvalue", flags.keyvalue);
         let vm_list = reader.optional("vm-list", flags.vm_list);
         let max_body_bytes =
             reader.or_default("max-body-bytes", flags.max_body_bytes, DEFAULT_BODY_BYTES);
@@ -133,7 +123,6 @@
             reader.or_default("piece-tokens", flags.piece_tokens, DEFAULT_PIECE_TOKENS);
         let workers = reader.or_default("workers", flags.workers, DEFAULT_WORKERS);
         let fresh = reader.or_default("fresh", flags.fresh, false);
-        let log_level = reader.or_default("log-level", flags.log_level, log::LevelFilter::Info);
         for (flag, value) in [
             ("max-body-bytes", max_body_bytes),
             ("piece-bytes", piece_bytes),
@@ -145,30 +134,18 @@
             }
         }
         reader.finish()?;
-        let (Some(node), Some(data_centre), Some(listen), Some(admin), Some(peer)) =
-            (node, data_centre, listen, admin, peer)
-        else {
-            unreachable!("a missing required setting is a finding");
-        };
-        let (Some(fleet_key), Some(keyvalue)) = (fleet_key, keyvalue) else {
+        let (Some(node), Some(listen)) = (node, listen) else {
             unreachable!("a missing required setting is a finding");
         };
         Ok(EntrySettings {
             node,
-            data_centre,
             listen,
-            admin,
-            peer,
-            join,
-            fleet_key,
-            keyvalue,
             vm_list,
             max_body_bytes,
             piece_bytes,
             piece_tokens,
             workers,
             fresh,
-            log_level,
         })
     }
 }
--- a/crates/host/src/settings/mod.rs
+++ b/crates/host/src/settings/mod.rs
@@ -4,10 +4,12 @@
 //! start shows everything that has to be mended.
 
 mod entry;
+mod node;
 mod reader;
 mod steward;
 
 pub use entry::EntrySettings;
+pub use node::NodeSettings;
 pub use reader::{SettingFinding, SettingsReader, variable_name};
 pub use steward::StewardSettings;
 
--- a/crates/host/src/settings/steward.rs
+++ b/crates/host/src/settings/steward.rs
@@ -1,12 +1,6 @@
 //! Settings of `carobvane-steward`.
 
-use std::net::SocketAddr;
-
-use carobvane_core::ids::NodeId;
-use url::Url;
-
-use super::{SettingFinding, SettingsReader};
-use crate::peer::FleetKey;
+use super::{NodeSettings, SettingFinding, SettingsReader, node::NodeFlags};
 
 /// Default of `--max-loads`: above 2 concurrent loads the weight store slows down.
 const DEFAULT_MAX_LOADS: usize = 2;
@@ -32,8 +26,6 @@
         optional --fleet-key key: String
         /// URL of the key-value service, such as http://127.0.0.1:2379. Required.
         optional --keyvalue url: String
-        /// URL of the list of live and leaving VMs. Default: none.
-        optional --vm-list url: String
         /// Most weight loads that orders cause at once. Default: 2.
         optional --max-loads loads: String
         /// Least severe log level: error, warn, info or debug. Default: info.
@@ -46,26 +38,10 @@
 /// Checked settings of a steward.
 #[derive(Debug, Clone)]
 pub struct StewardSettings {
-    /// Number of this node.
-    pub node: NodeId,
-    /// Data centre of this VM.
-    pub data_centre: String,
-    /// Address for operators and metrics.
-    pub admin: SocketAddr,
-    /// Address for other carobvane processes.
-    pub peer: SocketAddr,
-    /// Processes to join.
-    pub join: Vec<SocketAddr>,
-    /// Secret of the fleet.
-    pub fleet_key: FleetKey,
-    /// Key-value service.
-    pub keyvalue: Url,
-    /// List of live and leaving VMs.
-    pub vm_list: Option<Url>,
+    /// What every node has.
+    pub node: NodeSettings,
     /// Most weight loads that orders cause at once.
     pub max_loads: usize,
-    /// Least severe log level.
-    pub log_level: log::LevelFilter,
 }
 
 impl StewardSettings {
@@ -90,37 +66,27 @@
         lookup: impl Fn(&str) -> Option<String>,
     ) -> Result<StewardSettings, Vec<SettingFinding>> {
         let mut reader = SettingsReader::new(lookup);
-        let node = reader.required("node", flags.node).map(NodeId);
-        let data_centre = reader.required("data-centre", flags.data_centre);
-        let admin = reader.required("admin", flags.admin);
-        let peer = reader.required("peer", flags.peer);
-        let join = reader.list("join", flags.join);
-        let fleet_key = reader.required("fleet-key", flags.fleet_key);
-        let keyvalue = reader.required("keyvalue", flags.keyvalue);
-        let vm_list = reader.optional("vm-list", flags.vm_list);
+        let node = NodeSettings::read(
+            &mut reader,
+            NodeFlags {
+                node: flags.node,
+                data_centre: flags.data_centre,
+                admin: flags.admin,
+                peer: flags.peer,
+                join: flags.join,
+                fleet_key: flags.fleet_key,
+                keyvalue: flags.keyvalue,
+                log_level: flags.log_level,
+            },
+        );
         let max_loads = reader.or_default("max-loads", flags.max_loads, DEFAULT_MAX_LOADS);
         if max_loads == 0 {
             reader.report("max-loads", "must be at least 1");
         }
-        let log_level = reader.or_default("log-level", flags.log_level, log::LevelFilter::Info);
         reader.finish()?;
-        let (Some(node), Some(data_centre), Some(admin)) = (node, data_centre, admin) else {
-            unreachable!("a missing required setting is a finding");
-        };
-        let (Some(peer), Some(fleet_key), Some(keyvalue)) = (peer, fleet_key, keyvalue) else {
+        let Some(node) = node else {
             unreachable!("a missing required setting is a finding");
         };
-        Ok(StewardSettings {
-            node,
-            data_centre,
-            admin,
-            peer,
-            join,
-            fleet_key,
-            keyvalue,
-            vm_list,
-            max_loads,
-            log_level,
-        })
+        Ok(StewardSettings { node, max_loads })
     }
 }
--- a/crates/host/src/steward/mod.rs
+++ b/crates/host/src/steward/mod.rs
@@ -49,26 +49,26 @@
 /// An address cannot be bound, or TLS between processes cannot be configured.
 pub fn start(settings: StewardSettings) -> Result<StewardHandle> {
     let incarnation = clock::new_incarnation();
-    let own = NodeLife { node: settings.node, incarnation };
-    let listener = std::net::TcpListener::bind(settings.admin)
-        .wrap_err_with(|| format!("failed to bind {}", settings.admin))?;
+    let own = NodeLife { node: settings.node.id, incarnation };
+    let listener = std::net::TcpListener::bind(settings.node.admin)
+        .wrap_err_with(|| format!("failed to bind {}", settings.node.admin))?;
     let admin = listener.local_addr()?;
     let (peer, sender, inputs) = PeerLinks::start(
         own,
         PeerRole::Steward,
-        settings.peer,
-        &settings.join,
-        &settings.fleet_key,
+        settings.node.peer,
+        &settings.node.join,
+        &settings.node.fleet_key,
     )?;
     let status = Arc::new(Mutex::new(NodeStatus {
         node: own.node.0,
         role: NodeRole::Steward,
         incarnation: incarnation.0,
-        data_centre: settings.data_centre.clone(),
+        data_centre: settings.node.data_centre.clone(),
         build: env!("CARGO_PKG_VERSION").to_string(),
         ..NodeStatus::default()
     }));
-    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.keyvalue.as_str()));
+    let keyvalue = KeyvalueClient::new(KeyvalueSettings::new(settings.node.keyvalue.as_str()));
     let orders = OrderRunner::new(own, settings.max_loads, keyvalue.clone());
     let host = StewardHost { sender: sender.clone(), status: Arc::clone(&status), orders };
     NodeActor::launch(host, ListSource::new(keyvalue), sender, inputs, true, incarnation.0);
--- a/crates/programs/src/bin/carobvane-entry.rs
+++ b/crates/programs/src/bin/carobvane-entry.rs
@@ -5,7 +5,7 @@
 
 fn main() -> Result<()> {
     let settings = EntrySettings::from_env_or_exit();
-    logging::start_logging(settings.log_level)?;
+    logging::start_logging(settings.node.log_level)?;
     telemetry::start_metrics();
     actix_rt::System::new().block_on(async {
         let handle = entry::start(settings).wrap_err("failed to start the entry")?;
--- a/crates/replay/src/fleet.rs
+++ b/crates/replay/src/fleet.rs
@@ -21,7 +21,7 @@
     keyvalue::{KeyvalueClient, KeyvalueSettings},
     node::ListSource,
     peer::FleetKey,
-    settings::{EntrySettings, StewardSettings},
+    settings::{EntrySettings, NodeSettings, StewardSettings},
     steward::{self, StewardHandle},
 };
 use carobvane_standin::{engine, keyvalue, service};
@@ -35,6 +35,8 @@
 pub const PLAN: &str = "standard";
 /// Weights version at the start.
 const FIRST_WEIGHTS: u64 = 1;
+/// Node number of the steward.
+const STEWARD_NODE: u32 = 100;
 /// Longest wait for all entries to hold their lists.
 const READY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which readiness is checked.
@@ -160,36 +162,30 @@
 fn start_nodes(settings: &FleetSettings, url: &str) -> Result<(StewardHandle, Vec<EntryHandle>)> {
     let fleet_key = FleetKey::new([7; 32]);
     let keyvalue: url::Url = url.parse()?;
-    let steward = steward::start(StewardSettings {
-        node: NodeId(100),
+    let node = |number, join| NodeSettings {
+        id: NodeId(number),
         data_centre: "dc-1".to_string(),
         admin: any_port(),
         peer: any_port(),
-        join: Vec::new(),
+        join,
         fleet_key: fleet_key.clone(),
         keyvalue: keyvalue.clone(),
-        vm_list: None,
-        max_loads: 2,
         log_level: log::LevelFilter::Info,
-    })?;
+    };
+    let max_loads = 2;
+    let steward =
+        steward::start(StewardSettings { node: node(STEWARD_NODE, Vec::new()), max_loads })?;
     let mut entries = Vec::new();
     for number in 1..=settings.entries {
         entries.push(entry::start(EntrySettings {
-            node: NodeId(number as u32),
-            data_centre: "dc-1".to_string(),
+            node: node(number as u32, vec![steward.peer]),
             listen: any_port(),
-            admin: any_port(),
-            peer: any_port(),
-            join: vec![steward.peer],
-            fleet_key: fleet_key.clone(),
-            keyvalue: keyvalue.clone(),
             vm_list: settings.vm_list.clone(),
             max_body_bytes: 8 << 20,
             piece_bytes: settings.piece_bytes,
             piece_tokens: settings.piece_tokens,
             workers: settings.workers,
             fresh: true,
-            log_level: log::LevelFilter::Info,
         })?);
     }
     Ok((steward, entries))
