Use connections to engines again and send small chunks at once

Cause: the entry dropped an engine's stream at [DONE], before the body's end, so every request opened a new connection. Ruled out: reading on alone. Change: the rest of the body is read after [DONE]; entry and stand-ins set TCP_NODELAY; the measuring caller reads to the end as well.

--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -17,6 +17,8 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time without a byte from an engine before the attempt counts as failed.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time from `[DONE]` to the body's end.
+const END_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest error body that is read from an engine, in bytes.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
 
@@ -225,6 +227,13 @@
 where
     S: Stream<Item = Result<AttemptEvent, AttemptError>> + Unpin,
 {
+    /// Reads what follows `[DONE]`, so that the connection can be used again: one that is dropped
+    /// before the body's end is closed.
+    pub async fn read_to_end(mut self) {
+        let rest = async { while self.events.next().await.is_some() {} };
+        tokio::time::timeout(END_TIMEOUT, rest).await.ok();
+    }
+
     /// The next event.
     ///
     /// # Errors
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -27,12 +27,18 @@
 mod watch;
 
 use std::{
+    any::Any,
     net::{SocketAddr, TcpListener},
     sync::Arc,
     time::Duration,
 };
 
-use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use actix_web::{
+    App, HttpServer,
+    dev::{Extensions, ServerHandle},
+    rt::net::TcpStream,
+    web,
+};
 use carobvane_core::ids::NodeLife;
 use carobvane_proto::peer::PeerRole;
 use eyre::{Result, WrapErr};
@@ -155,6 +161,7 @@
             .configure(services::configure)
             .configure(discovery::configure)
     })
+    .on_connect(send_without_delay)
     .workers(workers)
     .client_request_timeout(HEAD_TIMEOUT)
     .shutdown_timeout(SHUTDOWN_SECONDS)
@@ -167,6 +174,14 @@
     Ok(handle)
 }
 
+/// Chunks are small: with Nagle's algorithm each would wait up to 40 ms for an acknowledgement.
+fn send_without_delay(connection: &dyn Any, _extensions: &mut Extensions) {
+    if let Some(stream) = connection.downcast_ref::<TcpStream>() {
+        // Without it the connection still works, only slower.
+        stream.set_nodelay(true).ok();
+    }
+}
+
 fn serve_operators(shared: &Arc<EntryShared>, listener: TcpListener) -> Result<ServerHandle> {
     let data = web::Data::from(Arc::clone(shared));
     let server =
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -248,6 +248,7 @@
                 let launched = started.launched;
                 match end {
                     AttemptEnd::Complete => {
+                        actix_rt::spawn(started.stream.read_to_end());
                         complete(shared, request, state, launched);
                         return RelayEnd::Complete;
                     }
--- a/crates/replay/src/bench/path.rs
+++ b/crates/replay/src/bench/path.rs
@@ -138,11 +138,8 @@
 async fn repeat(client: &awc::Client, call: &CompletionCall, ends: Instant) -> Result<Vec<f64>> {
     let mut latencies = Vec::new();
     while Instant::now() < ends {
-        let started = Instant::now();
         match stream_completion(client, call).await {
-            CallResult::Whole { .. } => {
-                latencies.push(started.elapsed().as_secs_f64() * 1_000_000.0);
-            }
+            CallResult::Whole { total, .. } => latencies.push(total.as_secs_f64() * 1_000_000.0),
             other => return Err(eyre!("a request of the load failed: {other:?}")),
         }
     }
--- a/crates/replay/src/caller.rs
+++ b/crates/replay/src/caller.rs
@@ -86,7 +86,10 @@
     while let Some(event) = events.next().await {
         let Ok(event) = event else { return CallResult::Broken("stream broke".to_string()) };
         if event.data == "[DONE]" {
-            return answer.finish(call, started);
+            let result = answer.finish(call, started);
+            // A connection that is dropped before the body's end cannot be used again.
+            while events.next().await.is_some() {}
+            return result;
         }
         if let Err(result) = answer.take(&event.data, started) {
             return result;
--- a/crates/replay/src/probe.rs
+++ b/crates/replay/src/probe.rs
@@ -1,6 +1,6 @@
 //! Measures what an entry adds to a request, paired with direct calls to the same engine.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use carobvane_standin::engine::EngineSettings;
 use eyre::Result;
@@ -78,9 +78,8 @@
 }
 
 async fn measure(client: &awc::Client, call: &CompletionCall) -> Result<Duration> {
-    let started = Instant::now();
     match stream_completion(client, call).await {
-        CallResult::Whole { .. } => Ok(started.elapsed()),
+        CallResult::Whole { total, .. } => Ok(total),
         other => eyre::bail!("failed to measure a request: {other:?}"),
     }
 }
--- a/crates/standin/src/util.rs
+++ b/crates/standin/src/util.rs
@@ -79,6 +79,16 @@
     }
 }
 
+/// Sends small chunks at once; with Nagle's algorithm each would wait for an acknowledgement.
+pub(crate) fn send_without_delay(
+    connection: &dyn std::any::Any,
+    _extensions: &mut actix_web::dev::Extensions,
+) {
+    if let Some(stream) = connection.downcast_ref::<actix_web::rt::net::TcpStream>() {
+        stream.set_nodelay(true).ok();
+    }
+}
+
 /// Serves `$app` (an expression that builds the `App`) on a listener and returns a
 /// [`RunningServer`].
 #[macro_export]
@@ -87,6 +97,7 @@
         let listener = $listener;
         let addr = listener.local_addr()?;
         let server = actix_web::HttpServer::new($app)
+            .on_connect($crate::util::send_without_delay)
             .workers($crate::util::WORKER_THREADS)
             .disable_signals()
             .listen(listener)?
