--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod routing;
 pub mod streams;
 pub mod suspects;
+pub mod traffic;
--- a/crates/core/src/orders/lease.rs
+++ b/crates/core/src/orders/lease.rs
@@ -15,9 +15,31 @@
 /// within its lease and is given up after the request timeout.
 pub const PREDECESSOR_WAIT: Duration = Duration::from_millis(7_250);
 
+/// Times of a lease that a deployment may set.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// Lifetime at the service.
+    pub lifetime: Duration,
+    /// The holder stops this much before its lease can end, against clock drift.
+    pub margin: Duration,
+    /// Time that a new holder waits before its first order.
+    pub predecessor_wait: Duration,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> LeaseTimes {
+        LeaseTimes {
+            lifetime: LEASE_TIME,
+            margin: LEASE_MARGIN,
+            predecessor_wait: PREDECESSOR_WAIT,
+        }
+    }
+}
+
 /// The lease as its holder may rely on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LeaseState {
+    times: LeaseTimes,
     fencing: Option<u64>,
     /// Invariant: earlier than the end of the lease at the service, since it counts from when
     /// the request was sent.
@@ -27,6 +49,11 @@
 }
 
 impl LeaseState {
+    /// Creates the state of a lease that is not held.
+    pub fn new(times: LeaseTimes) -> LeaseState {
+        LeaseState { times, ..LeaseState::default() }
+    }
+
     /// The fencing token while the lease is valid.
     pub fn fencing(&self, now: ClockTime) -> Option<u64> {
         self.fencing.filter(|_| now < self.valid_until)
@@ -48,12 +75,12 @@
         match event {
             LeaseEvent::Acquired { fencing, sent_at } => {
                 self.fencing = Some(fencing);
-                self.valid_until = sent_at + LEASE_TIME - LEASE_MARGIN;
-                self.order_from = now + PREDECESSOR_WAIT;
+                self.valid_until = self.end_of(sent_at);
+                self.order_from = now + self.times.predecessor_wait;
             }
             LeaseEvent::Renewed { sent_at } => {
                 if self.fencing(now).is_some() {
-                    self.valid_until = self.valid_until.max(sent_at + LEASE_TIME - LEASE_MARGIN);
+                    self.valid_until = self.valid_until.max(self.end_of(sent_at));
                 }
             }
             LeaseEvent::Taken | LeaseEvent::Free | LeaseEvent::Lost => self.step_down(),
@@ -64,4 +91,8 @@
     pub fn step_down(&mut self) {
         self.fencing = None;
     }
+
+    fn end_of(&self, sent_at: ClockTime) -> ClockTime {
+        sent_at + self.times.lifetime - self.times.margin
+    }
 }
--- a/crates/core/src/orders/mod.rs
+++ b/crates/core/src/orders/mod.rs
@@ -10,6 +10,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use lease::{LEASE_TIME, LeaseState, PREDECESSOR_WAIT, REQUEST_TIMEOUT};
+pub use lease::{LEASE_TIME, LeaseState, LeaseTimes, PREDECESSOR_WAIT, REQUEST_TIMEOUT};
 pub use machine::{MAX_LOAD_TIME, OrderMachine};
 pub use messages::{HoldOrder, LeaseEvent, OrderEffect, OrderOutcome, ServerReading};
--- /dev/null
+++ b/crates/core/src/traffic/event_stream.rs
@@ -0,0 +1,105 @@
+//! Splits a `text/event-stream` into whole events.
+//!
+//! A server may stop in the middle of an event. Only whole events are passed on, so that a stream
+//! that continues at another server joins at the boundary of an event.
+
+use std::mem;
+
+/// Most bytes of one event that are held back. A longer one is no event.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// The whole events of some bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EventCut {
+    /// Bytes that end with a whole event; empty if none is complete.
+    pub whole: Vec<u8>,
+    /// Number of whole events.
+    pub events: u32,
+}
+
+/// Holds back the bytes of an event that is not complete.
+#[derive(Debug, Clone, Default)]
+pub struct EventSplitter {
+    held: Vec<u8>,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Creates a splitter for a stream that continues after the event `last_id`.
+    pub fn after(last_id: Option<u64>) -> EventSplitter {
+        EventSplitter { held: Vec::new(), last_id }
+    }
+
+    /// Takes bytes and returns the whole events.
+    ///
+    /// # Errors
+    ///
+    /// The bytes hold an event that does not follow the last one, or is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<EventCut, EventError> {
+        self.held.extend_from_slice(bytes);
+        let mut cut = EventCut::default();
+        let mut from = 0;
+        while let Some(end) = event_end(&self.held[from..]) {
+            if let Some(id) = event_id(&self.held[from..from + end]) {
+                if self.last_id.is_some_and(|last| id <= last) {
+                    return Err(EventError::OutOfOrder);
+                }
+                self.last_id = Some(id);
+            }
+            cut.events += 1;
+            from += end;
+        }
+        if self.held.len() - from > MAX_EVENT_BYTES {
+            return Err(EventError::TooLong);
+        }
+        let rest = self.held.split_off(from);
+        cut.whole = mem::replace(&mut self.held, rest);
+        Ok(cut)
+    }
+
+    /// Id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whether the bytes so far end with a whole event.
+    pub fn is_whole(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Drops the bytes of an event that its server did not complete.
+    pub fn drop_partial(&mut self) {
+        self.held.clear();
+    }
+}
+
+/// Why bytes are not the continuation of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventError {
+    /// An event's id is not above the last one.
+    OutOfOrder,
+    /// An event is longer than [`MAX_EVENT_BYTES`].
+    TooLong,
+}
+
+/// Length of the first event with the blank line that ends it.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line_from = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_from..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_from = index + 1;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    std::str::from_utf8(values.next()?).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/core/src/traffic/mod.rs
@@ -0,0 +1,41 @@
+//! Decisions of a node that serves callers beside an external platform.
+//!
+//! The platform keeps the configuration, lists the backend servers and names the weights; this
+//! module decides what follows from that: which route a request takes, which server runs it,
+//! whether it may run again, when it is refused, and when servers load new weights.
+
+mod cache_map;
+mod config;
+mod directory;
+mod event_stream;
+mod health;
+mod next_step;
+mod placement;
+mod prompt;
+mod retry_budget;
+mod rollout;
+mod roster;
+mod suspects;
+
+pub use self::{
+    cache_map::CacheMap,
+    config::{
+        CacheStoreSpec, CallerLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
+        RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
+    },
+    directory::{DirectoryAnswer, DirectoryMember, EntryChooser},
+    event_stream::{EventCut, EventError, EventSplitter},
+    health::{ServerHealth, ServerLoad},
+    next_step::{AttemptEnd, CallerFailure, NextStep, RunHistory},
+    placement::{
+        PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest, cache_salt,
+    },
+    prompt::{PromptPart, PromptShape},
+    retry_budget::{BudgetShare, RetryBudget},
+    rollout::{OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings},
+    roster::{
+        BackendServer, ListingState, ModelWeights, RosterChange, ServerListing, ServerRoster,
+        ServerStanding,
+    },
+    suspects::{CrashBook, CrashVerdict},
+};
--- /dev/null
+++ b/crates/core/src/traffic/rollout.rs
@@ -0,0 +1,274 @@
+//! Brings the engines to the newest weights, one node at a time being in charge.
+//!
+//! The node that holds the lease sends the orders. A node that takes the lease over waits until no
+//! order of its predecessor can still arrive. A bounded part of the engines loads at once, those
+//! with the least to do first. An order without an answer is read back before it is repeated, and
+//! it carries the number of orders that the server had accepted, so that a late copy does nothing.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{ServerRoster, ServerStanding};
+use crate::{
+    clock::ClockTime,
+    ids::{ServerKey, WeightsVersion},
+    orders::{LeaseEvent, LeaseState, LeaseTimes},
+};
+
+/// Engines of which one may load at a time.
+const ENGINES_PER_LOAD: usize = 6;
+/// Time after an accepted order until the server is first read.
+const FIRST_READING: Duration = Duration::from_millis(450);
+/// Time between two readings of a server.
+const NEXT_READING: Duration = Duration::from_millis(200);
+/// Time after a failed order or reading until the server is tried again.
+const RETRY_TIME: Duration = Duration::from_millis(500);
+/// Time after which an accepted load is taken as lost with its server.
+const MAX_LOAD_TIME: Duration = Duration::from_secs(8);
+
+/// Times that a deployment sets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutSettings {
+    /// Times of the lease.
+    pub lease: LeaseTimes,
+}
+
+/// What became of an order or a reading.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderReply {
+    /// The order was accepted, or already holds.
+    Accepted,
+    /// The server refused it: another is in progress or its count of orders differs.
+    Conflict,
+    /// The server has seen a higher fencing token.
+    Fenced,
+    /// It does not know the version yet, or refused otherwise.
+    Refused,
+    /// No answer: the order may be carried out later.
+    Unknown,
+    /// The server's state.
+    Reading {
+        /// Version of its weights.
+        version: WeightsVersion,
+        /// Whether an order is in progress.
+        busy: bool,
+        /// Orders that it has accepted.
+        sequence: u64,
+    },
+}
+
+/// What the host carries out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutEffect {
+    /// Order a server to load weights.
+    Order {
+        /// The server.
+        server: ServerKey,
+        /// The model.
+        model: String,
+        /// The wanted version.
+        version: WeightsVersion,
+        /// The fencing token.
+        fencing: u64,
+        /// Orders that the server must have accepted so far, if known.
+        expected: Option<u64>,
+    },
+    /// Read a server's state.
+    Read {
+        /// The server.
+        server: ServerKey,
+        /// The model.
+        model: String,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoadStage {
+    /// Waits for the reply of an order.
+    Ordered,
+    /// Waits for the reply of a reading.
+    Asked,
+    /// Accepted; read at `due`.
+    Loading,
+    /// Failed or unknown; read at `due` before any further order.
+    Doubtful,
+    /// Known not to load; an order may be sent.
+    Idle,
+}
+
+#[derive(Debug, Clone)]
+struct ServerLoading {
+    stage: LoadStage,
+    since: ClockTime,
+    due: ClockTime,
+    /// Orders that the server had accepted at its last reading.
+    sequence: Option<u64>,
+}
+
+/// Decides orders; idle unless this node holds the lease.
+#[derive(Debug, Clone)]
+pub struct RolloutPlanner {
+    lease: LeaseState,
+    wanted: HashMap<String, WeightsVersion>,
+    loading: HashMap<ServerKey, ServerLoading>,
+}
+
+impl RolloutPlanner {
+    /// Creates a planner without a lease.
+    pub fn new(settings: RolloutSettings) -> RolloutPlanner {
+        RolloutPlanner {
+            lease: LeaseState::new(settings.lease),
+            wanted: HashMap::new(),
+            loading: HashMap::new(),
+        }
+    }
+
+    /// Notes which weights of a model are wanted.
+    pub fn want(&mut self, model: &str, version: WeightsVersion) {
+        let wanted = self.wanted.entry(model.to_string()).or_default();
+        *wanted = version.max(*wanted);
+    }
+
+    /// Handles what the host learned about the lease.
+    pub fn on_lease(&mut self, now: ClockTime, event: LeaseEvent) {
+        if matches!(event, LeaseEvent::Acquired { .. }) {
+            self.loading.clear();
+        }
+        self.lease.on_event(now, event);
+    }
+
+    /// The fencing token while the lease is valid.
+    pub fn fencing(&self, now: ClockTime) -> Option<u64> {
+        self.lease.fencing(now)
+    }
+
+    /// The fencing token while an order may leave. Read again right before the bytes do.
+    pub fn order_fencing(&self, now: ClockTime) -> Option<u64> {
+        self.lease.order_fencing(now)
+    }
+
+    /// Handles the reply to an order or reading of a server.
+    pub fn on_reply(&mut self, now: ClockTime, server: ServerKey, reply: &OrderReply) {
+        if *reply == OrderReply::Fenced {
+            self.lease.step_down();
+            return;
+        }
+        let Some(loading) = self.loading.get_mut(&server) else { return };
+        match reply {
+            OrderReply::Accepted => loading.wait(LoadStage::Loading, now + FIRST_READING),
+            OrderReply::Conflict => loading.wait(LoadStage::Doubtful, now + NEXT_READING),
+            OrderReply::Refused | OrderReply::Unknown => {
+                loading.wait(LoadStage::Doubtful, now + RETRY_TIME);
+            }
+            OrderReply::Reading { busy, sequence, .. } => {
+                loading.sequence = Some(*sequence);
+                if *busy {
+                    loading.wait(LoadStage::Loading, now + NEXT_READING);
+                } else {
+                    loading.wait(LoadStage::Idle, now);
+                }
+            }
+            OrderReply::Fenced => {}
+        }
+    }
+
+    /// Returns what is due now.
+    pub fn tick(&mut self, now: ClockTime, roster: &ServerRoster) -> Vec<RolloutEffect> {
+        if self.lease.order_fencing(now).is_none() {
+            return Vec::new();
+        }
+        self.forget_ended(now, roster);
+        let mut effects = self.due_readings(now, roster);
+        let wanted: Vec<(String, WeightsVersion)> =
+            self.wanted.iter().map(|(model, version)| (model.clone(), *version)).collect();
+        for (model, version) in wanted {
+            effects.extend(self.orders(now, roster, &model, version));
+        }
+        effects
+    }
+
+    /// Drops servers that are gone, up to date, or did not finish in time.
+    fn forget_ended(&mut self, now: ClockTime, roster: &ServerRoster) {
+        let wanted = &self.wanted;
+        self.loading.retain(|key, loading| {
+            let Some(server) = roster.get(*key) else { return false };
+            let behind =
+                server.listing.weights.iter().any(|weights| {
+                    wanted.get(&weights.model).is_some_and(|v| weights.version < *v)
+                });
+            behind && now.since(loading.since) < MAX_LOAD_TIME
+        });
+    }
+
+    fn due_readings(&mut self, now: ClockTime, roster: &ServerRoster) -> Vec<RolloutEffect> {
+        let mut effects = Vec::new();
+        for (key, loading) in &mut self.loading {
+            let reads = matches!(loading.stage, LoadStage::Loading | LoadStage::Doubtful);
+            if !reads || now < loading.due {
+                continue;
+            }
+            let model = roster.get(*key).and_then(|server| server.listing.weights.first());
+            if let Some(weights) = model {
+                loading.stage = LoadStage::Asked;
+                effects.push(RolloutEffect::Read { server: *key, model: weights.model.clone() });
+            }
+        }
+        effects
+    }
+
+    fn orders(
+        &mut self,
+        now: ClockTime,
+        roster: &ServerRoster,
+        model: &str,
+        version: WeightsVersion,
+    ) -> Vec<RolloutEffect> {
+        let Some(fencing) = self.lease.order_fencing(now) else { return Vec::new() };
+        let serving = roster.iter().filter(|(_, server)| {
+            server.standing != ServerStanding::Leaving && server.weights(model).is_some()
+        });
+        let serving: Vec<_> = serving.collect();
+        let at_once = (serving.len() / ENGINES_PER_LOAD).max(1);
+        let busy = self.loading.values().filter(|loading| loading.is_busy()).count();
+        let mut behind: Vec<_> = serving
+            .into_iter()
+            .filter(|(key, server)| {
+                let idle =
+                    self.loading.get(key).is_none_or(|loading| loading.stage == LoadStage::Idle);
+                idle && server.weights(model).is_some_and(|held| held < version)
+            })
+            .collect();
+        behind.sort_by_key(|(key, server)| {
+            let load = server.health.load(now).unwrap_or_default();
+            let doubtful = server.health.is_doubtful() || server.health.is_paused(now);
+            (doubtful, load.running + load.waiting, server.in_flight, *key)
+        });
+        let mut effects = Vec::new();
+        for (key, _) in behind.into_iter().take(at_once.saturating_sub(busy)) {
+            let sequence = self.loading.get(&key).and_then(|loading| loading.sequence);
+            self.loading.insert(
+                key,
+                ServerLoading { stage: LoadStage::Ordered, since: now, due: now, sequence },
+            );
+            effects.push(RolloutEffect::Order {
+                server: key,
+                model: model.to_string(),
+                version,
+                fencing,
+                expected: sequence,
+            });
+        }
+        effects
+    }
+}
+
+impl ServerLoading {
+    fn wait(&mut self, stage: LoadStage, due: ClockTime) {
+        self.stage = stage;
+        self.due = due;
+    }
+
+    /// Whether the server may be loading because of an order.
+    fn is_busy(&self) -> bool {
+        matches!(self.stage, LoadStage::Ordered | LoadStage::Asked | LoadStage::Loading)
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/roster.rs
@@ -0,0 +1,270 @@
+//! The backend servers that the platform lists, and how far each may be used.
+//!
+//! While the platform's store is away, entries may lapse although their servers live. Such servers
+//! stay usable until shortly after the store is back; one that is still missing then is gone.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use super::ServerHealth;
+use crate::{
+    arena::KeyArena,
+    clock::ClockTime,
+    ids::{ServerKey, WeightsVersion},
+};
+
+/// Time after the store's return in which live servers list themselves again.
+const RELIST_TIME: Duration = Duration::from_millis(2_200);
+
+/// State that a server lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListingState {
+    /// Takes requests.
+    Ready,
+    /// Is about to leave.
+    Draining,
+}
+
+/// Weights of a model at a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelWeights {
+    /// Model name.
+    pub model: String,
+    /// Version of its weights.
+    pub version: WeightsVersion,
+}
+
+/// A server's own entry in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerListing {
+    /// Identity, which a restarted server may keep.
+    pub instance: String,
+    /// Start of this life in Unix milliseconds; 0 if not told.
+    pub born: u64,
+    /// Service.
+    pub service: String,
+    /// Address; used again by other servers after this one has gone.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// State.
+    pub state: ListingState,
+    /// Models that it serves.
+    pub weights: Vec<ModelWeights>,
+}
+
+/// How far a server may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerStanding {
+    /// Listed as ready.
+    Ready,
+    /// Its entry vanished while the store was in trouble; usable until proved gone.
+    Lapsed,
+    /// Takes nothing new.
+    Leaving,
+}
+
+/// A server in one of its lives.
+#[derive(Debug, Clone)]
+pub struct BackendServer {
+    /// Its entry.
+    pub listing: ServerListing,
+    /// How far it may be used.
+    pub standing: ServerStanding,
+    /// What this node has seen of it.
+    pub health: ServerHealth,
+    /// Requests of this node that it has not finished.
+    pub in_flight: u32,
+    /// Prompt tokens of this node's requests whose first event is awaited.
+    pub pending_tokens: u64,
+    /// Until when it is expected to be busy loading weights.
+    pub loading_until: ClockTime,
+}
+
+impl BackendServer {
+    /// Version of a model's weights at this server; `None` if it does not serve the model.
+    pub fn weights(&self, model: &str) -> Option<WeightsVersion> {
+        let weights = self.listing.weights.iter().find(|weights| weights.model == model);
+        weights.map(|weights| weights.version)
+    }
+}
+
+/// What a new entry changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RosterChange {
+    /// A server that was not known, or a new life of one that was.
+    Born(ServerKey),
+    /// State or weights of a known server.
+    Changed(ServerKey),
+    /// Nothing that matters here.
+    Same(ServerKey),
+}
+
+/// All servers that are listed or may still be used.
+#[derive(Debug, Clone, Default)]
+pub struct ServerRoster {
+    servers: KeyArena<ServerKey, BackendServer>,
+    /// Invariant: holds the key of every server in `servers`.
+    by_instance: HashMap<String, ServerKey>,
+    /// Invariant: instances of each service in a stable order.
+    by_service: HashMap<String, Vec<ServerKey>>,
+    store_away: bool,
+    relisted_at: Option<ClockTime>,
+}
+
+impl ServerRoster {
+    /// Takes a server's entry.
+    pub fn list(&mut self, listing: ServerListing) -> RosterChange {
+        let standing = match listing.state {
+            ListingState::Ready => ServerStanding::Ready,
+            ListingState::Draining => ServerStanding::Leaving,
+        };
+        if let Some(&key) = self.by_instance.get(&listing.instance) {
+            let known =
+                self.servers.get_mut(key).filter(|known| is_same_life(&known.listing, &listing));
+            if let Some(server) = known {
+                return update(server, key, listing, standing);
+            }
+            self.remove(&listing.instance);
+        }
+        let service = listing.service.clone();
+        let instance = listing.instance.clone();
+        let key = self.servers.insert(BackendServer {
+            listing,
+            standing,
+            health: ServerHealth::default(),
+            in_flight: 0,
+            pending_tokens: 0,
+            loading_until: ClockTime::ZERO,
+        });
+        self.by_instance.insert(instance, key);
+        self.by_service.entry(service).or_default().push(key);
+        RosterChange::Born(key)
+    }
+
+    /// An entry is no longer there. Returns the key of a server that is now gone.
+    pub fn unlist(&mut self, now: ClockTime, instance: &str) -> Option<ServerKey> {
+        let key = *self.by_instance.get(instance)?;
+        if self.may_have_lapsed(now) {
+            let server = self.servers.get_mut(key)?;
+            if server.standing == ServerStanding::Ready {
+                server.standing = ServerStanding::Lapsed;
+                return None;
+            }
+        }
+        self.remove(instance)
+    }
+
+    /// Removes a server whose entry can't be read or whose life has ended.
+    pub fn remove(&mut self, instance: &str) -> Option<ServerKey> {
+        let key = self.by_instance.remove(instance)?;
+        let server = self.servers.remove(key)?;
+        if let Some(keys) = self.by_service.get_mut(&server.listing.service) {
+            keys.retain(|other| *other != key);
+        }
+        Some(key)
+    }
+
+    /// Instances that are known, for comparison with a whole reading of the list.
+    pub fn instances(&self) -> Vec<String> {
+        self.by_instance.keys().cloned().collect()
+    }
+
+    /// The store has stopped answering this node.
+    pub fn on_store_lost(&mut self) {
+        self.store_away = true;
+        self.relisted_at = None;
+    }
+
+    /// The store answers again.
+    pub fn on_store_back(&mut self, now: ClockTime) {
+        if self.store_away {
+            self.store_away = false;
+            self.relisted_at = Some(now + RELIST_TIME);
+        }
+    }
+
+    /// Removes servers whose entry has not come back in time. Returns their instances.
+    pub fn settle(&mut self, now: ClockTime) -> Vec<(String, ServerKey)> {
+        if self.relisted_at.is_none_or(|due| now < due) {
+            return Vec::new();
+        }
+        self.relisted_at = None;
+        let lapsed = |server: &BackendServer| server.standing == ServerStanding::Lapsed;
+        let gone: Vec<String> = self
+            .iter()
+            .filter(|(_, server)| lapsed(server))
+            .map(|(_, server)| server.listing.instance.clone())
+            .collect();
+        gone.into_iter()
+            .filter_map(|instance| self.remove(&instance).map(|key| (instance, key)))
+            .collect()
+    }
+
+    /// A server by its key, unless that life has ended.
+    pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
+        self.servers.get(key)
+    }
+
+    /// A server by its key for change, unless that life has ended.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut BackendServer> {
+        self.servers.get_mut(key)
+    }
+
+    /// The key of an instance's present life.
+    pub fn key_of(&self, instance: &str) -> Option<ServerKey> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// Servers of a service that may get new requests.
+    pub fn usable<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (ServerKey, &'a BackendServer)> + use<'a> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let servers = keys.iter().filter_map(|&key| Some((key, self.servers.get(key)?)));
+        servers.filter(|(_, server)| server.standing != ServerStanding::Leaving)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+        let keys = self.by_instance.values();
+        keys.filter_map(|&key| Some((key, self.servers.get(key)?)))
+    }
+
+    fn may_have_lapsed(&self, now: ClockTime) -> bool {
+        self.store_away || self.relisted_at.is_some_and(|due| now < due)
+    }
+}
+
+/// A start time that is missing on one side names no other life.
+fn is_same_life(known: &ServerListing, listing: &ServerListing) -> bool {
+    let born = known.born == listing.born || known.born == 0 || listing.born == 0;
+    born && known.address == listing.address && known.service == listing.service
+}
+
+fn update(
+    server: &mut BackendServer,
+    key: ServerKey,
+    mut listing: ServerListing,
+    standing: ServerStanding,
+) -> RosterChange {
+    // A server that has announced its leaving does not come back in the same life.
+    let standing = match server.standing {
+        ServerStanding::Leaving => ServerStanding::Leaving,
+        _ => standing,
+    };
+    for weights in &mut listing.weights {
+        let known = server.listing.weights.iter().find(|known| known.model == weights.model);
+        if let Some(known) = known {
+            weights.version = weights.version.max(known.version);
+        }
+    }
+    if server.listing == listing && server.standing == standing {
+        return RosterChange::Same(key);
+    }
+    server.listing = listing;
+    server.standing = standing;
+    RosterChange::Changed(key)
+}
--- /dev/null
+++ b/crates/node/src/answers.rs
@@ -0,0 +1,45 @@
+//! Answers that the node gives itself.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::body::AnswerBody;
+
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Response<AnswerBody> {
+    with_body(status, AnswerBody::whole(""))
+}
+
+/// A failure, named by a code. `retry_after` tells when the caller may return.
+pub fn failure(
+    status: StatusCode,
+    code: &'static str,
+    retry_after: Option<Duration>,
+) -> Response<AnswerBody> {
+    let body = serde_json::json!({ "error": { "code": code } }).to_string();
+    let mut response = with_body(status, AnswerBody::whole(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(wait) = retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// A JSON document.
+pub fn json(body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut response = with_body(StatusCode::OK, AnswerBody::whole(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn with_body(status: StatusCode, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,412 @@
+//! One attempt of a request at one backend server.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use carobvane_core::{
+    clock::ClockTime,
+    ids::ServerKey,
+    traffic::{AttemptEnd, PlacementChoice, PlacementRefusal, PlacementRequest, cache_salt},
+};
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    body::AnswerBody,
+    channel::{ChannelError, read_whole},
+    clock,
+    node::Node,
+    peers::PeerNotice,
+    pool::PooledChannel,
+    request::RequestJob,
+    wire::{AnswerHead, NodeWire, ServerCall},
+};
+
+/// Most bytes of an answer that is no stream.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Multiple of the expected time after which a repeatable request is sent elsewhere.
+const SILENCE_FACTOR: f64 = 4.0;
+/// Part of the wanted latency for which every server is waited for.
+const SILENCE_SHARE: f64 = 0.8;
+
+/// A request at a server.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The server and why it was chosen.
+    pub choice: PlacementChoice,
+    /// Instance of the server.
+    pub instance: String,
+    /// The connection.
+    pub channel: PooledChannel,
+    /// When the request was sent.
+    pub sent_at: ClockTime,
+    flight: FlightGuard,
+}
+
+/// How an attempt ended.
+pub enum AttemptResult {
+    /// A whole answer for the caller.
+    Whole(Response<AnswerBody>),
+    /// A stream that has begun.
+    Stream(Response<Incoming>, Box<Attempt>),
+    /// The server's own failure; may be passed on.
+    Failed(Response<AnswerBody>),
+    /// Nothing for the caller.
+    Ended(AttemptEnd),
+}
+
+/// Counts a request at a server until it ends.
+#[derive(Debug)]
+struct FlightGuard {
+    node: NodeHandle,
+    server: ServerKey,
+    /// Prompt tokens that the server has to read; 0 once the answer has begun.
+    pending_tokens: u64,
+}
+
+#[derive(Clone)]
+struct NodeHandle(Rc<Node>);
+
+impl std::fmt::Debug for NodeHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0.settings.name)
+    }
+}
+
+impl FlightGuard {
+    fn start(node: &Rc<Node>, server: ServerKey, pending_tokens: u64) -> FlightGuard {
+        if let Some(known) = node.state.borrow_mut().roster.get_mut(server) {
+            known.in_flight += 1;
+            known.pending_tokens += pending_tokens;
+        }
+        FlightGuard { node: NodeHandle(node.clone()), server, pending_tokens }
+    }
+
+    /// The prompt has been read.
+    fn on_first_event(&mut self) {
+        let tokens = std::mem::take(&mut self.pending_tokens);
+        if let Some(known) = self.node.0.state.borrow_mut().roster.get_mut(self.server) {
+            known.pending_tokens = known.pending_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.on_first_event();
+        if let Some(known) = self.node.0.state.borrow_mut().roster.get_mut(self.server) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl Attempt {
+    /// Chooses a server and takes a connection to it. The inner error is the end of an attempt
+    /// that could not be sent.
+    pub async fn open(
+        node: &Rc<Node>,
+        job: &mut RequestJob,
+    ) -> Result<Attempt, Result<AttemptEnd, PlacementRefusal>> {
+        let (choice, instance) = choose(node, job).map_err(Err)?;
+        job.tried.push(choice.server);
+        let own_tokens = job.call.prompt.prompt_tokens.saturating_sub(choice.held_tokens);
+        let flight = FlightGuard::start(node, choice.server, u64::from(own_tokens));
+        let Some((address, most)) = node.server_address(choice.server) else {
+            return Err(Ok(AttemptEnd::NotSent));
+        };
+        match node.pool.take(choice.server, address, most).await {
+            Ok(channel) => Ok(Attempt { choice, instance, channel, sent_at: clock::now(), flight }),
+            Err(cause) => {
+                log_failure(job, &instance, &choice, &cause.to_string());
+                on_silent(node, choice.server);
+                Err(Ok(AttemptEnd::NotSent))
+            }
+        }
+    }
+
+    /// Sends the request, and reads the answer unless it is a stream. `last_event` is the last
+    /// event that the caller has.
+    pub async fn send<W: NodeWire>(
+        mut self,
+        node: &Rc<Node>,
+        job: &RequestJob,
+        last_event: Option<u64>,
+    ) -> AttemptResult {
+        self.sent_at = clock::now();
+        let request = self.request::<W>(job, last_event);
+        let patience = self.patience(job);
+        let response = match self.channel.channel.send(request, patience).await {
+            Ok(response) => response,
+            Err(cause) => return self.on_lost(node, job, &cause),
+        };
+        let head = W::read_answer(response.headers());
+        self.learn(node, job, &head);
+        if head.request_id.as_deref() != Some(job.call.request_id.as_str()) {
+            // An answer to an earlier request: nothing of this connection can be trusted.
+            let cause = ChannelError::Broken("answer to another request".to_string());
+            return self.on_lost(node, job, &cause);
+        }
+        if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return self.on_rejected(node, job, response).await;
+        }
+        if job.is_stream() && response.status().is_success() {
+            self.on_begun(node, job);
+            return AttemptResult::Stream(response, Box::new(self));
+        }
+        self.read_answer(node, job, response, &head).await
+    }
+
+    async fn read_answer(
+        mut self,
+        node: &Rc<Node>,
+        job: &RequestJob,
+        response: Response<Incoming>,
+        head: &AnswerHead,
+    ) -> AttemptResult {
+        let (parts, body) = response.into_parts();
+        let left = job.time_left(clock::now());
+        let body = match timeout(left, read_whole(body, ANSWER_BYTES)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(cause)) => return self.on_lost(node, job, &cause),
+            Err(_) => return self.on_lost(node, job, &ChannelError::TimedOut),
+        };
+        let status = parts.status;
+        if status.is_success() && !head.signed {
+            let cause = ChannelError::Broken("success without the server's proof".to_string());
+            return self.on_lost(node, job, &cause);
+        }
+        let answer = caller_answer(status, &parts.headers, AnswerBody::whole(body));
+        let failed = status.is_server_error();
+        if failed {
+            log_failure(job, &self.instance, &self.choice, status.as_str());
+        }
+        self.flight.on_first_event();
+        on_answer(node, job, &self, failed);
+        self.channel.keep(keep_time(&parts.headers));
+        if failed { AttemptResult::Failed(answer) } else { AttemptResult::Whole(answer) }
+    }
+
+    async fn on_rejected(
+        self,
+        node: &Rc<Node>,
+        job: &RequestJob,
+        response: Response<Incoming>,
+    ) -> AttemptResult {
+        log_failure(job, &self.instance, &self.choice, "rejected without running");
+        let now = clock::now();
+        if let Some(server) = node.state.borrow_mut().roster.get_mut(self.choice.server) {
+            server.health.on_rejected(now);
+        }
+        let keep = keep_time(response.headers());
+        // The rest of a rejection is short; a connection whose rest does not come is closed.
+        if timeout(Duration::from_millis(100), read_whole(response.into_body(), ANSWER_BYTES))
+            .await
+            .is_ok_and(|read| read.is_ok())
+        {
+            self.channel.keep(keep);
+        }
+        AttemptResult::Ended(AttemptEnd::Rejected)
+    }
+
+    fn on_lost(self, node: &Rc<Node>, job: &RequestJob, cause: &ChannelError) -> AttemptResult {
+        log_failure(job, &self.instance, &self.choice, &cause.to_string());
+        let end = match cause {
+            ChannelError::NotSent(_) => AttemptEnd::NotSent,
+            ChannelError::Broken(_) | ChannelError::TimedOut => AttemptEnd::Unknown,
+        };
+        // A kept connection that its server had closed says nothing about the server.
+        if end != AttemptEnd::NotSent || self.channel.fresh {
+            on_silent(node, self.choice.server);
+        }
+        if matches!(cause, ChannelError::Broken(_)) {
+            note_crash(node, job, self.choice.server);
+        }
+        AttemptResult::Ended(end)
+    }
+
+    /// The first event has come.
+    fn on_begun(&mut self, node: &Rc<Node>, job: &RequestJob) {
+        self.flight.on_first_event();
+        on_answer(node, job, self, false);
+        let Some(weights) = self.choice.weights else { return };
+        let salt = cache_salt(job.cache_scope, weights);
+        let state = &mut *node.state.borrow_mut();
+        state.planner.cache.note(clock::now(), self.choice.server, salt, &job.call.prompt);
+    }
+
+    fn learn(&self, node: &Rc<Node>, job: &RequestJob, head: &AnswerHead) {
+        let now = clock::now();
+        let state = &mut *node.state.borrow_mut();
+        if let Some(load) = head.load
+            && let Some(server) = state.roster.get_mut(self.choice.server)
+        {
+            server.health.on_load(now, load);
+        }
+        if let (Some(model), Some(version)) = (&job.call.model, head.weights) {
+            state.on_weights(self.choice.server, model, version);
+        }
+    }
+
+    /// How long the head of the answer is waited for.
+    fn patience(&self, job: &RequestJob) -> Duration {
+        let left = job.time_left(clock::now());
+        let may_move = job.rule.may_repeat() && job.history.runs + 1 < job.rule.max_servers;
+        if !may_move {
+            return left;
+        }
+        let expected = Duration::from_secs_f64(self.choice.base_ms * SILENCE_FACTOR / 1_000.0);
+        expected.max(job.rule.target_latency.mul_f64(SILENCE_SHARE)).min(left)
+    }
+
+    fn request<W: NodeWire>(
+        &self,
+        job: &RequestJob,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let salt = self.choice.weights.map(|version| match &job.workspace {
+            Some(workspace) if workspace.isolated => format!("{}/{}", version.0, workspace.name),
+            _ => version.0.to_string(),
+        });
+        let headers = W::write_call(&ServerCall {
+            headers: &job.head.headers,
+            request_id: &job.call.request_id,
+            instance: &self.instance,
+            deadline: job.deadline.min(job.ends).since(clock::now()),
+            workspace: job.workspace.as_ref().map(|workspace| workspace.name.as_str()),
+            priority: job.call.model.is_some().then(|| job.priority()),
+            weights: self.choice.weights,
+            cache_salt: salt.as_deref(),
+            fetch_from: None,
+            last_event,
+        });
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.head.method.clone();
+        *request.uri_mut() = origin_form(&job.head.uri);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// A server's answer as the caller gets it.
+pub fn caller_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    for (name, value) in headers {
+        if !is_hop_header(name) && *name != header::CONTENT_LENGTH {
+            response.headers_mut().append(name, value.clone());
+        }
+    }
+    response
+}
+
+/// Whether a header concerns one connection only.
+pub fn is_hop_header(name: &header::HeaderName) -> bool {
+    const HOP_HEADERS: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    HOP_HEADERS.contains(&name.as_str())
+}
+
+/// How long a server keeps the connection idle, if it says so.
+pub fn keep_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// Notes that a run broke in a way that a crash of the server explains.
+pub fn note_crash(node: &Rc<Node>, job: &RequestJob, server: ServerKey) {
+    let state = &mut *node.state.borrow_mut();
+    let Some(life) = state.life_number(server) else { return };
+    if state.crashes.on_crash(clock::now(), job.fingerprint, life) {
+        node.tell_peers(PeerNotice::Crash { fingerprint: job.fingerprint, life });
+    }
+}
+
+/// Notes that a server did not answer.
+pub fn on_silent(node: &Rc<Node>, server: ServerKey) {
+    if let Some(known) = node.state.borrow_mut().roster.get_mut(server) {
+        known.health.on_silent(clock::now());
+    }
+}
+
+fn on_answer(node: &Rc<Node>, job: &RequestJob, attempt: &Attempt, failed: bool) {
+    let now = clock::now();
+    let took = now.since(attempt.sent_at);
+    let state = &mut *node.state.borrow_mut();
+    let ratio = took.as_secs_f64() * 1_000.0 / attempt.choice.base_ms.max(1.0);
+    if let Some(server) = state.roster.get_mut(attempt.choice.server) {
+        if failed {
+            server.health.on_failed(now);
+        } else {
+            server.health.on_answer(now, ratio);
+        }
+    }
+    if !failed {
+        state.crashes.on_complete(job.fingerprint);
+        if !job.is_stream() {
+            state.planner.on_plain_work(&job.service, took);
+        }
+    }
+    let id = &job.call.request_id;
+    let choice = &attempt.choice;
+    log::debug!(
+        request = id, server = attempt.instance, cost_ms = choice.cost_ms, failed,
+        took_ms = took.as_millis() as u64;
+        "server answered"
+    );
+}
+
+fn choose(
+    node: &Rc<Node>,
+    job: &RequestJob,
+) -> Result<(PlacementChoice, String), PlacementRefusal> {
+    let now = clock::now();
+    let state = &mut *node.state.borrow_mut();
+    let request = PlacementRequest {
+        service: &job.service,
+        model: job.call.model.as_deref(),
+        prompt: &job.call.prompt,
+        cache_scope: job.cache_scope,
+        bytes: job.body.len(),
+        patience: job.time_left(now),
+    };
+    let choice = state.planner.choose(now, &state.roster, &request, &job.tried, &mut state.rng)?;
+    let server = state.roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
+    log::info!(
+        request = job.call.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
+        expected_ms = choice.base_ms, held_tokens = choice.held_tokens,
+        prompt_tokens = job.call.prompt.prompt_tokens, in_flight = server.in_flight,
+        weighed = choice.weighed, config:? = state.routes.version();
+        "server chosen"
+    );
+    Ok((choice, server.listing.instance.clone()))
+}
+
+fn log_failure(job: &RequestJob, instance: &str, choice: &PlacementChoice, cause: &str) {
+    log::info!(
+        request = job.call.request_id, server = instance, cause = cause,
+        attempt = job.history.attempts + 1, expected_ms = choice.base_ms;
+        "attempt failed"
+    );
+    metrics::counter!("carobvane_failed_attempts_total").increment(1);
+}
+
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    target.parse().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/node/src/duty.rs
@@ -0,0 +1,143 @@
+//! Carries out the orders to load weights while this node has the duty.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use carobvane_core::{
+    ids::{ServerKey, WeightsVersion},
+    traffic::{OrderReply, RolloutEffect},
+};
+use http::Response;
+use tokio::time::timeout;
+
+use crate::{
+    channel::{ChannelError, HttpChannel},
+    clock,
+    node::{Node, NodeState},
+    peers::{self, PeerNotice},
+    store::build_request,
+    wire::{NodeWire, WeightsOrder, WireQuery},
+};
+
+/// Longest time between two looks at what is due.
+const TICK_TIME: Duration = Duration::from_millis(60);
+/// The same without the duty.
+const IDLE_TICK_TIME: Duration = Duration::from_millis(500);
+/// Longest time for an order or a reading.
+const ORDER_TIME: Duration = Duration::from_millis(700);
+/// Time for which requests are kept from a server that was ordered to load.
+const LOAD_TIME: Duration = Duration::from_millis(1_500);
+/// Most bytes of a server's state.
+const REPORT_BYTES: usize = 1024 * 1024;
+
+/// Gives orders whenever this node has the duty, until the process ends.
+pub async fn give_orders<W: NodeWire>(node: Rc<Node>) {
+    loop {
+        let holds = node.state.borrow().rollout.fencing(clock::now()).is_some();
+        let wait = if holds { TICK_TIME } else { IDLE_TICK_TIME };
+        let _woken = timeout(wait, node.duty_wake.notified()).await;
+        let effects = {
+            let state = &mut *node.state.borrow_mut();
+            state.rollout.tick(clock::now(), &state.roster)
+        };
+        for effect in effects {
+            actix_rt::spawn(carry_out::<W>(node.clone(), effect));
+        }
+    }
+}
+
+async fn carry_out<W: NodeWire>(node: Rc<Node>, effect: RolloutEffect) {
+    match effect {
+        RolloutEffect::Order { server, model, version, fencing, expected } => {
+            order::<W>(&node, server, &model, version, fencing, expected).await;
+        }
+        RolloutEffect::Read { server, model } => read::<W>(&node, server, &model).await,
+    }
+}
+
+async fn order<W: NodeWire>(
+    node: &Rc<Node>,
+    server: ServerKey,
+    model: &str,
+    version: WeightsVersion,
+    fencing: u64,
+    expected: Option<u64>,
+) {
+    let Some((instance, address)) = target(node, server) else { return };
+    let notice = PeerNotice::Loading { instance: instance.clone(), expected: LOAD_TIME };
+    peers::apply(node, notice.clone());
+    node.tell_peers(notice);
+    let order = WeightsOrder { model, version, holder: &node.settings.name, fencing, expected };
+    let query = W::write_order(&order);
+    let guard = || node.state.borrow().rollout.order_fencing(clock::now()) == Some(fencing);
+    let answer = ask::<W>(&instance, address, query, guard).await;
+    let reply = match &answer {
+        Ok(response) => W::read_order(response.status()),
+        Err(ChannelError::NotSent(_)) => OrderReply::Refused,
+        Err(_) => OrderReply::Unknown,
+    };
+    let cause = answer.err().map(|cause| cause.to_string());
+    log::info!(
+        instance = instance, model = model, version = version.0, fencing, expected:? = expected,
+        reply:? = reply, cause:? = cause;
+        "ordered new weights"
+    );
+    metrics::counter!("carobvane_orders_total").increment(1);
+    finish(node, server, &reply);
+}
+
+async fn read<W: NodeWire>(node: &Rc<Node>, server: ServerKey, model: &str) {
+    let Some((instance, address)) = target(node, server) else { return };
+    let reply = match ask::<W>(&instance, address, W::write_report(), || true).await {
+        Ok(response) => W::read_report(response.status(), response.body(), model),
+        Err(cause) => {
+            log::info!(instance = instance, cause:% = cause; "failed to read a server's state");
+            OrderReply::Unknown
+        }
+    };
+    log::debug!(instance = instance, reply:? = reply; "read a server's state");
+    if let OrderReply::Reading { version, busy: false, .. } = reply {
+        let notice = PeerNotice::Loaded { instance, model: model.to_string(), version };
+        peers::apply(node, notice.clone());
+        node.tell_peers(notice);
+    }
+    finish(node, server, &reply);
+}
+
+fn finish(node: &Rc<Node>, server: ServerKey, reply: &OrderReply) {
+    node.state.borrow_mut().rollout.on_reply(clock::now(), server, reply);
+    node.duty_wake.notify_one();
+}
+
+fn target(node: &Rc<Node>, server: ServerKey) -> Option<(String, SocketAddr)> {
+    let state = node.state.borrow();
+    let listing = &state.roster.get(server)?.listing;
+    Some((listing.instance.clone(), listing.address))
+}
+
+/// Sends a query of our own to a server. `may_send` is asked right before its bytes leave.
+async fn ask<W: NodeWire>(
+    instance: &str,
+    address: SocketAddr,
+    query: WireQuery,
+    may_send: impl Fn() -> bool,
+) -> Result<Response<bytes::Bytes>, ChannelError> {
+    let mut channel = HttpChannel::open(address, ORDER_TIME).await?;
+    let mut request = build_request(query, address);
+    W::name_instance(request.headers_mut(), instance);
+    if !may_send() {
+        return Err(ChannelError::NotSent("the order duty has ended".to_string()));
+    }
+    channel.call(request, ORDER_TIME, REPORT_BYTES).await
+}
+
+impl NodeState {
+    /// Notes that a server holds a version of a model's weights.
+    pub fn on_weights(&mut self, server: ServerKey, model: &str, version: WeightsVersion) {
+        let Some(known) = self.roster.get_mut(server) else { return };
+        let weights = known.listing.weights.iter_mut().find(|weights| weights.model == model);
+        let Some(weights) = weights.filter(|weights| weights.version < version) else { return };
+        weights.version = version;
+        known.loading_until = carobvane_core::clock::ClockTime::ZERO;
+        self.planner.cache.forget(server);
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,30 @@
+//! A node beside an external platform: callers, directory, readiness, peers and order duty in one
+//! process on one thread.
+//!
+//! The crate hosts the decisions of [`carobvane_core::traffic`] and speaks HTTP. What the platform
+//! calls things is known to its adapter alone, through the traits of [`wire`].
+
+pub mod answers;
+pub mod attempt;
+pub mod body;
+pub mod channel;
+pub mod clock;
+mod duty;
+mod fleet;
+mod front;
+mod ingress;
+mod listing;
+mod logging;
+mod members;
+mod node;
+mod peers;
+mod pool;
+mod program;
+mod relay;
+mod request;
+pub mod settings;
+mod socket;
+mod store;
+pub mod wire;
+
+pub use program::run;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,200 @@
+//! The state of a node, shared by all its parts on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::ServerKey,
+    orders::LeaseTimes,
+    rendezvous::rendezvous_score,
+    traffic::{
+        BudgetShare, CrashBook, PlacementPlanner, RetryBudget, RolloutPlanner, RolloutSettings,
+        RouteTable, ServerRoster,
+    },
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
+
+use crate::{
+    clock,
+    fleet::StoreMirror,
+    members::MemberBook,
+    peers::PeerNotice,
+    pool::ChannelPool,
+    settings::{NodeBounds, NodeSettings},
+};
+
+/// The lease ends this much earlier for its holder than for the store.
+const LEASE_MARGIN: std::time::Duration = std::time::Duration::from_millis(250);
+/// New requests stop using replaced weights this much before they must.
+const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(900);
+/// Fewest connections to one server that a node may open.
+const MIN_SERVER_CHANNELS: u32 = 2;
+
+/// What the decisions of a node are based on.
+pub struct NodeState {
+    /// Configuration in force.
+    pub routes: RouteTable,
+    /// Backend servers.
+    pub roster: ServerRoster,
+    /// Choice of servers.
+    pub planner: PlacementPlanner,
+    /// Orders to load weights.
+    pub rollout: RolloutPlanner,
+    /// Requests that crash servers.
+    pub crashes: CrashBook,
+    /// Nodes.
+    pub members: MemberBook,
+    /// Copy of the platform's items.
+    pub mirror: StoreMirror,
+    /// Randomness of all decisions.
+    pub rng: SmallRng,
+    budgets: HashMap<String, RetryBudget>,
+    /// Whether the store answered the last call.
+    store_up: bool,
+    store_changed: ClockTime,
+}
+
+/// A node.
+pub struct Node {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// Number of this life of the node.
+    pub incarnation: u64,
+    /// State of the decisions. Never borrowed across an await.
+    pub state: RefCell<NodeState>,
+    /// Connections to backend servers.
+    pub pool: Rc<ChannelPool>,
+    /// Requests in progress.
+    pub in_flight: Cell<u32>,
+    /// Whether the node stops: no new callers are sent to it.
+    pub draining: Rc<Cell<bool>>,
+    /// Whether idle connections of callers are closed.
+    pub closing: Cell<bool>,
+    /// Wakes the duty of the holder.
+    pub duty_wake: Notify,
+    /// Wakes the part that keeps this node listed.
+    pub listing_wake: Notify,
+    /// Notices for the other nodes, sent together.
+    pub outbox: RefCell<Vec<PeerNotice>>,
+    /// Wakes the sender of notices.
+    pub outbox_wake: Notify,
+}
+
+impl Node {
+    /// Creates a node that knows nothing yet.
+    pub fn new(settings: NodeSettings, seed: u64) -> Node {
+        let bounds = settings.bounds;
+        let lease = LeaseTimes {
+            lifetime: crate::members::LEASE_TIME.max(bounds.shortest_lease),
+            margin: LEASE_MARGIN,
+            predecessor_wait: bounds.holder_gap,
+        };
+        let version_time = bounds.version_time.saturating_sub(VERSION_MARGIN);
+        let state = NodeState {
+            routes: RouteTable::default(),
+            roster: ServerRoster::default(),
+            planner: PlacementPlanner::new(settings.data_centre.clone(), version_time),
+            rollout: RolloutPlanner::new(RolloutSettings { lease }),
+            crashes: CrashBook::default(),
+            members: MemberBook::default(),
+            mirror: StoreMirror::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            budgets: HashMap::new(),
+            store_up: false,
+            store_changed: clock::now(),
+        };
+        Node {
+            settings,
+            incarnation: seed,
+            state: RefCell::new(state),
+            pool: Rc::default(),
+            in_flight: Cell::new(0),
+            draining: Rc::new(Cell::new(false)),
+            closing: Cell::new(false),
+            duty_wake: Notify::new(),
+            listing_wake: Notify::new(),
+            outbox: RefCell::default(),
+            outbox_wake: Notify::new(),
+        }
+    }
+
+    /// Notes whether the store answered a call.
+    pub fn on_store(&self, answered: bool) {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        if state.store_up == answered {
+            return;
+        }
+        let lasted_ms = now.since(state.store_changed).as_millis() as u64;
+        state.store_up = answered;
+        state.store_changed = now;
+        if answered {
+            log::info!(away_ms = lasted_ms; "store answers again");
+            state.roster.on_store_back(now);
+            state.members.on_store_back(now);
+        } else {
+            log::warn!(answered_ms = lasted_ms; "store does not answer");
+            state.roster.on_store_lost();
+            state.members.on_store_lost();
+        }
+    }
+
+    /// Sends a notice to the other nodes soon.
+    pub fn tell_peers(&self, notice: PeerNotice) {
+        self.outbox.borrow_mut().push(notice);
+        self.outbox_wake.notify_one();
+    }
+
+    /// Address and connection bound of a server.
+    pub fn server_address(&self, server: ServerKey) -> Option<(SocketAddr, u32)> {
+        let state = self.state.borrow();
+        let listing = &state.roster.get(server)?.listing;
+        let most = state.routes.service(&listing.service).map_or(0, |spec| spec.max_connections);
+        let nodes = state.members.most_nodes() as u32;
+        Some((listing.address, (most / nodes.max(1)).max(MIN_SERVER_CHANNELS)))
+    }
+}
+
+impl NodeState {
+    /// Whether the store answered the last call.
+    pub fn is_store_up(&self) -> bool {
+        self.store_up
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn on_request(&mut self, now: ClockTime, service: &str, bounds: &NodeBounds) {
+        let share = self.share(bounds);
+        self.budget(service).on_request(now, &share);
+    }
+
+    /// Takes a repeated send to a service from the budget.
+    pub fn take_repeat(&mut self, now: ClockTime, service: &str, bounds: &NodeBounds) -> bool {
+        let share = self.share(bounds);
+        self.budget(service).take(now, &share)
+    }
+
+    fn share(&self, bounds: &NodeBounds) -> BudgetShare {
+        BudgetShare {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+            nodes: self.members.most_nodes(),
+        }
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        self.budgets.entry(service.to_string()).or_default()
+    }
+
+    /// Number of a server's life that all nodes derive alike.
+    pub fn life_number(&self, server: ServerKey) -> Option<u64> {
+        let listing = &self.roster.get(server)?.listing;
+        Some(rendezvous_score(listing.instance.as_bytes(), listing.born))
+    }
+}
--- /dev/null
+++ b/crates/node/src/program.rs
@@ -0,0 +1,196 @@
+//! Start and end of the process.
+
+use std::{marker::PhantomData, process::ExitCode, rc::Rc, time::Duration};
+
+use eyre::{Result, WrapErr};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{Instant, interval, sleep},
+};
+
+use crate::{
+    clock, duty,
+    fleet::{self, forget_server},
+    front::{CallerHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
+    ingress,
+    listing::{self, NodeLease},
+    logging,
+    node::Node,
+    peers::{self, PeerHandler},
+    settings::NodeSettings,
+    socket,
+    store::StoreClient,
+    wire::{NodeWire, SettingsWire},
+};
+
+/// Exit code for settings that do not check.
+const BAD_SETTINGS: u8 = 2;
+/// Time after SIGTERM in which callers learn that the node stops.
+const LINGER_TIME: Duration = Duration::from_millis(2_500);
+/// The process ends this much before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+/// Time between two looks whether the node may end.
+const END_CHECK: Duration = Duration::from_millis(50);
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING_TIME: Duration = Duration::from_millis(500);
+/// Time between two readings of the settings file, which may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(1);
+
+/// Runs a node until it is told to stop.
+pub fn run<W: NodeWire>() -> ExitCode {
+    let (settings, bytes) = match read_settings::<W>() {
+        Ok(read) => read,
+        Err(cause) => {
+            eprintln!("{cause}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    match actix_rt::System::new().block_on(start::<W>(settings, bytes)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            eprintln!("{cause:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings<W: SettingsWire>() -> Result<(NodeSettings, Vec<u8>)> {
+    let path = W::settings_path()?;
+    let bytes =
+        std::fs::read(&path).wrap_err_with(|| format!("failed to read {}", path.display()))?;
+    Ok((W::read_settings(&bytes)?, bytes))
+}
+
+async fn start<W: NodeWire>(settings: NodeSettings, bytes: Vec<u8>) -> Result<()> {
+    logging::start_logging(log::LevelFilter::Info)?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .wrap_err("failed to start recording metrics")?;
+    let seed = clock::now().as_micros() ^ u64::from(std::process::id()) << 40;
+    let node = Rc::new(Node::new(settings, seed));
+    let store = Rc::new(StoreClient::<W>::new(node.settings.store));
+    let lease = Rc::new(NodeLease::default());
+    open_listeners::<W>(&node, metrics)?;
+    actix_rt::spawn(fleet::follow(node.clone(), store.clone()));
+    actix_rt::spawn(fleet::follow_peers::<W>(node.clone()));
+    actix_rt::spawn(listing::keep_listed(node.clone(), store.clone(), lease.clone()));
+    actix_rt::spawn(listing::take_duty(node.clone(), store.clone(), lease.clone()));
+    actix_rt::spawn(duty::give_orders::<W>(node.clone()));
+    actix_rt::spawn(peers::send_notices(node.clone()));
+    actix_rt::spawn(keep_house(node.clone()));
+    actix_rt::spawn(watch_settings::<W>(bytes));
+    log::info!(
+        name = node.settings.name, data_centre = node.settings.data_centre,
+        callers:% = node.settings.callers, incarnation = node.incarnation;
+        "node started"
+    );
+    wait_for_stop().await?;
+    stop(&node, &store, &lease).await;
+    Ok(())
+}
+
+fn open_listeners<W: NodeWire>(
+    node: &Rc<Node>,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+) -> Result<()> {
+    let settings = &node.settings;
+    let listen = |address| {
+        socket::listen(address).wrap_err_with(|| format!("failed to listen at {address}"))
+    };
+    let wire = PhantomData::<W>;
+    let callers = Rc::new(CallerHandler { node: node.clone(), wire });
+    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.callers)?, callers));
+    let ready = Rc::new(ReadyHandler { node: node.clone(), wire });
+    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.ready)?, ready));
+    let directory = Rc::new(DirectoryHandler { node: node.clone(), wire });
+    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.directory)?, directory));
+    let peers = Rc::new(PeerHandler { node: node.clone() });
+    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.peers)?, peers));
+    match listen(settings.metrics) {
+        Ok(listener) => {
+            let page = Rc::new(MetricsHandler { metrics });
+            actix_rt::spawn(ingress::serve(node.clone(), listener, page));
+        }
+        // Callers are served without the page.
+        Err(cause) => log::error!(cause:% = cause; "failed to serve the metrics page"),
+    }
+    Ok(())
+}
+
+async fn wait_for_stop() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("failed to handle SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("failed to handle SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Leaves the directory at once, finishes what has begun, and ends.
+async fn stop<W: NodeWire>(node: &Rc<Node>, store: &StoreClient<W>, lease: &NodeLease) {
+    let started = Instant::now();
+    log::info!(in_flight = node.in_flight.get(); "node stops");
+    node.draining.set(true);
+    listing::release(node, store, lease).await;
+    let linger = started + LINGER_TIME.min(node.settings.bounds.grace / 2);
+    let latest = started + node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    while Instant::now() < latest {
+        if Instant::now() >= linger {
+            node.closing.set(true);
+            if node.in_flight.get() == 0 {
+                break;
+            }
+        }
+        sleep(END_CHECK).await;
+    }
+    let left = node.in_flight.get();
+    log::info!(left, took_ms = started.elapsed().as_millis() as u64; "node ends");
+    // Lets the log thread write the last lines.
+    sleep(END_CHECK).await;
+}
+
+async fn keep_house(node: Rc<Node>) {
+    let mut ticks = interval(HOUSEKEEPING_TIME);
+    loop {
+        ticks.tick().await;
+        let now = clock::now();
+        node.pool.sweep(now);
+        let state = &mut *node.state.borrow_mut();
+        state.members.settle(now);
+        for (instance, server) in state.roster.settle(now) {
+            log::info!(instance = instance; "server is gone: its entry did not come back");
+            forget_server(&node, state, server);
+        }
+    }
+}
+
+/// Reports changed settings. Addresses and bounds are fixed for the life of a process, so a change
+/// takes effect with its next start.
+async fn watch_settings<W: NodeWire>(mut known: Vec<u8>) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(cause) => {
+            log::error!(cause:% = cause; "failed to handle SIGHUP");
+            return;
+        }
+    };
+    let mut ticks = interval(SETTINGS_CHECK);
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => log::info!("SIGHUP: reading the settings again"),
+            _ = ticks.tick() => {}
+        }
+        match read_settings::<W>() {
+            Ok((_, bytes)) if bytes != known => {
+                log::info!("settings changed; they take effect with the next start");
+                known = bytes;
+            }
+            Ok(_) => {}
+            Err(cause) => {
+                log::error!(cause:% = cause; "settings do not check; keeping the old ones")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/socket.rs
@@ -0,0 +1,46 @@
+//! Sockets that notice a silent peer.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 512;
+/// Idle time after which a peer is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Time between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is broken.
+const PROBES: u32 = 2;
+/// Time without an acknowledgement of sent bytes after which a connection is broken.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(2_500);
+
+/// Opens a connection.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    watch_peer(&stream)?;
+    Ok(stream)
+}
+
+/// Listens at an address.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Sends at once, and breaks the connection when the peer falls silent.
+pub fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME))
+}
