Keep long prompts apart, fetch kept prefixes and drain servers before orders

Cause: long prompts stretched the pauses of short streams at the same server, shared prefixes were read again at every server that load moved them to, and an order held its server until its last stream ended, so that a version took twelve seconds to reach all servers. Change: a lane of servers for long prompts whose width follows their work; KV cache fetched from the server that holds it; nodes tell each other sends, loads and cached parts by datagrams; servers are kept from requests before they are ordered, and more of them at once. Ruled out: late relaying in the node (the pauses came from the engine's steps).

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::ClockTime;
 
 /// First pause after a server did not answer; doubles with each further failure.
@@ -19,7 +21,7 @@
 const LOAD_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Load as a server reported it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Requests that run.
     pub running: u32,
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -11,7 +11,9 @@
 mod health;
 mod next_step;
 mod placement;
+mod prefill_lane;
 mod prompt;
+mod reading;
 mod retry_budget;
 mod rollout;
 mod roster;
@@ -30,7 +32,9 @@
     placement::{
         PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest, cache_salt,
     },
+    prefill_lane::{HEAVY_PROMPT_TOKENS, PrefillLane},
     prompt::{PromptPart, PromptShape},
+    reading::ReadingBacklog,
     retry_budget::{BudgetShare, RetryBudget},
     rollout::{OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings},
     roster::{
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -1,16 +1,18 @@
 //! Which server runs a request.
 //!
 //! Each usable server gets a cost in ms: the wait for a slot, the prompt tokens that it has to
-//! read, its observed slowness and failures, and the distance. The shared prefix of a prompt has a
-//! home, the first server in rendezvous order, so that nodes that tell each other nothing still
-//! send a prefix to the same memory. Load moves a request away from the home only when waiting
-//! there costs more than reading the prefix again.
+//! read or fetch, its observed slowness and failures, and the distance. A shared prefix that no
+//! server is known to hold has a home, the first server in rendezvous order, so that nodes that
+//! have not heard of each other's choices still send it to the same memory.
 
 use std::{collections::HashMap, time::Duration};
 
 use rand::Rng;
 
-use super::{BackendServer, CacheMap, PromptShape, ServerRoster, ServerStanding};
+use super::{
+    BackendServer, CacheMap, HEAVY_PROMPT_TOKENS, PrefillLane, PromptShape, ServerRoster,
+    ServerStanding,
+};
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
@@ -19,6 +21,21 @@
 
 /// Prompt tokens that an engine reads in a ms before its own pace has been observed.
 const READ_TOKENS_PER_MS: f64 = 36.0;
+/// Time of one pair of a read token and a token before it, in ms.
+const PAIR_MS: f64 = 0.74e-6;
+/// Time to fetch KV cache from another server, in ms, and for each token.
+const FETCH_MS: f64 = 4.0;
+const FETCH_TOKEN_MS: f64 = 0.006;
+/// Cost of a shared token that is read although some server has read it, in ms beyond its time.
+const READ_AGAIN_TOKEN_MS: f64 = 0.04;
+/// Share of a prompt's reading that is counted for each stream that it stalls.
+const STALL_SHARE: f64 = 0.1;
+/// Cost of a long prompt outside the lane, or a short one inside it, in ms.
+const LANE_MS: f64 = 80.0;
+/// Advantage of the server that all nodes prefer for a prefix, in ms.
+const HOME_MS: f64 = 30.0;
+/// Ranks the servers of the lane.
+const LANE_KEY: &[u8] = b"prefill lane";
 /// Time to the first event without any prompt to read, in ms.
 const FIRST_EVENT_MS: f64 = 12.0;
 /// Slowdown of a prompt's reading by each running request, in ms.
@@ -57,6 +74,8 @@
     pub cache_scope: u64,
     /// Bytes of the request.
     pub bytes: usize,
+    /// Nodes that share the callers.
+    pub nodes: usize,
     /// Longest wait for an answer that is worth sending it.
     pub patience: Duration,
 }
@@ -70,8 +89,10 @@
     pub cost_ms: f64,
     /// Expected time to the answer or the first event, before the server's slowness is applied.
     pub base_ms: f64,
-    /// Prompt tokens that it is believed to hold.
+    /// Prompt tokens that it is believed to hold or fetch.
     pub held_tokens: u32,
+    /// Server from which missing tokens may be fetched.
+    pub fetch_from: Option<ServerKey>,
     /// Version of its weights; `None` on a plain service.
     pub weights: Option<WeightsVersion>,
     /// Servers that were weighed.
@@ -87,6 +108,26 @@
     Busy(Duration),
 }
 
+/// A server that is believed to hold the start of a prompt.
+#[derive(Debug, Clone, Copy)]
+struct CacheHolder {
+    server: ServerKey,
+    version: WeightsVersion,
+    tokens: u32,
+}
+
+/// What is the same for all servers that are weighed for a request.
+#[derive(Debug, Clone, Default)]
+struct RequestView {
+    /// The server with most of the prompt.
+    holder: Option<CacheHolder>,
+    /// The server that all nodes prefer for the shared prefix when none holds it.
+    home: Option<ServerKey>,
+    /// Servers for long prompts.
+    lane: Vec<ServerKey>,
+    is_heavy: bool,
+}
+
 /// Weights of a model that were named last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct WantedWeights {
@@ -103,6 +144,7 @@
     version_time: Duration,
     /// Believed contents of the servers' memories.
     pub cache: CacheMap,
+    lane: PrefillLane,
     wanted: HashMap<String, WantedWeights>,
     /// Observed work of a plain service's requests, in ms.
     plain_work: HashMap<String, f64>,
@@ -115,6 +157,7 @@
             data_centre,
             version_time,
             cache: CacheMap::default(),
+            lane: PrefillLane::default(),
             wanted: HashMap::new(),
             plain_work: HashMap::new(),
         }
@@ -137,6 +180,13 @@
         *work += (ms - *work) * 0.05;
     }
 
+    /// Notes a prompt of a caller, from which the lane's width follows.
+    pub fn on_prompt(&mut self, now: ClockTime, prompt: &PromptShape) {
+        if prompt.prompt_tokens >= HEAVY_PROMPT_TOKENS {
+            self.lane.on_prompt(now, read_ms(prompt.shared_tokens(), prompt.prompt_tokens));
+        }
+    }
+
     /// Chooses a server for a request that has not been sent to any of `tried`.
     pub fn choose(
         &self,
@@ -146,7 +196,7 @@
         tried: &[ServerKey],
         rng: &mut impl Rng,
     ) -> Result<PlacementChoice, PlacementRefusal> {
-        let home = self.home(now, roster, request);
+        let view = self.view(now, roster, request);
         let mut best: Option<(f64, PlacementChoice)> = None;
         let mut weighed = 0;
         for (key, server) in roster.usable(request.service) {
@@ -154,7 +204,7 @@
                 continue;
             }
             weighed += 1;
-            let choice = self.weigh(now, key, server, request, home == Some(key));
+            let choice = self.weigh(now, key, server, request, &view);
             // Draws among equal servers, so that nodes do not all turn to the same one.
             let drawn = choice.cost_ms + rng.random_range(0.0..TIE_MS);
             if best.is_none_or(|(lowest, _)| drawn < lowest) {
@@ -171,6 +221,43 @@
         Ok(choice)
     }
 
+    /// What is the same for all servers that are weighed for a request.
+    fn view(
+        &self,
+        now: ClockTime,
+        roster: &ServerRoster,
+        request: &PlacementRequest<'_>,
+    ) -> RequestView {
+        let mut view = RequestView::default();
+        let Some(model) = request.model else { return view };
+        let is_heavy = request.prompt.prompt_tokens >= HEAVY_PROMPT_TOKENS;
+        let mut ranked: Vec<(u64, ServerKey, WeightsVersion)> = Vec::new();
+        for (key, server) in roster.usable(request.service) {
+            let Some(version) = server.weights(model) else { continue };
+            let salt = cache_salt(request.cache_scope, version);
+            let held = self.cache.held_tokens(now, key, salt, request.prompt);
+            if held > view.holder.map_or(0, |holder| holder.tokens) {
+                view.holder = Some(CacheHolder { server: key, version, tokens: held });
+            }
+            if server.standing == ServerStanding::Ready && !server.health.is_paused(now) {
+                let number = instance_number(&server.listing.instance);
+                ranked.push((rendezvous_score(LANE_KEY, number), key, version));
+            }
+        }
+        ranked.sort_unstable_by_key(|(score, key, _)| (std::cmp::Reverse(*score), *key));
+        let width = self.lane.width(now, ranked.len(), request.nodes).min(ranked.len());
+        view.lane = ranked[..width].iter().map(|(_, key, _)| *key).collect();
+        view.is_heavy = is_heavy;
+        let own_part = if is_heavy { &ranked[..width] } else { &ranked[width..] };
+        let newest = own_part.iter().map(|(_, _, version)| *version).max();
+        let Some(affinity) = request.prompt.affinity() else { return view };
+        let prefix = (affinity ^ request.cache_scope).to_le_bytes();
+        let candidates = own_part.iter().filter(|(_, _, version)| Some(*version) == newest);
+        let scored = candidates.map(|(number, key, _)| (rendezvous_score(&prefix, *number), *key));
+        view.home = scored.max().map(|(_, key)| key);
+        view
+    }
+
     /// Whether a server's weights may be used for a request that begins now.
     fn is_current(&self, now: ClockTime, model: &str, version: WeightsVersion) -> bool {
         let Some(wanted) = self.wanted.get(model) else { return true };
@@ -193,56 +280,88 @@
         server.weights(model).is_some_and(|version| self.is_current(now, model, version))
     }
 
-    /// The server that all nodes prefer for a prompt's shared prefix.
-    fn home(
-        &self,
-        now: ClockTime,
-        roster: &ServerRoster,
-        request: &PlacementRequest<'_>,
-    ) -> Option<ServerKey> {
-        let prefix = (request.prompt.affinity()? ^ request.cache_scope).to_le_bytes();
-        let open = roster.usable(request.service).filter(|(_, server)| {
-            server.standing == ServerStanding::Ready && !server.health.is_paused(now)
-        });
-        let scored = open.map(|(key, server)| {
-            (rendezvous_score(&prefix, instance_number(&server.listing.instance)), key)
-        });
-        scored.max().map(|(_, key)| key)
-    }
-
     fn weigh(
         &self,
         now: ClockTime,
         key: ServerKey,
         server: &BackendServer,
         request: &PlacementRequest<'_>,
-        is_home: bool,
+        view: &RequestView,
     ) -> PlacementChoice {
         let weights = request.model.and_then(|model| server.weights(model));
-        let mut held_tokens = 0;
-        let base_ms = match weights {
-            Some(version) => {
-                let salt = cache_salt(request.cache_scope, version);
-                held_tokens = self.cache.held_tokens(now, key, salt, request.prompt);
-                if is_home {
-                    held_tokens = held_tokens.max(request.prompt.shared_tokens());
-                }
-                engine_ms(now, server, request.prompt, held_tokens)
-            }
-            None => self.plain_ms(now, server, request.service),
+        let mut choice = PlacementChoice {
+            server: key,
+            cost_ms: 0.0,
+            base_ms: 0.0,
+            held_tokens: 0,
+            fetch_from: None,
+            weights,
+            weighed: 0,
         };
-        let mut cost_ms = base_ms * server.health.slowness();
-        cost_ms += server.health.failure_share(now) * FAILURE_MS;
+        match weights {
+            Some(version) => self.weigh_engine(now, server, request, view, version, &mut choice),
+            None => {
+                choice.base_ms = self.plain_ms(now, server, request.service);
+                choice.cost_ms = choice.base_ms;
+            }
+        }
+        choice.cost_ms *= server.health.slowness() * pace(now, server);
+        choice.cost_ms += server.health.failure_share(now) * FAILURE_MS;
         if server.health.is_doubtful() || server.standing == ServerStanding::Lapsed {
-            cost_ms += DOUBT_MS;
+            choice.cost_ms += DOUBT_MS;
         }
         if server.listing.data_centre != self.data_centre {
-            cost_ms += DISTANCE_MS + DISTANCE_MS_PER_KB * request.bytes as f64 / 1_000.0;
+            choice.cost_ms += DISTANCE_MS + DISTANCE_MS_PER_KB * request.bytes as f64 / 1_000.0;
         }
         if let (Some(model), Some(version)) = (request.model, weights) {
-            cost_ms += self.age_cost(now, model, version);
+            choice.cost_ms += self.age_cost(now, model, version);
+        }
+        choice
+    }
+
+    fn weigh_engine(
+        &self,
+        now: ClockTime,
+        server: &BackendServer,
+        request: &PlacementRequest<'_>,
+        view: &RequestView,
+        version: WeightsVersion,
+        choice: &mut PlacementChoice,
+    ) {
+        let prompt = request.prompt;
+        let salt = cache_salt(request.cache_scope, version);
+        let held = self.cache.held_tokens(now, choice.server, salt, prompt);
+        let source = view.holder.filter(|holder| holder.version == version && holder.tokens > held);
+        let fetched = source.map_or(0, |holder| holder.tokens - held);
+        choice.held_tokens = held + fetched;
+        choice.fetch_from = source.map(|holder| holder.server).or(view.home);
+        choice.fetch_from =
+            choice.fetch_from.filter(|from| *from != choice.server && held == 0 || fetched > 0);
+        let own_ms = read_ms(choice.held_tokens, prompt.prompt_tokens);
+        let fetch_ms =
+            if fetched > 0 { FETCH_MS + f64::from(fetched) * FETCH_TOKEN_MS } else { 0.0 };
+        let load = server.health.load(now).unwrap_or_default();
+        let running = (load.running + load.waiting).max(server.in_flight);
+        let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
+        let ahead_ms = server.reading.tokens(now) as f64 / READ_TOKENS_PER_MS;
+        choice.base_ms = FIRST_EVENT_MS
+            + ahead_ms
+            + f64::from(queued) * FIRST_EVENT_MS
+            + own_ms
+            + fetch_ms
+            + f64::from(running) * RUNNING_MS;
+        let again = prompt.shared_tokens().saturating_sub(choice.held_tokens);
+        choice.cost_ms = choice.base_ms + f64::from(again) * READ_AGAIN_TOKEN_MS;
+        if view.is_heavy {
+            // Every stream at the server waits while the prompt is read.
+            choice.cost_ms += f64::from(running) * own_ms * STALL_SHARE;
+        }
+        if view.lane.contains(&choice.server) != view.is_heavy {
+            choice.cost_ms += LANE_MS;
+        }
+        if view.holder.is_none() && view.home == Some(choice.server) {
+            choice.cost_ms -= HOME_MS;
         }
-        PlacementChoice { server: key, cost_ms, base_ms, held_tokens, weights, weighed: 0 }
     }
 
     fn age_cost(&self, now: ClockTime, model: &str, version: WeightsVersion) -> f64 {
@@ -269,22 +388,19 @@
     }
 }
 
-/// Time to the first event at an engine, in ms.
-fn engine_ms(
-    now: ClockTime,
-    server: &BackendServer,
-    prompt: &PromptShape,
-    held_tokens: u32,
-) -> f64 {
-    let own = prompt.prompt_tokens.saturating_sub(held_tokens);
-    let load = server.health.load(now).unwrap_or_default();
-    let running = (load.running + load.waiting).max(server.in_flight);
-    let slots = server.listing.slots.max(1);
-    let queued = running.saturating_sub(slots) + load.waiting;
-    let ahead_ms = server.pending_tokens as f64 / READ_TOKENS_PER_MS;
-    let queue_ms = f64::from(queued) * FIRST_EVENT_MS;
-    let read_ms = f64::from(own) / READ_TOKENS_PER_MS;
-    FIRST_EVENT_MS + ahead_ms + queue_ms + read_ms + f64::from(running) * RUNNING_MS
+/// Time that an engine takes to read a prompt of which it holds the first tokens, in ms.
+fn read_ms(held_tokens: u32, prompt_tokens: u32) -> f64 {
+    let held = f64::from(held_tokens.min(prompt_tokens));
+    let all = f64::from(prompt_tokens);
+    (all - held) / READ_TOKENS_PER_MS + (all * all - held * held) / 2.0 * PAIR_MS
+}
+
+/// How long work takes at a server now, as far as it has told lately; 1 as usual.
+fn pace(now: ClockTime, server: &BackendServer) -> f64 {
+    let load = server.health.load(now);
+    let percent = load.map_or(100, |load| load.pace_percent);
+    // The figure changes several times a second, so only half of it is believed.
+    (0.5 + f64::from(percent) / 200.0).clamp(0.7, 3.0)
 }
 
 /// Number of an instance that all nodes derive alike.
--- a/crates/core/src/traffic/prompt.rs
+++ b/crates/core/src/traffic/prompt.rs
@@ -1,9 +1,10 @@
 //! The shape of a prompt: its parts in order, of which all but the last are shared.
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// One part of a prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Identity of the text; equal parts of different prompts have the same one.
     pub id: u64,
@@ -23,6 +24,13 @@
 }
 
 impl PromptShape {
+    /// A prompt of which only the shared parts are known.
+    pub fn of_shared(shared: &[PromptPart]) -> PromptShape {
+        let own = PromptPart { id: 0, tokens: 0 };
+        let parts = shared.iter().copied().chain([own]).collect();
+        PromptShape { parts, prompt_tokens: 0, output_tokens: 0 }
+    }
+
     /// The parts that other requests may share.
     pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -7,15 +7,21 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{ServerRoster, ServerStanding};
+use super::{BackendServer, ServerRoster, ServerStanding};
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
     orders::{LeaseEvent, LeaseState, LeaseTimes},
 };
 
-/// Engines of which one may load at a time.
-const ENGINES_PER_LOAD: usize = 6;
+/// Engines of which one may have an order at a time. Part of those with an order still run
+/// requests, so fewer load at once.
+const ENGINES_PER_ORDER: usize = 4;
+/// Engines of which one may be kept from requests at a time, because it loads or soon will.
+const ENGINES_PER_RETIREMENT: usize = 2;
+/// Time for which a server is kept from requests before it is ordered to load: an order holds up
+/// the server until its last request ends.
+const RETIRE_TIME: Duration = Duration::from_millis(250);
 /// Time after an accepted order until the server is first read.
 const FIRST_READING: Duration = Duration::from_millis(450);
 /// Time between two readings of a server.
@@ -59,6 +65,16 @@
 /// What the host carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RolloutEffect {
+    /// Keep requests from a server that will be ordered to load.
+    Retire {
+        /// The server.
+        server: ServerKey,
+    },
+    /// Let a server have requests again that did not load.
+    Release {
+        /// The server.
+        server: ServerKey,
+    },
     /// Order a server to load weights.
     Order {
         /// The server.
@@ -83,6 +99,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LoadStage {
+    /// Kept from requests until `due`, then ordered.
+    Retiring,
     /// Waits for the reply of an order.
     Ordered,
     /// Waits for the reply of a reading.
@@ -146,13 +164,17 @@
         self.lease.order_fencing(now)
     }
 
-    /// Handles the reply to an order or reading of a server.
-    pub fn on_reply(&mut self, now: ClockTime, server: ServerKey, reply: &OrderReply) {
+    /// Handles the reply to an order or reading of a server. Returns what follows at once.
+    pub fn on_reply(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        reply: &OrderReply,
+    ) -> Option<RolloutEffect> {
         if *reply == OrderReply::Fenced {
             self.lease.step_down();
-            return;
         }
-        let Some(loading) = self.loading.get_mut(&server) else { return };
+        let loading = self.loading.get_mut(&server)?;
         match reply {
             OrderReply::Accepted => loading.wait(LoadStage::Loading, now + FIRST_READING),
             OrderReply::Conflict => loading.wait(LoadStage::Doubtful, now + NEXT_READING),
@@ -167,8 +189,11 @@
                     loading.wait(LoadStage::Idle, now);
                 }
             }
-            OrderReply::Fenced => {}
+            OrderReply::Fenced => loading.wait(LoadStage::Idle, now),
         }
+        // A server that does not load for us may have requests again.
+        let released = matches!(loading.stage, LoadStage::Doubtful | LoadStage::Idle);
+        released.then_some(RolloutEffect::Release { server })
     }
 
     /// Returns what is due now.
@@ -227,8 +252,50 @@
             server.standing != ServerStanding::Leaving && server.weights(model).is_some()
         });
         let serving: Vec<_> = serving.collect();
-        let at_once = (serving.len() / ENGINES_PER_LOAD).max(1);
-        let busy = self.loading.values().filter(|loading| loading.is_busy()).count();
+        let engines = serving.len();
+        let mut effects = self.retire(now, serving, model, version);
+        let ordered = self.loading.values().filter(|loading| loading.is_ordered()).count();
+        let free = (engines / ENGINES_PER_ORDER).max(1).saturating_sub(ordered);
+        let behind = |key: &ServerKey| {
+            roster
+                .get(*key)
+                .and_then(|server| server.weights(model))
+                .is_some_and(|held| held < version)
+        };
+        let mut due: Vec<(u32, ServerKey)> = Vec::new();
+        for (key, loading) in &self.loading {
+            if loading.stage == LoadStage::Retiring && behind(key) {
+                let in_flight = roster.get(*key).map_or(0, |server| server.in_flight);
+                if now >= loading.due {
+                    due.push((in_flight, *key));
+                }
+            }
+        }
+        due.sort_unstable();
+        for (_, key) in due.into_iter().take(free) {
+            let Some(loading) = self.loading.get_mut(&key) else { continue };
+            loading.wait(LoadStage::Ordered, now);
+            effects.push(RolloutEffect::Order {
+                server: key,
+                model: model.to_string(),
+                version,
+                fencing,
+                expected: loading.sequence,
+            });
+        }
+        effects
+    }
+
+    /// Keeps requests from the next servers that will load, those with the least to do first.
+    fn retire(
+        &mut self,
+        now: ClockTime,
+        serving: Vec<(ServerKey, &BackendServer)>,
+        model: &str,
+        version: WeightsVersion,
+    ) -> Vec<RolloutEffect> {
+        let most = (serving.len() / ENGINES_PER_RETIREMENT).max(1);
+        let retired = self.loading.values().filter(|loading| loading.is_retired()).count();
         let mut behind: Vec<_> = serving
             .into_iter()
             .filter(|(key, server)| {
@@ -242,20 +309,16 @@
             let doubtful = server.health.is_doubtful() || server.health.is_paused(now);
             (doubtful, load.running + load.waiting, server.in_flight, *key)
         });
+        let next = behind.into_iter().take(most.saturating_sub(retired));
         let mut effects = Vec::new();
-        for (key, _) in behind.into_iter().take(at_once.saturating_sub(busy)) {
+        for (key, server) in next {
+            let load = server.health.load(now);
+            let idle = server.in_flight == 0 && load.is_none_or(|load| load.running == 0);
+            let due = if idle { now } else { now + RETIRE_TIME };
             let sequence = self.loading.get(&key).and_then(|loading| loading.sequence);
-            self.loading.insert(
-                key,
-                ServerLoading { stage: LoadStage::Ordered, since: now, due: now, sequence },
-            );
-            effects.push(RolloutEffect::Order {
-                server: key,
-                model: model.to_string(),
-                version,
-                fencing,
-                expected: sequence,
-            });
+            let loading = ServerLoading { stage: LoadStage::Retiring, since: now, due, sequence };
+            self.loading.insert(key, loading);
+            effects.push(RolloutEffect::Retire { server: key });
         }
         effects
     }
@@ -268,7 +331,12 @@
     }
 
     /// Whether the server may be loading because of an order.
-    fn is_busy(&self) -> bool {
+    fn is_ordered(&self) -> bool {
         matches!(self.stage, LoadStage::Ordered | LoadStage::Asked | LoadStage::Loading)
     }
+
+    /// Whether the server is kept from requests.
+    fn is_retired(&self) -> bool {
+        self.stage == LoadStage::Retiring || self.is_ordered()
+    }
 }
--- a/crates/core/src/traffic/roster.rs
+++ b/crates/core/src/traffic/roster.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::ServerHealth;
+use super::{ReadingBacklog, ServerHealth};
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
@@ -76,8 +76,8 @@
     pub health: ServerHealth,
     /// Requests of this node that it has not finished.
     pub in_flight: u32,
-    /// Prompt tokens of this node's requests whose first event is awaited.
-    pub pending_tokens: u64,
+    /// Prompts that it is reading, of all nodes as far as known.
+    pub reading: ReadingBacklog,
     /// Until when it is expected to be busy loading weights.
     pub loading_until: ClockTime,
 }
@@ -135,7 +135,7 @@
             standing,
             health: ServerHealth::default(),
             in_flight: 0,
-            pending_tokens: 0,
+            reading: ReadingBacklog::default(),
             loading_until: ClockTime::ZERO,
         });
         self.by_instance.insert(instance, key);
@@ -212,6 +212,12 @@
         self.servers.get_mut(key)
     }
 
+    /// The present life of an instance, for change.
+    pub fn by_instance(&mut self, instance: &str) -> Option<&mut BackendServer> {
+        let key = *self.by_instance.get(instance)?;
+        self.servers.get_mut(key)
+    }
+
     /// The key of an instance's present life.
     pub fn key_of(&self, instance: &str) -> Option<ServerKey> {
         self.by_instance.get(instance).copied()
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,12 +1,16 @@
 //! One attempt of a request at one backend server.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carobvane_core::{
     clock::ClockTime,
     ids::ServerKey,
-    traffic::{AttemptEnd, PlacementChoice, PlacementRefusal, PlacementRequest, cache_salt},
+    rendezvous::rendezvous_score,
+    traffic::{
+        AttemptEnd, PlacementChoice, PlacementRefusal, PlacementRequest, PromptPart, ServerLoad,
+        cache_salt,
+    },
 };
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -18,7 +22,7 @@
     channel::{ChannelError, read_whole},
     clock,
     node::Node,
-    peers::PeerNotice,
+    notices::NodeNotice,
     pool::PooledChannel,
     request::RequestJob,
     wire::{AnswerHead, NodeWire, ServerCall},
@@ -38,6 +42,8 @@
     pub choice: PlacementChoice,
     /// Instance of the server.
     pub instance: String,
+    /// Address from which the server may fetch KV cache.
+    fetch_from: Option<SocketAddr>,
     /// The connection.
     pub channel: PooledChannel,
     /// When the request was sent.
@@ -57,47 +63,65 @@
     Ended(AttemptEnd),
 }
 
-/// Counts a request at a server until it ends.
-#[derive(Debug)]
+/// Counts a request at a server until it ends, and tells the other nodes.
 struct FlightGuard {
-    node: NodeHandle,
+    node: Rc<Node>,
     server: ServerKey,
-    /// Prompt tokens that the server has to read; 0 once the answer has begun.
-    pending_tokens: u64,
+    instance: String,
+    /// Number of the request among all nodes; `None` once its prompt is read.
+    reading: Option<u64>,
 }
 
-#[derive(Clone)]
-struct NodeHandle(Rc<Node>);
-
-impl std::fmt::Debug for NodeHandle {
+impl std::fmt::Debug for FlightGuard {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0.settings.name)
+        f.debug_struct("FlightGuard").field("instance", &self.instance).finish_non_exhaustive()
     }
 }
 
 impl FlightGuard {
-    fn start(node: &Rc<Node>, server: ServerKey, pending_tokens: u64) -> FlightGuard {
-        if let Some(known) = node.state.borrow_mut().roster.get_mut(server) {
-            known.in_flight += 1;
-            known.pending_tokens += pending_tokens;
+    fn start(node: &Rc<Node>, job: &RequestJob, choice: &PlacementChoice, instance: &str) -> Self {
+        let tokens = job.call.prompt.prompt_tokens.saturating_sub(choice.held_tokens);
+        let number = rendezvous_score(job.call.request_id.as_bytes(), job.history.attempts.into());
+        let reading = (tokens > 0).then_some(number);
+        if let Some(server) = node.state.borrow_mut().roster.get_mut(choice.server) {
+            server.in_flight += 1;
+            if tokens > 0 {
+                server.reading.add(clock::now(), number, tokens);
+            }
+        }
+        if tokens > 0 {
+            let instance = instance.to_string();
+            node.tell_nodes(NodeNotice::Sent { instance, request: number, tokens });
+        }
+        FlightGuard {
+            node: node.clone(),
+            server: choice.server,
+            instance: instance.to_string(),
+            reading,
         }
-        FlightGuard { node: NodeHandle(node.clone()), server, pending_tokens }
     }
 
-    /// The prompt has been read.
-    fn on_first_event(&mut self) {
-        let tokens = std::mem::take(&mut self.pending_tokens);
-        if let Some(known) = self.node.0.state.borrow_mut().roster.get_mut(self.server) {
-            known.pending_tokens = known.pending_tokens.saturating_sub(tokens);
+    /// The answer has begun, or the request has ended without one.
+    fn on_answer(&mut self, load: Option<ServerLoad>, salt: u64, parts: &[PromptPart]) {
+        let reading = self.reading.take();
+        if reading.is_none() && load.is_none() {
+            return;
+        }
+        let request = reading.unwrap_or(0);
+        if let Some(server) = self.node.state.borrow_mut().roster.get_mut(self.server) {
+            server.reading.remove(request);
         }
+        let instance = self.instance.clone();
+        let parts = parts.to_vec();
+        self.node.tell_nodes(NodeNotice::Answered { instance, request, load, salt, parts });
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.on_first_event();
-        if let Some(known) = self.node.0.state.borrow_mut().roster.get_mut(self.server) {
-            known.in_flight = known.in_flight.saturating_sub(1);
+        self.on_answer(None, 0, &[]);
+        if let Some(server) = self.node.state.borrow_mut().roster.get_mut(self.server) {
+            server.in_flight = server.in_flight.saturating_sub(1);
         }
     }
 }
@@ -111,13 +135,17 @@
     ) -> Result<Attempt, Result<AttemptEnd, PlacementRefusal>> {
         let (choice, instance) = choose(node, job).map_err(Err)?;
         job.tried.push(choice.server);
-        let own_tokens = job.call.prompt.prompt_tokens.saturating_sub(choice.held_tokens);
-        let flight = FlightGuard::start(node, choice.server, u64::from(own_tokens));
+        let flight = FlightGuard::start(node, job, &choice, &instance);
         let Some((address, most)) = node.server_address(choice.server) else {
             return Err(Ok(AttemptEnd::NotSent));
         };
         match node.pool.take(choice.server, address, most).await {
-            Ok(channel) => Ok(Attempt { choice, instance, channel, sent_at: clock::now(), flight }),
+            Ok(channel) => {
+                let sent_at = clock::now();
+                let fetch_from = choice.fetch_from.and_then(|from| node.server_address(from));
+                let fetch_from = fetch_from.map(|(address, _)| address);
+                Ok(Attempt { choice, instance, fetch_from, channel, sent_at, flight })
+            }
             Err(cause) => {
                 log_failure(job, &instance, &choice, &cause.to_string());
                 on_silent(node, choice.server);
@@ -152,7 +180,7 @@
             return self.on_rejected(node, job, response).await;
         }
         if job.is_stream() && response.status().is_success() {
-            self.on_begun(node, job);
+            self.on_begun(node, job, head.load);
             return AttemptResult::Stream(response, Box::new(self));
         }
         self.read_answer(node, job, response, &head).await
@@ -182,7 +210,7 @@
         if failed {
             log_failure(job, &self.instance, &self.choice, status.as_str());
         }
-        self.flight.on_first_event();
+        self.flight.on_answer(head.load, 0, &[]);
         on_answer(node, job, &self, failed);
         self.channel.keep(keep_time(&parts.headers));
         if failed { AttemptResult::Failed(answer) } else { AttemptResult::Whole(answer) }
@@ -227,11 +255,11 @@
     }
 
     /// The first event has come.
-    fn on_begun(&mut self, node: &Rc<Node>, job: &RequestJob) {
-        self.flight.on_first_event();
+    fn on_begun(&mut self, node: &Rc<Node>, job: &RequestJob, load: Option<ServerLoad>) {
         on_answer(node, job, self, false);
         let Some(weights) = self.choice.weights else { return };
         let salt = cache_salt(job.cache_scope, weights);
+        self.flight.on_answer(load, salt, job.call.prompt.shared());
         let state = &mut *node.state.borrow_mut();
         state.planner.cache.note(clock::now(), self.choice.server, salt, &job.call.prompt);
     }
@@ -278,7 +306,7 @@
             priority: job.call.model.is_some().then(|| job.priority()),
             weights: self.choice.weights,
             cache_salt: salt.as_deref(),
-            fetch_from: None,
+            fetch_from: self.fetch_from,
             last_event,
         });
         let mut request = Request::new(Full::new(job.body.clone()));
@@ -333,7 +361,7 @@
     let state = &mut *node.state.borrow_mut();
     let Some(life) = state.life_number(server) else { return };
     if state.crashes.on_crash(clock::now(), job.fingerprint, life) {
-        node.tell_peers(PeerNotice::Crash { fingerprint: job.fingerprint, life });
+        node.tell_nodes(NodeNotice::Crash { fingerprint: job.fingerprint, life });
     }
 }
 
@@ -383,6 +411,7 @@
         prompt: &job.call.prompt,
         cache_scope: job.cache_scope,
         bytes: job.body.len(),
+        nodes: state.members.live().count().max(1),
         patience: job.time_left(now),
     };
     let choice = state.planner.choose(now, &state.roster, &request, &job.tried, &mut state.rng)?;
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -13,7 +13,7 @@
     channel::{ChannelError, HttpChannel},
     clock,
     node::{Node, NodeState},
-    peers::{self, PeerNotice},
+    notices::{self, NodeNotice},
     store::build_request,
     wire::{NodeWire, WeightsOrder, WireQuery},
 };
@@ -24,8 +24,8 @@
 const IDLE_TICK_TIME: Duration = Duration::from_millis(500);
 /// Longest time for an order or a reading.
 const ORDER_TIME: Duration = Duration::from_millis(700);
-/// Time for which requests are kept from a server that was ordered to load.
-const LOAD_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time for which requests are kept from a server that loads or soon will.
+const LOAD_TIME: Duration = Duration::from_secs(5);
 /// Most bytes of a server's state.
 const REPORT_BYTES: usize = 1024 * 1024;
 
@@ -47,6 +47,12 @@
 
 async fn carry_out<W: NodeWire>(node: Rc<Node>, effect: RolloutEffect) {
     match effect {
+        RolloutEffect::Retire { server } => {
+            tell(&node, server, |instance| NodeNotice::Loading { instance, longest: LOAD_TIME })
+        }
+        RolloutEffect::Release { server } => {
+            tell(&node, server, |instance| NodeNotice::Released { instance });
+        }
         RolloutEffect::Order { server, model, version, fencing, expected } => {
             order::<W>(&node, server, &model, version, fencing, expected).await;
         }
@@ -63,9 +69,6 @@
     expected: Option<u64>,
 ) {
     let Some((instance, address)) = target(node, server) else { return };
-    let notice = PeerNotice::Loading { instance: instance.clone(), expected: LOAD_TIME };
-    peers::apply(node, notice.clone());
-    node.tell_peers(notice);
     let order = WeightsOrder { model, version, holder: &node.settings.name, fencing, expected };
     let query = W::write_order(&order);
     let guard = || node.state.borrow().rollout.order_fencing(clock::now()) == Some(fencing);
@@ -96,15 +99,25 @@
     };
     log::debug!(instance = instance, reply:? = reply; "read a server's state");
     if let OrderReply::Reading { version, busy: false, .. } = reply {
-        let notice = PeerNotice::Loaded { instance, model: model.to_string(), version };
-        peers::apply(node, notice.clone());
-        node.tell_peers(notice);
+        let model = model.to_string();
+        tell(node, server, |instance| NodeNotice::Loaded { instance, model, version });
     }
     finish(node, server, &reply);
 }
 
+/// Applies a notice on a server and sends it to the other nodes.
+fn tell(node: &Rc<Node>, server: ServerKey, notice: impl FnOnce(String) -> NodeNotice) {
+    let Some((instance, _)) = target(node, server) else { return };
+    let notice = notice(instance);
+    notices::apply(node, notice.clone());
+    node.tell_nodes(notice);
+}
+
 fn finish(node: &Rc<Node>, server: ServerKey, reply: &OrderReply) {
-    node.state.borrow_mut().rollout.on_reply(clock::now(), server, reply);
+    let effect = node.state.borrow_mut().rollout.on_reply(clock::now(), server, reply);
+    if let Some(RolloutEffect::Release { server }) = effect {
+        tell(node, server, |instance| NodeNotice::Released { instance });
+    }
     node.duty_wake.notify_one();
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use carobvane_core::{
     clock::ClockTime,
-    traffic::{RosterChange, ServerListing},
+    traffic::{BackendServer, RosterChange, ServerListing},
 };
 use rand::Rng;
 use tokio::time::sleep;
@@ -29,6 +29,8 @@
 const WATCH_TIME: Duration = Duration::from_millis(2_400);
 /// Time beyond the wait after which a watch has failed.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Pause after changes have come, so that those that follow closely come with one more call.
+const GATHER_TIME: Duration = Duration::from_millis(200);
 /// Shortest pause after a failed call.
 const PAUSE_MIN: Duration = Duration::from_millis(80);
 /// Longest pause after a failed call.
@@ -119,11 +121,17 @@
         StoreReply::Events { events, revision } => {
             // What ended before the store came back must be known when its events are applied.
             node.on_store(true);
+            let changed = !events.is_empty();
             for event in events {
                 apply_event::<W>(node, event);
             }
-            let mirror = &mut node.state.borrow_mut().mirror;
-            mirror.revision = mirror.revision.max(revision);
+            {
+                let mirror = &mut node.state.borrow_mut().mirror;
+                mirror.revision = mirror.revision.max(revision);
+            }
+            if changed {
+                sleep(GATHER_TIME).await;
+            }
             Ok(true)
         }
         StoreReply::HistoryLost => {
@@ -235,6 +243,7 @@
     let before = state.roster.key_of(&listing.instance);
     let instance = listing.instance.clone();
     let held = listing.weights.first().map_or(0, |weights| weights.version.0);
+    let held_before = before.and_then(|key| state.roster.get(key)).map_or(0, held_version);
     let change = state.roster.list(listing);
     match change {
         RosterChange::Born(key) => {
@@ -248,7 +257,9 @@
         RosterChange::Changed(key) => {
             if let Some(server) = state.roster.get_mut(key) {
                 // A load that has ended shows in the entry.
-                server.loading_until = ClockTime::ZERO;
+                if held != held_before {
+                    server.loading_until = ClockTime::ZERO;
+                }
                 let standing = server.standing;
                 log::info!(instance = instance, standing:? = standing, weights = held; "server changed");
             }
@@ -258,6 +269,10 @@
     node.duty_wake.notify_one();
 }
 
+fn held_version(server: &BackendServer) -> u64 {
+    server.listing.weights.first().map_or(0, |weights| weights.version.0)
+}
+
 /// Drops what belongs to a server life that has ended.
 pub fn forget_server(
     node: &Rc<Node>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod logging;
 mod members;
 mod node;
+mod notices;
 mod peers;
 mod pool;
 mod program;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -188,6 +188,7 @@
         incarnation: node.incarnation,
         callers: settings.callers,
         peers: settings.peers,
+        notices: settings.notices,
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
     };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -29,6 +29,8 @@
     pub callers: SocketAddr,
     /// Address for other nodes.
     pub peers: SocketAddr,
+    /// Address for notices, which are datagrams.
+    pub notices: SocketAddr,
     /// Data centre.
     pub data_centre: String,
     /// Region.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,7 +24,7 @@
     clock,
     fleet::StoreMirror,
     members::MemberBook,
-    peers::PeerNotice,
+    notices::NodeNotice,
     pool::ChannelPool,
     settings::{NodeBounds, NodeSettings},
 };
@@ -81,7 +81,7 @@
     /// Wakes the part that keeps this node listed.
     pub listing_wake: Notify,
     /// Notices for the other nodes, sent together.
-    pub outbox: RefCell<Vec<PeerNotice>>,
+    pub outbox: RefCell<Vec<NodeNotice>>,
     /// Wakes the sender of notices.
     pub outbox_wake: Notify,
 }
@@ -146,7 +146,7 @@
     }
 
     /// Sends a notice to the other nodes soon.
-    pub fn tell_peers(&self, notice: PeerNotice) {
+    pub fn tell_nodes(&self, notice: NodeNotice) {
         self.outbox.borrow_mut().push(notice);
         self.outbox_wake.notify_one();
     }
--- /dev/null
+++ b/crates/node/src/notices.rs
@@ -0,0 +1,195 @@
+//! What nodes tell each other about backend servers, as datagrams.
+//!
+//! Notices only help: a lost one costs a worse choice of a server, never a wrong answer. That is
+//! why they need neither connections nor acknowledgements.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use carobvane_core::{
+    ids::WeightsVersion,
+    suspects::SuspectFingerprint,
+    traffic::{PromptPart, PromptShape, ServerLoad},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time::sleep};
+
+use crate::{clock, node::Node};
+
+/// Most bytes of a datagram, below the usual size of a packet.
+const DATAGRAM_BYTES: usize = 1_200;
+/// Notices that arise within this time are sent together.
+const GATHER_TIME: Duration = Duration::from_millis(4);
+/// The same in a fleet of [`LARGE_FLEET`] nodes and more.
+const LARGE_GATHER_TIME: Duration = Duration::from_millis(100);
+/// Nodes from which on notices are gathered for longer.
+const LARGE_FLEET: usize = 40;
+
+/// What a node tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum NodeNotice {
+    /// A server is to load weights and takes no requests meanwhile.
+    Loading {
+        /// Instance of the server.
+        instance: String,
+        /// How long it may take at most.
+        longest: Duration,
+    },
+    /// A server takes requests again.
+    Released {
+        /// Instance of the server.
+        instance: String,
+    },
+    /// A server holds new weights.
+    Loaded {
+        /// Instance of the server.
+        instance: String,
+        /// The model.
+        model: String,
+        /// The version.
+        version: WeightsVersion,
+    },
+    /// A request with a prompt was sent to a server.
+    Sent {
+        /// Instance of the server.
+        instance: String,
+        /// Number of the request.
+        request: u64,
+        /// Prompt tokens that the server has to read.
+        tokens: u32,
+    },
+    /// A server answered a request.
+    Answered {
+        /// Instance of the server.
+        instance: String,
+        /// Number of the request.
+        request: u64,
+        /// Its load, if it told.
+        load: Option<ServerLoad>,
+        /// Identity under which it now holds `parts`.
+        salt: u64,
+        /// Shared parts of the prompt; empty if the request failed.
+        parts: Vec<PromptPart>,
+    },
+    /// A run of a request broke at a server.
+    Crash {
+        /// The request.
+        fingerprint: SuspectFingerprint,
+        /// The server's life.
+        life: u64,
+    },
+}
+
+/// Applies a notice, of another node or of this one.
+pub fn apply(node: &Rc<Node>, notice: NodeNotice) {
+    let now = clock::now();
+    let state = &mut *node.state.borrow_mut();
+    match notice {
+        NodeNotice::Loading { instance, longest } => {
+            if let Some(server) = state.roster.by_instance(&instance) {
+                server.loading_until = now + longest;
+            }
+        }
+        NodeNotice::Released { instance } => {
+            if let Some(server) = state.roster.by_instance(&instance) {
+                server.loading_until = now;
+            }
+        }
+        NodeNotice::Loaded { instance, model, version } => {
+            if let Some(key) = state.roster.key_of(&instance) {
+                state.on_weights(key, &model, version);
+            }
+        }
+        NodeNotice::Sent { instance, request, tokens } => {
+            if let Some(server) = state.roster.by_instance(&instance) {
+                server.reading.add(now, request, tokens);
+            }
+        }
+        NodeNotice::Answered { instance, request, load, salt, parts } => {
+            let Some(key) = state.roster.key_of(&instance) else { return };
+            let Some(server) = state.roster.get_mut(key) else { return };
+            server.reading.remove(request);
+            if let Some(load) = load {
+                server.health.on_load(now, load);
+            }
+            if !parts.is_empty() {
+                let prompt = PromptShape::of_shared(&parts);
+                state.planner.cache.note(now, key, salt, &prompt);
+            }
+        }
+        NodeNotice::Crash { fingerprint, life } => {
+            state.crashes.on_crash(now, fingerprint, life);
+        }
+    }
+}
+
+/// Sends notices to the other nodes until the process ends.
+pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    loop {
+        node.outbox_wake.notified().await;
+        let others = other_nodes(&node);
+        let large = others.len() >= LARGE_FLEET;
+        sleep(if large { LARGE_GATHER_TIME } else { GATHER_TIME }).await;
+        let notices = std::mem::take(&mut *node.outbox.borrow_mut());
+        for datagram in pack(&notices) {
+            for address in &others {
+                // A full link drops datagrams as well; both are only counted.
+                if socket.try_send_to(&datagram, *address).is_err() {
+                    metrics::counter!("carobvane_notices_unsent_total").increment(1);
+                }
+            }
+        }
+    }
+}
+
+/// Applies the notices of other nodes until the process ends.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                match postcard::from_bytes::<Vec<NodeNotice>>(&buffer[..length]) {
+                    Ok(notices) => notices.into_iter().for_each(|notice| apply(&node, notice)),
+                    Err(cause) => {
+                        log::debug!(from:% = from, cause:% = cause; "failed to decode notices")
+                    }
+                }
+            }
+            Err(cause) => {
+                log::debug!(cause:% = cause; "failed to receive notices");
+                sleep(GATHER_TIME).await;
+            }
+        }
+    }
+}
+
+/// Packs notices into as few datagrams as hold them.
+fn pack(notices: &[NodeNotice]) -> Vec<Vec<u8>> {
+    let mut datagrams = Vec::new();
+    let mut from = 0;
+    while from < notices.len() {
+        let mut count = (notices.len() - from).min(16);
+        let mut bytes = encode(&notices[from..from + count]);
+        while bytes.len() > DATAGRAM_BYTES && count > 1 {
+            count /= 2;
+            bytes = encode(&notices[from..from + count]);
+        }
+        if bytes.len() <= DATAGRAM_BYTES {
+            datagrams.push(bytes);
+        }
+        from += count;
+    }
+    datagrams
+}
+
+fn encode(notices: &[NodeNotice]) -> Vec<u8> {
+    postcard::to_stdvec(notices).unwrap_or_else(|cause| {
+        log::error!(cause:% = cause; "failed to encode notices");
+        Vec::new()
+    })
+}
+
+fn other_nodes(node: &Rc<Node>) -> Vec<SocketAddr> {
+    let state = node.state.borrow();
+    let others = state.members.live().filter(|record| record.name != node.settings.name);
+    others.map(|record| record.notices).collect()
+}
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,6 +5,7 @@
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::{
+    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     time::{Instant, interval, sleep},
 };
@@ -17,7 +18,8 @@
     listing::{self, NodeLease},
     logging,
     node::Node,
-    peers::{self, PeerHandler},
+    notices,
+    peers::PeerHandler,
     settings::NodeSettings,
     socket,
     store::StoreClient,
@@ -77,7 +79,10 @@
     actix_rt::spawn(listing::keep_listed(node.clone(), store.clone(), lease.clone()));
     actix_rt::spawn(listing::take_duty(node.clone(), store.clone(), lease.clone()));
     actix_rt::spawn(duty::give_orders::<W>(node.clone()));
-    actix_rt::spawn(peers::send_notices(node.clone()));
+    let notices = UdpSocket::bind(node.settings.notices).await;
+    let notices = Rc::new(notices.wrap_err("failed to open the socket for notices")?);
+    actix_rt::spawn(notices::send(node.clone(), notices.clone()));
+    actix_rt::spawn(notices::receive(node.clone(), notices));
     actix_rt::spawn(keep_house(node.clone()));
     actix_rt::spawn(watch_settings::<W>(bytes));
     log::info!(
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,10 +3,13 @@
 //! A stream whose server breaks off continues at another server where its route allows it. The
 //! caller sees whole events only, each once and in order, or a visibly broken answer.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carobvane_core::traffic::{AttemptEnd, EventSplitter, NextStep};
+use carobvane_core::{
+    clock::ClockTime,
+    traffic::{AttemptEnd, EventSplitter, NextStep},
+};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -55,11 +58,12 @@
     let answer = caller_answer(head.status, &head.headers, AnswerBody::Stream(queue));
     let status = head.status.as_u16();
     let splitter = EventSplitter::after(job.call.last_event);
-    let relay = StreamRelay { node, job, splitter, pieces };
+    let relay = StreamRelay { node, job, splitter, pieces, pace: StreamPace::default() };
     let keep = keep_time(&head.headers);
     actix_rt::spawn(async move {
         let mut relay = relay;
         let outcome = relay.run::<W>(body, attempt, keep).await;
+        relay.log_pace();
         log_end(&relay.job, status, outcome);
     });
     answer
@@ -70,6 +74,27 @@
     job: RequestJob,
     splitter: EventSplitter,
     pieces: mpsc::Sender<StreamPiece>,
+    pace: StreamPace,
+}
+
+/// When the events of a stream came.
+#[derive(Debug, Default)]
+struct StreamPace {
+    last_at: Option<ClockTime>,
+    first_wait: Duration,
+    longest_gap: Duration,
+    events: u32,
+}
+
+impl StreamPace {
+    fn on_events(&mut self, now: ClockTime, arrived: ClockTime, events: u32) {
+        match self.last_at {
+            Some(last) => self.longest_gap = self.longest_gap.max(now.since(last)),
+            None => self.first_wait = now.since(arrived),
+        }
+        self.last_at = Some(now);
+        self.events += events;
+    }
 }
 
 impl StreamRelay {
@@ -77,7 +102,7 @@
         &mut self,
         mut body: Incoming,
         mut attempt: Attempt,
-        mut keep: Option<std::time::Duration>,
+        mut keep: Option<Duration>,
     ) -> &'static str {
         loop {
             match self.pass_on(&mut body).await {
@@ -135,6 +160,7 @@
             if cut.whole.is_empty() {
                 continue;
             }
+            self.pace.on_events(clock::now(), self.job.arrived, cut.events);
             let piece = StreamPiece::Data(Bytes::from(cut.whole));
             tokio::select! {
                 sent = self.pieces.send(piece) => {
@@ -148,7 +174,7 @@
     }
 
     /// A stream that may not move waits for its server until its time is over.
-    fn stall_time(&self) -> Option<std::time::Duration> {
+    fn stall_time(&self) -> Option<Duration> {
         let may_move =
             self.job.rule.may_repeat() && self.job.history.runs + 1 < self.job.rule.max_servers;
         let gap = self.job.rule.event_gap.filter(|_| may_move)?;
@@ -195,6 +221,17 @@
         }
     }
 
+    fn log_pace(&self) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        log::info!(
+            request = self.job.call.request_id, events = self.pace.events,
+            first_event_ms = millis(self.pace.first_wait), longest_gap_ms = millis(self.pace.longest_gap);
+            "stream ended"
+        );
+        metrics::histogram!("carobvane_first_event_seconds")
+            .record(self.pace.first_wait.as_secs_f64());
+    }
+
     fn log_break(&self, attempt: &Attempt, cause: &str) {
         let id = &self.job.call.request_id;
         let last_event = self.splitter.last_id();
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -188,6 +188,7 @@
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     state.on_request(now, &service, &node.settings.bounds);
+    state.planner.on_prompt(now, &call.prompt);
     if state.crashes.verdict(now, fingerprint) == CrashVerdict::Reject {
         return Err(refuse(OwnAnswer::NotRun("request_crashes_servers", SUSPECT_RETRY)));
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -19,6 +19,8 @@
     pub directory: SocketAddr,
     /// Address for other nodes.
     pub peers: SocketAddr,
+    /// Address for notices of other nodes, which come as datagrams.
+    pub notices: SocketAddr,
     /// Address of the metrics page.
     pub metrics: SocketAddr,
     /// Addresses of nodes that may be asked first.
