Believe in prefixes that are being read, and read servers before ordering them

Cause: requests for a prefix that was still being read elsewhere read it again; servers were ordered while they ran long prompts, which blocked them for seconds; a request sent shortly before the end of the version bound began after it. Change: expected and confirmed beliefs; a server is read before its order and ordered once empty or after 1.2 s; replaced weights are left 2 s before the bound; a lapsed duty is not adopted again.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::PromptShape;
+use super::{PromptPart, PromptShape};
 use crate::{clock::ClockTime, ids::ServerKey};
 
 /// Time without use after which a part is taken as evicted.
@@ -20,37 +20,66 @@
     part: u64,
 }
 
+/// How sure a belief is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CacheBelief {
+    /// A request that reads the part was sent there.
+    Expected,
+    /// A request that reads the part has begun there.
+    Confirmed,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PartUse {
+    used_at: ClockTime,
+    belief: CacheBelief,
+}
+
 /// Beliefs about cached parts.
 #[derive(Debug, Clone, Default)]
 pub struct CacheMap {
-    used_at: HashMap<PartKey, ClockTime>,
+    uses: HashMap<PartKey, PartUse>,
 }
 
 impl CacheMap {
-    /// Notes that a server has read the shared parts of a prompt under a salt.
-    pub fn note(&mut self, now: ClockTime, server: ServerKey, salt: u64, prompt: &PromptShape) {
-        if self.used_at.len() >= MAX_BELIEFS {
-            self.used_at.retain(|_, at| now.since(*at) < PART_LIFETIME / 2);
+    /// Notes that a server reads, or has read, the shared parts of a prompt under a salt.
+    pub fn note(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        salt: u64,
+        shared: &[PromptPart],
+        belief: CacheBelief,
+    ) {
+        if self.uses.len() >= MAX_BELIEFS {
+            self.uses.retain(|_, part| now.since(part.used_at) < PART_LIFETIME / 2);
         }
-        if self.used_at.len() >= MAX_BELIEFS {
+        if self.uses.len() >= MAX_BELIEFS {
             return;
         }
-        for part in prompt.shared() {
-            self.used_at.insert(PartKey { server, part: part.id ^ salt }, now);
+        for part in shared {
+            let key = PartKey { server, part: part.id ^ salt };
+            let known = self.uses.entry(key).or_insert(PartUse { used_at: now, belief });
+            known.used_at = now;
+            known.belief = known.belief.max(belief);
         }
     }
 
-    /// Tokens at the start of a prompt that a server is believed to hold under a salt.
+    /// Tokens at the start of a prompt that a server is believed to hold under a salt, at least
+    /// as surely as `belief`.
     pub fn held_tokens(
         &self,
         now: ClockTime,
         server: ServerKey,
         salt: u64,
         prompt: &PromptShape,
+        belief: CacheBelief,
     ) -> u32 {
         let held = |part: u64| {
-            let used_at = self.used_at.get(&PartKey { server, part: part ^ salt });
-            used_at.is_some_and(|at| now.since(*at) < PART_LIFETIME)
+            let known = self.uses.get(&PartKey { server, part: part ^ salt });
+            known.is_some_and(|known| {
+                known.belief >= belief && now.since(known.used_at) < PART_LIFETIME
+            })
         };
         let parts = prompt.shared().iter();
         parts.take_while(|part| held(part.id)).map(|part| part.tokens).sum()
@@ -58,6 +87,6 @@
 
     /// Forgets what a server held, such as after it loaded other weights.
     pub fn forget(&mut self, server: ServerKey) {
-        self.used_at.retain(|key, _| key.server != server);
+        self.uses.retain(|key, _| key.server != server);
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -20,7 +20,7 @@
 mod suspects;
 
 pub use self::{
-    cache_map::CacheMap,
+    cache_map::{CacheBelief, CacheMap},
     config::{
         CacheStoreSpec, CallerLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -10,8 +10,8 @@
 use rand::Rng;
 
 use super::{
-    BackendServer, CacheMap, HEAVY_PROMPT_TOKENS, PrefillLane, PromptShape, ServerRoster,
-    ServerStanding,
+    BackendServer, CacheBelief, CacheMap, HEAVY_PROMPT_TOKENS, PrefillLane, PromptShape,
+    ServerRoster, ServerStanding,
 };
 use crate::{
     clock::ClockTime,
@@ -163,12 +163,12 @@
         }
     }
 
-    /// Notes which weights of a model are wanted. Returns whether they are newer.
-    pub fn want(&mut self, now: ClockTime, model: &str, version: WeightsVersion) -> bool {
+    /// Notes which weights of a model are wanted since `named_at`. Returns whether they are newer.
+    pub fn want(&mut self, named_at: ClockTime, model: &str, version: WeightsVersion) -> bool {
         if self.wanted.get(model).is_some_and(|wanted| wanted.version >= version) {
             return false;
         }
-        self.wanted.insert(model.to_string(), WantedWeights { version, named_at: now });
+        self.wanted.insert(model.to_string(), WantedWeights { version, named_at });
         true
     }
 
@@ -235,7 +235,8 @@
         for (key, server) in roster.usable(request.service) {
             let Some(version) = server.weights(model) else { continue };
             let salt = cache_salt(request.cache_scope, version);
-            let held = self.cache.held_tokens(now, key, salt, request.prompt);
+            let belief = CacheBelief::Confirmed;
+            let held = self.cache.held_tokens(now, key, salt, request.prompt, belief);
             if held > view.holder.map_or(0, |holder| holder.tokens) {
                 view.holder = Some(CacheHolder { server: key, version, tokens: held });
             }
@@ -330,7 +331,8 @@
     ) {
         let prompt = request.prompt;
         let salt = cache_salt(request.cache_scope, version);
-        let held = self.cache.held_tokens(now, choice.server, salt, prompt);
+        let belief = CacheBelief::Expected;
+        let held = self.cache.held_tokens(now, choice.server, salt, prompt, belief);
         let source = view.holder.filter(|holder| holder.version == version && holder.tokens > held);
         let fetched = source.map_or(0, |holder| holder.tokens - held);
         choice.held_tokens = held + fetched;
--- a/crates/core/src/traffic/prompt.rs
+++ b/crates/core/src/traffic/prompt.rs
@@ -24,13 +24,6 @@
 }
 
 impl PromptShape {
-    /// A prompt of which only the shared parts are known.
-    pub fn of_shared(shared: &[PromptPart]) -> PromptShape {
-        let own = PromptPart { id: 0, tokens: 0 };
-        let parts = shared.iter().copied().chain([own]).collect();
-        PromptShape { parts, prompt_tokens: 0, output_tokens: 0 }
-    }
-
     /// The parts that other requests may share.
     pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -19,9 +19,11 @@
 const ENGINES_PER_ORDER: usize = 4;
 /// Engines of which one may be kept from requests at a time, because it loads or soon will.
 const ENGINES_PER_RETIREMENT: usize = 2;
-/// Time for which a server is kept from requests before it is ordered to load: an order holds up
-/// the server until its last request ends.
-const RETIRE_TIME: Duration = Duration::from_millis(250);
+/// Time for which a server is kept from requests before it is read, and between two readings: an
+/// order would hold up the server until its last request ends.
+const RETIRE_TIME: Duration = Duration::from_millis(200);
+/// Time after which a server is ordered although it still runs requests.
+const MAX_RETIRE_TIME: Duration = Duration::from_millis(1_200);
 /// Time after an accepted order until the server is first read.
 const FIRST_READING: Duration = Duration::from_millis(450);
 /// Time between two readings of a server.
@@ -59,6 +61,8 @@
         busy: bool,
         /// Orders that it has accepted.
         sequence: u64,
+        /// Requests that run or wait there.
+        requests: u32,
     },
 }
 
@@ -99,8 +103,12 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LoadStage {
-    /// Kept from requests until `due`, then ordered.
+    /// Kept from requests; read at `due`.
     Retiring,
+    /// The same, with a reading under way.
+    RetiringAsked,
+    /// Without requests: ordered next.
+    Retired,
     /// Waits for the reply of an order.
     Ordered,
     /// Waits for the reply of a reading.
@@ -181,12 +189,17 @@
             OrderReply::Refused | OrderReply::Unknown => {
                 loading.wait(LoadStage::Doubtful, now + RETRY_TIME);
             }
-            OrderReply::Reading { busy, sequence, .. } => {
+            OrderReply::Reading { busy, sequence, requests, .. } => {
                 loading.sequence = Some(*sequence);
+                let patient = now.since(loading.since) < MAX_RETIRE_TIME;
                 if *busy {
                     loading.wait(LoadStage::Loading, now + NEXT_READING);
-                } else {
+                } else if loading.stage != LoadStage::RetiringAsked {
                     loading.wait(LoadStage::Idle, now);
+                } else if *requests > 0 && patient {
+                    loading.wait(LoadStage::Retiring, now + RETIRE_TIME);
+                } else {
+                    loading.wait(LoadStage::Retired, now);
                 }
             }
             OrderReply::Fenced => loading.wait(LoadStage::Idle, now),
@@ -227,13 +240,17 @@
     fn due_readings(&mut self, now: ClockTime, roster: &ServerRoster) -> Vec<RolloutEffect> {
         let mut effects = Vec::new();
         for (key, loading) in &mut self.loading {
-            let reads = matches!(loading.stage, LoadStage::Loading | LoadStage::Doubtful);
-            if !reads || now < loading.due {
+            let asked = match loading.stage {
+                LoadStage::Loading | LoadStage::Doubtful => LoadStage::Asked,
+                LoadStage::Retiring => LoadStage::RetiringAsked,
+                _ => continue,
+            };
+            if now < loading.due {
                 continue;
             }
             let model = roster.get(*key).and_then(|server| server.listing.weights.first());
             if let Some(weights) = model {
-                loading.stage = LoadStage::Asked;
+                loading.stage = asked;
                 effects.push(RolloutEffect::Read { server: *key, model: weights.model.clone() });
             }
         }
@@ -262,15 +279,12 @@
                 .and_then(|server| server.weights(model))
                 .is_some_and(|held| held < version)
         };
-        let mut due: Vec<(u32, ServerKey)> = Vec::new();
-        for (key, loading) in &self.loading {
-            if loading.stage == LoadStage::Retiring && behind(key) {
-                let in_flight = roster.get(*key).map_or(0, |server| server.in_flight);
-                if now >= loading.due {
-                    due.push((in_flight, *key));
-                }
-            }
-        }
+        let retired =
+            self.loading.iter().filter(|(_, loading)| loading.stage == LoadStage::Retired);
+        let mut due: Vec<(ClockTime, ServerKey)> = retired
+            .filter(|(key, _)| behind(key))
+            .map(|(key, loading)| (loading.since, *key))
+            .collect();
         due.sort_unstable();
         for (_, key) in due.into_iter().take(free) {
             let Some(loading) = self.loading.get_mut(&key) else { continue };
@@ -307,7 +321,7 @@
         behind.sort_by_key(|(key, server)| {
             let load = server.health.load(now).unwrap_or_default();
             let doubtful = server.health.is_doubtful() || server.health.is_paused(now);
-            (doubtful, load.running + load.waiting, server.in_flight, *key)
+            (doubtful, server.reading.tokens(now), load.running + load.waiting, *key)
         });
         let next = behind.into_iter().take(most.saturating_sub(retired));
         let mut effects = Vec::new();
@@ -337,6 +351,10 @@
 
     /// Whether the server is kept from requests.
     fn is_retired(&self) -> bool {
-        self.stage == LoadStage::Retiring || self.is_ordered()
+        let retiring = matches!(
+            self.stage,
+            LoadStage::Retiring | LoadStage::RetiringAsked | LoadStage::Retired
+        );
+        retiring || self.is_ordered()
     }
 }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -22,7 +22,7 @@
     channel::{ChannelError, read_whole},
     clock,
     node::Node,
-    notices::NodeNotice,
+    notices::{self, NodeNotice},
     pool::PooledChannel,
     request::RequestJob,
     wire::{AnswerHead, NodeWire, ServerCall},
@@ -80,25 +80,26 @@
 
 impl FlightGuard {
     fn start(node: &Rc<Node>, job: &RequestJob, choice: &PlacementChoice, instance: &str) -> Self {
-        let tokens = job.call.prompt.prompt_tokens.saturating_sub(choice.held_tokens);
+        let prompt = &job.call.prompt;
+        let tokens = prompt.prompt_tokens.saturating_sub(choice.held_tokens);
         let number = rendezvous_score(job.call.request_id.as_bytes(), job.history.attempts.into());
-        let reading = (tokens > 0).then_some(number);
+        let instance = instance.to_string();
         if let Some(server) = node.state.borrow_mut().roster.get_mut(choice.server) {
             server.in_flight += 1;
-            if tokens > 0 {
-                server.reading.add(clock::now(), number, tokens);
-            }
-        }
-        if tokens > 0 {
-            let instance = instance.to_string();
-            node.tell_nodes(NodeNotice::Sent { instance, request: number, tokens });
-        }
-        FlightGuard {
-            node: node.clone(),
-            server: choice.server,
-            instance: instance.to_string(),
-            reading,
         }
+        let reading = choice.weights.map(|version| {
+            let notice = NodeNotice::Sent {
+                instance: instance.clone(),
+                request: number,
+                tokens,
+                salt: cache_salt(job.cache_scope, version),
+                parts: prompt.shared().to_vec(),
+            };
+            notices::apply(node, notice.clone());
+            node.tell_nodes(notice);
+            number
+        });
+        FlightGuard { node: node.clone(), server: choice.server, instance, reading }
     }
 
     /// The answer has begun, or the request has ended without one.
@@ -107,13 +108,12 @@
         if reading.is_none() && load.is_none() {
             return;
         }
-        let request = reading.unwrap_or(0);
-        if let Some(server) = self.node.state.borrow_mut().roster.get_mut(self.server) {
-            server.reading.remove(request);
-        }
         let instance = self.instance.clone();
         let parts = parts.to_vec();
-        self.node.tell_nodes(NodeNotice::Answered { instance, request, load, salt, parts });
+        let request = reading.unwrap_or(0);
+        let notice = NodeNotice::Answered { instance, request, load, salt, parts };
+        notices::apply(&self.node, notice.clone());
+        self.node.tell_nodes(notice);
     }
 }
 
@@ -260,8 +260,6 @@
         let Some(weights) = self.choice.weights else { return };
         let salt = cache_salt(job.cache_scope, weights);
         self.flight.on_answer(load, salt, job.call.prompt.shared());
-        let state = &mut *node.state.borrow_mut();
-        state.planner.cache.note(clock::now(), self.choice.server, salt, &job.call.prompt);
     }
 
     fn learn(&self, node: &Rc<Node>, job: &RequestJob, head: &AnswerHead) {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -123,7 +123,7 @@
             node.on_store(true);
             let changed = !events.is_empty();
             for event in events {
-                apply_event::<W>(node, event);
+                apply_event::<W>(node, event, Duration::ZERO);
             }
             {
                 let mirror = &mut node.state.borrow_mut().mirror;
@@ -148,16 +148,24 @@
     let present: HashSet<&String> = mirror.items.keys().collect();
     let gone: Vec<String> = known.into_iter().filter(|key| !present.contains(key)).collect();
     for key in gone {
-        apply_event::<W>(node, StoreEvent::Removed { key, revision: mirror.revision });
+        apply_event::<W>(
+            node,
+            StoreEvent::Removed { key, revision: mirror.revision },
+            Duration::ZERO,
+        );
     }
+    // An item may have been written long before it is read as a whole; it binds this node from
+    // the time on at which the deployment counts it as in touch.
+    let age = node.settings.bounds.stable_time;
     for item in mirror.items.into_values() {
-        apply_event::<W>(node, StoreEvent::Put(item));
+        apply_event::<W>(node, StoreEvent::Put(item), age);
     }
     node.state.borrow_mut().mirror.revision = mirror.revision;
     node.duty_wake.notify_one();
 }
 
-fn apply_event<W: NodeWire>(node: &Rc<Node>, event: StoreEvent) {
+/// Applies a change that may be as old as `age`.
+fn apply_event<W: NodeWire>(node: &Rc<Node>, event: StoreEvent, age: Duration) {
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     match event {
@@ -169,7 +177,7 @@
             if item.key.starts_with(OWN_PREFIX) {
                 apply_own(node, state, &item);
             } else {
-                apply_fact(node, state, now, W::read_fact(&item.key, &item.value));
+                apply_fact(node, state, now - age, W::read_fact(&item.key, &item.value));
             }
             state.mirror.items.insert(item.key.clone(), item);
         }
@@ -212,7 +220,7 @@
     }
 }
 
-fn apply_fact(node: &Rc<Node>, state: &mut NodeState, now: ClockTime, fact: FleetFact) {
+fn apply_fact(node: &Rc<Node>, state: &mut NodeState, since: ClockTime, fact: FleetFact) {
     match fact {
         FleetFact::Config(config) => {
             let version = config.version;
@@ -222,7 +230,7 @@
         }
         FleetFact::BadConfig(cause) => log::error!(cause = cause; "failed to read a configuration"),
         FleetFact::Weights { model, version } => {
-            if state.planner.want(now, &model, version) {
+            if state.planner.want(since, &model, version) {
                 log::info!(model = model, version = version.0; "weights named");
             }
             state.rollout.want(&model, version);
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -114,7 +114,9 @@
         let state = node.state.borrow();
         let holder = state.mirror.items.get(HOLDER_KEY);
         let own = holder.filter(|item| item.value == holder_value(node, id));
-        own.filter(|_| state.rollout.fencing(clock::now()).is_none()).map(|item| item.created)
+        let lapsed = clock::now().since(lease.sent_at.get()) > LEASE_TIME / 2;
+        let holds = state.rollout.fencing(clock::now()).is_some();
+        own.filter(|_| !holds && !lapsed).map(|item| item.created)
     };
     if let Some(fencing) = created {
         hold(node, lease, fencing);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,8 +31,9 @@
 
 /// The lease ends this much earlier for its holder than for the store.
 const LEASE_MARGIN: std::time::Duration = std::time::Duration::from_millis(250);
-/// New requests stop using replaced weights this much before they must.
-const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(900);
+/// New requests stop using replaced weights this much before they must: they may wait at the
+/// server before they begin.
+const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_000);
 /// Fewest connections to one server that a node may open.
 const MIN_SERVER_CHANNELS: u32 = 2;
 
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -8,7 +8,7 @@
 use carobvane_core::{
     ids::WeightsVersion,
     suspects::SuspectFingerprint,
-    traffic::{PromptPart, PromptShape, ServerLoad},
+    traffic::{CacheBelief, PromptPart, ServerLoad},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
@@ -56,6 +56,10 @@
         request: u64,
         /// Prompt tokens that the server has to read.
         tokens: u32,
+        /// Identity under which it will hold `parts`.
+        salt: u64,
+        /// Shared parts of the prompt.
+        parts: Vec<PromptPart>,
     },
     /// A server answered a request.
     Answered {
@@ -99,10 +103,12 @@
                 state.on_weights(key, &model, version);
             }
         }
-        NodeNotice::Sent { instance, request, tokens } => {
-            if let Some(server) = state.roster.by_instance(&instance) {
+        NodeNotice::Sent { instance, request, tokens, salt, parts } => {
+            let Some(key) = state.roster.key_of(&instance) else { return };
+            if let Some(server) = state.roster.get_mut(key) {
                 server.reading.add(now, request, tokens);
             }
+            state.planner.cache.note(now, key, salt, &parts, CacheBelief::Expected);
         }
         NodeNotice::Answered { instance, request, load, salt, parts } => {
             let Some(key) = state.roster.key_of(&instance) else { return };
@@ -111,10 +117,7 @@
             if let Some(load) = load {
                 server.health.on_load(now, load);
             }
-            if !parts.is_empty() {
-                let prompt = PromptShape::of_shared(&parts);
-                state.planner.cache.note(now, key, salt, &prompt);
-            }
+            state.planner.cache.note(now, key, salt, &parts, CacheBelief::Confirmed);
         }
         NodeNotice::Crash { fingerprint, life } => {
             state.crashes.on_crash(now, fingerprint, life);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -50,6 +50,8 @@
     pub version_time: Duration,
     /// Longest lifetime of a directory answer.
     pub directory_lifetime: Duration,
+    /// Time without trouble after which the deployment holds a node to its bounds.
+    pub stable_time: Duration,
     /// Shortest lifetime of a lease in the store.
     pub shortest_lease: Duration,
 }
