Let three nodes watch the store for all, and retire fewer servers under load

Change: three watchers tell the others by notices, which look for lost ones at 0.6 of the apply bound; retirement follows the unread tokens and the number of silent engines; nodes tell each other of silence. Ruled out: a lack of engines (the load was 40 % of their reading rate).

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -12,6 +12,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 /// Pause after a server rejected a request because it was full or busy.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a server is suspected that did not answer another node.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
 /// Weight of the newest outcome in the averages.
 const NEWEST: f64 = 0.15;
 /// Time in which half of the remembered failures are forgotten, since a server that gets no
@@ -39,6 +41,8 @@
     /// Failures in a row without any answer.
     silent: u32,
     paused_until: ClockTime,
+    /// Until when other nodes' failures count.
+    suspected_until: ClockTime,
     /// Share of recent requests that failed, from 0 to 1.
     failure_share: f64,
     failure_at: ClockTime,
@@ -52,6 +56,7 @@
     pub fn on_answer(&mut self, now: ClockTime, ratio: f64) {
         self.silent = 0;
         self.paused_until = ClockTime::ZERO;
+        self.suspected_until = ClockTime::ZERO;
         self.note(now, 0.0);
         let ratio = ratio.clamp(0.1, 50.0);
         self.slowness = if self.slowness == 0.0 {
@@ -75,6 +80,16 @@
         self.silent += 1;
     }
 
+    /// Notes that another node got no answer from the server.
+    pub fn on_silence_elsewhere(&mut self, now: ClockTime) {
+        self.suspected_until = now + SUSPECT_TIME;
+    }
+
+    /// Whether another node has got no answer lately.
+    pub fn is_suspected(&self, now: ClockTime) -> bool {
+        now < self.suspected_until
+    }
+
     /// Notes that the server rejected a request without running it.
     pub fn on_rejected(&mut self, now: ClockTime) {
         self.paused_until = self.paused_until.max(now + FULL_PAUSE);
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -93,6 +93,8 @@
     pub base_ms: f64,
     /// Prompt tokens that it is believed to hold or fetch.
     pub held_tokens: u32,
+    /// Tokens of the prompt that other prompts may share.
+    pub shared_tokens: u32,
     /// Server from which missing tokens may be fetched.
     pub fetch_from: Option<ServerKey>,
     /// Version of its weights; `None` on a plain service.
@@ -287,7 +289,8 @@
         if server.health.is_paused(now) || now < server.loading_until {
             return false;
         }
-        if server.health.is_doubtful() && server.in_flight > 0 {
+        let suspected = server.health.is_doubtful() || server.health.is_suspected(now);
+        if suspected && server.in_flight > 0 {
             return false;
         }
         let Some(model) = request.model else { return true };
@@ -308,6 +311,7 @@
             cost_ms: 0.0,
             base_ms: 0.0,
             held_tokens: 0,
+            shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
             weights,
             weighed: 0,
@@ -321,7 +325,8 @@
         }
         choice.cost_ms *= server.health.slowness() * pace(now, server);
         choice.cost_ms += server.health.failure_share(now) * FAILURE_MS;
-        if server.health.is_doubtful() || server.standing == ServerStanding::Lapsed {
+        let suspected = server.health.is_doubtful() || server.health.is_suspected(now);
+        if suspected || server.standing == ServerStanding::Lapsed {
             choice.cost_ms += DOUBT_MS;
         }
         if server.listing.data_centre != self.data_centre {
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -18,18 +18,24 @@
 
 /// Engines of which one may have an order at a time. Part of those with an order still run
 /// requests, so fewer load at once.
-const ENGINES_PER_ORDER: usize = 4;
-/// Engines of which one may be kept from requests at a time, because it loads or soon will.
+const ENGINES_PER_ORDER: usize = 5;
+/// Engines of which one may be kept from requests at a time, because it loads or soon will, while
+/// the others have little to read.
 const ENGINES_PER_RETIREMENT: usize = 2;
+/// The same while the others have much to read.
+const ENGINES_PER_BUSY_RETIREMENT: usize = 6;
+/// Prompt tokens that await reading at an engine on average from which on all have much to read.
+const BUSY_TOKENS: u64 = 3_000;
 /// Time for which a server is kept from requests before it is read, and between two readings: an
 /// order would hold up the server until its last request ends.
 const RETIRE_TIME: Duration = Duration::from_millis(200);
 /// Time after which a server is ordered although it still runs requests.
 const MAX_RETIRE_TIME: Duration = Duration::from_millis(1_200);
-/// Time after an accepted order until the server is first read.
-const FIRST_READING: Duration = Duration::from_millis(450);
+/// Time after an accepted order until the server is first read; most show the new weights in their
+/// entry before.
+const FIRST_READING: Duration = Duration::from_millis(1_200);
 /// Time between two readings of a server.
-const NEXT_READING: Duration = Duration::from_millis(200);
+const NEXT_READING: Duration = Duration::from_millis(500);
 /// Time after a failed order or reading until the server is tried again.
 const RETRY_TIME: Duration = Duration::from_millis(500);
 /// Time after which an accepted load is taken as lost with its server.
@@ -361,7 +367,7 @@
         model: &str,
         version: WeightsVersion,
     ) -> Vec<RolloutEffect> {
-        let most = (serving.len() / ENGINES_PER_RETIREMENT).max(1);
+        let most = retired_at_most(now, &serving);
         let retired = self.loading.values().filter(|loading| loading.is_retired()).count();
         // Orders of the holder before this one must not meet those of this one.
         let gap = self.settings.holder_gap;
@@ -398,6 +404,20 @@
     }
 }
 
+/// Number of engines that may be kept from requests at a time. Those that do not answer are kept
+/// from requests already.
+fn retired_at_most(now: ClockTime, serving: &[(ServerKey, &BackendServer)]) -> usize {
+    let answering = serving
+        .iter()
+        .filter(|(_, server)| !server.health.is_doubtful() && !server.health.is_paused(now));
+    let answering = answering.count();
+    let waiting: u64 = serving.iter().map(|(_, server)| server.reading.tokens(now)).sum();
+    let busy = waiting > BUSY_TOKENS * answering as u64;
+    let share = if busy { ENGINES_PER_BUSY_RETIREMENT } else { ENGINES_PER_RETIREMENT };
+    let silent = serving.len() - answering;
+    (answering / share).saturating_sub(silent).max(1)
+}
+
 impl ServerLoading {
     fn wait(&mut self, stage: LoadStage, due: ClockTime) {
         self.stage = stage;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -363,10 +363,11 @@
     }
 }
 
-/// Notes that a server did not answer.
+/// Notes that a server did not answer, and tells the other nodes.
 pub fn on_silent(node: &Rc<Node>, server: ServerKey) {
     if let Some(known) = node.state.borrow_mut().roster.get_mut(server) {
         known.health.on_silent(clock::now());
+        node.tell_nodes(NodeNotice::Silent { instance: known.listing.instance.clone() });
     }
 }
 
@@ -417,6 +418,7 @@
     log::info!(
         request = job.call.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
         expected_ms = choice.base_ms, held_tokens = choice.held_tokens,
+        shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
         prompt_tokens = job.call.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.weighed, config:? = state.routes.version();
         "server chosen"
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,7 +1,9 @@
 //! Follows the platform's store and applies what it says.
 //!
-//! One watch follows all keys. While the store does not answer, the node asks others for their
-//! copies: a store may turn away one node and serve the rest.
+//! A few nodes, the watchers, follow all keys with a watch and tell the others of each change, since
+//! every watch that waits costs a call with each change. The others only look now and then whether
+//! a notice was lost. While the store does not answer, a node asks others for their copies: the
+//! store may turn away one node and serve the rest.
 
 use std::{
     collections::{BTreeMap, HashSet},
@@ -11,15 +13,17 @@
 
 use carobvane_core::{
     clock::ClockTime,
+    rendezvous::rendezvous_score,
     traffic::{BackendServer, RosterChange, ServerListing},
 };
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     clock,
     members::{HOLDER_KEY, MemberBook, MemberRecord, OWN_PREFIX},
     node::{Node, NodeState},
+    notices::{self, NodeNotice},
     peers,
     store::{CALL_TIME, StoreClient, StoreFailure},
     wire::{FleetFact, NodeWire, StoreCall, StoreEvent, StoreItem, StoreReply},
@@ -29,6 +33,13 @@
 const WATCH_TIME: Duration = Duration::from_millis(2_400);
 /// Time beyond the wait after which a watch has failed.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Nodes that watch the store for all.
+const WATCHERS: usize = 3;
+/// Part of the time in which a configuration must be in force after which a node that does not
+/// watch looks for changes that it was not told of.
+const CATCH_UP_SHARE: f64 = 0.6;
+/// Wait of such a look.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes have come, so that those that follow closely come with one more call.
 const GATHER_TIME: Duration = Duration::from_millis(200);
 /// Shortest pause after a failed call.
@@ -53,8 +64,15 @@
 pub async fn follow<W: NodeWire>(node: Rc<Node>, store: Rc<StoreClient<W>>) {
     let mut complete = false;
     loop {
-        let result =
-            if complete { watch(&node, &store).await } else { read_all(&node, &store).await };
+        let result = match complete {
+            true if is_watcher(&node) => watch(&node, &store, WATCH_TIME).await,
+            true => {
+                let wait = node.settings.bounds.apply_time.mul_f64(CATCH_UP_SHARE);
+                let _woken = timeout(wait, node.catch_up_wake.notified()).await;
+                watch(&node, &store, CATCH_UP_WAIT).await
+            }
+            false => read_all(&node, &store).await,
+        };
         match result {
             Ok(whole) => {
                 node.on_store(true);
@@ -70,6 +88,46 @@
     }
 }
 
+/// Whether this node is one of those that watch the store. All nodes rank the live nodes alike.
+fn is_watcher(node: &Node) -> bool {
+    let state = node.state.borrow();
+    let score = |name: &str| rendezvous_score(name.as_bytes(), 0);
+    let own = score(&node.settings.name);
+    let better = state.members.live().filter(|member| score(&member.name) > own).count();
+    better < WATCHERS
+}
+
+/// Applies a change that a watcher has told of, if none is missing before it.
+pub fn apply_change<W: NodeWire>(node: &Rc<Node>, after: u64, event: StoreEvent) {
+    let known = node.state.borrow().mirror.revision;
+    let revision = event.revision();
+    if revision <= known {
+        return;
+    }
+    if known < after {
+        catch_up(node, revision);
+        return;
+    }
+    apply_event::<W>(node, event, Duration::ZERO);
+    node.state.borrow_mut().mirror.revision = revision;
+}
+
+/// Reads the store soon if a change is missing.
+pub fn catch_up(node: &Rc<Node>, revision: u64) {
+    if node.state.borrow().mirror.revision < revision {
+        node.catch_up_wake.notify_one();
+    }
+}
+
+fn tell_change(node: &Rc<Node>, after: u64, event: &StoreEvent) {
+    let notice = NodeNotice::Changed { after, event: event.clone() };
+    if notices::fits(&notice) {
+        node.tell_nodes(notice);
+    } else {
+        node.tell_nodes(NodeNotice::Behind { revision: event.revision() });
+    }
+}
+
 /// Reads copies of other nodes whenever the store does not answer.
 pub async fn follow_peers<W: NodeWire>(node: Rc<Node>) {
     loop {
@@ -116,22 +174,32 @@
     Ok(true)
 }
 
-async fn watch<W: NodeWire>(node: &Rc<Node>, store: &StoreClient<W>) -> Result<bool, StoreFailure> {
+async fn watch<W: NodeWire>(
+    node: &Rc<Node>,
+    store: &StoreClient<W>,
+    wait: Duration,
+) -> Result<bool, StoreFailure> {
     let after = node.state.borrow().mirror.revision;
-    let call = StoreCall::Watch { prefix: String::new(), after, wait: WATCH_TIME };
-    match store.call(&call, WATCH_TIME + WATCH_SLACK).await? {
+    let call = StoreCall::Watch { prefix: String::new(), after, wait };
+    match store.call(&call, wait + WATCH_SLACK).await? {
         StoreReply::Events { events, revision } => {
             // What ended before the store came back must be known when its events are applied.
             node.on_store(true);
-            let changed = !events.is_empty();
+            let tells = wait == WATCH_TIME;
+            let gathers = tells && !events.is_empty();
+            let mut before = after;
             for event in events {
+                if tells {
+                    tell_change(node, before, &event);
+                }
+                before = event.revision();
                 apply_event::<W>(node, event, Duration::ZERO);
             }
             {
                 let mirror = &mut node.state.borrow_mut().mirror;
                 mirror.revision = mirror.revision.max(revision);
             }
-            if changed {
+            if gathers {
                 sleep(GATHER_TIME).await;
             }
             Ok(true)
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -16,8 +16,8 @@
     wire::{NodeWire, StoreCall, StoreReply, StoreWrite},
 };
 
-/// Time between two renewals: two may fail before the lease ends.
-const RENEW_TIME: Duration = Duration::from_millis(700);
+/// Time between two renewals: one may fail before the lease ends.
+const RENEW_TIME: Duration = Duration::from_millis(900);
 /// Longest pause before a free duty is taken, so that nodes do not all try at once.
 const TAKE_JITTER: Duration = Duration::from_millis(250);
 /// Longest pause after a failed call.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,7 +33,7 @@
 const LEASE_MARGIN: std::time::Duration = std::time::Duration::from_millis(250);
 /// New requests stop using replaced weights this much before they must: they may wait at the
 /// server before they begin.
-const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_000);
+const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_500);
 /// Fewest connections to one server that a node may open.
 const MIN_SERVER_CHANNELS: u32 = 2;
 
@@ -85,6 +85,8 @@
     pub duty_wake: Notify,
     /// Wakes the part that keeps this node listed.
     pub listing_wake: Notify,
+    /// Wakes the part that follows the store.
+    pub catch_up_wake: Notify,
     /// Notices for the other nodes, sent together.
     pub outbox: RefCell<Vec<NodeNotice>>,
     /// Wakes the sender of notices.
@@ -126,6 +128,7 @@
             closing_wake: Notify::new(),
             duty_wake: Notify::new(),
             listing_wake: Notify::new(),
+            catch_up_wake: Notify::new(),
             outbox: RefCell::default(),
             outbox_wake: Notify::new(),
         }
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -13,7 +13,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
-use crate::{clock, node::Node};
+use crate::{
+    clock, fleet,
+    node::Node,
+    wire::{NodeWire, StoreEvent},
+};
 
 /// Most bytes of a datagram, below the usual size of a packet.
 const DATAGRAM_BYTES: usize = 1_200;
@@ -74,6 +78,23 @@
         /// Shared parts of the prompt; empty if the request failed.
         parts: Vec<PromptPart>,
     },
+    /// A server did not answer.
+    Silent {
+        /// Instance of the server.
+        instance: String,
+    },
+    /// A change in the platform's store.
+    Changed {
+        /// Revision of the change before.
+        after: u64,
+        /// The change.
+        event: StoreEvent,
+    },
+    /// There is a change in the platform's store that is too large for a notice.
+    Behind {
+        /// Its revision.
+        revision: u64,
+    },
     /// A run of a request broke at a server.
     Crash {
         /// The request.
@@ -119,6 +140,13 @@
             }
             state.planner.cache.note(now, key, salt, &parts, CacheBelief::Confirmed);
         }
+        NodeNotice::Silent { instance } => {
+            if let Some(server) = state.roster.by_instance(&instance) {
+                server.health.on_silence_elsewhere(now);
+            }
+        }
+        // The part that follows the store takes these.
+        NodeNotice::Changed { .. } | NodeNotice::Behind { .. } => {}
         NodeNotice::Crash { fingerprint, life } => {
             state.crashes.on_crash(now, fingerprint, life);
         }
@@ -145,13 +173,15 @@
 }
 
 /// Applies the notices of other nodes until the process ends.
-pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+pub async fn receive<W: NodeWire>(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; 2 * DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
                 match postcard::from_bytes::<Vec<NodeNotice>>(&buffer[..length]) {
-                    Ok(notices) => notices.into_iter().for_each(|notice| apply(&node, notice)),
+                    Ok(notices) => {
+                        notices.into_iter().for_each(|notice| receive_one::<W>(&node, notice))
+                    }
                     Err(cause) => {
                         log::debug!(from:% = from, cause:% = cause; "failed to decode notices")
                     }
@@ -165,6 +195,19 @@
     }
 }
 
+fn receive_one<W: NodeWire>(node: &Rc<Node>, notice: NodeNotice) {
+    match notice {
+        NodeNotice::Changed { after, event } => fleet::apply_change::<W>(node, after, event),
+        NodeNotice::Behind { revision } => fleet::catch_up(node, revision),
+        notice => apply(node, notice),
+    }
+}
+
+/// Whether a notice fits into a datagram.
+pub fn fits(notice: &NodeNotice) -> bool {
+    encode(std::slice::from_ref(notice)).len() <= DATAGRAM_BYTES
+}
+
 /// Packs notices into as few datagrams as hold them.
 fn pack(notices: &[NodeNotice]) -> Vec<Vec<u8>> {
     let mut datagrams = Vec::new();
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -17,7 +17,7 @@
 /// A connection is given up this much before its server would close it.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 /// Longest time for opening a connection.
-pub const OPEN_TIME: Duration = Duration::from_millis(600);
+pub const OPEN_TIME: Duration = Duration::from_millis(300);
 
 #[derive(Debug)]
 struct IdleChannel {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -82,7 +82,7 @@
     let notices = UdpSocket::bind(node.settings.notices).await;
     let notices = Rc::new(notices.wrap_err("failed to open the socket for notices")?);
     actix_rt::spawn(notices::send(node.clone(), notices.clone()));
-    actix_rt::spawn(notices::receive(node.clone(), notices));
+    actix_rt::spawn(notices::receive::<W>(node.clone(), notices));
     actix_rt::spawn(keep_house(node.clone()));
     actix_rt::spawn(watch_settings::<W>(bytes));
     log::info!(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,8 @@
     pub directory_lifetime: Duration,
     /// Time without trouble after which the deployment holds a node to its bounds.
     pub stable_time: Duration,
+    /// Time in which an accepted configuration must be in force.
+    pub apply_time: Duration,
     /// Shortest lifetime of a lease in the store.
     pub shortest_lease: Duration,
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -175,7 +175,7 @@
 }
 
 /// A change in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum StoreEvent {
     /// An item was written.
     Put(StoreItem),
@@ -188,6 +188,16 @@
     },
 }
 
+impl StoreEvent {
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            StoreEvent::Put(item) => item.revision,
+            StoreEvent::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreWrite {
