--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -97,10 +97,10 @@
     better < WATCHERS
 }
 
-/// Applies a change that a watcher has told of, if none is missing before it.
-pub fn apply_change<W: NodeWire>(node: &Rc<Node>, after: u64, event: StoreEvent) {
+/// Applies the changes of a revision that a watcher has told of, if none is missing before it.
+pub fn apply_change<W: NodeWire>(node: &Rc<Node>, after: u64, events: Vec<StoreEvent>) {
     let known = node.state.borrow().mirror.revision;
-    let revision = event.revision();
+    let Some(revision) = events.first().map(StoreEvent::revision) else { return };
     if revision <= known {
         return;
     }
@@ -108,7 +108,9 @@
         catch_up(node, revision);
         return;
     }
-    apply_event::<W>(node, event, Duration::ZERO);
+    for event in events {
+        apply_event::<W>(node, event, Duration::ZERO);
+    }
     node.state.borrow_mut().mirror.revision = revision;
 }
 
@@ -119,12 +121,17 @@
     }
 }
 
-fn tell_change(node: &Rc<Node>, after: u64, event: &StoreEvent) {
-    let notice = NodeNotice::Changed { after, event: event.clone() };
-    if notices::fits(&notice) {
-        node.tell_nodes(notice);
-    } else {
-        node.tell_nodes(NodeNotice::Behind { revision: event.revision() });
+/// Tells the other nodes of changes that follow the revision `after`.
+fn tell_changes(node: &Rc<Node>, mut after: u64, events: &[StoreEvent]) {
+    for group in events.chunk_by(|a, b| a.revision() == b.revision()) {
+        let Some(revision) = group.first().map(StoreEvent::revision) else { continue };
+        let notice = NodeNotice::Changed { after, events: group.to_vec() };
+        if notices::fits(&notice) {
+            node.tell_nodes(notice);
+        } else {
+            node.tell_nodes(NodeNotice::Behind { revision });
+        }
+        after = revision;
     }
 }
 
@@ -187,12 +194,10 @@
             node.on_store(true);
             let tells = wait == WATCH_TIME;
             let gathers = tells && !events.is_empty();
-            let mut before = after;
+            if tells {
+                tell_changes(node, after, &events);
+            }
             for event in events {
-                if tells {
-                    tell_change(node, before, &event);
-                }
-                before = event.revision();
                 apply_event::<W>(node, event, Duration::ZERO);
             }
             {
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -83,12 +83,12 @@
         /// Instance of the server.
         instance: String,
     },
-    /// A change in the platform's store.
+    /// All changes that a revision of the platform's store brought.
     Changed {
         /// Revision of the change before.
         after: u64,
-        /// The change.
-        event: StoreEvent,
+        /// The changes; a lease that ends removes several keys at one revision.
+        events: Vec<StoreEvent>,
     },
     /// There is a change in the platform's store that is too large for a notice.
     Behind {
@@ -197,7 +197,7 @@
 
 fn receive_one<W: NodeWire>(node: &Rc<Node>, notice: NodeNotice) {
     match notice {
-        NodeNotice::Changed { after, event } => fleet::apply_change::<W>(node, after, event),
+        NodeNotice::Changed { after, events } => fleet::apply_change::<W>(node, after, events),
         NodeNotice::Behind { revision } => fleet::catch_up(node, revision),
         notice => apply(node, notice),
     }
