--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -36,7 +36,7 @@
     prompt::{PromptPart, PromptShape},
     reading::ReadingBacklog,
     retry_budget::{BudgetShare, RetryBudget},
-    rollout::{DutyHandover, OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings},
+    rollout::{OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings, ServerOrder},
     roster::{
         BackendServer, ListingState, ModelWeights, RosterChange, ServerListing, ServerRoster,
         ServerStanding,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -58,6 +58,8 @@
 const OLD_WEIGHTS_AFTER: Duration = Duration::from_millis(1_000);
 /// Versions of a model's weights whose naming is remembered.
 const MAX_NAMED: usize = 16;
+/// Time that a request may take longer than expected until it begins.
+const BEGIN_MARGIN: Duration = Duration::from_millis(1_000);
 /// Longest time for which a refused caller is told to stay away.
 const MAX_RETRY: Duration = Duration::from_secs(2);
 /// Shortest time for which a refused caller is told to stay away.
@@ -218,8 +220,14 @@
             if tried.contains(&key) || !self.is_open(now, server, request) {
                 continue;
             }
-            weighed += 1;
             let choice = self.weigh(now, key, server, request, &view);
+            if let (Some(model), Some(version)) = (request.model, choice.weights) {
+                let wait = expected_wait(server, &choice) + BEGIN_MARGIN;
+                if !self.is_current(now + wait, model, version) {
+                    continue;
+                }
+            }
+            weighed += 1;
             // Draws among equal servers, so that nodes do not all turn to the same one.
             let drawn = choice.cost_ms + rng.random_range(0.0..TIE_MS);
             if best.is_none_or(|(lowest, _)| drawn < lowest) {
@@ -228,7 +236,8 @@
         }
         let Some((_, mut choice)) = best else { return Err(PlacementRefusal::NoServer) };
         choice.weighed = weighed;
-        let expected = self.expected(roster, &choice);
+        let server = roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
+        let expected = expected_wait(server, &choice);
         if expected > request.patience {
             let over = expected - request.patience;
             return Err(PlacementRefusal::Busy(over.clamp(MIN_RETRY, MAX_RETRY)));
@@ -274,10 +283,10 @@
         view
     }
 
-    /// Whether a server's weights may be used for a request that begins now.
-    fn is_current(&self, now: ClockTime, model: &str, version: WeightsVersion) -> bool {
+    /// Whether a server's weights may be used for a request that begins at `begins`.
+    fn is_current(&self, begins: ClockTime, model: &str, version: WeightsVersion) -> bool {
         let replaced_at = self.replaced_at(model, version);
-        replaced_at.is_none_or(|at| now.since(at) < self.version_time)
+        replaced_at.is_none_or(|at| begins.since(at) < self.version_time)
     }
 
     fn is_open(
@@ -293,8 +302,7 @@
         if suspected && server.in_flight > 0 {
             return false;
         }
-        let Some(model) = request.model else { return true };
-        server.weights(model).is_some_and(|version| self.is_current(now, model, version))
+        request.model.is_none_or(|model| server.weights(model).is_some())
     }
 
     fn weigh(
@@ -400,11 +408,12 @@
         // A server that is nearly full works more slowly.
         work * (1.0 + 0.4 * f64::from(busy.min(slots)) / f64::from(slots)) + wait
     }
+}
 
-    fn expected(&self, roster: &ServerRoster, choice: &PlacementChoice) -> Duration {
-        let slowness = roster.get(choice.server).map_or(1.0, |server| server.health.slowness());
-        Duration::from_secs_f64((choice.base_ms * slowness / 1_000.0).clamp(0.0, 3_600.0))
-    }
+/// Expected time to the answer or the first event.
+fn expected_wait(server: &BackendServer, choice: &PlacementChoice) -> Duration {
+    let ms = choice.base_ms * server.health.slowness();
+    Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 3_600.0))
 }
 
 /// Time that an engine takes to read a prompt of which it holds the first tokens, in ms.
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -7,8 +7,6 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use serde::{Deserialize, Serialize};
-
 use super::{BackendServer, ServerRoster, ServerStanding};
 use crate::{
     clock::ClockTime,
@@ -31,9 +29,10 @@
 const RETIRE_TIME: Duration = Duration::from_millis(200);
 /// Time after which a server is ordered although it still runs requests.
 const MAX_RETIRE_TIME: Duration = Duration::from_millis(1_200);
-/// Time after an accepted order until the server is first read; most show the new weights in their
-/// entry before.
-const FIRST_READING: Duration = Duration::from_millis(1_200);
+/// Usual time of a load in an engine without requests.
+const LOAD_TIME: Duration = Duration::from_millis(420);
+/// Time after an accepted order until the server is first read.
+const FIRST_READING: Duration = Duration::from_millis(450);
 /// Time between two readings of a server.
 const NEXT_READING: Duration = Duration::from_millis(500);
 /// Time after a failed order or reading until the server is tried again.
@@ -76,6 +75,21 @@
     },
 }
 
+/// An order to a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerOrder {
+    /// The server.
+    pub server: ServerKey,
+    /// The model.
+    pub model: String,
+    /// The wanted version.
+    pub version: WeightsVersion,
+    /// The fencing token.
+    pub fencing: u64,
+    /// Orders that the server must have accepted so far, if known.
+    pub expected: Option<u64>,
+}
+
 /// What the host carries out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RolloutEffect {
@@ -90,18 +104,7 @@
         server: ServerKey,
     },
     /// Order a server to load weights.
-    Order {
-        /// The server.
-        server: ServerKey,
-        /// The model.
-        model: String,
-        /// The wanted version.
-        version: WeightsVersion,
-        /// The fencing token.
-        fencing: u64,
-        /// Orders that the server must have accepted so far, if known.
-        expected: Option<u64>,
-    },
+    Order(ServerOrder),
     /// Read a server's state.
     Read {
         /// The server.
@@ -136,6 +139,7 @@
     stage: LoadStage,
     since: ClockTime,
     due: ClockTime,
+    ordered_at: ClockTime,
     /// Orders that the server had accepted at its last reading.
     sequence: Option<u64>,
 }
@@ -147,20 +151,11 @@
     lease: LeaseState,
     wanted: HashMap<String, WeightsVersion>,
     loading: HashMap<ServerKey, ServerLoading>,
-    /// When a server was last ordered by this node, or by the one before it.
+    /// When a server may have been ordered last, by this node or the one before it.
     ordered_at: HashMap<ServerKey, ClockTime>,
     acquired_at: ClockTime,
 }
 
-/// What the holder leaves to its successor.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DutyHandover {
-    /// Fencing token of the holder that has stopped.
-    pub fencing: u64,
-    /// Servers that were ordered lately, by instance, with the time since.
-    pub ordered: Vec<(String, Duration)>,
-}
-
 impl RolloutPlanner {
     /// Creates a planner without a lease.
     pub fn new(settings: RolloutSettings) -> RolloutPlanner {
@@ -174,34 +169,21 @@
         }
     }
 
-    /// Ends the duty of this node and returns what its successor has to know. No order of this
-    /// node leaves after that.
-    pub fn hand_over(&mut self, now: ClockTime, roster: &ServerRoster) -> Option<DutyHandover> {
-        let fencing = self.lease.fencing(now)?;
-        // Without the right to order, this node knows of its predecessor's orders only in part.
-        self.lease.order_fencing(now)?;
-        self.lease.step_down();
+    /// Servers that this node or its predecessor may have ordered lately. A holder writes them down
+    /// before its orders leave, so that its successor knows which servers it has to leave alone.
+    pub fn recent_orders(&self, now: ClockTime) -> Vec<ServerKey> {
         let gap = self.settings.holder_gap;
         let recent = self.ordered_at.iter().filter(|(_, at)| now.since(**at) < gap);
-        let ordered = recent.filter_map(|(key, at)| {
-            let server = roster.get(*key)?;
-            // An order whose answer is awaited may only just have arrived.
-            let open = self.loading.get(key).is_some_and(|l| l.stage == LoadStage::Ordered);
-            let age = if open { Duration::ZERO } else { now.since(*at) };
-            Some((server.listing.instance.clone(), age))
-        });
-        Some(DutyHandover { fencing, ordered: ordered.collect() })
+        let mut servers: Vec<ServerKey> = recent.map(|(key, _)| *key).collect();
+        servers.sort_unstable();
+        servers
     }
 
-    /// Takes the duty over from a holder that has said which servers it ordered: the others may
-    /// be ordered at once.
-    pub fn take_over(&mut self, now: ClockTime, roster: &ServerRoster, handover: &DutyHandover) {
+    /// Takes the duty over from a holder that has written down which servers it ordered: the
+    /// others may be ordered at once.
+    pub fn take_over(&mut self, now: ClockTime, ordered: impl IntoIterator<Item = ServerKey>) {
         self.lease.skip_wait(now);
-        for (instance, age) in &handover.ordered {
-            if let Some(key) = roster.key_of(instance) {
-                self.ordered_at.insert(key, now - *age);
-            }
-        }
+        self.ordered_at.extend(ordered.into_iter().map(|key| (key, now)));
     }
 
     /// Notes which weights of a model are wanted.
@@ -329,7 +311,7 @@
         let serving: Vec<_> = serving.collect();
         let engines = serving.len();
         let mut effects = self.retire(now, serving, model, version);
-        let ordered = self.loading.values().filter(|loading| loading.is_ordered()).count();
+        let ordered = self.loading.values().filter(|loading| loading.is_loading(now)).count();
         let free = (engines / ENGINES_PER_ORDER).max(1).saturating_sub(ordered);
         let behind = |key: &ServerKey| {
             roster
@@ -347,14 +329,15 @@
         for (_, key) in due.into_iter().take(free) {
             let Some(loading) = self.loading.get_mut(&key) else { continue };
             loading.wait(LoadStage::Ordered, now);
+            loading.ordered_at = now;
             self.ordered_at.insert(key, now);
-            effects.push(RolloutEffect::Order {
+            effects.push(RolloutEffect::Order(ServerOrder {
                 server: key,
                 model: model.to_string(),
                 version,
                 fencing,
                 expected: loading.sequence,
-            });
+            }));
         }
         effects
     }
@@ -396,7 +379,8 @@
             let idle = server.in_flight == 0 && load.is_none_or(|load| load.running == 0);
             let due = if idle { now } else { now + RETIRE_TIME };
             let sequence = self.loading.get(&key).and_then(|loading| loading.sequence);
-            let loading = ServerLoading { stage: LoadStage::Retiring, since: now, due, sequence };
+            let stage = LoadStage::Retiring;
+            let loading = ServerLoading { stage, since: now, due, ordered_at: now, sequence };
             self.loading.insert(key, loading);
             effects.push(RolloutEffect::Retire { server: key });
         }
@@ -424,6 +408,11 @@
         self.due = due;
     }
 
+    /// Whether the server takes part in the loads that slow each other down.
+    fn is_loading(&self, now: ClockTime) -> bool {
+        self.is_ordered() && now.since(self.ordered_at) < LOAD_TIME
+    }
+
     /// Whether the server may be loading because of an order.
     fn is_ordered(&self) -> bool {
         matches!(self.stage, LoadStage::Ordered | LoadStage::Asked | LoadStage::Loading)
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -4,17 +4,17 @@
 
 use carobvane_core::{
     ids::{ServerKey, WeightsVersion},
-    traffic::{OrderReply, RolloutEffect},
+    traffic::{OrderReply, RolloutEffect, ServerOrder},
 };
 use http::Response;
 use tokio::time::timeout;
 
 use crate::{
     channel::{ChannelError, HttpChannel},
-    clock,
+    clock, holding,
     node::{Node, NodeState},
     notices::{self, NodeNotice},
-    store::build_request,
+    store::{StoreClient, build_request},
     wire::{NodeWire, WeightsOrder, WireQuery},
 };
 
@@ -25,12 +25,12 @@
 /// Longest time for an order or a reading.
 const ORDER_TIME: Duration = Duration::from_millis(700);
 /// Longest time for which requests are kept from a server that loads or soon will.
-const LOAD_TIME: Duration = Duration::from_secs(5);
+const LONGEST_LOAD: Duration = Duration::from_secs(5);
 /// Most bytes of a server's state.
 const REPORT_BYTES: usize = 1024 * 1024;
 
 /// Gives orders whenever this node has the duty, until the process ends.
-pub async fn give_orders<W: NodeWire>(node: Rc<Node>) {
+pub async fn give_orders<W: NodeWire>(node: Rc<Node>, store: Rc<StoreClient<W>>) {
     loop {
         let holds = node.state.borrow().rollout.fencing(clock::now()).is_some();
         let wait = if holds { TICK_TIME } else { IDLE_TICK_TIME };
@@ -39,37 +39,51 @@
             let state = &mut *node.state.borrow_mut();
             state.rollout.tick(clock::now(), &state.roster)
         };
+        let mut orders = Vec::new();
         for effect in effects {
-            actix_rt::spawn(carry_out::<W>(node.clone(), effect));
+            match effect {
+                RolloutEffect::Retire { server } => {
+                    let longest = LONGEST_LOAD;
+                    tell(&node, server, |instance| NodeNotice::Loading { instance, longest });
+                }
+                RolloutEffect::Release { server } => {
+                    tell(&node, server, |instance| NodeNotice::Released { instance });
+                }
+                RolloutEffect::Read { server, model } => {
+                    let node = node.clone();
+                    actix_rt::spawn(async move { read::<W>(&node, server, &model).await });
+                }
+                RolloutEffect::Order(order) => orders.push(order),
+            }
+        }
+        if !orders.is_empty() {
+            actix_rt::spawn(send_orders(node.clone(), store.clone(), orders));
         }
     }
 }
 
-async fn carry_out<W: NodeWire>(node: Rc<Node>, effect: RolloutEffect) {
-    match effect {
-        RolloutEffect::Retire { server } => {
-            tell(&node, server, |instance| NodeNotice::Loading { instance, longest: LOAD_TIME })
-        }
-        RolloutEffect::Release { server } => {
-            tell(&node, server, |instance| NodeNotice::Released { instance });
-        }
-        RolloutEffect::Order { server, model, version, fencing, expected } => {
-            order::<W>(&node, server, &model, version, fencing, expected).await;
-        }
-        RolloutEffect::Read { server, model } => read::<W>(&node, server, &model).await,
+/// Writes orders down and sends them.
+async fn send_orders<W: NodeWire>(
+    node: Rc<Node>,
+    store: Rc<StoreClient<W>>,
+    orders: Vec<ServerOrder>,
+) {
+    let Some(fencing) = orders.first().map(|order| order.fencing) else { return };
+    if !holding::record_orders(&node, &store, fencing).await {
+        orders.iter().for_each(|order| finish(&node, order.server, &OrderReply::Refused));
+        return;
+    }
+    for order in orders {
+        let node = node.clone();
+        actix_rt::spawn(async move { send_order::<W>(&node, order).await });
     }
 }
 
-async fn order<W: NodeWire>(
-    node: &Rc<Node>,
-    server: ServerKey,
-    model: &str,
-    version: WeightsVersion,
-    fencing: u64,
-    expected: Option<u64>,
-) {
-    let Some((instance, address)) = target(node, server) else { return };
-    let order = WeightsOrder { model, version, holder: &node.settings.name, fencing, expected };
+async fn send_order<W: NodeWire>(node: &Rc<Node>, order: ServerOrder) {
+    let Some((instance, address)) = target(node, order.server) else { return };
+    let ServerOrder { server, model, version, fencing, expected } = order;
+    let order =
+        WeightsOrder { model: &model, version, holder: &node.settings.name, fencing, expected };
     let query = W::write_order(&order);
     let guard = || node.state.borrow().rollout.order_fencing(clock::now()) == Some(fencing);
     let answer = ask::<W>(&instance, address, query, guard).await;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -89,7 +89,7 @@
 }
 
 /// Whether this node is one of those that watch the store. All nodes rank the live nodes alike.
-fn is_watcher(node: &Node) -> bool {
+pub fn is_watcher(node: &Node) -> bool {
     let state = node.state.borrow();
     let score = |name: &str| rendezvous_score(name.as_bytes(), 0);
     let own = score(&node.settings.name);
@@ -261,7 +261,7 @@
             if revision <= known {
                 return;
             }
-            let removed = state.mirror.items.remove(&key);
+            state.mirror.items.remove(&key);
             if MemberBook::is_member_key(&key) {
                 log::info!(key = key; "node unlisted");
                 state.members.unlist(now, &key);
@@ -269,7 +269,6 @@
                     node.listing_wake.notify_one();
                 }
             } else if key == HOLDER_KEY {
-                state.last_holder = removed.map(|item| item.created);
                 node.duty_wake.notify_one();
             } else if let Some(instance) = W::server_key(&key) {
                 let gone = state.roster.unlist(now, instance);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod duty;
 mod fleet;
 mod front;
+mod holding;
 mod ingress;
 mod listing;
 mod logging;
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,41 +1,33 @@
-//! Keeps this node listed in the platform's store, and takes the order duty when it is free.
-//!
-//! One lease carries both the node's record and the holder's key, so that one renewal keeps both.
+//! Keeps this node listed in the platform's store.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use carobvane_core::{clock::ClockTime, orders::LeaseEvent, traffic::DutyHandover};
 use rand::Rng;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    clock,
-    members::{HANDOVER_KEY, HOLDER_KEY, LEASE_TIME, MemberRecord},
-    node::{Node, NodeState},
+    members::{LEASE_TIME, MemberRecord},
+    node::Node,
     store::{CALL_TIME, StoreClient, StoreFailure},
     wire::{NodeWire, StoreCall, StoreReply, StoreWrite},
 };
 
 /// Time between two renewals: one may fail before the lease ends.
 const RENEW_TIME: Duration = Duration::from_millis(900);
-/// Longest pause before a free duty is taken, so that nodes do not all try at once.
-const TAKE_JITTER: Duration = Duration::from_millis(250);
 /// Longest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// The lease of this node.
+/// The lease of this node's record.
 #[derive(Debug, Default)]
-pub struct NodeLease {
+pub struct ListingLease {
     lease: Cell<Option<u64>>,
-    /// When the last successful grant or renewal was sent.
-    sent_at: Cell<ClockTime>,
 }
 
 /// Keeps the node listed until the process ends.
 pub async fn keep_listed<W: NodeWire>(
     node: Rc<Node>,
     store: Rc<StoreClient<W>>,
-    lease: Rc<NodeLease>,
+    lease: Rc<ListingLease>,
 ) {
     let mut due = Instant::now();
     loop {
@@ -60,109 +52,14 @@
     }
 }
 
-/// Ends the lease, so that the node's record and duty are free at once. A holder first writes
-/// which servers it ordered lately, so that its successor need not wait.
-pub async fn release<W: NodeWire>(node: &Rc<Node>, store: &StoreClient<W>, lease: &NodeLease) {
+/// Ends the lease, so that the node's record is gone at once.
+pub async fn release<W: NodeWire>(store: &StoreClient<W>, lease: &ListingLease) {
     let Some(id) = lease.lease.take() else { return };
-    let handover = {
-        let state = &mut *node.state.borrow_mut();
-        let handover = state.rollout.hand_over(clock::now(), &state.roster);
-        state.rollout.on_lease(clock::now(), LeaseEvent::Lost);
-        handover
-    };
-    if let Some(value) = handover.and_then(|handover| serde_json::to_vec(&handover).ok()) {
-        let write = StoreWrite { key: HANDOVER_KEY.to_string(), value, lease: None };
-        let call = StoreCall::Transact { expected: Vec::new(), writes: vec![write] };
-        if let Err(cause) = store.call(&call, CALL_TIME).await {
-            log::warn!(cause:% = cause; "failed to hand the order duty over");
-        }
-    }
     if let Err(cause) = store.call(&StoreCall::Release { lease: id }, CALL_TIME).await {
-        log::warn!(cause:% = cause; "failed to end this node's lease");
-    }
-}
-
-/// Takes the order duty whenever nobody has it, until the process ends.
-pub async fn take_duty<W: NodeWire>(
-    node: Rc<Node>,
-    store: Rc<StoreClient<W>>,
-    lease: Rc<NodeLease>,
-) {
-    loop {
-        let jitter = node.state.borrow_mut().rng.random_range(Duration::ZERO..TAKE_JITTER);
-        sleep_until(Instant::now() + jitter + TAKE_JITTER / 4).await;
-        if node.draining.get() {
-            return;
-        }
-        adopt(&node, &lease);
-        let free = {
-            let state = node.state.borrow();
-            state.is_store_up()
-                && state.mirror.revision > 0
-                && !state.mirror.items.contains_key(HOLDER_KEY)
-        };
-        let Some(id) = lease.lease.get().filter(|_| free) else { continue };
-        let write = StoreWrite {
-            key: HOLDER_KEY.to_string(),
-            value: holder_value(&node, id),
-            lease: Some(id),
-        };
-        let expected = vec![(HOLDER_KEY.to_string(), 0)];
-        match store.call(&StoreCall::Transact { expected, writes: vec![write] }, CALL_TIME).await {
-            Ok(StoreReply::Written { revision }) => hold(&node, &lease, revision),
-            // Another node was first; the watch brings its key.
-            Ok(_) => sleep(TAKE_JITTER).await,
-            Err(cause) => {
-                log::debug!(cause:% = cause; "failed to take the order duty");
-                sleep(PAUSE).await;
-            }
-        }
+        log::warn!(cause:% = cause; "failed to end the lease of this node's record");
     }
 }
 
-/// Takes a duty that this node's own write brought although its answer was lost.
-fn adopt(node: &Rc<Node>, lease: &NodeLease) {
-    let Some(id) = lease.lease.get() else { return };
-    let created = {
-        let state = node.state.borrow();
-        let holder = state.mirror.items.get(HOLDER_KEY);
-        let own = holder.filter(|item| item.value == holder_value(node, id));
-        let lapsed = clock::now().since(lease.sent_at.get()) > LEASE_TIME / 2;
-        let holds = state.rollout.fencing(clock::now()).is_some();
-        own.filter(|_| !holds && !lapsed).map(|item| item.created)
-    };
-    if let Some(fencing) = created {
-        hold(node, lease, fencing);
-    }
-}
-
-fn hold(node: &Rc<Node>, lease: &NodeLease, fencing: u64) {
-    log::info!(fencing; "took the order duty");
-    let now = clock::now();
-    let event = LeaseEvent::Acquired { fencing, sent_at: lease.sent_at.get() };
-    let state = &mut *node.state.borrow_mut();
-    state.rollout.on_lease(now, event);
-    if let Some(handover) = state.last_handover() {
-        log::info!(from = handover.fencing, ordered = handover.ordered.len(); "took over in order");
-        state.rollout.take_over(now, &state.roster, &handover);
-    }
-    node.duty_wake.notify_one();
-}
-
-impl NodeState {
-    /// What the last holder left, if it was the last one.
-    fn last_handover(&self) -> Option<DutyHandover> {
-        let item = self.mirror.items.get(HANDOVER_KEY)?;
-        let handover: DutyHandover = serde_json::from_slice(&item.value).ok()?;
-        (Some(handover.fencing) == self.last_holder).then_some(handover)
-    }
-}
-
-/// The lease in the value tells this life's key from that of an earlier one.
-fn holder_value(node: &Node, lease: u64) -> Vec<u8> {
-    format!("{} {} {lease}", node.settings.name, node.incarnation).into_bytes()
-}
-
 fn is_listed(node: &Node) -> bool {
     let state = node.state.borrow();
     // Without a view of the store, the lease alone tells.
@@ -173,42 +70,31 @@
 async fn renew<W: NodeWire>(
     node: &Rc<Node>,
     store: &StoreClient<W>,
-    lease: &NodeLease,
+    lease: &ListingLease,
     id: u64,
 ) -> Result<(), StoreFailure> {
-    let sent_at = clock::now();
     let reply = store.call(&StoreCall::Renew { lease: id }, CALL_TIME).await?;
     node.on_store(true);
-    let event = match reply {
-        StoreReply::NoLease => {
-            log::warn!(lease = id; "this node's lease has ended");
-            lease.lease.set(None);
-            node.listing_wake.notify_one();
-            LeaseEvent::Lost
-        }
-        _ => {
-            lease.sent_at.set(sent_at);
-            LeaseEvent::Renewed { sent_at }
-        }
-    };
-    node.state.borrow_mut().rollout.on_lease(clock::now(), event);
+    if reply == StoreReply::NoLease {
+        log::warn!(lease = id; "the lease of this node's record has ended");
+        lease.lease.set(None);
+        node.listing_wake.notify_one();
+    }
     Ok(())
 }
 
 async fn enlist<W: NodeWire>(
     node: &Rc<Node>,
     store: &StoreClient<W>,
-    lease: &NodeLease,
+    lease: &ListingLease,
 ) -> Result<(), StoreFailure> {
     let lifetime = LEASE_TIME.max(node.settings.bounds.shortest_lease);
     let id = match lease.lease.get() {
         Some(id) => id,
         None => {
-            let sent_at = clock::now();
             let reply = store.call(&StoreCall::Grant { lifetime }, CALL_TIME).await?;
             let StoreReply::Leased { lease: id, .. } = reply else { return Ok(()) };
             lease.lease.set(Some(id));
-            lease.sent_at.set(sent_at);
             id
         }
     };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -11,8 +11,8 @@
 const MEMBER_PREFIX: &str = "carobvane/members/";
 /// Key of the node that orders weights.
 pub const HOLDER_KEY: &str = "carobvane/holder";
-/// Key of what the last holder left to its successor.
-pub const HANDOVER_KEY: &str = "carobvane/handover";
+/// Key of the servers that the holder has ordered lately, written before its orders.
+pub const ORDERED_KEY: &str = "carobvane/ordered";
 /// Lifetime of a node's lease.
 pub const LEASE_TIME: Duration = Duration::from_millis(2_500);
 /// Time after the store's return in which live nodes list themselves again.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,9 +31,6 @@
 
 /// The lease ends this much earlier for its holder than for the store.
 const LEASE_MARGIN: std::time::Duration = std::time::Duration::from_millis(250);
-/// New requests stop using replaced weights this much before they must: they may wait at the
-/// server before they begin.
-const VERSION_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_500);
 /// Fewest connections to one server that a node may open.
 const MIN_SERVER_CHANNELS: u32 = 2;
 
@@ -53,8 +50,6 @@
     pub members: MemberBook,
     /// Copy of the platform's items.
     pub mirror: StoreMirror,
-    /// Fencing token of the holder that was removed last.
-    pub last_holder: Option<u64>,
     /// Randomness of all decisions.
     pub rng: SmallRng,
     budgets: HashMap<String, RetryBudget>,
@@ -98,20 +93,18 @@
     pub fn new(settings: NodeSettings, seed: u64) -> Node {
         let bounds = settings.bounds;
         let lease = LeaseTimes {
-            lifetime: crate::members::LEASE_TIME.max(bounds.shortest_lease),
+            lifetime: crate::holding::LEASE_TIME.max(bounds.shortest_lease),
             margin: LEASE_MARGIN,
             predecessor_wait: bounds.holder_gap,
         };
-        let version_time = bounds.version_time.saturating_sub(VERSION_MARGIN);
         let state = NodeState {
             routes: RouteTable::default(),
             roster: ServerRoster::default(),
-            planner: PlacementPlanner::new(settings.data_centre.clone(), version_time),
+            planner: PlacementPlanner::new(settings.data_centre.clone(), bounds.version_time),
             rollout: RolloutPlanner::new(RolloutSettings { lease, holder_gap: bounds.holder_gap }),
             crashes: CrashBook::default(),
             members: MemberBook::default(),
             mirror: StoreMirror::default(),
-            last_holder: None,
             rng: SmallRng::seed_from_u64(seed),
             budgets: HashMap::new(),
             store_up: false,
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -14,8 +14,9 @@
     clock, duty,
     fleet::{self, forget_server},
     front::{CallerHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
+    holding::{self, DutyLease},
     ingress,
-    listing::{self, NodeLease},
+    listing::{self, ListingLease},
     logging,
     node::Node,
     notices,
@@ -72,13 +73,14 @@
     let seed = clock::now().as_micros() ^ u64::from(std::process::id()) << 40;
     let node = Rc::new(Node::new(settings, seed));
     let store = Rc::new(StoreClient::<W>::new(node.settings.store));
-    let lease = Rc::new(NodeLease::default());
+    let listing_lease = Rc::new(ListingLease::default());
+    let duty_lease = Rc::new(DutyLease::default());
     open_listeners::<W>(&node, metrics)?;
     actix_rt::spawn(fleet::follow(node.clone(), store.clone()));
     actix_rt::spawn(fleet::follow_peers::<W>(node.clone()));
-    actix_rt::spawn(listing::keep_listed(node.clone(), store.clone(), lease.clone()));
-    actix_rt::spawn(listing::take_duty(node.clone(), store.clone(), lease.clone()));
-    actix_rt::spawn(duty::give_orders::<W>(node.clone()));
+    actix_rt::spawn(listing::keep_listed(node.clone(), store.clone(), listing_lease.clone()));
+    actix_rt::spawn(holding::hold_duty(node.clone(), store.clone(), duty_lease.clone()));
+    actix_rt::spawn(duty::give_orders(node.clone(), store.clone()));
     let notices = UdpSocket::bind(node.settings.notices).await;
     let notices = Rc::new(notices.wrap_err("failed to open the socket for notices")?);
     actix_rt::spawn(notices::send(node.clone(), notices.clone()));
@@ -91,7 +93,7 @@
         "node started"
     );
     wait_for_stop().await?;
-    stop(&node, &store, &lease).await;
+    stop(&node, &store, &listing_lease, &duty_lease).await;
     Ok(())
 }
 
@@ -134,11 +136,17 @@
 }
 
 /// Leaves the directory at once, finishes what has begun, and ends.
-async fn stop<W: NodeWire>(node: &Rc<Node>, store: &StoreClient<W>, lease: &NodeLease) {
+async fn stop<W: NodeWire>(
+    node: &Rc<Node>,
+    store: &StoreClient<W>,
+    listing_lease: &ListingLease,
+    duty_lease: &DutyLease,
+) {
     let started = Instant::now();
     log::info!(in_flight = node.in_flight.get(); "node stops");
     node.draining.set(true);
-    listing::release(node, store, lease).await;
+    listing::release(store, listing_lease).await;
+    holding::release(node, store, duty_lease).await;
     let linger = started + LINGER_TIME.min(node.settings.bounds.grace / 2);
     let latest = started + node.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     while Instant::now() < latest {
