Save shared prompt parts to the store of KV cache and fetch them from it

Cause: engines evict prefixes and nodes forget who holds them when all restart, so prefixes were read again. Change: the first reading of a prefix is saved to the store; a prefix that no engine is known to hold is fetched from there; one node asks the store whether it answers and tells the others.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -10,12 +10,15 @@
 
 /// Time without use after which a part is taken as evicted.
 const PART_LIFETIME: Duration = Duration::from_secs(20);
+/// The same in the store of KV cache, which is larger and drops nothing for new weights.
+const STORED_LIFETIME: Duration = Duration::from_secs(60);
 /// Most beliefs that are kept. When full, those older than half their lifetime are dropped.
 const MAX_BELIEFS: usize = 16_384;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PartKey {
-    server: ServerKey,
+    /// The engine; `None` for the store of KV cache.
+    server: Option<ServerKey>,
     /// Identity of the part under its salt.
     part: u64,
 }
@@ -42,6 +45,21 @@
 }
 
 impl CacheMap {
+    /// Notes that the store of KV cache gets the shared parts of a prompt.
+    pub fn note_stored(&mut self, now: ClockTime, salt: u64, shared: &[PromptPart]) {
+        self.insert(now, None, salt, shared, CacheBelief::Confirmed);
+    }
+
+    /// Tokens at the start of a prompt that the store of KV cache is believed to hold.
+    pub fn stored_tokens(&self, now: ClockTime, salt: u64, prompt: &PromptShape) -> u32 {
+        self.tokens(now, None, salt, prompt, CacheBelief::Confirmed)
+    }
+
+    /// Forgets what the store of KV cache held.
+    pub fn forget_store(&mut self) {
+        self.uses.retain(|key, _| key.server.is_some());
+    }
+
     /// Notes that a server reads, or has read, the shared parts of a prompt under a salt.
     pub fn note(
         &mut self,
@@ -50,6 +68,17 @@
         salt: u64,
         shared: &[PromptPart],
         belief: CacheBelief,
+    ) {
+        self.insert(now, Some(server), salt, shared, belief);
+    }
+
+    fn insert(
+        &mut self,
+        now: ClockTime,
+        server: Option<ServerKey>,
+        salt: u64,
+        shared: &[PromptPart],
+        belief: CacheBelief,
     ) {
         if self.uses.len() >= MAX_BELIEFS {
             self.uses.retain(|_, part| now.since(part.used_at) < PART_LIFETIME / 2);
@@ -75,11 +104,21 @@
         prompt: &PromptShape,
         belief: CacheBelief,
     ) -> u32 {
+        self.tokens(now, Some(server), salt, prompt, belief)
+    }
+
+    fn tokens(
+        &self,
+        now: ClockTime,
+        server: Option<ServerKey>,
+        salt: u64,
+        prompt: &PromptShape,
+        belief: CacheBelief,
+    ) -> u32 {
+        let lifetime = if server.is_some() { PART_LIFETIME } else { STORED_LIFETIME };
         let held = |part: u64| {
             let known = self.uses.get(&PartKey { server, part: part ^ salt });
-            known.is_some_and(|known| {
-                known.belief >= belief && now.since(known.used_at) < PART_LIFETIME
-            })
+            known.is_some_and(|known| known.belief >= belief && now.since(known.used_at) < lifetime)
         };
         let parts = prompt.shared().iter();
         parts.take_while(|part| held(part.id)).map(|part| part.tokens).sum()
@@ -87,6 +126,6 @@
 
     /// Forgets what a server held, such as after it loaded other weights.
     pub fn forget(&mut self, server: ServerKey) {
-        self.uses.retain(|key, _| key.server != server);
+        self.uses.retain(|key, _| key.server != Some(server));
     }
 }
--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -252,6 +252,14 @@
         self.config.as_ref()?.services.get(index)
     }
 
+    /// Address of the store of KV cache, if there is one.
+    pub fn cache_store(&self) -> Option<SocketAddr> {
+        self.services().find_map(|spec| match &spec.role {
+            ServiceRole::CacheStore(store) => Some(store.address),
+            _ => None,
+        })
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
         self.config.iter().flat_map(|config| config.services.iter())
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -31,7 +31,8 @@
     health::{ServerHealth, ServerLoad},
     next_step::{AttemptEnd, CallerFailure, NextStep, RunHistory},
     placement::{
-        PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest, cache_salt,
+        CacheSource, PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest,
+        cache_salt,
     },
     prefill_lane::{HEAVY_PROMPT_TOKENS, PrefillLane},
     prompt::{PromptPart, PromptShape},
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -76,6 +76,8 @@
     pub cache_scope: u64,
     /// Bytes of the request.
     pub bytes: usize,
+    /// Whether a store of KV cache can be used.
+    pub has_store: bool,
     /// Nodes that share the callers.
     pub nodes: usize,
     /// Longest wait for an answer that is worth sending it.
@@ -95,8 +97,10 @@
     pub held_tokens: u32,
     /// Tokens of the prompt that other prompts may share.
     pub shared_tokens: u32,
-    /// Server from which missing tokens may be fetched.
-    pub fetch_from: Option<ServerKey>,
+    /// Where missing tokens may be fetched.
+    pub fetch_from: Option<CacheSource>,
+    /// Whether the store of KV cache lacks the shared parts, so that the server should save them.
+    pub saves: bool,
     /// Version of its weights; `None` on a plain service.
     pub weights: Option<WeightsVersion>,
     /// Servers that were weighed.
@@ -112,6 +116,15 @@
     Busy(Duration),
 }
 
+/// Where KV cache may be fetched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheSource {
+    /// Another engine.
+    Server(ServerKey),
+    /// The store of KV cache.
+    Store,
+}
+
 /// A server that is believed to hold the start of a prompt.
 #[derive(Debug, Clone, Copy)]
 struct CacheHolder {
@@ -293,6 +306,7 @@
             held_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
+            saves: false,
             weights,
             weighed: 0,
         };
@@ -331,12 +345,23 @@
         let salt = cache_salt(request.cache_scope, version);
         let belief = CacheBelief::Expected;
         let held = self.cache.held_tokens(now, choice.server, salt, prompt, belief);
-        let source = view.holder.filter(|holder| holder.version == version && holder.tokens > held);
-        let fetched = source.map_or(0, |holder| holder.tokens - held);
-        choice.held_tokens = held + fetched;
-        choice.fetch_from = source.map(|holder| holder.server).or(view.home);
-        choice.fetch_from =
-            choice.fetch_from.filter(|from| *from != choice.server && held == 0 || fetched > 0);
+        let stored =
+            if request.has_store { self.cache.stored_tokens(now, salt, prompt) } else { 0 };
+        let shared = prompt.shared_tokens();
+        choice.saves = request.has_store && stored < shared;
+        let holder = view.holder.filter(|holder| holder.version == version && holder.tokens > held);
+        let (source, held_there) = match holder {
+            Some(holder) if holder.tokens >= stored => {
+                (Some(CacheSource::Server(holder.server)), holder.tokens)
+            }
+            _ if stored > held => (Some(CacheSource::Store), stored),
+            // Nothing is known, such as after a restart: the question costs little.
+            _ if held < shared && request.has_store => (Some(CacheSource::Store), held),
+            _ => (None, held),
+        };
+        choice.fetch_from = source;
+        choice.held_tokens = held.max(held_there);
+        let fetched = choice.held_tokens - held;
         let own_ms = read_ms(choice.held_tokens, prompt.prompt_tokens);
         let fetch_ms =
             if fetched > 0 { FETCH_MS + f64::from(fetched) * FETCH_TOKEN_MS } else { 0.0 };
@@ -350,7 +375,7 @@
             + own_ms
             + fetch_ms
             + f64::from(running) * RUNNING_MS;
-        let again = prompt.shared_tokens().saturating_sub(choice.held_tokens);
+        let again = shared.saturating_sub(choice.held_tokens);
         choice.cost_ms = choice.base_ms + f64::from(again) * READ_AGAIN_TOKEN_MS;
         if view.is_heavy {
             // Every stream at the server waits while the prompt is read.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -8,8 +8,8 @@
     ids::ServerKey,
     rendezvous::rendezvous_score,
     traffic::{
-        AttemptEnd, PlacementChoice, PlacementRefusal, PlacementRequest, PromptPart, ServerLoad,
-        cache_salt,
+        AttemptEnd, CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest, PromptPart,
+        ServerLoad, cache_salt,
     },
 };
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -44,6 +44,8 @@
     pub instance: String,
     /// Address from which the server may fetch KV cache.
     fetch_from: Option<SocketAddr>,
+    /// Address to which the server should save KV cache.
+    save_to: Option<SocketAddr>,
     /// The connection.
     pub channel: PooledChannel,
     /// When the request was sent.
@@ -103,7 +105,13 @@
     }
 
     /// The answer has begun, or the request has ended without one.
-    fn on_answer(&mut self, load: Option<ServerLoad>, salt: u64, parts: &[PromptPart]) {
+    fn on_answer(
+        &mut self,
+        load: Option<ServerLoad>,
+        salt: u64,
+        parts: &[PromptPart],
+        saves: bool,
+    ) {
         let reading = self.reading.take();
         if reading.is_none() && load.is_none() {
             return;
@@ -111,7 +119,7 @@
         let instance = self.instance.clone();
         let parts = parts.to_vec();
         let request = reading.unwrap_or(0);
-        let notice = NodeNotice::Answered { instance, request, load, salt, parts };
+        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves };
         notices::apply(&self.node, notice.clone());
         self.node.tell_nodes(notice);
     }
@@ -119,7 +127,7 @@
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.on_answer(None, 0, &[]);
+        self.on_answer(None, 0, &[], false);
         if let Some(server) = self.node.state.borrow_mut().roster.get_mut(self.server) {
             server.in_flight = server.in_flight.saturating_sub(1);
         }
@@ -142,9 +150,8 @@
         match node.pool.take(choice.server, address, most).await {
             Ok(channel) => {
                 let sent_at = clock::now();
-                let fetch_from = choice.fetch_from.and_then(|from| node.server_address(from));
-                let fetch_from = fetch_from.map(|(address, _)| address);
-                Ok(Attempt { choice, instance, fetch_from, channel, sent_at, flight })
+                let (fetch_from, save_to) = cache_addresses(node, &choice);
+                Ok(Attempt { choice, instance, fetch_from, save_to, channel, sent_at, flight })
             }
             Err(cause) => {
                 log_failure(job, &instance, &choice, &cause.to_string());
@@ -210,7 +217,7 @@
         if failed {
             log_failure(job, &self.instance, &self.choice, status.as_str());
         }
-        self.flight.on_answer(head.load, 0, &[]);
+        self.flight.on_answer(head.load, 0, &[], false);
         on_answer(node, job, &self, failed);
         self.channel.keep(keep_time(&parts.headers));
         if failed { AttemptResult::Failed(answer) } else { AttemptResult::Whole(answer) }
@@ -259,7 +266,7 @@
         on_answer(node, job, self, false);
         let Some(weights) = self.choice.weights else { return };
         let salt = cache_salt(job.cache_scope, weights);
-        self.flight.on_answer(load, salt, job.call.prompt.shared());
+        self.flight.on_answer(load, salt, job.call.prompt.shared(), self.save_to.is_some());
     }
 
     fn learn(&self, node: &Rc<Node>, job: &RequestJob, head: &AnswerHead) {
@@ -305,6 +312,7 @@
             weights: self.choice.weights,
             cache_salt: salt.as_deref(),
             fetch_from: self.fetch_from,
+            save_to: self.save_to,
             last_event,
         });
         let mut request = Request::new(Full::new(job.body.clone()));
@@ -347,6 +355,19 @@
     HOP_HEADERS.contains(&name.as_str())
 }
 
+/// Where KV cache is to be fetched from and saved to.
+fn cache_addresses(
+    node: &Node,
+    choice: &PlacementChoice,
+) -> (Option<SocketAddr>, Option<SocketAddr>) {
+    let store = node.state.borrow().cache_store();
+    let fetch_from = choice.fetch_from.and_then(|from| match from {
+        CacheSource::Server(server) => node.server_address(server).map(|(address, _)| address),
+        CacheSource::Store => store,
+    });
+    (fetch_from, store.filter(|_| choice.saves))
+}
+
 /// How long a server keeps the connection idle, if it says so.
 pub fn keep_time(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
@@ -410,6 +431,7 @@
         prompt: &job.call.prompt,
         cache_scope: job.cache_scope,
         bytes: job.body.len(),
+        has_store: state.cache_store().is_some(),
         nodes: state.members.live().count().max(1),
         patience: job.time_left(now),
     };
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -90,11 +90,19 @@
 
 /// Whether this node is one of those that watch the store. All nodes rank the live nodes alike.
 pub fn is_watcher(node: &Node) -> bool {
+    rank(node) < WATCHERS
+}
+
+/// Whether this node is the first of the watchers.
+pub fn is_first_watcher(node: &Node) -> bool {
+    rank(node) == 0
+}
+
+fn rank(node: &Node) -> usize {
     let state = node.state.borrow();
     let score = |name: &str| rendezvous_score(name.as_bytes(), 0);
     let own = score(&node.settings.name);
-    let better = state.members.live().filter(|member| score(&member.name) > own).count();
-    better < WATCHERS
+    state.members.live().filter(|member| score(&member.name) > own).count()
 }
 
 /// Applies the changes of a revision that a watcher has told of, if none is missing before it.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 pub mod attempt;
 pub mod body;
+mod cache_store;
 pub mod channel;
 pub mod clock;
 mod duty;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,8 @@
     pub members: MemberBook,
     /// Copy of the platform's items.
     pub mirror: StoreMirror,
+    /// Life of the store of KV cache; `None` while it does not answer.
+    cache_store: Option<u64>,
     /// Randomness of all decisions.
     pub rng: SmallRng,
     budgets: HashMap<String, RetryBudget>,
@@ -109,6 +111,7 @@
             crashes: CrashBook::default(),
             members: MemberBook::default(),
             mirror: StoreMirror::default(),
+            cache_store: Some(0),
             rng: SmallRng::seed_from_u64(seed),
             budgets: HashMap::new(),
             store_up: false,
@@ -188,6 +191,26 @@
         self.store_up
     }
 
+    /// Notes whether the store of KV cache answers, and in which life.
+    pub fn on_cache_store(&mut self, up: bool, epoch: u64) {
+        let now = up.then_some(epoch);
+        if self.cache_store == now {
+            return;
+        }
+        // The first life that is learned says nothing of what was saved before.
+        let restarted = self.cache_store.is_some_and(|known| known != 0) && now.is_some();
+        if restarted || now.is_none() {
+            log::info!(up, epoch; "store of KV cache changed");
+            self.planner.cache.forget_store();
+        }
+        self.cache_store = now;
+    }
+
+    /// Address of the store of KV cache while it can be used.
+    pub fn cache_store(&self) -> Option<SocketAddr> {
+        self.cache_store.and_then(|_| self.routes.cache_store())
+    }
+
     /// Counts a caller's request to a service.
     pub fn on_request(&mut self, now: ClockTime, service: &str, bounds: &NodeBounds) {
         let share = self.share(bounds);
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -77,6 +77,15 @@
         salt: u64,
         /// Shared parts of the prompt; empty if the request failed.
         parts: Vec<PromptPart>,
+        /// Whether the server saves the parts to the store of KV cache.
+        saves: bool,
+    },
+    /// The store of KV cache can be used, or not.
+    CacheStore {
+        /// Whether it answers.
+        up: bool,
+        /// Number of its life.
+        epoch: u64,
     },
     /// A server did not answer.
     Silent {
@@ -131,7 +140,8 @@
             }
             state.planner.cache.note(now, key, salt, &parts, CacheBelief::Expected);
         }
-        NodeNotice::Answered { instance, request, load, salt, parts } => {
+        NodeNotice::CacheStore { up, epoch } => state.on_cache_store(up, epoch),
+        NodeNotice::Answered { instance, request, load, salt, parts, saves } => {
             let Some(key) = state.roster.key_of(&instance) else { return };
             let Some(server) = state.roster.get_mut(key) else { return };
             server.reading.remove(request);
@@ -139,6 +149,9 @@
                 server.health.on_load(now, load);
             }
             state.planner.cache.note(now, key, salt, &parts, CacheBelief::Confirmed);
+            if saves {
+                state.planner.cache.note_stored(now, salt, &parts);
+            }
         }
         NodeNotice::Silent { instance } => {
             if let Some(server) = state.roster.by_instance(&instance) {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    clock, duty,
+    cache_store, clock, duty,
     fleet::{self, forget_server},
     front::{CallerHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
     holding::{self, DutyLease},
@@ -85,6 +85,7 @@
     let notices = Rc::new(notices.wrap_err("failed to open the socket for notices")?);
     actix_rt::spawn(notices::send(node.clone(), notices.clone()));
     actix_rt::spawn(notices::receive::<W>(node.clone(), notices));
+    actix_rt::spawn(cache_store::watch::<W>(node.clone()));
     actix_rt::spawn(keep_house(node.clone()));
     actix_rt::spawn(watch_settings::<W>(bytes));
     log::info!(
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -98,6 +98,8 @@
     pub cache_salt: Option<&'a str>,
     /// Server or store from which missing KV cache may be fetched.
     pub fetch_from: Option<SocketAddr>,
+    /// Store to which the server should save the prompt's KV cache.
+    pub save_to: Option<SocketAddr>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
 }
@@ -143,6 +145,15 @@
     pub body: Bytes,
 }
 
+/// What a store of KV cache says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CacheStoreLife {
+    /// Changes when the store restarts empty.
+    pub epoch: u64,
+    /// Number of its next event.
+    pub next: u64,
+}
+
 /// The side of the backend servers.
 pub trait ServerWire {
     /// Writes the headers of a request to a server.
@@ -157,6 +168,10 @@
     fn read_order(status: StatusCode) -> OrderReply;
     /// Writes a query for a server's state.
     fn write_report() -> WireQuery;
+    /// Writes a query for the events of a store of KV cache after `since`.
+    fn write_cache_events(since: u64) -> WireQuery;
+    /// Reads the number of the store's life and of its next event.
+    fn read_cache_events(status: StatusCode, body: &[u8]) -> Option<CacheStoreLife>;
     /// Reads a server's state.
     fn read_report(status: StatusCode, body: &[u8], model: &str) -> OrderReply;
 }
