--- /dev/null
+++ b/crates/core/tests/traffic_limits.rs
@@ -0,0 +1,224 @@
+//! Retry budgets, steps after failed attempts, streams of events and suspects.
+
+use std::time::Duration;
+
+use carobvane_core::{
+    clock::ClockTime,
+    suspects::SuspectFingerprint,
+    traffic::{
+        AttemptEnd, BudgetShare, CallerFailure, CrashBook, CrashVerdict, EventError, EventSplitter,
+        NextStep, RetryBudget, RouteKind, RouteRule, RouteTarget, RunHistory,
+    },
+};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn millis(ms: u64) -> ClockTime {
+    ClockTime::from_millis(ms)
+}
+
+/// Guards against nodes that together repeat more than the fleet may in some window.
+#[test]
+fn shares_of_all_nodes_stay_within_the_budget_of_the_fleet() {
+    struct Case {
+        nodes: usize,
+        requests_per_node: u64,
+        ratio: f64,
+        slack: f64,
+    }
+    let cases = [
+        Case { nodes: 9, requests_per_node: 0, ratio: 0.2, slack: 58.0 },
+        Case { nodes: 9, requests_per_node: 200, ratio: 0.2, slack: 58.0 },
+        Case { nodes: 86, requests_per_node: 70, ratio: 0.2, slack: 212.0 },
+        Case { nodes: 1, requests_per_node: 500, ratio: 0.2, slack: 58.0 },
+    ];
+    for case in cases {
+        let share =
+            BudgetShare { ratio: case.ratio, slack: case.slack, window: WINDOW, nodes: case.nodes };
+        let mut sent = 0;
+        for _ in 0..case.nodes {
+            let mut budget = RetryBudget::default();
+            for request in 0..case.requests_per_node {
+                budget.on_request(millis(request * 9_000 / case.requests_per_node), &share);
+            }
+            while budget.take(millis(9_000), &share) {
+                sent += 1;
+            }
+        }
+        let requests = (case.requests_per_node * case.nodes as u64) as f64;
+        let allowed = case.ratio * requests + case.slack;
+        assert!(f64::from(sent) <= allowed, "{} nodes sent {sent} of {allowed}", case.nodes);
+    }
+}
+
+/// Guards against a budget that is filled again before its window has passed.
+#[test]
+fn a_spent_budget_returns_with_the_window_only() {
+    struct Case {
+        after_ms: u64,
+        allowed: bool,
+    }
+    let cases = [
+        Case { after_ms: 0, allowed: false },
+        Case { after_ms: 5_000, allowed: false },
+        Case { after_ms: 10_000, allowed: false },
+        Case { after_ms: 10_600, allowed: true },
+    ];
+    let share = BudgetShare { ratio: 0.2, slack: 18.0, window: WINDOW, nodes: 9 };
+    for case in cases {
+        let mut budget = RetryBudget::default();
+        let start = millis(50_000);
+        while budget.take(start, &share) {}
+        let allowed = budget.take(start + Duration::from_millis(case.after_ms), &share);
+        assert_eq!(allowed, case.allowed, "after {} ms", case.after_ms);
+    }
+}
+
+fn rule(kind: RouteKind, resumable: bool, max_servers: u32) -> RouteRule {
+    RouteRule {
+        name: "route".to_string(),
+        host: "host.example".to_string(),
+        prefix: "/".to_string(),
+        targets: vec![RouteTarget { service: "service".to_string(), weight: 1.0 }],
+        kind,
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_millis(800),
+        max_servers,
+        priority: 0,
+        public: false,
+        resumable,
+        event_gap: None,
+    }
+}
+
+/// Guards against a booking that runs twice, and against "not run" for one that may have run.
+#[test]
+fn only_what_did_not_run_or_may_repeat_is_sent_again() {
+    use AttemptEnd::{Failed, NotSent, Rejected, Unknown};
+    let not_run = NextStep::Fail(CallerFailure::NotRun);
+    let unknown = NextStep::Fail(CallerFailure::Unknown);
+    struct Case {
+        kind: RouteKind,
+        resumable: bool,
+        max_servers: u32,
+        ends: &'static [AttemptEnd],
+        last: NextStep,
+    }
+    let case = |kind, resumable, max_servers, ends, last| Case {
+        kind,
+        resumable,
+        max_servers,
+        ends,
+        last,
+    };
+    let cases = [
+        case(RouteKind::NonIdempotent, false, 2, &[NotSent], NextStep::Retry),
+        case(RouteKind::NonIdempotent, false, 2, &[Rejected], NextStep::Retry),
+        case(RouteKind::NonIdempotent, false, 2, &[Unknown], unknown),
+        case(RouteKind::NonIdempotent, false, 2, &[Rejected, Unknown], unknown),
+        case(RouteKind::NonIdempotent, false, 2, &[Failed], NextStep::PassOn),
+        case(RouteKind::NonIdempotent, false, 2, &[Rejected; 4], not_run),
+        case(RouteKind::Idempotent, false, 2, &[Unknown], NextStep::Retry),
+        case(RouteKind::Idempotent, false, 2, &[Unknown, Failed], NextStep::PassOn),
+        case(RouteKind::Idempotent, false, 2, &[Unknown, Unknown], unknown),
+        case(RouteKind::Idempotent, false, 1, &[Failed], NextStep::PassOn),
+        case(RouteKind::Streaming, true, 2, &[Unknown], NextStep::Retry),
+        case(RouteKind::Streaming, false, 2, &[Unknown], unknown),
+        case(RouteKind::Streaming, false, 2, &[NotSent; 6], not_run),
+    ];
+    for case in cases {
+        let rule = rule(case.kind, case.resumable, case.max_servers);
+        let mut history = RunHistory::default();
+        let steps: Vec<NextStep> = case.ends.iter().map(|end| history.after(&rule, *end)).collect();
+        assert_eq!(steps.last(), Some(&case.last), "{:?} {:?}", case.kind, case.ends);
+        let (_, before) = steps.split_last().expect("each case has an end");
+        assert!(before.iter().all(|step| *step == NextStep::Retry), "{:?}", case.ends);
+    }
+}
+
+/// Guards against pieces of two runs that are joined within an event, out of order or twice.
+#[test]
+fn only_whole_events_in_order_are_passed_on() {
+    struct Case {
+        after: Option<u64>,
+        chunks: &'static [&'static str],
+        passed: Result<&'static str, EventError>,
+        last_id: Option<u64>,
+        whole: bool,
+    }
+    let cases = [
+        Case {
+            after: None,
+            chunks: &["id: 1\nda", "ta: a\n", "\nid: 2\ndata: b\n\n"],
+            passed: Ok("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+            last_id: Some(2),
+            whole: true,
+        },
+        Case {
+            after: None,
+            chunks: &["id: 1\ndata: a\n\nid: 2\nda"],
+            passed: Ok("id: 1\ndata: a\n\n"),
+            last_id: Some(1),
+            whole: false,
+        },
+        Case {
+            after: None,
+            chunks: &["id: 1\r\ndata: a\r\n\r\n"],
+            passed: Ok("id: 1\r\ndata: a\r\n\r\n"),
+            last_id: Some(1),
+            whole: true,
+        },
+        Case {
+            after: Some(4),
+            chunks: &["weight-versions: 3\nid: 5\ndata: e\n\n"],
+            passed: Ok("weight-versions: 3\nid: 5\ndata: e\n\n"),
+            last_id: Some(5),
+            whole: true,
+        },
+        Case {
+            after: Some(4),
+            chunks: &["id: 4\ndata: again\n\n"],
+            passed: Err(EventError::OutOfOrder),
+            last_id: Some(4),
+            whole: false,
+        },
+    ];
+    for case in cases {
+        let mut splitter = EventSplitter::after(case.after);
+        let passed: Result<Vec<u8>, EventError> =
+            case.chunks.iter().try_fold(Vec::new(), |mut all, chunk| {
+                all.extend(splitter.push(chunk.as_bytes())?.whole);
+                Ok(all)
+            });
+        assert_eq!(passed, case.passed.map(|text| text.as_bytes().to_vec()), "{:?}", case.chunks);
+        assert_eq!(splitter.last_id(), case.last_id, "{:?}", case.chunks);
+        assert_eq!(splitter.is_whole(), case.whole, "{:?}", case.chunks);
+    }
+}
+
+/// Guards against a request that crashes server after server, and against refusing innocent ones.
+#[test]
+fn a_request_that_broke_three_servers_runs_no_more() {
+    struct Case {
+        lives: &'static [u64],
+        completed_after: Option<usize>,
+        verdict: CrashVerdict,
+    }
+    let cases = [
+        Case { lives: &[1, 2], completed_after: None, verdict: CrashVerdict::Run },
+        Case { lives: &[1, 1, 1], completed_after: None, verdict: CrashVerdict::Run },
+        Case { lives: &[1, 2, 3], completed_after: None, verdict: CrashVerdict::Reject },
+        Case { lives: &[1, 2, 3], completed_after: Some(1), verdict: CrashVerdict::Run },
+    ];
+    let request = SuspectFingerprint::new("workspace", b"body");
+    for case in cases {
+        let mut book = CrashBook::default();
+        for (index, life) in case.lives.iter().enumerate() {
+            book.on_crash(millis(1_000), request, *life);
+            if case.completed_after == Some(index) {
+                book.on_complete(request);
+            }
+        }
+        assert_eq!(book.verdict(millis(2_000), request), case.verdict, "{:?}", case.lives);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/traffic_rollout.rs
@@ -0,0 +1,231 @@
+//! Orders to load weights.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use carobvane_core::{
+    clock::ClockTime,
+    ids::{ServerKey, WeightsVersion},
+    orders::{LeaseEvent, LeaseTimes},
+    traffic::{
+        ListingState, ModelWeights, OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings,
+        ServerListing, ServerRoster, WeightsHistory,
+    },
+};
+
+const MODEL: &str = "model";
+const TICK: Duration = Duration::from_millis(50);
+
+fn settings() -> RolloutSettings {
+    RolloutSettings {
+        lease: LeaseTimes {
+            lifetime: Duration::from_millis(1_400),
+            margin: Duration::from_millis(250),
+            predecessor_wait: Duration::from_secs(3),
+        },
+        holder_gap: Duration::from_secs(3),
+        version_time: Duration::from_secs(8),
+    }
+}
+
+/// Engines that load in 400 ms once they are empty, and a holder that renews its lease.
+struct RolloutFixture {
+    now: ClockTime,
+    roster: ServerRoster,
+    weights: WeightsHistory,
+    planner: RolloutPlanner,
+    /// Engines that load, with the time at which they have done so.
+    loading: Vec<(ServerKey, WeightsVersion, ClockTime)>,
+    ordered: Vec<(ClockTime, ServerKey, WeightsVersion)>,
+    retired: BTreeSet<ServerKey>,
+    most_retired: usize,
+}
+
+impl RolloutFixture {
+    fn new(engines: usize) -> RolloutFixture {
+        let mut roster = ServerRoster::default();
+        for index in 0..engines {
+            roster.list(listing(index, 1));
+        }
+        let now = ClockTime::from_millis(100_000);
+        let mut planner = RolloutPlanner::new(settings());
+        planner.on_lease(now, LeaseEvent::Acquired { fencing: 7, sent_at: now });
+        planner.take_over(now, []);
+        RolloutFixture {
+            now,
+            roster,
+            weights: WeightsHistory::default(),
+            planner,
+            loading: Vec::new(),
+            ordered: Vec::new(),
+            retired: BTreeSet::new(),
+            most_retired: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.planner.on_lease(self.now, LeaseEvent::Renewed { sent_at: self.now });
+            self.finish_loads();
+            for effect in self.planner.tick(self.now, &self.roster, &self.weights) {
+                self.carry_out(effect);
+            }
+            self.most_retired = self.most_retired.max(self.retired.len());
+        }
+    }
+
+    fn finish_loads(&mut self) {
+        let now = self.now;
+        let (done, open) = self.loading.iter().partition(|(_, _, end)| *end <= now);
+        self.loading = open;
+        for (key, version, _) in done {
+            self.retired.remove(&key);
+            let server = self.roster.get_mut(key).expect("engines stay");
+            server.listing.weights[0].version = version;
+        }
+    }
+
+    fn carry_out(&mut self, effect: RolloutEffect) {
+        match effect {
+            RolloutEffect::Retire { server } => drop(self.retired.insert(server)),
+            RolloutEffect::Release { server } => drop(self.retired.remove(&server)),
+            RolloutEffect::Order(order) => {
+                self.ordered.push((self.now, order.server, order.version));
+                let end = self.now + Duration::from_millis(400);
+                self.loading.push((order.server, order.version, end));
+                self.planner.on_reply(self.now, order.server, &OrderReply::Accepted);
+            }
+            RolloutEffect::Read { server, .. } => {
+                let busy = self.loading.iter().any(|(key, _, _)| *key == server);
+                let version =
+                    self.roster.get(server).map(|server| server.listing.weights[0].version);
+                let reply = OrderReply::Reading {
+                    version: version.expect("engines stay"),
+                    busy,
+                    sequence: 0,
+                    requests: 0,
+                };
+                self.planner.on_reply(self.now, server, &reply);
+            }
+        }
+    }
+
+    fn behind(&self, version: u64) -> usize {
+        let held = |server: &ServerListing| server.weights[0].version;
+        let behind = self.roster.iter();
+        behind.filter(|(_, server)| held(&server.listing) < WeightsVersion(version)).count()
+    }
+}
+
+fn listing(index: usize, version: u64) -> ServerListing {
+    ServerListing {
+        instance: format!("i{index}"),
+        born: 1,
+        service: "engines".to_string(),
+        address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+        data_centre: "a".to_string(),
+        slots: 64,
+        state: ListingState::Ready,
+        weights: vec![ModelWeights { model: MODEL.to_string(), version: WeightsVersion(version) }],
+    }
+}
+
+/// Guards against a rollout that is not done by the bound, or that takes too many engines at once.
+#[test]
+fn all_engines_have_new_weights_before_the_bound() {
+    struct Case {
+        engines: usize,
+        most_retired: usize,
+    }
+    let cases = [
+        Case { engines: 1, most_retired: 1 },
+        Case { engines: 12, most_retired: 6 },
+        Case { engines: 18, most_retired: 9 },
+        Case { engines: 140, most_retired: 70 },
+    ];
+    for case in cases {
+        let mut fixture = RolloutFixture::new(case.engines);
+        fixture.weights.name(fixture.now, MODEL, WeightsVersion(2));
+        fixture.run(Duration::from_secs(6));
+        assert_eq!(fixture.behind(2), 0, "{} engines", case.engines);
+        assert!(fixture.most_retired <= case.most_retired, "{} engines", case.engines);
+        assert_eq!(fixture.ordered.len(), case.engines, "each engine is ordered once");
+    }
+}
+
+/// Guards against loads of weights that have been replaced already.
+#[test]
+fn a_newer_version_is_loaded_instead_of_the_one_before() {
+    let mut fixture = RolloutFixture::new(12);
+    fixture.weights.name(fixture.now, MODEL, WeightsVersion(2));
+    fixture.run(Duration::from_millis(400));
+    let old_orders = fixture.ordered.len();
+    fixture.weights.name(fixture.now, MODEL, WeightsVersion(3));
+    fixture.run(Duration::from_secs(6));
+    assert_eq!(fixture.behind(3), 0);
+    let later = fixture.ordered[old_orders..].iter();
+    assert!(later.map(|(_, _, version)| *version).all(|version| version == WeightsVersion(3)));
+}
+
+/// Guards against two holders whose orders to one server meet.
+#[test]
+fn a_successor_leaves_alone_what_its_predecessor_may_have_ordered() {
+    struct Case {
+        name: &'static str,
+        ordered_before: &'static [usize],
+    }
+    let cases = [
+        Case { name: "nothing ordered", ordered_before: &[] },
+        Case { name: "some ordered", ordered_before: &[0, 3] },
+        Case { name: "all ordered", ordered_before: &[0, 1, 2, 3] },
+    ];
+    for case in cases {
+        let mut fixture = RolloutFixture::new(4);
+        let keys: Vec<ServerKey> =
+            (0..4).filter_map(|i| fixture.roster.key_of(&format!("i{i}"))).collect();
+        let barred: Vec<ServerKey> = case.ordered_before.iter().map(|i| keys[*i]).collect();
+        let taken_at = fixture.now;
+        fixture.planner = RolloutPlanner::new(settings());
+        fixture.planner.on_lease(taken_at, LeaseEvent::Acquired { fencing: 8, sent_at: taken_at });
+        fixture.planner.take_over(taken_at, barred.iter().copied());
+        fixture.weights.name(taken_at, MODEL, WeightsVersion(2));
+        fixture.run(Duration::from_secs(7));
+        assert_eq!(fixture.behind(2), 0, "{}", case.name);
+        for (at, server, _) in &fixture.ordered {
+            let waited = at.since(taken_at);
+            let early = waited < settings().holder_gap;
+            assert!(!early || !barred.contains(server), "{}: after {waited:?}", case.name);
+        }
+        let record = fixture.planner.recent_orders(taken_at + Duration::from_secs(1));
+        assert!(barred.iter().all(|key| record.contains(key)), "{}", case.name);
+    }
+}
+
+/// Guards against orders of a node whose lease has ended, such as after a suspension.
+#[test]
+fn orders_end_with_the_lease() {
+    struct Case {
+        event: LeaseEvent,
+        later_ms: u64,
+        may_order: bool,
+    }
+    let renewed = |ms: u64| LeaseEvent::Renewed { sent_at: ClockTime::from_millis(100_000 + ms) };
+    let cases = [
+        Case { event: renewed(0), later_ms: 1_000, may_order: true },
+        Case { event: renewed(0), later_ms: 1_200, may_order: false },
+        Case { event: renewed(500), later_ms: 1_500, may_order: true },
+        Case { event: LeaseEvent::Lost, later_ms: 0, may_order: false },
+    ];
+    for case in cases {
+        let mut fixture = RolloutFixture::new(2);
+        fixture.planner.on_lease(fixture.now, case.event);
+        let later = fixture.now + Duration::from_millis(case.later_ms);
+        assert_eq!(
+            fixture.planner.order_fencing(later).is_some(),
+            case.may_order,
+            "{:?}",
+            case.event
+        );
+    }
+}
