Withdraw requests that have not begun when their server's weights may no longer be used

Change: 1.5 times the expected wait and 1.2 s are left before the bound; a repeatable request is withdrawn 0.3 s before it and sent to a server with newer weights. Test: replaced_weights_are_left_before_the_bound has two more cases.

--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -56,8 +56,12 @@
 const TIE_MS: f64 = 0.5;
 /// Time after the naming of new weights from which answers on older ones are dear.
 const OLD_WEIGHTS_AFTER: Duration = Duration::from_millis(1_000);
-/// Time that a request may take longer than expected until it begins.
-const BEGIN_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time that a request may take longer than expected until it begins, and multiple of the expected
+/// time: under load a request waits up to twice as long as expected.
+const BEGIN_MARGIN: Duration = Duration::from_millis(1_200);
+const WAIT_FACTOR: f64 = 1.5;
+/// Time before the end of older weights at which a request that has not begun is withdrawn.
+const WITHDRAW_MARGIN: Duration = Duration::from_millis(300);
 /// Longest time for which a refused caller is told to stay away.
 const MAX_RETRY: Duration = Duration::from_secs(2);
 /// Shortest time for which a refused caller is told to stay away.
@@ -103,6 +107,8 @@
     pub saves: bool,
     /// Version of its weights; `None` on a plain service.
     pub weights: Option<WeightsVersion>,
+    /// When the request must have begun, since the server's weights have been replaced.
+    pub begin_by: Option<ClockTime>,
     /// Servers that were weighed.
     pub weighed: usize,
 }
@@ -207,7 +213,7 @@
             }
             let choice = self.weigh(now, key, server, request, &view);
             if let (Some(model), Some(version)) = (request.model, choice.weights) {
-                let wait = expected_wait(server, &choice) + BEGIN_MARGIN;
+                let wait = expected_wait(server, &choice).mul_f64(WAIT_FACTOR) + BEGIN_MARGIN;
                 if !self.is_current(now + wait, model, version) {
                     continue;
                 }
@@ -307,6 +313,7 @@
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
             saves: false,
+            begin_by: None,
             weights,
             weighed: 0,
         };
@@ -328,6 +335,8 @@
         }
         if let (Some(model), Some(version)) = (request.model, weights) {
             choice.cost_ms += self.age_cost(now, model, version);
+            let replaced_at = self.weights.replaced_at(model, version);
+            choice.begin_by = replaced_at.map(|at| at + self.version_time - WITHDRAW_MARGIN);
         }
         choice
     }
--- a/crates/core/tests/traffic_fleet.rs
+++ b/crates/core/tests/traffic_fleet.rs
@@ -280,6 +280,8 @@
     let cases = [
         Case { named: &[], at_ms: 60_000, servers: 2 },
         Case { named: &[(0, 2)], at_ms: 3_000, servers: 2 },
+        Case { named: &[(0, 2)], at_ms: 6_000, servers: 2 },
+        Case { named: &[(0, 2)], at_ms: 6_900, servers: 1 },
         Case { named: &[(0, 2)], at_ms: 7_500, servers: 1 },
         Case { named: &[(0, 2), (6_500, 3)], at_ms: 7_500, servers: 1 },
         Case { named: &[(0, 2), (6_500, 3)], at_ms: 14_000, servers: 0 },
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -284,13 +284,15 @@
 
     /// How long the head of the answer is waited for.
     fn patience(&self, job: &RequestJob) -> Duration {
-        let left = job.time_left(clock::now());
+        let now = clock::now();
+        let left = job.time_left(now);
         let may_move = job.rule.may_repeat() && job.history.runs + 1 < job.rule.max_servers;
         if !may_move {
             return left;
         }
         let expected = Duration::from_secs_f64(self.choice.base_ms * SILENCE_FACTOR / 1_000.0);
-        expected.max(job.rule.target_latency.mul_f64(SILENCE_SHARE)).min(left)
+        let patience = expected.max(job.rule.target_latency.mul_f64(SILENCE_SHARE)).min(left);
+        self.choice.begin_by.map_or(patience, |by| patience.min(by.since(now)))
     }
 
     fn request<W: NodeWire>(
