--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -72,6 +72,13 @@
             /// The request's id, from `x-request-id`.
             required request_id: String
         }
+        /// Print what the log lines of one or several nodes say of a request, in their order.
+        cmd trace {
+            /// The request's id.
+            required request_id: String
+            /// Files with JSON log lines; text before a line's first brace is printed with it.
+            repeated files: PathBuf
+        }
         /// Let an entry leave gracefully and wait until it has.
         cmd drain {
             /// Name of the entry in the lists, its node number or its admin URL.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -74,6 +74,7 @@
         CarobvaneCmd::Revert(revert) => ops::revert::run(session, revert.version).await,
         CarobvaneCmd::Status(_) => ops::status::run(session).await,
         CarobvaneCmd::Why(why) => ops::why::run(session, &why.request_id).await,
+        CarobvaneCmd::Trace(trace) => ops::trace::run(session, &trace.request_id, &trace.files),
         CarobvaneCmd::Drain(drain) => ops::drain::run(session, &drain.entry, !drain.no_wait).await,
         CarobvaneCmd::HashKey(_) => ops::hash_key::run(session),
         CarobvaneCmd::Completions(completions) => {
--- a/crates/cli/src/ops.rs
+++ b/crates/cli/src/ops.rs
@@ -11,6 +11,7 @@
 pub(crate) mod revert;
 pub(crate) mod show;
 pub(crate) mod status;
+pub(crate) mod trace;
 pub(crate) mod why;
 
 use crate::{console::Console, settings::CliSettings};
--- a/crates/cli/src/ops/completions.rs
+++ b/crates/cli/src/ops/completions.rs
@@ -11,7 +11,7 @@
     flags: &'static [&'static str],
 }
 
-const COMMANDS: [CommandWord; 12] = [
+const COMMANDS: [CommandWord; 13] = [
     CommandWord { name: "check", folders: true, flags: &[] },
     CommandWord { name: "plan", folders: true, flags: &[] },
     CommandWord { name: "apply", folders: true, flags: &["--base"] },
@@ -21,6 +21,7 @@
     CommandWord { name: "revert", folders: false, flags: &[] },
     CommandWord { name: "status", folders: false, flags: &[] },
     CommandWord { name: "why", folders: false, flags: &[] },
+    CommandWord { name: "trace", folders: false, flags: &[] },
     CommandWord { name: "drain", folders: false, flags: &["--no-wait"] },
     CommandWord { name: "hash-key", folders: false, flags: &[] },
     CommandWord { name: "completions", folders: false, flags: &[] },
--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -41,6 +41,8 @@
     /// Failures in a row without any answer.
     silent: u32,
     paused_until: ClockTime,
+    /// When the server last told anything, to this node or another one.
+    heard_at: ClockTime,
     /// Until when other nodes' failures count.
     suspected_until: ClockTime,
     /// Share of recent requests that failed, from 0 to 1.
@@ -57,6 +59,7 @@
         self.silent = 0;
         self.paused_until = ClockTime::ZERO;
         self.suspected_until = ClockTime::ZERO;
+        self.heard_at = now;
         self.note(now, 0.0);
         let ratio = ratio.clamp(0.1, 50.0);
         self.slowness = if self.slowness == 0.0 {
@@ -72,6 +75,11 @@
         self.note(now, 1.0);
     }
 
+    /// Whether the server has told anything since `since`, to this node or another one.
+    pub fn was_heard_since(&self, since: ClockTime) -> bool {
+        self.heard_at > since
+    }
+
     /// Notes an attempt without a usable answer.
     pub fn on_silent(&mut self, now: ClockTime) {
         self.note(now, 1.0);
@@ -98,6 +106,7 @@
     /// Notes a load report.
     pub fn on_load(&mut self, now: ClockTime, load: ServerLoad) {
         self.load = Some((load, now));
+        self.heard_at = now;
     }
 
     /// Whether requests are kept away for now.
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -139,6 +139,15 @@
     tokens: u32,
 }
 
+/// How carefully servers are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PlacementCare {
+    /// Servers that did not answer are left alone for a while.
+    Usual,
+    /// Any server that may run the request.
+    LastResort,
+}
+
 /// What is the same for all servers that are weighed for a request.
 #[derive(Debug, Clone, Default)]
 struct RequestView {
@@ -205,13 +214,39 @@
         rng: &mut impl Rng,
     ) -> Result<PlacementChoice, PlacementRefusal> {
         let view = self.view(now, roster, request);
+        let best = self.best(now, roster, request, &view, tried, PlacementCare::Usual, rng);
+        // A server that may not answer is better than none.
+        let best = best.or_else(|| {
+            self.best(now, roster, request, &view, tried, PlacementCare::LastResort, rng)
+        });
+        let choice = best.ok_or(PlacementRefusal::NoServer)?;
+        let server = roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
+        let expected = expected_wait(server, &choice);
+        if expected > request.patience {
+            let over = expected - request.patience;
+            return Err(PlacementRefusal::Busy(over.clamp(MIN_RETRY, MAX_RETRY)));
+        }
+        Ok(choice)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the inputs of one decision")]
+    fn best(
+        &self,
+        now: ClockTime,
+        roster: &ServerRoster,
+        request: &PlacementRequest<'_>,
+        view: &RequestView,
+        tried: &[ServerKey],
+        care: PlacementCare,
+        rng: &mut impl Rng,
+    ) -> Option<PlacementChoice> {
         let mut best: Option<(f64, PlacementChoice)> = None;
         let mut weighed = 0;
         for (key, server) in roster.usable(request.service) {
-            if tried.contains(&key) || !self.is_open(now, server, request) {
+            if tried.contains(&key) || !self.is_open(now, server, request, care) {
                 continue;
             }
-            let choice = self.weigh(now, key, server, request, &view);
+            let choice = self.weigh(now, key, server, request, view);
             if let (Some(model), Some(version)) = (request.model, choice.weights) {
                 let wait = expected_wait(server, &choice).mul_f64(WAIT_FACTOR) + BEGIN_MARGIN;
                 if !self.is_current(now + wait, model, version) {
@@ -225,15 +260,7 @@
                 best = Some((drawn, choice));
             }
         }
-        let Some((_, mut choice)) = best else { return Err(PlacementRefusal::NoServer) };
-        choice.weighed = weighed;
-        let server = roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
-        let expected = expected_wait(server, &choice);
-        if expected > request.patience {
-            let over = expected - request.patience;
-            return Err(PlacementRefusal::Busy(over.clamp(MIN_RETRY, MAX_RETRY)));
-        }
-        Ok(choice)
+        best.map(|(_, choice)| PlacementChoice { weighed, ..choice })
     }
 
     /// What is the same for all servers that are weighed for a request.
@@ -285,12 +312,14 @@
         now: ClockTime,
         server: &BackendServer,
         request: &PlacementRequest<'_>,
+        care: PlacementCare,
     ) -> bool {
-        if server.health.is_paused(now) || now < server.loading_until {
+        if now < server.loading_until {
             return false;
         }
-        let suspected = server.health.is_doubtful() || server.health.is_suspected(now);
-        if suspected && server.in_flight > 0 {
+        let health = &server.health;
+        let tested = health.is_doubtful() && server.in_flight > 0;
+        if care == PlacementCare::Usual && (health.is_paused(now) || tested) {
             return false;
         }
         request.model.is_none_or(|model| server.weights(model).is_some())
--- a/crates/core/tests/traffic_fleet.rs
+++ b/crates/core/tests/traffic_fleet.rs
@@ -392,16 +392,22 @@
         Case { failures: 9, after_ms: 3_100, in_flight: 0, open: true },
     ];
     for case in cases {
-        let mut fixture = PlacementFixture::new(&[1]);
+        // The other server is far too loaded to be chosen while this one may be.
+        let mut fixture = PlacementFixture::new(&[1, 1]);
         let now = millis(50_000);
+        let other = fixture.roster.get_mut(fixture.keys[1]).expect("the server is listed");
+        other.reading.add(now + Duration::from_secs(2), 1, 200_000);
         let server = fixture.roster.get_mut(fixture.keys[0]).expect("the server is listed");
         server.in_flight = case.in_flight;
         for _ in 0..case.failures {
             server.health.on_silent(now);
         }
         let later = now + Duration::from_millis(case.after_ms);
-        let open = fixture.choose(later, &prompt(&[], 100), &[]).is_ok();
+        let choice = fixture.choose(later, &prompt(&[], 100), &[]);
+        let open = choice.is_ok_and(|choice| choice.server == fixture.keys[0]);
         assert_eq!(open, case.open, "{} failures after {} ms", case.failures, case.after_ms);
+        let alone = fixture.choose(later, &prompt(&[], 100), &[fixture.keys[1]]);
+        assert!(alone.is_ok(), "a doubtful server is better than none");
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -251,9 +251,12 @@
             ChannelError::NotSent(_) => AttemptEnd::NotSent,
             ChannelError::Broken(_) | ChannelError::TimedOut => AttemptEnd::Unknown,
         };
-        // A kept connection that its server had closed says nothing about the server.
-        if end != AttemptEnd::NotSent || self.channel.fresh {
-            on_silent(node, self.choice.server);
+        match cause {
+            // A loaded server that answers others is not silent.
+            ChannelError::TimedOut => on_timeout(node, self.choice.server, self.sent_at),
+            // A kept connection that its server had closed says nothing about the server.
+            ChannelError::NotSent(_) if !self.channel.fresh => {}
+            _ => on_silent(node, self.choice.server),
         }
         if matches!(cause, ChannelError::Broken(_)) {
             note_crash(node, job, self.choice.server);
@@ -386,6 +389,15 @@
     }
 }
 
+/// Notes that a server has not answered in time, unless it has told anything since `since`.
+pub fn on_timeout(node: &Rc<Node>, server: ServerKey, since: ClockTime) {
+    if let Some(known) = node.state.borrow_mut().roster.get_mut(server)
+        && !known.health.was_heard_since(since)
+    {
+        known.health.on_silent(clock::now());
+    }
+}
+
 /// Notes that a server did not answer, and tells the other nodes.
 pub fn on_silent(node: &Rc<Node>, server: ServerKey) {
     if let Some(known) = node.state.borrow_mut().roster.get_mut(server) {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -25,6 +25,8 @@
 
 use crate::{body::AnswerBody, node::Node, socket};
 
+/// Descriptors for files, backend servers, the store and other nodes.
+const RESERVED_DESCRIPTORS: u32 = 1_200;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time after which an idle connection looks whether it should close.
@@ -112,7 +114,13 @@
 
 /// Accepts connections until the node closes.
 pub async fn serve<H: RequestHandler>(node: Rc<Node>, listener: TcpListener, handler: Rc<H>) {
+    let most = node.settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
     loop {
+        if node.connections.get() >= most {
+            // Those that wait in the backlog are taken when others have closed.
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = node.closed() => return,
@@ -132,7 +140,26 @@
     }
 }
 
+/// Counts an open connection.
+struct ConnectionCount {
+    node: Rc<Node>,
+}
+
+impl ConnectionCount {
+    fn start(node: &Rc<Node>) -> ConnectionCount {
+        node.connections.set(node.connections.get() + 1);
+        ConnectionCount { node: node.clone() }
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.node.connections.set(self.node.connections.get() - 1);
+    }
+}
+
 async fn carry<H: RequestHandler>(node: Rc<Node>, stream: TcpStream, handler: Rc<H>) {
+    let _count = ConnectionCount::start(&node);
     let watch = Rc::new(ConnectionWatch::new());
     let service = service_fn(|request: Request<Incoming>| {
         let count = FlightCount::start(watch.clone(), node.clone());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod channel;
 pub mod clock;
 mod duty;
+pub mod flags;
 mod fleet;
 mod front;
 mod holding;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -72,6 +72,8 @@
     pub pool: Rc<ChannelPool>,
     /// Requests in progress.
     pub in_flight: Cell<u32>,
+    /// Connections that others have opened.
+    pub connections: Cell<u32>,
     /// Whether the node stops: no new callers are sent to it.
     pub draining: Rc<Cell<bool>>,
     /// Whether idle connections of callers are closed and new requests refused.
@@ -123,6 +125,7 @@
             state: RefCell::new(state),
             pool: Rc::default(),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             draining: Rc::new(Cell::new(false)),
             closing: Cell::new(false),
             closing_wake: Notify::new(),
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     cache_store, clock, duty,
+    flags::CarobvaneNode,
     fleet::{self, forget_server},
     front::{CallerHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
     holding::{self, DutyLease},
@@ -42,6 +43,11 @@
 
 /// Runs a node until it is told to stop.
 pub fn run<W: NodeWire>() -> ExitCode {
+    let flags = CarobvaneNode::from_env_or_exit();
+    if flags.version {
+        println!("carobvane-node {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
     let (settings, bytes) = match read_settings::<W>() {
         Ok(read) => read,
         Err(cause) => {
@@ -49,7 +55,12 @@
             return ExitCode::from(BAD_SETTINGS);
         }
     };
-    match actix_rt::System::new().block_on(run_until_stopped::<W>(settings, bytes)) {
+    if flags.check {
+        println!("the settings check");
+        return ExitCode::SUCCESS;
+    }
+    let level = flags.log_level.unwrap_or(log::LevelFilter::Info);
+    match actix_rt::System::new().block_on(run_until_stopped::<W>(settings, bytes, level)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
             eprintln!("{cause:#}");
@@ -65,8 +76,12 @@
     Ok((W::read_settings(&bytes)?, bytes))
 }
 
-async fn run_until_stopped<W: NodeWire>(settings: NodeSettings, bytes: Vec<u8>) -> Result<()> {
-    logging::start_logging(log::LevelFilter::Info)?;
+async fn run_until_stopped<W: NodeWire>(
+    settings: NodeSettings,
+    bytes: Vec<u8>,
+    level: log::LevelFilter,
+) -> Result<()> {
+    logging::start_logging(level)?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .wrap_err("failed to start recording metrics")?;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -19,7 +19,9 @@
 };
 
 use crate::{
-    attempt::{Attempt, AttemptResult, caller_answer, keep_time, note_crash, on_silent},
+    attempt::{
+        Attempt, AttemptResult, caller_answer, keep_time, note_crash, on_silent, on_timeout,
+    },
     body::{AnswerBody, StreamPiece},
     clock,
     node::Node,
@@ -30,7 +32,7 @@
 /// Pieces that wait for a slow caller.
 const QUEUED_PIECES: usize = 16;
 /// Multiple of the wanted pause between events after which a stream moves to another server.
-const STALL_FACTOR: u32 = 3;
+const STALL_FACTOR: u32 = 5;
 
 /// How one server's part of a stream ended.
 enum PartEnd {
@@ -120,7 +122,8 @@
                 }
                 PartEnd::Stalled => {
                     self.log_break(&attempt, "no event in time");
-                    on_silent(&self.node, attempt.choice.server);
+                    let since = self.pace.last_at.unwrap_or(attempt.sent_at);
+                    on_timeout(&self.node, attempt.choice.server, since);
                 }
             }
             // Closes the connection, so that the server's work ends before another one's begins.
--- a/crates/programs/tests/testsuite/operators/completions.rs
+++ b/crates/programs/tests/testsuite/operators/completions.rs
@@ -16,7 +16,7 @@
             assert!(script.contains(command), "{shell}: {command}");
         }
     }
-    assert_eq!(commands.len(), 12);
+    assert_eq!(commands.len(), 13);
     let script = run_program(&["completions", "bash"], "").await;
     expect_file!["snapshots/completions_bash.txt"].assert_eq(&script);
     expect![[r#"
--- a/crates/programs/tests/testsuite/operators/mod.rs
+++ b/crates/programs/tests/testsuite/operators/mod.rs
@@ -17,4 +17,5 @@
 mod show;
 mod status;
 mod support;
+mod trace;
 mod why;
