Give the order duty back when it was renewed too late

Ruled out: the holder's partition (its renewals were answered), silent servers. Change: a lapsed lease is given back. Test: a_duty_that_was_renewed_too_late_is_given_back.

--- a/crates/core/src/orders/lease.rs
+++ b/crates/core/src/orders/lease.rs
@@ -59,6 +59,12 @@
         self.fencing.filter(|_| now < self.valid_until)
     }
 
+    /// Whether this node has counted its lease as ended although it may still run at the service. It
+    /// has to be given back, since a renewal does not revive it here and nobody else can take it.
+    pub fn has_lapsed(&self, now: ClockTime) -> bool {
+        self.fencing.is_some() && now >= self.valid_until
+    }
+
     /// The fencing token once orders may be sent.
     pub fn order_fencing(&self, now: ClockTime) -> Option<u64> {
         self.fencing(now).filter(|_| now >= self.order_from)
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -205,6 +205,11 @@
         self.lease.fencing(now)
     }
 
+    /// Whether the duty has to be given back because this node has counted its lease as ended.
+    pub fn has_lapsed(&self, now: ClockTime) -> bool {
+        self.lease.has_lapsed(now)
+    }
+
     /// The fencing token while an order may leave. Read again right before the bytes do.
     pub fn order_fencing(&self, now: ClockTime) -> Option<u64> {
         self.lease.order_fencing(now)
--- a/crates/core/tests/traffic_rollout.rs
+++ b/crates/core/tests/traffic_rollout.rs
@@ -229,3 +229,32 @@
         );
     }
 }
+
+/// Guards against a duty that nobody has: a holder whose renewal came too late by its own clock
+/// does not order any more, while its lease at the store lives on with each renewal.
+#[test]
+fn a_duty_that_was_renewed_too_late_is_given_back() {
+    struct Case {
+        renewed_after_ms: Option<u64>,
+        at_ms: u64,
+        lapsed: bool,
+    }
+    let cases = [
+        Case { renewed_after_ms: None, at_ms: 1_000, lapsed: false },
+        Case { renewed_after_ms: None, at_ms: 1_200, lapsed: true },
+        Case { renewed_after_ms: Some(1_000), at_ms: 1_200, lapsed: false },
+        Case { renewed_after_ms: Some(1_200), at_ms: 1_300, lapsed: true },
+    ];
+    for case in cases {
+        let mut fixture = RolloutFixture::new(1);
+        let start = fixture.now;
+        if let Some(after) = case.renewed_after_ms {
+            let sent_at = start + Duration::from_millis(after);
+            fixture.planner.on_lease(sent_at, LeaseEvent::Renewed { sent_at });
+        }
+        let at = start + Duration::from_millis(case.at_ms);
+        assert_eq!(fixture.planner.has_lapsed(at), case.lapsed, "at {}", case.at_ms);
+        fixture.planner.on_lease(at, LeaseEvent::Lost);
+        assert!(!fixture.planner.has_lapsed(at), "a duty that was given back has not lapsed");
+    }
+}
--- a/crates/node/src/holding.rs
+++ b/crates/node/src/holding.rs
@@ -54,6 +54,10 @@
     while !node.draining.get() {
         if let Some(id) = lease.lease.get() {
             renew(&node, &store, &lease, id).await;
+            if node.state.borrow().rollout.has_lapsed(clock::now()) {
+                log::warn!(lease = id; "renewed the order duty too late; giving it back");
+                release(&node, &store, &lease).await;
+            }
             sleep(RENEW_TIME).await;
             continue;
         }
