Choose watchers by link, let another watcher fill gaps, remember more cached parts

Cause: watchers on 10 Mbit/s links lost datagrams to 77 nodes, and each lost one cost a call by every node that missed it; beliefs on cached parts were dropped at 16,384, fewer than 145 engines hold. Change: watchers are the nodes with the strongest links; a gap waits 0.1 to 0.3 s for another watcher's notice; 65,536 beliefs.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -13,7 +13,7 @@
 /// The same in the store of KV cache, which is larger and drops nothing for new weights.
 const STORED_LIFETIME: Duration = Duration::from_secs(60);
 /// Most beliefs that are kept. When full, those older than half their lifetime are dropped.
-const MAX_BELIEFS: usize = 16_384;
+const MAX_BELIEFS: usize = 65_536;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PartKey {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -38,6 +38,9 @@
 /// Part of the time in which a configuration must be in force after which a node that does not
 /// watch looks for changes that it was not told of.
 const CATCH_UP_SHARE: f64 = 0.6;
+/// Pause until a lost notice is looked for: another watcher's may fill the gap.
+const GAP_MIN: Duration = Duration::from_millis(100);
+const GAP_MAX: Duration = Duration::from_millis(300);
 /// Wait of such a look.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes have come, so that those that follow closely come with one more call.
@@ -68,7 +71,13 @@
             true if is_watcher(&node) => watch(&node, &store, WATCH_TIME).await,
             true => {
                 let wait = node.settings.bounds.apply_time.mul_f64(CATCH_UP_SHARE);
-                let _woken = timeout(wait, node.catch_up_wake.notified()).await;
+                if timeout(wait, node.catch_up_wake.notified()).await.is_ok() {
+                    let pause = node.state.borrow_mut().rng.random_range(GAP_MIN..GAP_MAX);
+                    sleep(pause).await;
+                    if node.state.borrow().mirror.revision >= node.told_revision.get() {
+                        continue;
+                    }
+                }
                 watch(&node, &store, CATCH_UP_WAIT).await
             }
             false => read_all(&node, &store).await,
@@ -98,11 +107,13 @@
     rank(node) == 0
 }
 
+/// Position of this node among the live ones: strong links first, since a watcher sends to all.
 fn rank(node: &Node) -> usize {
     let state = node.state.borrow();
-    let score = |name: &str| rendezvous_score(name.as_bytes(), 0);
-    let own = score(&node.settings.name);
-    state.members.live().filter(|member| score(&member.name) > own).count()
+    let place = |link_mbps: u32, name: &str| (link_mbps, rendezvous_score(name.as_bytes(), 0));
+    let own = place(node.settings.link_mbps, &node.settings.name);
+    let live = state.members.live();
+    live.filter(|member| place(member.link_mbps, &member.name) > own).count()
 }
 
 /// Applies the changes of a revision that a watcher has told of, if none is missing before it.
@@ -125,6 +136,7 @@
 /// Reads the store soon if a change is missing.
 pub fn catch_up(node: &Rc<Node>, revision: u64) {
     if node.state.borrow().mirror.revision < revision {
+        node.told_revision.set(node.told_revision.get().max(revision));
         node.catch_up_wake.notify_one();
     }
 }
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -105,6 +105,7 @@
         callers: settings.callers,
         peers: settings.peers,
         notices: settings.notices,
+        link_mbps: settings.link_mbps,
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
     };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -33,6 +33,8 @@
     pub peers: SocketAddr,
     /// Address for notices, which are datagrams.
     pub notices: SocketAddr,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
     /// Data centre.
     pub data_centre: String,
     /// Region.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -86,6 +86,8 @@
     pub listing_wake: Notify,
     /// Wakes the part that follows the store.
     pub catch_up_wake: Notify,
+    /// Newest revision that a watcher has told of.
+    pub told_revision: Cell<u64>,
     /// Notices for the other nodes, sent together.
     pub outbox: RefCell<Vec<NodeNotice>>,
     /// Wakes the sender of notices.
@@ -132,6 +134,7 @@
             duty_wake: Notify::new(),
             listing_wake: Notify::new(),
             catch_up_wake: Notify::new(),
+            told_revision: Cell::new(0),
             outbox: RefCell::default(),
             outbox_wake: Notify::new(),
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -27,6 +27,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Bandwidth of this VM's link, in Mbit/s.
+    pub link_mbps: u32,
     /// File descriptors that the process may use.
     pub descriptors: u32,
     /// Bounds that the deployment sets.
