Refuse a request that would be answered far too late

Cause: in overload every stream waited one to two seconds at its engine, so that all were late. Change: a request whose expected wait exceeds 1.5 times the wanted latency is refused at once, with when to return, instead of delaying those that can still be on time.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -30,6 +30,8 @@
 
 /// Most bytes of an answer that is no stream.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Multiple of the wanted latency up to which a request is sent although it will be late.
+const PATIENCE_FACTOR: f64 = 1.5;
 /// Multiple of the expected time after which a repeatable request is sent elsewhere.
 const SILENCE_FACTOR: f64 = 4.0;
 /// Part of the wanted latency for which every server is waited for.
@@ -447,7 +449,7 @@
         bytes: job.body.len(),
         has_store: state.cache_store().is_some(),
         nodes: state.members.live().count().max(1),
-        patience: job.time_left(now),
+        patience: answer_patience(job).min(job.time_left(now)),
     };
     let choice = state.planner.choose(now, &state.roster, &request, &job.tried, &mut state.rng)?;
     let server = state.roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
@@ -462,6 +464,12 @@
     Ok((choice, server.listing.instance.clone()))
 }
 
+/// Longest expected wait with which a request is still sent. A stream that would begin far too late
+/// only delays those that could still be on time; its caller is told when to return instead.
+fn answer_patience(job: &RequestJob) -> Duration {
+    job.rule.target_latency.mul_f64(PATIENCE_FACTOR)
+}
+
 fn log_failure(job: &RequestJob, instance: &str, choice: &PlacementChoice, cause: &str) {
     log::info!(
         request = job.call.request_id, server = instance, cause = cause,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -37,7 +37,7 @@
 const WATCHERS: usize = 3;
 /// Part of the time in which a configuration must be in force after which a node that does not
 /// watch looks for changes that it was not told of.
-const CATCH_UP_SHARE: f64 = 0.6;
+const CATCH_UP_SHARE: f64 = 0.7;
 /// Pause until a lost notice is looked for: another watcher's may fill the gap.
 const GAP_MIN: Duration = Duration::from_millis(100);
 const GAP_MAX: Duration = Duration::from_millis(300);
