--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -31,7 +31,7 @@
 /// Most bytes of an answer that is no stream.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Multiple of the wanted latency up to which a request is sent although it will be late.
-const PATIENCE_FACTOR: f64 = 1.5;
+const PATIENCE_FACTOR: f64 = 1.0;
 /// Multiple of the expected time after which a repeatable request is sent elsewhere.
 const SILENCE_FACTOR: f64 = 4.0;
 /// Part of the wanted latency for which every server is waited for.
