Split the long files of the platform's path

Change: the count of requests at servers, the headers of one connection, the cost of engines, the types of a choice and of orders have files of their own; no behaviour changed. Tests as before.

--- /dev/null
+++ b/crates/core/src/traffic/cost.rs
@@ -0,0 +1,29 @@
+//! How long engines take, as far as it is known without asking them.
+
+use super::BackendServer;
+use crate::clock::ClockTime;
+
+/// Prompt tokens that an engine reads in a ms before its own pace has been observed.
+const READ_TOKENS_PER_MS: f64 = 36.0;
+/// Time of one pair of a read token and a token before it, in ms.
+const PAIR_MS: f64 = 0.74e-6;
+
+/// Time that an engine takes to read a prompt of which it holds the first tokens, in ms.
+pub(super) fn read_ms(held_tokens: u32, prompt_tokens: u32) -> f64 {
+    let held = f64::from(held_tokens.min(prompt_tokens));
+    let all = f64::from(prompt_tokens);
+    (all - held) / READ_TOKENS_PER_MS + (all * all - held * held) / 2.0 * PAIR_MS
+}
+
+/// How long work takes at a server now, as far as it has told lately; 1 as usual.
+pub(super) fn pace(now: ClockTime, server: &BackendServer) -> f64 {
+    let load = server.health.load(now);
+    let percent = load.map_or(100, |load| load.pace_percent);
+    // The figure changes several times a second, so only half of it is believed.
+    (0.5 + f64::from(percent) / 200.0).clamp(0.7, 3.0)
+}
+
+/// Time that an engine takes to read tokens that other requests have brought, in ms.
+pub(super) fn backlog_ms(now: ClockTime, server: &BackendServer) -> f64 {
+    server.reading.tokens(now) as f64 / READ_TOKENS_PER_MS
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -5,11 +5,14 @@
 //! whether it may run again, when it is refused, and when servers load new weights.
 
 mod cache_map;
+mod choice;
 mod config;
+mod cost;
 mod directory;
 mod event_stream;
 mod health;
 mod next_step;
+mod orders;
 mod placement;
 mod prefill_lane;
 mod prompt;
@@ -22,6 +25,7 @@
 
 pub use self::{
     cache_map::{CacheBelief, CacheMap},
+    choice::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     config::{
         CacheStoreSpec, CallerLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
@@ -30,15 +34,13 @@
     event_stream::{EventCut, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
     next_step::{AttemptEnd, CallerFailure, NextStep, RunHistory},
-    placement::{
-        CacheSource, PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest,
-        cache_salt,
-    },
+    orders::{OrderReply, RolloutEffect, RolloutSettings, ServerOrder},
+    placement::{PlacementPlanner, cache_salt},
     prefill_lane::{HEAVY_PROMPT_TOKENS, PrefillLane},
     prompt::{PromptPart, PromptShape},
     reading::ReadingBacklog,
     retry_budget::{BudgetShare, RetryBudget},
-    rollout::{OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings, ServerOrder},
+    rollout::RolloutPlanner,
     roster::{
         BackendServer, ListingState, ModelWeights, RosterChange, ServerListing, ServerRoster,
         ServerStanding,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -10,8 +10,10 @@
 use rand::Rng;
 
 use super::{
-    BackendServer, CacheBelief, CacheMap, HEAVY_PROMPT_TOKENS, PrefillLane, PromptShape,
-    ServerRoster, ServerStanding, WeightsHistory,
+    BackendServer, CacheBelief, CacheMap, CacheSource, HEAVY_PROMPT_TOKENS, PlacementChoice,
+    PlacementRefusal, PlacementRequest, PrefillLane, PromptShape, ServerRoster, ServerStanding,
+    WeightsHistory,
+    cost::{backlog_ms, pace, read_ms},
 };
 use crate::{
     clock::ClockTime,
@@ -19,10 +21,6 @@
     rendezvous::rendezvous_score,
 };
 
-/// Prompt tokens that an engine reads in a ms before its own pace has been observed.
-const READ_TOKENS_PER_MS: f64 = 36.0;
-/// Time of one pair of a read token and a token before it, in ms.
-const PAIR_MS: f64 = 0.74e-6;
 /// Time to fetch KV cache from another server, in ms, and for each token.
 const FETCH_MS: f64 = 4.0;
 const FETCH_TOKEN_MS: f64 = 0.006;
@@ -67,70 +65,6 @@
 /// Shortest time for which a refused caller is told to stay away.
 const MIN_RETRY: Duration = Duration::from_millis(150);
 
-/// A request that needs a server.
-#[derive(Debug, Clone, Copy)]
-pub struct PlacementRequest<'a> {
-    /// Service that it is for.
-    pub service: &'a str,
-    /// Model; `None` on a plain service.
-    pub model: Option<&'a str>,
-    /// Its prompt; empty on a plain service.
-    pub prompt: &'a PromptShape,
-    /// Scope of its KV cache: differs between workspaces that share none.
-    pub cache_scope: u64,
-    /// Bytes of the request.
-    pub bytes: usize,
-    /// Whether a store of KV cache can be used.
-    pub has_store: bool,
-    /// Nodes that share the callers.
-    pub nodes: usize,
-    /// Longest wait for an answer that is worth sending it.
-    pub patience: Duration,
-}
-
-/// The server that was chosen, and why.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlacementChoice {
-    /// The server.
-    pub server: ServerKey,
-    /// Its cost.
-    pub cost_ms: f64,
-    /// Expected time to the answer or the first event, before the server's slowness is applied.
-    pub base_ms: f64,
-    /// Prompt tokens that it is believed to hold or fetch.
-    pub held_tokens: u32,
-    /// Tokens of the prompt that other prompts may share.
-    pub shared_tokens: u32,
-    /// Where missing tokens may be fetched.
-    pub fetch_from: Option<CacheSource>,
-    /// Whether the store of KV cache lacks the shared parts, so that the server should save them.
-    pub saves: bool,
-    /// Version of its weights; `None` on a plain service.
-    pub weights: Option<WeightsVersion>,
-    /// When the request must have begun, since the server's weights have been replaced.
-    pub begin_by: Option<ClockTime>,
-    /// Servers that were weighed.
-    pub weighed: usize,
-}
-
-/// Why no server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum PlacementRefusal {
-    /// No server of the service may be used.
-    NoServer,
-    /// All are too busy; the caller may return after this time.
-    Busy(Duration),
-}
-
-/// Where KV cache may be fetched.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CacheSource {
-    /// Another engine.
-    Server(ServerKey),
-    /// The store of KV cache.
-    Store,
-}
-
 /// A server that is believed to hold the start of a prompt.
 #[derive(Debug, Clone, Copy)]
 struct CacheHolder {
@@ -406,7 +340,7 @@
         let load = server.health.load(now).unwrap_or_default();
         let running = (load.running + load.waiting).max(server.in_flight);
         let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
-        let ahead_ms = server.reading.tokens(now) as f64 / READ_TOKENS_PER_MS;
+        let ahead_ms = backlog_ms(now, server);
         choice.base_ms = FIRST_EVENT_MS
             + ahead_ms
             + f64::from(queued) * FIRST_EVENT_MS
@@ -451,21 +385,6 @@
     Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 3_600.0))
 }
 
-/// Time that an engine takes to read a prompt of which it holds the first tokens, in ms.
-fn read_ms(held_tokens: u32, prompt_tokens: u32) -> f64 {
-    let held = f64::from(held_tokens.min(prompt_tokens));
-    let all = f64::from(prompt_tokens);
-    (all - held) / READ_TOKENS_PER_MS + (all * all - held * held) / 2.0 * PAIR_MS
-}
-
-/// How long work takes at a server now, as far as it has told lately; 1 as usual.
-fn pace(now: ClockTime, server: &BackendServer) -> f64 {
-    let load = server.health.load(now);
-    let percent = load.map_or(100, |load| load.pace_percent);
-    // The figure changes several times a second, so only half of it is believed.
-    (0.5 + f64::from(percent) / 200.0).clamp(0.7, 3.0)
-}
-
 /// Number of an instance that all nodes derive alike.
 fn instance_number(instance: &str) -> u64 {
     rendezvous_score(instance.as_bytes(), 0)
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -6,13 +6,12 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::ServerKey,
-    rendezvous::rendezvous_score,
     traffic::{
-        AttemptEnd, CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest, PromptPart,
-        ServerLoad, cache_salt,
+        AttemptEnd, CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest, ServerLoad,
+        cache_salt,
     },
 };
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -21,8 +20,10 @@
     body::AnswerBody,
     channel::{ChannelError, read_whole},
     clock,
+    flight::FlightGuard,
+    headers::{caller_answer, keep_time, origin_form},
     node::Node,
-    notices::{self, NodeNotice},
+    notices::NodeNotice,
     pool::PooledChannel,
     request::RequestJob,
     wire::{AnswerHead, NodeWire, ServerCall},
@@ -68,75 +69,6 @@
     Ended(AttemptEnd),
 }
 
-/// Counts a request at a server until it ends, and tells the other nodes.
-struct FlightGuard {
-    node: Rc<Node>,
-    server: ServerKey,
-    instance: String,
-    /// Number of the request among all nodes; `None` once its prompt is read.
-    reading: Option<u64>,
-}
-
-impl std::fmt::Debug for FlightGuard {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("FlightGuard").field("instance", &self.instance).finish_non_exhaustive()
-    }
-}
-
-impl FlightGuard {
-    fn start(node: &Rc<Node>, job: &RequestJob, choice: &PlacementChoice, instance: &str) -> Self {
-        let prompt = &job.call.prompt;
-        let tokens = prompt.prompt_tokens.saturating_sub(choice.held_tokens);
-        let number = rendezvous_score(job.call.request_id.as_bytes(), job.history.attempts.into());
-        let instance = instance.to_string();
-        if let Some(server) = node.state.borrow_mut().roster.get_mut(choice.server) {
-            server.in_flight += 1;
-        }
-        let reading = choice.weights.map(|version| {
-            let notice = NodeNotice::Sent {
-                instance: instance.clone(),
-                request: number,
-                tokens,
-                salt: cache_salt(job.cache_scope, version),
-                parts: prompt.shared().to_vec(),
-            };
-            notices::apply(node, notice.clone());
-            node.tell_nodes(notice);
-            number
-        });
-        FlightGuard { node: node.clone(), server: choice.server, instance, reading }
-    }
-
-    /// The answer has begun, or the request has ended without one.
-    fn on_answer(
-        &mut self,
-        load: Option<ServerLoad>,
-        salt: u64,
-        parts: &[PromptPart],
-        saves: bool,
-    ) {
-        let reading = self.reading.take();
-        if reading.is_none() && load.is_none() {
-            return;
-        }
-        let instance = self.instance.clone();
-        let parts = parts.to_vec();
-        let request = reading.unwrap_or(0);
-        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves };
-        notices::apply(&self.node, notice.clone());
-        self.node.tell_nodes(notice);
-    }
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.on_answer(None, 0, &[], false);
-        if let Some(server) = self.node.state.borrow_mut().roster.get_mut(self.server) {
-            server.in_flight = server.in_flight.saturating_sub(1);
-        }
-    }
-}
-
 impl Attempt {
     /// Chooses a server and takes a connection to it. The inner error is the end of an attempt
     /// that could not be sent.
@@ -331,38 +263,6 @@
     }
 }
 
-/// A server's answer as the caller gets it.
-pub fn caller_answer(
-    status: StatusCode,
-    headers: &HeaderMap,
-    body: AnswerBody,
-) -> Response<AnswerBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    for (name, value) in headers {
-        if !is_hop_header(name) && *name != header::CONTENT_LENGTH {
-            response.headers_mut().append(name, value.clone());
-        }
-    }
-    response
-}
-
-/// Whether a header concerns one connection only.
-pub fn is_hop_header(name: &header::HeaderName) -> bool {
-    const HOP_HEADERS: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    HOP_HEADERS.contains(&name.as_str())
-}
-
 /// Where KV cache is to be fetched from and saved to.
 fn cache_addresses(
     node: &Node,
@@ -376,13 +276,6 @@
     (fetch_from, store.filter(|_| choice.saves))
 }
 
-/// How long a server keeps the connection idle, if it says so.
-pub fn keep_time(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
-
 /// Notes that a run broke in a way that a crash of the server explains.
 pub fn note_crash(node: &Rc<Node>, job: &RequestJob, server: ServerKey) {
     let state = &mut *node.state.borrow_mut();
@@ -479,8 +372,3 @@
     );
     metrics::counter!("carobvane_failed_attempts_total").increment(1);
 }
-
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let target = uri.path_and_query().map_or("/", |target| target.as_str());
-    target.parse().unwrap_or_default()
-}
--- /dev/null
+++ b/crates/node/src/headers.rs
@@ -0,0 +1,52 @@
+//! Headers that concern one connection only, and what follows from them.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Response, StatusCode, header};
+
+use crate::body::AnswerBody;
+
+/// A server's answer as the caller gets it.
+pub fn caller_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    for (name, value) in headers {
+        if !is_hop_header(name) && *name != header::CONTENT_LENGTH {
+            response.headers_mut().append(name, value.clone());
+        }
+    }
+    response
+}
+
+/// Whether a header concerns one connection only.
+pub fn is_hop_header(name: &header::HeaderName) -> bool {
+    const HOP_HEADERS: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    HOP_HEADERS.contains(&name.as_str())
+}
+
+/// How long a server keeps the connection idle, if it says so.
+pub fn keep_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// The target of a request without scheme and host.
+pub fn origin_form(uri: &http::Uri) -> http::Uri {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    target.parse().unwrap_or_default()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,7 @@
 //! calls things is known to its adapter alone, through the traits of [`wire`].
 
 pub mod answers;
-pub mod attempt;
+mod attempt;
 pub mod body;
 mod cache_store;
 pub mod channel;
@@ -13,7 +13,9 @@
 mod duty;
 pub mod flags;
 mod fleet;
+mod flight;
 mod front;
+pub mod headers;
 mod holding;
 mod ingress;
 mod listing;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -19,11 +19,10 @@
 };
 
 use crate::{
-    attempt::{
-        Attempt, AttemptResult, caller_answer, keep_time, note_crash, on_silent, on_timeout,
-    },
+    attempt::{Attempt, AttemptResult, note_crash, on_silent, on_timeout},
     body::{AnswerBody, StreamPiece},
     clock,
+    headers::{caller_answer, keep_time},
     node::Node,
     request::{RequestJob, log_end},
     wire::NodeWire,
