Refuse a request for its wait, not for its own length

Cause: found by reading: a prompt whose reading alone takes longer than 0.7 of the wanted latency was refused by idle engines too, so the longest prompts of a route were never served. Change: a request may take 1.3 times as long as it would without others before it is refused. Test: a_request_is_refused_for_its_wait_and_not_for_its_own_length; the case of 39,000 tokens before an idle engine fails with the bound before.

--- a/crates/core/src/traffic/choice.rs
+++ b/crates/core/src/traffic/choice.rs
@@ -25,8 +25,10 @@
     pub has_store: bool,
     /// Nodes that share the callers.
     pub nodes: usize,
-    /// Longest wait for an answer that is worth sending it.
+    /// Longest wait for an answer that is worth sending it, unless its prompt alone takes longer.
     pub patience: Duration,
+    /// Time until its answer is due.
+    pub time_left: Duration,
 }
 
 /// The server that was chosen, and why.
@@ -38,6 +40,8 @@
     pub cost_ms: f64,
     /// Expected time to the answer or the first event, before the server's slowness is applied.
     pub base_ms: f64,
+    /// The part of it that the request would take without any others.
+    pub alone_ms: f64,
     /// Prompt tokens that it is believed to hold or fetch.
     pub held_tokens: u32,
     /// Tokens of the prompt that other prompts may share.
--- a/crates/core/src/traffic/cost.rs
+++ b/crates/core/src/traffic/cost.rs
@@ -1,10 +1,12 @@
-//! How long engines take, as far as it is known without asking them.
+//! How long servers take, as far as it is known without asking them.
 
 use super::BackendServer;
 use crate::clock::ClockTime;
 
 /// Prompt tokens that an engine reads in a ms before its own pace has been observed.
 const READ_TOKENS_PER_MS: f64 = 36.0;
+/// Part by which work takes longer at a plain server whose slots are all in use.
+const NEARLY_FULL_SHARE: f64 = 0.4;
 /// Time of one pair of a read token and a token before it, in ms.
 const PAIR_MS: f64 = 0.74e-6;
 
@@ -27,3 +29,13 @@
 pub(super) fn backlog_ms(now: ClockTime, server: &BackendServer) -> f64 {
     server.reading.tokens(now) as f64 / READ_TOKENS_PER_MS
 }
+
+/// Time of a request at a plain server, in ms, if it takes `work` there without others.
+pub(super) fn plain_ms(now: ClockTime, server: &BackendServer, work: f64) -> f64 {
+    let load = server.health.load(now).unwrap_or_default();
+    let busy = (load.running + load.waiting).max(server.in_flight);
+    let slots = server.listing.slots.max(1);
+    let queued = (busy + 1).saturating_sub(slots);
+    let wait = f64::from(queued) / f64::from(slots) * work;
+    work * (1.0 + NEARLY_FULL_SHARE * f64::from(busy.min(slots)) / f64::from(slots)) + wait
+}
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -13,7 +13,7 @@
     BackendServer, CacheBelief, CacheMap, CacheSource, HEAVY_PROMPT_TOKENS, PlacementChoice,
     PlacementRefusal, PlacementRequest, PrefillLane, PromptShape, ServerRoster, ServerStanding,
     WeightsHistory,
-    cost::{backlog_ms, pace, read_ms},
+    cost::{backlog_ms, pace, plain_ms, read_ms},
 };
 use crate::{
     clock::ClockTime,
@@ -60,6 +60,9 @@
 const WAIT_FACTOR: f64 = 1.5;
 /// Time before the end of older weights at which a request that has not begun is withdrawn.
 const WITHDRAW_MARGIN: Duration = Duration::from_millis(300);
+/// Multiple of its time without others that a request may take: a long prompt is not refused for
+/// its own length.
+const ALONE_FACTOR: f64 = 1.3;
 /// Longest time for which a refused caller is told to stay away.
 const MAX_RETRY: Duration = Duration::from_secs(2);
 /// Shortest time for which a refused caller is told to stay away.
@@ -156,8 +159,11 @@
         let choice = best.ok_or(PlacementRefusal::NoServer)?;
         let server = roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
         let expected = expected_wait(server, &choice);
-        if expected > request.patience {
-            let over = expected - request.patience;
+        let alone = choice.alone_ms * server.health.slowness() * ALONE_FACTOR / 1_000.0;
+        let alone = Duration::from_secs_f64(alone.clamp(0.0, 3_600.0));
+        let longest = request.patience.max(alone).min(request.time_left);
+        if expected > longest {
+            let over = expected - longest;
             return Err(PlacementRefusal::Busy(over.clamp(MIN_RETRY, MAX_RETRY)));
         }
         Ok(choice)
@@ -272,6 +278,7 @@
             server: key,
             cost_ms: 0.0,
             base_ms: 0.0,
+            alone_ms: 0.0,
             held_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
@@ -283,7 +290,8 @@
         match weights {
             Some(version) => self.weigh_engine(now, server, request, view, version, &mut choice),
             None => {
-                choice.base_ms = self.plain_ms(now, server, request.service);
+                choice.alone_ms = self.plain_work(request.service);
+                choice.base_ms = plain_ms(now, server, choice.alone_ms);
                 choice.cost_ms = choice.base_ms;
             }
         }
@@ -341,11 +349,10 @@
         let running = (load.running + load.waiting).max(server.in_flight);
         let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
         let ahead_ms = backlog_ms(now, server);
-        choice.base_ms = FIRST_EVENT_MS
+        choice.alone_ms = FIRST_EVENT_MS + own_ms + fetch_ms;
+        choice.base_ms = choice.alone_ms
             + ahead_ms
             + f64::from(queued) * FIRST_EVENT_MS
-            + own_ms
-            + fetch_ms
             + f64::from(running) * RUNNING_MS;
         let again = shared.saturating_sub(choice.held_tokens);
         choice.cost_ms = choice.base_ms + f64::from(again) * READ_AGAIN_TOKEN_MS;
@@ -367,15 +374,8 @@
         if old { OLD_WEIGHTS_MS } else { 0.0 }
     }
 
-    fn plain_ms(&self, now: ClockTime, server: &BackendServer, service: &str) -> f64 {
-        let work = self.plain_work.get(service).copied().unwrap_or(PLAIN_WORK_MS);
-        let load = server.health.load(now).unwrap_or_default();
-        let busy = (load.running + load.waiting).max(server.in_flight);
-        let slots = server.listing.slots.max(1);
-        let queued = (busy + 1).saturating_sub(slots);
-        let wait = f64::from(queued) / f64::from(slots) * work;
-        // A server that is nearly full works more slowly.
-        work * (1.0 + 0.4 * f64::from(busy.min(slots)) / f64::from(slots)) + wait
+    fn plain_work(&self, service: &str) -> f64 {
+        self.plain_work.get(service).copied().unwrap_or(PLAIN_WORK_MS)
     }
 }
 
--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -47,6 +47,7 @@
 }
 
 struct PlacementFixture {
+    patience: Duration,
     roster: ServerRoster,
     planner: PlacementPlanner,
     keys: Vec<ServerKey>,
@@ -61,7 +62,7 @@
         let key = |index: usize| roster.key_of(&format!("i{index}"));
         let keys = (0..versions.len()).filter_map(key).collect();
         let planner = PlacementPlanner::new("a".to_string(), VERSION_TIME);
-        PlacementFixture { roster, planner, keys }
+        PlacementFixture { patience: Duration::from_secs(5), roster, planner, keys }
     }
 
     fn choose(
@@ -78,7 +79,8 @@
             bytes: 1_000,
             has_store: false,
             nodes: 9,
-            patience: Duration::from_secs(5),
+            patience: self.patience,
+            time_left: Duration::from_secs(5),
         };
         self.planner.choose(now, &self.roster, &request, tried, &mut SmallRng::seed_from_u64(7))
     }
@@ -179,6 +181,7 @@
                 has_store: false,
                 nodes: 9,
                 patience: Duration::from_secs(5),
+                time_left: Duration::from_secs(5),
             };
             let choice = fixture.planner.choose(now, &fixture.roster, &request, &[], &mut rng);
             chosen.insert(choice.expect("twelve servers are free").server);
@@ -226,3 +229,32 @@
         assert!(alone.is_ok(), "a doubtful server is better than none");
     }
 }
+
+/// Guards against long prompts that are always refused, because reading them alone takes longer than
+/// others may wait, and against sending what would only delay others.
+#[test]
+fn a_request_is_refused_for_its_wait_and_not_for_its_own_length() {
+    struct Case {
+        prompt_tokens: u32,
+        waiting_tokens: u32,
+        accepted: bool,
+    }
+    let cases = [
+        Case { prompt_tokens: 500, waiting_tokens: 0, accepted: true },
+        Case { prompt_tokens: 500, waiting_tokens: 10_000, accepted: true },
+        Case { prompt_tokens: 500, waiting_tokens: 40_000, accepted: false },
+        Case { prompt_tokens: 39_000, waiting_tokens: 0, accepted: true },
+        Case { prompt_tokens: 39_000, waiting_tokens: 40_000, accepted: false },
+        Case { prompt_tokens: 300_000, waiting_tokens: 0, accepted: false },
+    ];
+    for case in cases {
+        let mut fixture = PlacementFixture::new(&[1]);
+        fixture.patience = Duration::from_millis(560);
+        let now = millis(50_000);
+        let server = fixture.roster.get_mut(fixture.keys[0]).expect("the server is listed");
+        server.reading.add(now, 1, case.waiting_tokens);
+        let choice = fixture.choose(now, &prompt(&[], case.prompt_tokens), &[]);
+        let place = format!("{} behind {}", case.prompt_tokens, case.waiting_tokens);
+        assert_eq!(choice.is_ok(), case.accepted, "{place}: {choice:?}");
+    }
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -343,7 +343,8 @@
         bytes: job.body.len(),
         has_store: state.cache_store().is_some(),
         nodes: state.members.live().count().max(1),
-        patience: answer_patience(job).min(job.time_left(now)),
+        patience: answer_patience(job),
+        time_left: job.time_left(now),
     };
     let choice = state.planner.choose(now, &state.roster, &request, &job.tried, &mut state.rng)?;
     let server = state.roster.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
