Let the system choose the ports of nodes in tests; split the reading of a body and the sockets

Cause: one run of platform/tests failed with 'the node starts' not holding: ports that had been free when the test asked were taken when the node opened them, as tests run beside each other. Starting fails for no other reason than an address that cannot be opened. Change: a node opens its sockets first and learns the ports that the system chose for port 0; the reading of a body and the sockets are functions of their own. Ruled out: a fault of the node's answers (the failed test never sent a request).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod request;
 pub mod settings;
 mod socket;
+mod sockets;
 mod store;
 pub mod wire;
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,11 +1,10 @@
 //! Start and end of the process.
 
-use std::{marker::PhantomData, process::ExitCode, rc::Rc, time::Duration};
+use std::{process::ExitCode, rc::Rc, time::Duration};
 
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{
-    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     time::{Instant, interval, sleep},
 };
@@ -14,16 +13,13 @@
     cache_store, clock, duty,
     flags::CarobvaneNode,
     fleet::{self, forget_server},
-    front::{CallerHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
     holding::{self, DutyLease},
-    ingress,
     listing::{self, ListingLease},
     logging,
     node::Node,
     notices,
-    peers::PeerHandler,
     settings::NodeSettings,
-    socket,
+    sockets::NodeSockets,
     store::StoreClient,
     wire::{NodeWire, SettingsWire},
 };
@@ -106,15 +102,15 @@
     /// # Errors
     ///
     /// Fails if one of its addresses cannot be used.
-    pub async fn start(settings: NodeSettings, metrics: PrometheusHandle) -> Result<Self> {
+    pub async fn start(mut settings: NodeSettings, metrics: PrometheusHandle) -> Result<Self> {
         let seed = clock::now().as_micros() ^ (u64::from(std::process::id()) << 40);
+        let sockets = NodeSockets::open(&mut settings).await?;
         let node = Rc::new(Node::new(settings, seed));
         let store = Rc::new(StoreClient::<W>::new(node.settings.store));
         let listing_lease = Rc::new(ListingLease::default());
         let duty_lease = Rc::new(DutyLease::default());
-        open_listeners::<W>(&node, metrics)?;
-        let notices = UdpSocket::bind(node.settings.notices).await;
-        let notices = Rc::new(notices.wrap_err("failed to open the socket for notices")?);
+        let notices = sockets.notices.clone();
+        sockets.serve::<W>(&node, metrics);
         actix_rt::spawn(fleet::follow(node.clone(), store.clone()));
         actix_rt::spawn(fleet::follow_peers::<W>(node.clone()));
         actix_rt::spawn(listing::keep_listed(node.clone(), store.clone(), listing_lease.clone()));
@@ -132,6 +128,11 @@
         Ok(RunningNode { node, store, listing_lease, duty_lease })
     }
 
+    /// Settings, with the ports that the system chose where a port was 0.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.node.settings
+    }
+
     /// Version of the configuration in force.
     pub fn config_version(&self) -> Option<u64> {
         self.node.state.borrow().routes.version()
@@ -143,31 +144,6 @@
     }
 }
 
-fn open_listeners<W: NodeWire>(node: &Rc<Node>, metrics: PrometheusHandle) -> Result<()> {
-    let settings = &node.settings;
-    let listen = |address| {
-        socket::listen(address).wrap_err_with(|| format!("failed to listen at {address}"))
-    };
-    let wire = PhantomData::<W>;
-    let callers = Rc::new(CallerHandler { node: node.clone(), wire });
-    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.callers)?, callers));
-    let ready = Rc::new(ReadyHandler { node: node.clone(), wire });
-    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.ready)?, ready));
-    let directory = Rc::new(DirectoryHandler { node: node.clone(), wire });
-    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.directory)?, directory));
-    let peers = Rc::new(PeerHandler { node: node.clone() });
-    actix_rt::spawn(ingress::serve(node.clone(), listen(settings.peers)?, peers));
-    match listen(settings.metrics) {
-        Ok(listener) => {
-            let page = Rc::new(MetricsHandler { metrics });
-            actix_rt::spawn(ingress::serve(node.clone(), listener, page));
-        }
-        // Callers are served without the page.
-        Err(cause) => log::error!(cause:% = cause; "failed to serve the metrics page"),
-    }
-    Ok(())
-}
-
 async fn wait_for_stop() -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("failed to handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("failed to handle SIGINT")?;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -9,8 +9,8 @@
     rendezvous::rendezvous_score,
     suspects::SuspectFingerprint,
     traffic::{
-        AttemptEnd, CallerFailure, CrashVerdict, NextStep, PlacementRefusal, RouteError, RouteRule,
-        RunHistory, WorkspaceSpec,
+        AttemptEnd, CallerFailure, CrashVerdict, NextStep, PlacementRefusal, RouteError, RouteKind,
+        RouteRule, RunHistory, WorkspaceSpec,
     },
 };
 use http::{Request, Response, StatusCode, Uri, request::Parts};
@@ -84,7 +84,7 @@
 
     /// Whether its answer is a stream of events.
     pub fn is_stream(&self) -> bool {
-        self.rule.kind == carobvane_core::traffic::RouteKind::Streaming
+        self.rule.kind == RouteKind::Streaming
     }
 }
 
@@ -171,21 +171,8 @@
     };
     let deadline = call.deadline.unwrap_or(rule.timeout);
     let ends = arrived + rule.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN));
-    let read = Limited::new(body, limits.body_bytes).collect();
-    let body = match timeout(ends.since(clock::now()), read).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
-            let own = OwnAnswer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-            return Err(refuse(own));
-        }
-        Ok(Err(cause)) => {
-            log::info!(request = id, cause:% = cause; "failed to read a request's body");
-            return Err(refuse(OwnAnswer::Refused(StatusCode::BAD_REQUEST, "body_unreadable")));
-        }
-        Err(_) => {
-            return Err(refuse(OwnAnswer::Refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow")));
-        }
-    };
+    let left = ends.since(clock::now());
+    let body = read_body(&id, body, limits.body_bytes, left).await.map_err(refuse)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let fingerprint = fingerprint(name, &head.uri, &body);
     let cache_scope = match &workspace {
@@ -216,6 +203,26 @@
     })
 }
 
+/// Reads a caller's body. A request whose body does not come whole has not run.
+async fn read_body(
+    id: &str,
+    body: Incoming,
+    most_bytes: usize,
+    within: Duration,
+) -> Result<Bytes, OwnAnswer> {
+    match timeout(within, Limited::new(body, most_bytes).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
+            Err(OwnAnswer::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+        }
+        Ok(Err(cause)) => {
+            log::info!(request = id, cause:% = cause; "failed to read a request's body");
+            Err(OwnAnswer::Refused(StatusCode::BAD_REQUEST, "body_unreadable"))
+        }
+        Err(_) => Err(OwnAnswer::Refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+    }
+}
+
 fn fingerprint(workspace: &str, uri: &Uri, body: &[u8]) -> SuspectFingerprint {
     let mut bytes = uri.to_string().into_bytes();
     bytes.push(0);
