Repeat an order without an answer sooner

Ruled out: the holder (it had the duty all the while), the servers (they answered readings). Test: lost_orders_are_repeated_before_the_bound, red before at 36 engines.

--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -42,6 +42,8 @@
 const FIRST_READING: Duration = Duration::from_millis(450);
 /// Time between two readings of a server.
 const NEXT_READING: Duration = Duration::from_millis(500);
+/// Time after an order without an answer until the server is read.
+const LOST_ORDER_TIME: Duration = Duration::from_millis(60);
 /// Time after a failed order or reading until the server is tried again.
 const RETRY_TIME: Duration = Duration::from_millis(500);
 /// Time after which an accepted load is taken as lost with its server.
@@ -156,6 +158,10 @@
         match reply {
             OrderReply::Accepted => loading.wait(LoadStage::Loading, now + FIRST_READING),
             OrderReply::Conflict => loading.wait(LoadStage::Doubtful, now + NEXT_READING),
+            // The server is kept from requests, read again and ordered again if it has not loaded.
+            OrderReply::Unknown if loading.stage == LoadStage::Ordered => {
+                loading.wait(LoadStage::Retiring, now + LOST_ORDER_TIME);
+            }
             OrderReply::Refused | OrderReply::Unknown => {
                 loading.wait(LoadStage::Doubtful, now + RETRY_TIME);
             }
--- a/crates/core/tests/traffic_rollout.rs
+++ b/crates/core/tests/traffic_rollout.rs
@@ -38,8 +38,15 @@
     ordered: Vec<(ClockTime, ServerKey, WeightsVersion)>,
     retired: BTreeSet<ServerKey>,
     most_retired: usize,
+    /// Every order but each third one gets no answer and is not carried out.
+    loses_orders: bool,
+    /// Orders whose missing answer is noticed at a time.
+    lost: Vec<(ServerKey, ClockTime)>,
 }
 
+/// Time after which the host gives up an order.
+const ORDER_TIME: Duration = Duration::from_millis(400);
+
 impl RolloutFixture {
     fn new(engines: usize) -> RolloutFixture {
         let mut roster = ServerRoster::default();
@@ -59,6 +66,8 @@
             ordered: Vec::new(),
             retired: BTreeSet::new(),
             most_retired: 0,
+            loses_orders: false,
+            lost: Vec::new(),
         }
     }
 
@@ -68,6 +77,12 @@
             self.now = self.now + TICK;
             self.planner.on_lease(self.now, LeaseEvent::Renewed { sent_at: self.now });
             self.finish_loads();
+            let now = self.now;
+            let (noticed, open) = self.lost.iter().partition(|(_, at)| *at <= now);
+            self.lost = open;
+            for (server, _) in noticed {
+                self.planner.on_reply(now, server, &OrderReply::Unknown);
+            }
             for effect in self.planner.tick(self.now, &self.roster, &self.weights) {
                 self.carry_out(effect);
             }
@@ -92,6 +107,10 @@
             RolloutEffect::Release { server } => drop(self.retired.remove(&server)),
             RolloutEffect::Order(order) => {
                 self.ordered.push((self.now, order.server, order.version));
+                if self.loses_orders && !self.ordered.len().is_multiple_of(3) {
+                    self.lost.push((order.server, self.now + ORDER_TIME));
+                    return;
+                }
                 let end = self.now + Duration::from_millis(400);
                 self.loading.push((order.server, order.version, end));
                 self.planner.on_reply(self.now, order.server, &OrderReply::Accepted);
@@ -258,3 +277,16 @@
         assert!(!fixture.planner.has_lapsed(at), "a duty that was given back has not lapsed");
     }
 }
+
+/// Guards against engines that keep older weights because orders to them get no answer: all have to
+/// have the new ones after 1.5 times the bound.
+#[test]
+fn lost_orders_are_repeated_before_the_bound() {
+    for engines in [1, 12, 18, 36] {
+        let mut fixture = RolloutFixture::new(engines);
+        fixture.loses_orders = true;
+        fixture.weights.name(fixture.now, MODEL, WeightsVersion(2));
+        fixture.run(settings().version_time.mul_f64(1.5));
+        assert_eq!(fixture.behind(2), 0, "{engines} engines");
+    }
+}
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -23,7 +23,7 @@
 /// The same without the duty.
 const IDLE_TICK_TIME: Duration = Duration::from_millis(500);
 /// Longest time for an order or a reading.
-const ORDER_TIME: Duration = Duration::from_millis(700);
+const ORDER_TIME: Duration = Duration::from_millis(400);
 /// Longest time for which requests are kept from a server that loads or soon will.
 const LONGEST_LOAD: Duration = Duration::from_secs(5);
 /// Most bytes of a server's state.
