Do not take engines that compute prompts for stragglers

Cause: a quarter quantile of the gaps between tokens was compared with the fleet's. An engine that computes prompts inserts a prefill step into every gap, so it looked three times as slow, counted as a straggler and was held back for as long as one stream ran there.

Change: gaps are not judged while prompts wait on the server or have within the last second.

--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -166,6 +166,7 @@
         }
         let expected_ms = dispatch.corrected_ms(&self.state.cost.settings, hit_pieces);
         let Some(record) = self.state.table.get_mut(dispatch.server) else { return };
+        record.note_prompts(now);
         record.waiting_tokens = record.waiting_tokens.saturating_sub(u64::from(waiting));
         if dispatch.mostly_waited(expected_ms) {
             record.straggler.progressed(now);
@@ -176,13 +177,18 @@
     }
 
     /// Notes a typical gap between tokens since the last report of this attempt: a low quantile,
-    /// since the prefill of other requests widens some gaps of a healthy engine.
+    /// since the prefill of other requests widens some gaps of a healthy engine. While prompts wait
+    /// there, prefill widens all of them, and the gap says nothing about the server's speed.
     pub fn token_gap(&mut self, now: ClockTime, key: DispatchKey, gap: Duration) {
         let Some(dispatch) = self.dispatches.get(key).copied() else { return };
         if !self.record_of(&dispatch) {
             return;
         }
         if let Some(record) = self.state.table.get_mut(dispatch.server) {
+            if record.computed_prompts(now) {
+                record.straggler.progressed(now);
+                return;
+            }
             self.state.detector.token_gap(now, &mut record.straggler, millis(gap));
         }
     }
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -15,6 +15,11 @@
 
 /// Time in which the part of a load report that other entries caused loses half its weight.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time after which prompts that were computed no longer widen the measured gaps between tokens: a
+/// measurement spans half a second of a busy engine.
+const PROMPT_MEMORY: Duration = Duration::from_secs(1);
+/// Waiting prompt tokens, by all entries, below which an old report no longer counts as a prompt.
+const MIN_PROMPT_TOKENS: f32 = 500.0;
 /// Servers in the table at most, because index records hold 16-bit server numbers and one is the
 /// KV cache store's. Further servers are not added.
 pub(super) const MAX_SERVERS: usize = 65_534;
@@ -88,6 +93,8 @@
     pub exclusive: bool,
     /// Whether the last connection to it failed.
     pub unreachable: bool,
+    /// When prompts were last known to wait for prefill there.
+    pub(super) prompts_waited: Option<ClockTime>,
     /// Observed speed.
     pub straggler: StragglerState,
     pub(super) feed: EventFeed,
@@ -132,7 +139,21 @@
         load
     }
 
+    /// Notes the time if prompts wait for prefill now. Call before and after a change of that.
+    pub(super) fn note_prompts(&mut self, now: ClockTime) {
+        if self.load_at(now).waiting_tokens >= MIN_PROMPT_TOKENS {
+            self.prompts_waited = Some(now);
+        }
+    }
+
+    /// Whether prompts may have been computed between the tokens that were received lately.
+    pub(super) fn computed_prompts(&self, now: ClockTime) -> bool {
+        self.load_at(now).waiting_tokens >= MIN_PROMPT_TOKENS
+            || self.prompts_waited.is_some_and(|at| now.since(at) < PROMPT_MEMORY)
+    }
+
     pub(super) fn report(&mut self, now: ClockTime, load: ReportedLoad) {
+        self.note_prompts(now);
         let own = self.in_flight.total();
         self.report = Some(AgedReport {
             at: now,
@@ -148,6 +169,7 @@
         self.exclusive = false;
         self.unreachable = false;
         self.report = None;
+        self.prompts_waited = None;
         self.straggler = StragglerState::default();
         self.feed.advance(incarnation);
     }
@@ -248,6 +270,7 @@
                 straggler: StragglerState::default(),
                 feed: EventFeed::new(seen.incarnation),
                 report: None,
+                prompts_waited: None,
             })),
         };
         if let TableChange::Known(key) | TableChange::NewLife(key) = change {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -281,6 +281,67 @@
     assert!(after > during, "recovered server got {after} of 300, as straggler {during}");
 }
 
+/// Guards against engines that are taken for stragglers because they compute prompts between the
+/// tokens of their streams: in a crest half of a fleet was held back for as long as one stream ran.
+#[test]
+fn an_engine_that_computes_prompts_is_no_straggler() {
+    struct Case {
+        name: &'static str,
+        own_prompt: bool,
+        reported_tokens: u64,
+        is_straggler: bool,
+    }
+    let cases = [
+        Case { name: "idle", own_prompt: false, reported_tokens: 0, is_straggler: true },
+        Case { name: "own prompt", own_prompt: true, reported_tokens: 0, is_straggler: false },
+        Case {
+            name: "prompts of other entries",
+            own_prompt: false,
+            reported_tokens: 24_000,
+            is_straggler: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::<CostPolicy>::new(4);
+        let chain = chain("a", WEIGHTS, 4);
+        let mut streams = Vec::new();
+        for _ in 0..4 {
+            let decision = fleet.decide(&chain).expect("servers are idle");
+            let request = fleet.request(&chain, RequestClass::Short);
+            for server in fleet.servers.clone() {
+                let decision = RouteDecision { server, ..decision };
+                let key = fleet.router.dispatched(fleet.now, &request, &decision);
+                fleet.wait(decision.cost.first_token().max(5.0) as u64);
+                fleet.router.first_token(fleet.now, key, None);
+                streams.push((server, key));
+            }
+        }
+        fleet.wait(2_000);
+        let busy = fleet.servers[0];
+        let is_straggler = |fleet: &Fleet| {
+            let record = fleet.router.table().get(busy);
+            record.is_some_and(|record| record.straggler.is_straggler())
+        };
+        assert!(!is_straggler(&fleet), "{}: before the gaps", case.name);
+        if case.own_prompt {
+            let decision = fleet.decide(&chain).expect("servers are idle");
+            let decision = RouteDecision { server: busy, hit_pieces: 0, ..decision };
+            let request = fleet.request(&chain, RequestClass::Short);
+            fleet.router.dispatched(fleet.now, &request, &decision);
+        }
+        let report = ReportedLoad { running: 4, waiting: 1, waiting_tokens: case.reported_tokens };
+        fleet.router.load_report(fleet.now, busy, IncarnationId(1), report);
+        for _ in 0..20 {
+            fleet.wait(100);
+            for &(server, key) in &streams {
+                let gap = if server == busy { 32 } else { 9 };
+                fleet.router.token_gap(fleet.now, key, Duration::from_millis(gap));
+            }
+        }
+        assert_eq!(is_straggler(&fleet), case.is_straggler, "{}", case.name);
+    }
+}
+
 /// Guards against a prefix that is forgotten because the response to its first prompt reveals the
 /// server's life, as after the start of an entry.
 #[test]
--- a/crates/replay/src/program.rs
+++ b/crates/replay/src/program.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use eyre::Result;
+use log::LevelFilter;
 
 use crate::ops::{
     check::{self, CheckFlags},
@@ -14,6 +15,8 @@
 mod flags {
     use std::path::PathBuf;
 
+    use log::LevelFilter;
+
     xflags::xflags! {
         /// Replays traces and scenarios, checks histories, compares policies.
         cmd carobvane-replay {
@@ -45,6 +48,8 @@
             cmd run {
                 /// Scenario files.
                 repeated files: PathBuf
+                /// Lowest level of the log lines on standard error (`error`).
+                optional --log-level level: LevelFilter
             }
             /// Writes a seeded trace.
             cmd generate {
@@ -63,9 +68,9 @@
     }
 }
 
-/// Starts logging to standard error; messages of single requests are left out.
-fn start_logging() -> Result<()> {
-    carobvane_host::logging::start_logging(log::LevelFilter::Error)
+/// Starts logging to standard error; without a level, messages of single requests are left out.
+fn start_logging(level: Option<LevelFilter>) -> Result<()> {
+    carobvane_host::logging::start_logging(level.unwrap_or(LevelFilter::Error))
 }
 
 /// Runs the program. The exit code is 1 when an expectation or an invariant does not hold.
@@ -85,13 +90,13 @@
                 policies: flags.policy,
                 output: flags.output.unwrap_or_else(|| "target/compare".into()),
             };
-            start_logging()?;
+            start_logging(None)?;
             let table = actix_rt::System::new().block_on(compare::compare(&options))?;
             println!("{table}");
             true
         }
         flags::CarobvaneReplayCmd::Run(flags) => {
-            start_logging()?;
+            start_logging(flags.log_level)?;
             actix_rt::System::new().block_on(run::run(&flags.files))?
         }
         flags::CarobvaneReplayCmd::Generate(flags) => {
