Follow the engines' cache events and share them

Nodes learned only from requests.

Change: one node follows each engine's events, chosen by rendezvous among the live ones, with questions that the engine holds back for a second, and tells the others what requests do not show. What it says replaces beliefs.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -1,7 +1,8 @@
 //! Which server's memory is believed to hold which shared part of prompts.
 //!
-//! Belief comes from this node's own requests and ages with the time that a part lives in memory
-//! without use. A wrong belief costs a recomputation; servers check their own memory.
+//! Belief comes from requests and from the engines' events. Some events are lost, so belief also
+//! ages with the time that a part lives in memory without use. A wrong belief costs a
+//! recomputation; servers check their own memory.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -38,6 +39,15 @@
     belief: CacheBelief,
 }
 
+/// What events changed about the beliefs of an engine, as parts under their salts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheNews {
+    /// Parts that were not known to be held.
+    pub held: Vec<u64>,
+    /// Parts that were believed to be held.
+    pub dropped: Vec<u64>,
+}
+
 /// Beliefs about cached parts.
 #[derive(Debug, Clone, Default)]
 pub struct CacheMap {
@@ -94,6 +104,31 @@
         }
     }
 
+    /// Takes events of an engine in order, each a part under its salt and whether it is held now.
+    pub fn take_events(
+        &mut self,
+        now: ClockTime,
+        server: ServerKey,
+        events: impl Iterator<Item = (u64, bool)>,
+    ) -> CacheNews {
+        let mut last: HashMap<u64, bool> = HashMap::new();
+        last.extend(events);
+        let mut news = CacheNews::default();
+        for (part, held) in last {
+            let key = PartKey { server: Some(server), part };
+            let belief = self.uses.get(&key).map(|known| known.belief);
+            if held && belief != Some(CacheBelief::Confirmed) {
+                self.uses.insert(key, PartUse { used_at: now, belief: CacheBelief::Confirmed });
+                news.held.push(part);
+            } else if !held && belief == Some(CacheBelief::Confirmed) {
+                // A request that is on its way will read the part again.
+                self.uses.remove(&key);
+                news.dropped.push(part);
+            }
+        }
+        news
+    }
+
     /// Tokens at the start of a prompt that a server is believed to hold under a salt, at least
     /// as surely as `belief`.
     pub fn held_tokens(
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -24,7 +24,7 @@
 mod weights_history;
 
 pub use self::{
-    cache_map::{CacheBelief, CacheMap},
+    cache_map::{CacheBelief, CacheMap, CacheNews},
     choice::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     config::{
         CacheStoreSpec, CallerLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
--- a/crates/core/src/traffic/roster.rs
+++ b/crates/core/src/traffic/roster.rs
@@ -88,6 +88,11 @@
         let weights = self.listing.weights.iter().find(|weights| weights.model == model);
         weights.map(|weights| weights.version)
     }
+
+    /// Whether it keeps prompts in memory.
+    pub fn holds_cache(&self) -> bool {
+        !self.listing.weights.is_empty()
+    }
 }
 
 /// What a new entry changed.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -26,6 +26,7 @@
     notices::NodeNotice,
     pool::PooledChannel,
     request::RequestJob,
+    salt::write_salt,
     wire::{AnswerHead, NodeWire, ServerCall},
 };
 
@@ -238,10 +239,8 @@
         job: &RequestJob,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let salt = self.choice.weights.map(|version| match &job.workspace {
-            Some(workspace) if workspace.isolated => format!("{}/{}", version.0, workspace.name),
-            _ => version.0.to_string(),
-        });
+        let workspace = job.workspace.as_ref();
+        let salt = self.choice.weights.map(|version| write_salt(version, workspace));
         let headers = W::write_call(&ServerCall {
             headers: &job.head.headers,
             request_id: &job.call.request_id,
--- a/crates/node/src/cache_store.rs
+++ b/crates/node/src/cache_store.rs
@@ -13,7 +13,7 @@
     node::Node,
     notices::{self, NodeNotice},
     store::build_request,
-    wire::{CacheStoreLife, NodeWire},
+    wire::{CacheFeed, NodeWire},
 };
 
 /// Time between two questions.
@@ -51,7 +51,7 @@
     node: &Rc<Node>,
     channel: &mut Option<HttpChannel>,
     since: u64,
-) -> Option<CacheStoreLife> {
+) -> Option<CacheFeed> {
     let address = node.state.borrow().routes.cache_store()?;
     let mut used = match channel.take().filter(HttpChannel::is_ready) {
         Some(kept) => kept,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 mod attempt;
 pub mod body;
+mod cache_events;
 mod cache_store;
 pub mod channel;
 pub mod clock;
@@ -28,6 +29,7 @@
 mod program;
 mod relay;
 mod request;
+mod salt;
 pub mod settings;
 mod socket;
 mod sockets;
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -14,7 +14,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    clock, fleet,
+    cache_events, clock, fleet,
     node::Node,
     wire::{NodeWire, StoreEvent},
 };
@@ -80,6 +80,15 @@
         /// Whether the server saves the parts to the store of KV cache.
         saves: bool,
     },
+    /// An engine keeps parts, or has dropped them.
+    Cached {
+        /// Instance of the engine.
+        instance: String,
+        /// Identities of the parts under their salts.
+        parts: Vec<u64>,
+        /// Whether they are kept.
+        held: bool,
+    },
     /// The store of KV cache can be used, or not.
     CacheStore {
         /// Whether it answers.
@@ -116,6 +125,9 @@
 /// Applies a notice, of another node or of this one.
 pub fn apply(node: &Rc<Node>, notice: NodeNotice) {
     let now = clock::now();
+    if let NodeNotice::Cached { instance, parts, held } = &notice {
+        return cache_events::on_notice(node, instance, parts, *held);
+    }
     let state = &mut *node.state.borrow_mut();
     match notice {
         NodeNotice::Loading { instance, longest } => {
@@ -159,7 +171,7 @@
             }
         }
         // The part that follows the store takes these.
-        NodeNotice::Changed { .. } | NodeNotice::Behind { .. } => {}
+        NodeNotice::Changed { .. } | NodeNotice::Behind { .. } | NodeNotice::Cached { .. } => {}
         NodeNotice::Crash { fingerprint, life } => {
             state.crashes.on_crash(now, fingerprint, life);
         }
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    cache_store, clock, duty,
+    cache_events, cache_store, clock, duty,
     flags::CarobvaneNode,
     fleet::{self, forget_server},
     holding::{self, DutyLease},
@@ -119,6 +119,7 @@
         actix_rt::spawn(notices::send(node.clone(), notices.clone()));
         actix_rt::spawn(notices::receive::<W>(node.clone(), notices));
         actix_rt::spawn(cache_store::watch::<W>(node.clone()));
+        actix_rt::spawn(cache_events::follow::<W>(node.clone()));
         actix_rt::spawn(keep_house(node.clone()));
         log::info!(
             name = node.settings.name, data_centre = node.settings.data_centre,
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -25,6 +25,7 @@
     clock,
     node::Node,
     relay,
+    salt::cache_scope,
     wire::{CallerCall, NodeWire},
 };
 
@@ -175,10 +176,7 @@
     let body = read_body(&id, body, limits.body_bytes, left).await.map_err(refuse)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let fingerprint = fingerprint(name, &head.uri, &body);
-    let cache_scope = match &workspace {
-        Some(workspace) if workspace.isolated => rendezvous_score(workspace.name.as_bytes(), 1),
-        _ => 0,
-    };
+    let cache_scope = cache_scope(workspace.as_ref());
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     state.on_request(now, &service, &node.settings.bounds);
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -145,13 +145,28 @@
     pub body: Bytes,
 }
 
-/// What a store of KV cache says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CacheStoreLife {
-    /// Changes when the store restarts empty.
+/// A change of what an engine or a store of KV cache keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Salt under which the part is kept, as requests carry it.
+    pub salt: String,
+    /// Identity of the part.
+    pub part: u64,
+    /// Whether it is kept now.
+    pub held: bool,
+}
+
+/// Events of an engine or a store of KV cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheFeed {
+    /// Changes when it restarts empty.
     pub epoch: u64,
     /// Number of its next event.
     pub next: u64,
+    /// Whether older events are gone that were not sent.
+    pub lost: bool,
+    /// The events in order.
+    pub events: Vec<CacheEvent>,
 }
 
 /// The side of the backend servers.
@@ -170,8 +185,10 @@
     fn write_report() -> WireQuery;
     /// Writes a query for the events of a store of KV cache after `since`.
     fn write_cache_events(since: u64) -> WireQuery;
-    /// Reads the number of the store's life and of its next event.
-    fn read_cache_events(status: StatusCode, body: &[u8]) -> Option<CacheStoreLife>;
+    /// Asks for an answer that is held back while there are no events.
+    fn hold_events(headers: &mut HeaderMap, hold: Duration);
+    /// Reads the events.
+    fn read_cache_events(status: StatusCode, body: &[u8]) -> Option<CacheFeed>;
     /// Reads a server's state.
     fn read_report(status: StatusCode, body: &[u8], model: &str) -> OrderReply;
 }
