--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -46,6 +46,59 @@
     }
 }
 
+/// Guards against beliefs that outlive what an engine keeps, and against events that undo what a
+/// later request has brought.
+#[test]
+fn events_replace_beliefs() {
+    struct Case {
+        name: &'static str,
+        believed: Option<CacheBelief>,
+        events: &'static [bool],
+        held: CacheBelief,
+        tokens: u32,
+        news: (usize, usize),
+    }
+    let (expected, confirmed) = (CacheBelief::Expected, CacheBelief::Confirmed);
+    let none = Case {
+        name: "no event",
+        believed: Some(confirmed),
+        events: &[],
+        held: confirmed,
+        tokens: 100,
+        news: (0, 0),
+    };
+    let cases = [
+        Case { name: "dropped", events: &[false], tokens: 0, news: (0, 1), ..none },
+        Case { name: "dropped and read again", events: &[false, true], ..none },
+        Case { name: "read and dropped", events: &[true, false], tokens: 0, news: (0, 1), ..none },
+        Case { name: "found out", believed: None, events: &[true], news: (1, 0), ..none },
+        Case { name: "begun", believed: Some(expected), events: &[true], news: (1, 0), ..none },
+        Case {
+            name: "dropped before a request that is on its way",
+            believed: Some(expected),
+            events: &[false],
+            held: expected,
+            ..none
+        },
+        none,
+    ];
+    for case in cases {
+        let mut fixture = PlacementFixture::new(&[1]);
+        let (now, server, salt) =
+            (millis(1_000), fixture.keys[0], cache_salt(0, WeightsVersion(1)));
+        let prompt = prompt(&[(7, 100)], 10);
+        let cache = &mut fixture.planner.cache;
+        if let Some(belief) = case.believed {
+            cache.note(now, server, salt, prompt.shared(), belief);
+        }
+        let events = case.events.iter().map(|&held| (7 ^ salt, held));
+        let news = cache.take_events(now, server, events);
+        let tokens = cache.held_tokens(now, server, salt, &prompt, case.held);
+        assert_eq!(tokens, case.tokens, "{}", case.name);
+        assert_eq!((news.held.len(), news.dropped.len()), case.news, "{}", case.name);
+    }
+}
+
 struct PlacementFixture {
     patience: Duration,
     roster: ServerRoster,
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -55,6 +55,10 @@
 struct BackendShared {
     default: BackendAnswer,
     scripted: Mutex<VecDeque<BackendAnswer>>,
+    /// Cache events as JSON rows. Invariant: the row at position `n` has the number `n + 1`.
+    cache_events: watch::Sender<Vec<String>>,
+    /// Cache events that a caller has got, as its next question says.
+    events_taken: watch::Sender<usize>,
     seen: Mutex<Vec<SeenRequest>>,
     /// Number of requests, and of connections that their callers closed.
     counts: watch::Sender<(usize, usize)>,
@@ -74,6 +78,8 @@
     let shared = Arc::new(BackendShared {
         default,
         scripted: Mutex::default(),
+        cache_events: watch::channel(Vec::new()).0,
+        events_taken: watch::channel(0).0,
         seen: Mutex::default(),
         counts: watch::channel((0, 0)).0,
     });
@@ -104,7 +110,22 @@
         scripted.extend(answers);
     }
 
-    /// Requests so far.
+    /// Adds a cache event: the part with this identity, in hexadecimal digits, is kept under the
+    /// salt, or is not any more.
+    pub fn add_cache_event(&self, salt: &str, part: &str, held: bool) {
+        self.shared.cache_events.send_modify(|events| {
+            let (number, sign) = (events.len() + 1, if held { "+" } else { "-" });
+            events.push(format!(r#"[{number},"{sign}","{salt}","{part}",100,"model"]"#));
+        });
+    }
+
+    /// Waits until a caller has got this many cache events.
+    pub async fn wait_for_events_taken(&self, count: usize) {
+        // Fails only without the server, which lives as long as this handle.
+        drop(self.shared.events_taken.subscribe().wait_for(|taken| *taken >= count).await);
+    }
+
+    /// Requests so far, without questions for cache events.
     pub fn seen(&self) -> Vec<SeenRequest> {
         lock(&self.shared.seen).clone()
     }
@@ -132,6 +153,13 @@
 async fn serve(shared: Arc<BackendShared>, mut stream: TcpStream) {
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = read_request(&mut stream, &mut buffer).await {
+        if let Some(since) = cache_question(&request) {
+            let answer = cache_answer(&shared, since).await;
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                break;
+            }
+            continue;
+        }
         let id = request.header("request-id").unwrap_or_default().to_string();
         lock(&shared.seen).push(request);
         shared.counts.send_modify(|counts| counts.0 += 1);
@@ -160,6 +188,26 @@
     shared.counts.send_modify(|counts| counts.1 += 1);
 }
 
+/// The event from which on a question asks; `None` for any other request.
+fn cache_question(request: &SeenRequest) -> Option<usize> {
+    let target = request.head.strip_prefix("GET /kv-events?since=")?;
+    target.split(' ').next()?.parse().ok()
+}
+
+/// Answers as soon as there are events, however long that takes.
+async fn cache_answer(shared: &BackendShared, since: usize) -> String {
+    shared.events_taken.send_replace(since);
+    let mut events = shared.cache_events.subscribe();
+    // The sender lives as long as the server.
+    let rows = match events.wait_for(|events| events.len() > since).await {
+        Ok(rows) => rows[since..].join(","),
+        Err(_) => String::new(),
+    };
+    let next = shared.cache_events.borrow().len();
+    let body = format!(r#"{{"bootEpoch":1,"next":{next},"lost":false,"events":[{rows}]}}"#);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 /// Reads one request; `None` when the caller has closed the connection.
 async fn read_request(
     stream: &mut TcpStream,
