--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -47,6 +47,12 @@
     }
 }
 
+impl fmt::Display for SuspectFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// Identifies one incarnation of a server. All entries derive the same value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerIncarnation {
--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -34,6 +34,17 @@
     last_at: ClockTime,
 }
 
+/// Effect of a crash on the tracker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Whether the crash was not known before.
+    pub is_new: bool,
+    /// Number of server incarnations that the request has crashed.
+    pub crashes: usize,
+    /// Request that was dropped to make room.
+    pub dropped: Option<SuspectFingerprint>,
+}
+
 /// Crashes by request.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTracker {
@@ -56,36 +67,41 @@
         }
     }
 
-    /// Records that a request crashed a server incarnation. Returns whether this is new.
+    /// Number of server incarnations that a request has crashed.
+    pub fn crash_count(&self, fingerprint: SuspectFingerprint) -> usize {
+        self.records.get(&fingerprint).map_or(0, |record| record.incarnations.len())
+    }
+
+    /// Records that a request crashed a server incarnation.
     pub fn on_crash(
         &mut self,
         now: ClockTime,
         fingerprint: SuspectFingerprint,
         incarnation: u64,
-    ) -> bool {
+    ) -> CrashCount {
+        let mut dropped = None;
         if !self.records.contains_key(&fingerprint) {
             if self.order.len() >= MAX_SUSPECTS
                 && let Some(oldest) = self.order.pop_front()
             {
                 self.records.remove(&oldest);
+                dropped = Some(oldest);
             }
             self.order.push_back(fingerprint);
         }
         let record = self.records.entry(fingerprint).or_default();
         record.last_at = now;
-        if record.incarnations.contains(&incarnation) {
-            return false;
+        let is_new = !record.incarnations.contains(&incarnation);
+        if is_new {
+            record.incarnations.push(incarnation);
         }
-        record.incarnations.push(incarnation);
-        true
+        CrashCount { is_new, crashes: record.incarnations.len(), dropped }
     }
 
-    /// Clears a request that completed. Returns whether it was tracked.
-    pub fn on_completed(&mut self, fingerprint: SuspectFingerprint) -> bool {
-        let known = self.records.remove(&fingerprint).is_some();
-        if known {
-            self.order.retain(|other| *other != fingerprint);
-        }
-        known
+    /// Clears a request that completed. Returns the number of its crashes; 0 if it was not tracked.
+    pub fn on_completed(&mut self, fingerprint: SuspectFingerprint) -> usize {
+        let Some(record) = self.records.remove(&fingerprint) else { return 0 };
+        self.order.retain(|other| *other != fingerprint);
+        record.incarnations.len()
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -30,7 +30,7 @@
         CacheStoreSpec, ClientLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
     },
-    crash_tracker::{CrashTracker, CrashVerdict},
+    crash_tracker::{CrashCount, CrashTracker, CrashVerdict},
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -22,6 +22,7 @@
     cache_salt::format_salt,
     clock,
     connection::{ConnectionError, read_body},
+    crashes::{clear_count, record_crash},
     flight::FlightGuard,
     headers::{client_response, keep_alive_timeout, origin_form},
     node::Node,
@@ -106,6 +107,7 @@
         last_event: Option<u64>,
     ) -> AttemptResult {
         self.sent_at = clock::now();
+        self.flight.start_response();
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let response = match self.connection.connection.send(request, response_timeout).await {
@@ -155,6 +157,7 @@
         if failed {
             log_failure(context, &self.instance, &self.choice, status.as_str());
         }
+        self.flight.end_response();
         self.flight.report(head.load, 0, &[], false);
         record_response(node, context, &self, failed);
         self.connection.return_to_pool(keep_alive_timeout(&parts.headers));
@@ -162,11 +165,12 @@
     }
 
     async fn on_rejected(
-        self,
+        mut self,
         node: &Rc<Node>,
         context: &RequestContext,
         response: Response<Incoming>,
     ) -> AttemptResult {
+        self.flight.end_response();
         log_failure(context, &self.instance, &self.choice, "rejected without running");
         let now = clock::now();
         if let Some(server) = node.state.borrow_mut().registry.get_mut(self.choice.server) {
@@ -185,11 +189,12 @@
     }
 
     fn on_connection_error(
-        self,
+        mut self,
         node: &Rc<Node>,
         context: &RequestContext,
         cause: &ConnectionError,
     ) -> AttemptResult {
+        self.flight.end_response();
         log_failure(context, &self.instance, &self.choice, &cause.to_string());
         let end = match cause {
             ConnectionError::NotSent(_) => AttemptOutcome::NotSent,
@@ -203,11 +208,16 @@
             _ => record_unresponsive(node, self.choice.server),
         }
         if matches!(cause, ConnectionError::Broken(_)) {
-            record_crash(node, context, self.choice.server);
+            record_crash(node, context, self.choice.server, &cause.to_string());
         }
         AttemptResult::Ended(end)
     }
 
+    /// Records that a streamed response has ended, whole or broken off.
+    pub fn end_stream(&mut self) {
+        self.flight.end_response();
+    }
+
     /// Records that the server has read the prompt, since the head of the stream has arrived.
     fn on_stream_started(
         &mut self,
@@ -291,15 +301,6 @@
     (fetch_from, store.filter(|_| choice.save_to_store))
 }
 
-/// Records that a run broke as if the server had crashed, and broadcasts it if it is new.
-pub fn record_crash(node: &Rc<Node>, context: &RequestContext, server: ServerKey) {
-    let state = &mut *node.state.borrow_mut();
-    let Some(incarnation) = state.incarnation_id(server) else { return };
-    if state.crashes.on_crash(clock::now(), context.fingerprint, incarnation) {
-        node.broadcast(NodeNotice::Crash { fingerprint: context.fingerprint, life: incarnation });
-    }
-}
-
 /// Records that a server did not respond in time, unless it was heard from since `since`.
 pub fn record_timeout(node: &Rc<Node>, server: ServerKey, since: ClockTime) {
     if let Some(known) = node.state.borrow_mut().registry.get_mut(server)
@@ -330,7 +331,8 @@
         }
     }
     if !failed {
-        state.crashes.on_completed(context.fingerprint);
+        let cause = if context.is_stream() { "response head" } else { "whole response" };
+        clear_count(state, context, cause);
         if !context.is_stream() {
             state.planner.on_plain_response(&context.service, took);
         }
@@ -377,6 +379,14 @@
         weighed = choice.candidate_count, config:? = state.routes.version();
         "server chosen"
     );
+    let crashes = state.crashes.crash_count(context.fingerprint);
+    if crashes > 0 {
+        log::info!(
+            request = context.info.request_id, fingerprint:% = context.fingerprint, crashes,
+            server = server.listing.instance;
+            "sending a request that crashed servers"
+        );
+    }
     Ok((choice, server.listing.instance.clone()))
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -249,6 +249,11 @@
         self.retry_budgets.entry(service.to_string()).or_default()
     }
 
+    /// Returns the instance name of a server, unless that incarnation has ended.
+    pub fn instance_name(&self, server: ServerKey) -> Option<String> {
+        self.registry.get(server).map(|server| server.listing.instance.clone())
+    }
+
     /// Returns a number for a server's incarnation that all nodes derive in the same way.
     pub fn incarnation_id(&self, server: ServerKey) -> Option<u64> {
         let listing = &self.registry.get(server)?.listing;
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreEvent},
-    cache_events, clock,
+    cache_events, clock, crashes,
     node::Node,
     store_sync,
 };
@@ -174,9 +174,7 @@
         }
         // Store changes are applied by `store_sync`, cache events above.
         NodeNotice::Changed { .. } | NodeNotice::Behind { .. } | NodeNotice::Cached { .. } => {}
-        NodeNotice::Crash { fingerprint, life } => {
-            state.crashes.on_crash(now, fingerprint, life);
-        }
+        NodeNotice::Crash { fingerprint, life } => crashes::apply_notice(state, fingerprint, life),
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -21,9 +21,10 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    attempt::{Attempt, AttemptResult, record_crash, record_timeout, record_unresponsive},
+    attempt::{Attempt, AttemptResult, record_timeout, record_unresponsive},
     body::{ResponseBody, StreamChunk},
     clock,
+    crashes::record_crash,
     headers::{client_response, keep_alive_timeout},
     node::Node,
     request::{RequestContext, log_end},
@@ -111,6 +112,7 @@
         loop {
             match self.forward_events(&mut body).await {
                 SegmentEnd::Complete => {
+                    attempt.end_stream();
                     attempt.connection.return_to_pool(keep_alive);
                     let sent = self.chunk_sender.send(StreamChunk::End).await;
                     return if sent.is_ok() { "answered" } else { "caller left" };
@@ -118,11 +120,13 @@
                 SegmentEnd::ClientLeft => return "caller left",
                 SegmentEnd::TimedOut => return "timed out",
                 SegmentEnd::Broken(cause) => {
+                    attempt.end_stream();
                     self.log_break(&attempt, &cause);
                     record_unresponsive(&self.node, attempt.choice.server);
-                    record_crash(&self.node, &self.context, attempt.choice.server);
+                    record_crash(&self.node, &self.context, attempt.choice.server, &cause);
                 }
                 SegmentEnd::Stalled => {
+                    attempt.end_stream();
                     self.log_break(&attempt, "no event within the stall timeout");
                     let since = self.timing.last_event_at.unwrap_or(attempt.sent_at);
                     record_timeout(&self.node, attempt.choice.server, since);
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -187,6 +187,8 @@
     state.on_request(now, &service, &node.settings.bounds);
     state.planner.on_prompt(now, &info.prompt);
     if state.crashes.verdict(now, fingerprint) == CrashVerdict::Reject {
+        let crashes = state.crashes.crash_count(fingerprint);
+        log::info!(request = id, fingerprint:% = fingerprint, crashes; "rejecting a request that crashes servers");
         return Err(refused(LocalResponse::NotRun("request_crashes_servers", SUSPECT_RETRY)));
     }
     Ok(RequestContext {
--- a/crates/node/src/rollout_lease.rs
+++ b/crates/node/src/rollout_lease.rs
@@ -206,8 +206,4 @@
         let record: RecentOrders = serde_json::from_slice(&item.value)?;
         Ok(record.instances.iter().filter_map(|instance| self.registry.key_of(instance)).collect())
     }
-
-    fn instance_name(&self, server: ServerKey) -> Option<String> {
-        self.registry.get(server).map(|server| server.listing.instance.clone())
-    }
 }
