--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -72,6 +72,11 @@
         self.records.get(&fingerprint).map_or(0, |record| record.incarnations.len())
     }
 
+    /// Largest number of server incarnations that one request has crashed.
+    pub fn max_crash_count(&self) -> usize {
+        self.records.values().map(|record| record.incarnations.len()).max().unwrap_or(0)
+    }
+
     /// Records that a request crashed a server incarnation.
     pub fn on_crash(
         &mut self,
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -148,6 +148,11 @@
         self.node.state.borrow().routes.version()
     }
 
+    /// Returns the largest number of servers that one request has crashed, as far as this node knows.
+    pub fn max_crash_count(&self) -> usize {
+        self.node.state.borrow().crashes.max_crash_count()
+    }
+
     /// Leaves the directory at once, finishes the requests in flight, and ends.
     pub async fn stop(&self) {
         stop(&self.node, &self.store, &self.registration_lease, &self.rollout_lease).await;
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -192,6 +192,11 @@
         core.items.get(key).map(|item| item.value.clone())
     }
 
+    /// Returns whether a key begins with this prefix.
+    pub fn has_prefix(&self, prefix: &str) -> bool {
+        lock(&self.shared.core).items.keys().any(|key| key.starts_with(prefix))
+    }
+
     /// Returns the number of calls of a kind so far: `range`, `watch`, `transact`, `grant`, `keep`
     /// or `end`.
     pub fn calls(&self, kind: &str) -> u64 {
