Count a run as completed only when its whole response has arrived

What callers saw: a streamed request that ends its server after the head of the response was sent to servers again and again, 9 of 12 attempts at three nodes. Cause (hypothesis A): record_response runs when the head of a stream arrives and cleared the crash count of the request there. The node that ran the request began at one after each crash and never reached three; the nodes that rejected it got no run that could end. Why it works: only a whole response shows that the request does not end its server. A stream without an event shows nothing either. Ruled out: lost notices, the nodes ran in one process on loopback.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -330,12 +330,9 @@
             server.health.on_response(now, ratio);
         }
     }
-    if !failed {
-        let cause = if context.is_stream() { "response head" } else { "whole response" };
-        clear_count(state, context, cause);
-        if !context.is_stream() {
-            state.planner.on_plain_response(&context.service, took);
-        }
+    if !failed && !context.is_stream() {
+        clear_count(state, context);
+        state.planner.on_plain_response(&context.service, took);
     }
     let id = &context.info.request_id;
     let choice = &attempt.choice;
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -50,13 +50,12 @@
     }
 }
 
-/// Clears the count of a request that got a response. `cause` says how much of it has arrived.
-pub fn clear_count(state: &mut NodeState, context: &RequestContext, cause: &str) {
+/// Clears the count of a request that got a whole response.
+pub fn clear_count(state: &mut NodeState, context: &RequestContext) {
     let crashes = state.crashes.on_completed(context.fingerprint);
     if crashes > 0 {
         log::info!(
-            request = context.info.request_id, fingerprint:% = context.fingerprint, crashes,
-            cause = cause;
+            request = context.info.request_id, fingerprint:% = context.fingerprint, crashes;
             "cleared a crash count"
         );
         metrics::counter!("carobvane_crash_counts_cleared_total").increment(1);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -24,7 +24,7 @@
     attempt::{Attempt, AttemptResult, record_timeout, record_unresponsive},
     body::{ResponseBody, StreamChunk},
     clock,
-    crashes::record_crash,
+    crashes::{clear_count, record_crash},
     headers::{client_response, keep_alive_timeout},
     node::Node,
     request::{RequestContext, log_end},
@@ -113,6 +113,9 @@
             match self.forward_events(&mut body).await {
                 SegmentEnd::Complete => {
                     attempt.end_stream();
+                    if self.timing.events > 0 {
+                        clear_count(&mut self.node.state.borrow_mut(), &self.context);
+                    }
                     attempt.connection.return_to_pool(keep_alive);
                     let sent = self.chunk_sender.send(StreamChunk::End).await;
                     return if sent.is_ok() { "answered" } else { "caller left" };
