Check before each attempt whether a request crashes servers

What callers saw: an idempotent request that is admitted with two crashes ends a third server and, as a retry within the same attempt of its client, a fourth. Retries, resumed streams and a request that waited for a connection ran on the old verdict. Change: Attempt::open, the only way to a server, checks the verdict at its start and after the connection is there; nothing is awaited between that and the first byte. A request that may have run gets 502, any other 503. Ruled out: a late notice, the test has a single node.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,8 +7,8 @@
     clock::ClockTime,
     ids::ServerKey,
     traffic::{
-        AttemptOutcome, CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest,
-        ServerLoad, cache_salt,
+        AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
+        PlacementRequest, ServerLoad, cache_salt,
     },
 };
 use http::{Request, Response, StatusCode};
@@ -22,7 +22,7 @@
     cache_salt::format_salt,
     clock,
     connection::{ConnectionError, read_body},
-    crashes::{clear_count, record_crash},
+    crashes::{self, clear_count, record_crash},
     flight::FlightGuard,
     headers::{client_response, keep_alive_timeout, origin_form},
     node::Node,
@@ -59,6 +59,17 @@
     flight: FlightGuard,
 }
 
+/// Why no attempt could be opened.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum OpenError {
+    /// The connection to the chosen server could not be opened.
+    Ended(AttemptOutcome),
+    /// No server was chosen.
+    Refused(PlacementRefusal),
+    /// The request must not run, since it crashed servers.
+    Suspect,
+}
+
 /// Outcome of an attempt.
 pub enum AttemptResult {
     /// The whole response, ready for the client.
@@ -72,20 +83,19 @@
 }
 
 impl Attempt {
-    /// Chooses a server and takes a connection to it. The error is `Ok` with the end of an attempt
-    /// that could not be sent, or `Err` with the reason why no server was chosen.
-    pub async fn open(
-        node: &Rc<Node>,
-        context: &mut RequestContext,
-    ) -> Result<Attempt, Result<AttemptOutcome, PlacementRefusal>> {
-        let (choice, instance) = choose_server(node, context).map_err(Err)?;
+    /// Chooses a server and takes a connection to it. The caller sends the request without waiting
+    /// for anything else, since crashes may become known at any time.
+    pub async fn open(node: &Rc<Node>, context: &mut RequestContext) -> Result<Attempt, OpenError> {
+        check_suspect(node, context)?;
+        let (choice, instance) = choose_server(node, context).map_err(OpenError::Refused)?;
         context.tried_servers.push(choice.server);
         let flight = FlightGuard::start(node, context, &choice, &instance);
         let Some((address, max_open)) = node.server_endpoint(choice.server) else {
-            return Err(Ok(AttemptOutcome::NotSent));
+            return Err(OpenError::Ended(AttemptOutcome::NotSent));
         };
         match node.pool.take(choice.server, address, max_open).await {
             Ok(connection) => {
+                check_suspect(node, context)?;
                 let sent_at = clock::now();
                 let (fetch_from, save_to) = cache_transfer_addresses(node, &choice);
                 Ok(Attempt { choice, instance, fetch_from, save_to, connection, sent_at, flight })
@@ -93,7 +103,7 @@
             Err(cause) => {
                 log_failure(context, &instance, &choice, &cause.to_string());
                 record_unresponsive(node, choice.server);
-                Err(Ok(AttemptOutcome::NotSent))
+                Err(OpenError::Ended(AttemptOutcome::NotSent))
             }
         }
     }
@@ -343,6 +353,14 @@
     );
 }
 
+fn check_suspect(node: &Node, context: &RequestContext) -> Result<(), OpenError> {
+    let state = node.state.borrow();
+    match crashes::check_verdict(&state, &context.info.request_id, context.fingerprint) {
+        CrashVerdict::Allow => Ok(()),
+        CrashVerdict::Reject => Err(OpenError::Suspect),
+    }
+}
+
 fn choose_server(
     node: &Rc<Node>,
     context: &RequestContext,
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -3,7 +3,11 @@
 
 use std::rc::Rc;
 
-use carobvane_core::{ids::ServerKey, suspects::SuspectFingerprint, traffic::CrashCount};
+use carobvane_core::{
+    ids::ServerKey,
+    suspects::SuspectFingerprint,
+    traffic::{CrashCount, CrashVerdict},
+};
 
 use crate::{
     clock,
@@ -37,6 +41,20 @@
     }
 }
 
+/// Returns whether a request may run, and logs a refusal.
+pub fn check_verdict(
+    state: &NodeState,
+    request_id: &str,
+    fingerprint: SuspectFingerprint,
+) -> CrashVerdict {
+    let verdict = state.crashes.verdict(clock::now(), fingerprint);
+    if verdict != CrashVerdict::Allow {
+        let crashes = state.crashes.crash_count(fingerprint);
+        log::info!(request = request_id, fingerprint:% = fingerprint, crashes; "rejecting a request that crashes servers");
+    }
+    verdict
+}
+
 /// Applies a crash that another node has counted.
 pub fn apply_notice(state: &mut NodeState, fingerprint: SuspectFingerprint, incarnation: u64) {
     let count = state.crashes.on_crash(clock::now(), fingerprint, incarnation);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    attempt::{Attempt, AttemptResult, record_timeout, record_unresponsive},
+    attempt::{Attempt, AttemptResult, OpenError, record_timeout, record_unresponsive},
     body::{ResponseBody, StreamChunk},
     clock,
     crashes::{clear_count, record_crash},
@@ -212,11 +212,11 @@
             }
             let attempt = match Attempt::open(&self.node, &mut self.context).await {
                 Ok(attempt) => attempt,
-                Err(Ok(ended)) => {
+                Err(OpenError::Ended(ended)) => {
                     end = ended;
                     continue;
                 }
-                Err(Err(refusal)) => {
+                Err(refusal) => {
                     let id = &self.context.info.request_id;
                     log::info!(request = id, refusal:? = refusal; "no server to continue a stream");
                     return None;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -20,10 +20,10 @@
 
 use crate::{
     adapter::{PlatformAdapter, RequestInfo},
-    attempt::{Attempt, AttemptResult},
+    attempt::{Attempt, AttemptResult, OpenError},
     body::ResponseBody,
     cache_salt::cache_scope,
-    clock,
+    clock, crashes,
     node::Node,
     relay, responses,
 };
@@ -186,10 +186,8 @@
     let state = &mut *node.state.borrow_mut();
     state.on_request(now, &service, &node.settings.bounds);
     state.planner.on_prompt(now, &info.prompt);
-    if state.crashes.verdict(now, fingerprint) == CrashVerdict::Reject {
-        let crashes = state.crashes.crash_count(fingerprint);
-        log::info!(request = id, fingerprint:% = fingerprint, crashes; "rejecting a request that crashes servers");
-        return Err(refused(LocalResponse::NotRun("request_crashes_servers", SUSPECT_RETRY)));
+    if crashes::check_verdict(state, &id, fingerprint) == CrashVerdict::Reject {
+        return Err(refused(suspect_response(false)));
     }
     Ok(RequestContext {
         head,
@@ -243,11 +241,14 @@
     loop {
         let attempt = match Attempt::open(node, context).await {
             Ok(attempt) => attempt,
-            Err(Ok(end)) => {
+            Err(OpenError::Ended(end)) => {
                 record_end(context, end)?;
                 continue;
             }
-            Err(Err(refusal)) => return Err(refusal_response(context, refusal)),
+            Err(OpenError::Refused(refusal)) => return Err(refusal_response(context, refusal)),
+            Err(OpenError::Suspect) => {
+                return Err(suspect_response(context.history.may_have_run));
+            }
         };
         let end = match attempt.send::<A>(node, context, context.info.last_event).await {
             AttemptResult::Complete(response) => return Ok(RunOutcome::Complete(response)),
@@ -318,6 +319,16 @@
     }
 }
 
+/// Returns the response to a request that must not run, or run again, since it crashed servers.
+fn suspect_response(may_have_run: bool) -> LocalResponse {
+    let code = "request_crashes_servers";
+    if may_have_run {
+        LocalResponse::Unknown(code)
+    } else {
+        LocalResponse::NotRun(code, SUSPECT_RETRY)
+    }
+}
+
 fn route_error_response(error: RouteError) -> LocalResponse {
     match error {
         RouteError::NoConfig => LocalResponse::NotRun("no_configuration", NO_CONFIG_RETRY),
