Count the crash of a server that ends in silence

What callers saw: a request whose server falls silent is sent to servers again and again, 12 of 12 attempts, also if its client leaves first or the server is no longer listed when the connection breaks. Each of these servers ended. A run whose time ran out, whose stream stalled or whose client left was forgotten at its end, and one whose server had been removed from the list could not be counted. Change: a run is a value that ends in exactly one way. A run without a response stays unresolved until its server responds to something sent later (not counted), ends, breaks connections, or stays silent for 1 s and cannot be connected to (counted). A whole response without an explicit length proves nothing.

--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -10,7 +10,7 @@
 
 pub use registry::SuspectRegistry;
 
-use std::{fmt, time::Duration};
+use std::{fmt, num::ParseIntError, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,14 @@
     }
 }
 
+impl FromStr for SuspectFingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<SuspectFingerprint, ParseIntError> {
+        u128::from_str_radix(text, 16).map(SuspectFingerprint)
+    }
+}
+
 /// Identifies one incarnation of a server. All entries derive the same value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerIncarnation {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,6 +7,8 @@
 mod attempt_history;
 mod cache_map;
 mod config;
+mod crash_messages;
+mod crash_record;
 mod crash_tracker;
 mod entry_directory;
 mod event_stream;
@@ -21,6 +23,7 @@
 mod retry_budget;
 mod rollout;
 mod rollout_messages;
+mod unresolved_runs;
 mod weights_history;
 
 pub use self::{
@@ -30,7 +33,9 @@
         CacheStoreSpec, ClientLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
     },
-    crash_tracker::{CrashCount, CrashTracker, CrashVerdict},
+    crash_messages::{CrashEvent, CrashVerdict, RunEnd, ServerRun},
+    crash_record::CrashReport,
+    crash_tracker::{CRASH_LIFETIME, CrashTracker, MAX_CRASHES},
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -227,6 +227,13 @@
         self.servers.get_mut(key)
     }
 
+    /// Whether an instance has announced that it leaves.
+    pub fn is_leaving(&self, instance: &str) -> bool {
+        let key = self.by_instance.get(instance);
+        let server = key.and_then(|&key| self.servers.get(key));
+        server.is_some_and(|server| server.availability == ServerAvailability::Leaving)
+    }
+
     /// Key of the current incarnation of an instance.
     pub fn key_of(&self, instance: &str) -> Option<ServerKey> {
         self.by_instance.get(instance).copied()
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -8,7 +8,7 @@
     ids::ServerKey,
     traffic::{
         AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
-        PlacementRequest, ServerLoad, cache_salt,
+        PlacementRequest, RunEnd, ServerLoad, cache_salt,
     },
 };
 use http::{Request, Response, StatusCode};
@@ -22,9 +22,9 @@
     cache_salt::format_salt,
     clock,
     connection::{ConnectionError, read_body},
-    crashes::{self, clear_count, record_crash},
+    crashes::{self, RunGuard},
     flight::FlightGuard,
-    headers::{client_response, keep_alive_timeout, origin_form},
+    headers::{client_response, has_explicit_end, keep_alive_timeout, origin_form},
     node::Node,
     notices::NodeNotice,
     pool::PooledConnection,
@@ -57,6 +57,8 @@
     /// When the request was sent; before that, when the connection was taken.
     pub sent_at: ClockTime,
     flight: FlightGuard,
+    /// The run at the server, once the request is sent.
+    run: Option<RunGuard>,
 }
 
 /// Why no attempt could be opened.
@@ -66,8 +68,8 @@
     Ended(AttemptOutcome),
     /// No server was chosen.
     Refused(PlacementRefusal),
-    /// The request must not run, since it crashed servers.
-    Suspect,
+    /// The request must not run, at least not now, since it crashed servers.
+    Suspect(CrashVerdict),
 }
 
 /// Outcome of an attempt.
@@ -95,10 +97,20 @@
         };
         match node.pool.take(choice.server, address, max_open).await {
             Ok(connection) => {
-                check_suspect(node, context)?;
                 let sent_at = clock::now();
+                check_suspect(node, context)?;
                 let (fetch_from, save_to) = cache_transfer_addresses(node, &choice);
-                Ok(Attempt { choice, instance, fetch_from, save_to, connection, sent_at, flight })
+                let run = None;
+                Ok(Attempt {
+                    choice,
+                    instance,
+                    fetch_from,
+                    save_to,
+                    connection,
+                    sent_at,
+                    flight,
+                    run,
+                })
             }
             Err(cause) => {
                 log_failure(context, &instance, &choice, &cause.to_string());
@@ -117,7 +129,7 @@
         last_event: Option<u64>,
     ) -> AttemptResult {
         self.sent_at = clock::now();
-        self.flight.start_response();
+        self.run = Some(RunGuard::start(node, context, self.choice.server, &self.instance));
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let response = match self.connection.connection.send(request, response_timeout).await {
@@ -129,6 +141,7 @@
         if head.request_id.as_deref() != Some(context.info.request_id.as_str()) {
             // The response belongs to an earlier request, so nothing on this connection can be
             // trusted.
+            self.finish_run(RunEnd::Unanswered, "response to another request");
             let cause = ConnectionError::Broken("response to another request".to_string());
             return self.on_connection_error(node, context, &cause);
         }
@@ -158,6 +171,7 @@
         };
         let status = parts.status;
         if status.is_success() && !head.signed {
+            self.finish_run(RunEnd::Unanswered, "response without a signature");
             let cause =
                 ConnectionError::Broken("successful response without a signature".to_string());
             return self.on_connection_error(node, context, &cause);
@@ -167,7 +181,13 @@
         if failed {
             log_failure(context, &self.instance, &self.choice, status.as_str());
         }
-        self.flight.end_response();
+        let end = match status.is_success() {
+            true if has_explicit_end(&parts.headers) => RunEnd::Completed,
+            // The end of the response may be the end of the server.
+            true => RunEnd::Unanswered,
+            false => RunEnd::Refused,
+        };
+        self.finish_run(end, "response without a length");
         self.flight.report(head.load, 0, &[], false);
         record_response(node, context, &self, failed);
         self.connection.return_to_pool(keep_alive_timeout(&parts.headers));
@@ -180,7 +200,7 @@
         context: &RequestContext,
         response: Response<Incoming>,
     ) -> AttemptResult {
-        self.flight.end_response();
+        self.finish_run(RunEnd::Refused, "");
         log_failure(context, &self.instance, &self.choice, "rejected without running");
         let now = clock::now();
         if let Some(server) = node.state.borrow_mut().registry.get_mut(self.choice.server) {
@@ -204,7 +224,12 @@
         context: &RequestContext,
         cause: &ConnectionError,
     ) -> AttemptResult {
-        self.flight.end_response();
+        let run_end = match cause {
+            ConnectionError::NotSent(_) => RunEnd::Refused,
+            ConnectionError::Broken(_) => RunEnd::Broken,
+            ConnectionError::TimedOut => RunEnd::Unanswered,
+        };
+        self.finish_run(run_end, &cause.to_string());
         log_failure(context, &self.instance, &self.choice, &cause.to_string());
         let end = match cause {
             ConnectionError::NotSent(_) => AttemptOutcome::NotSent,
@@ -217,15 +242,14 @@
             ConnectionError::NotSent(_) if !self.connection.newly_opened => {}
             _ => record_unresponsive(node, self.choice.server),
         }
-        if matches!(cause, ConnectionError::Broken(_)) {
-            record_crash(node, context, self.choice.server, &cause.to_string());
-        }
         AttemptResult::Ended(end)
     }
 
-    /// Records that a streamed response has ended, whole or broken off.
-    pub fn end_stream(&mut self) {
-        self.flight.end_response();
+    /// Records how the run at the server ended. `cause` is for the log.
+    pub fn finish_run(&mut self, end: RunEnd, cause: &str) {
+        if let Some(run) = &mut self.run {
+            run.finish(end, cause);
+        }
     }
 
     /// Records that the server has read the prompt, since the head of the stream has arrived.
@@ -244,6 +268,7 @@
     fn record_response_info(&self, node: &Rc<Node>, context: &RequestContext, head: &ResponseInfo) {
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
+        state.crashes.on_server_alive(self.choice.server, self.sent_at);
         if let Some(load) = head.load
             && let Some(server) = state.registry.get_mut(self.choice.server)
         {
@@ -326,6 +351,7 @@
         known.health.on_no_response(clock::now());
         node.broadcast(NodeNotice::Silent { instance: known.listing.instance.clone() });
     }
+    crashes::record_server_lost(node, &mut node.state.borrow_mut(), server);
 }
 
 fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &Attempt, failed: bool) {
@@ -341,7 +367,6 @@
         }
     }
     if !failed && !context.is_stream() {
-        clear_count(state, context);
         state.planner.on_plain_response(&context.service, took);
     }
     let id = &context.info.request_id;
@@ -357,7 +382,7 @@
     let state = node.state.borrow();
     match crashes::check_verdict(&state, &context.info.request_id, context.fingerprint) {
         CrashVerdict::Allow => Ok(()),
-        CrashVerdict::Reject => Err(OpenError::Suspect),
+        verdict => Err(OpenError::Suspect(verdict)),
     }
 }
 
@@ -394,14 +419,6 @@
         weighed = choice.candidate_count, config:? = state.routes.version();
         "server chosen"
     );
-    let crashes = state.crashes.crash_count(context.fingerprint);
-    if crashes > 0 {
-        log::info!(
-            request = context.info.request_id, fingerprint:% = context.fingerprint, crashes,
-            server = server.listing.instance;
-            "sending a request that crashed servers"
-        );
-    }
     Ok((choice, server.listing.instance.clone()))
 }
 
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -1,43 +1,88 @@
-//! Counts the crashes of servers by request, shares the counts with the other nodes, and logs what
-//! changes them.
+//! Watches the runs of requests at servers for crashes, shares what it learns with the other nodes,
+//! and logs every change.
 
 use std::rc::Rc;
 
 use carobvane_core::{
     ids::ServerKey,
     suspects::SuspectFingerprint,
-    traffic::{CrashCount, CrashVerdict},
+    traffic::{CrashEvent, CrashReport, CrashVerdict, RunEnd, ServerRun},
 };
+use tokio::time::timeout;
 
 use crate::{
     clock,
     node::{Node, NodeState},
     notices::NodeNotice,
+    pool::CONNECT_TIMEOUT,
     request::RequestContext,
+    tcp,
 };
 
-/// Records that a run broke as if the server had crashed, and broadcasts it if it is new. `cause`
-/// says how the run ended.
-pub fn record_crash(node: &Rc<Node>, context: &RequestContext, server: ServerKey, cause: &str) {
-    let state = &mut *node.state.borrow_mut();
-    let Some(incarnation) = state.incarnation_id(server) else {
-        log::warn!(
-            request = context.info.request_id, fingerprint:% = context.fingerprint, cause = cause;
-            "failed to count a crash: the server is no longer listed"
-        );
-        return;
-    };
-    let count = state.crashes.on_crash(clock::now(), context.fingerprint, incarnation);
-    log_count(context.fingerprint, &count);
-    if count.is_new {
-        log::info!(
-            request = context.info.request_id, fingerprint:% = context.fingerprint,
-            server = state.instance_name(server).unwrap_or_default(), incarnation,
-            crashes = count.crashes, cause = cause;
-            "counted a crash"
-        );
-        metrics::counter!("carobvane_crashes_counted_total", "source" => "own").increment(1);
-        node.broadcast(NodeNotice::Crash { fingerprint: context.fingerprint, life: incarnation });
+/// A run of a request at a server. Dropping it means that the run ends without a response that
+/// this node waits for.
+pub struct RunGuard {
+    node: Rc<Node>,
+    request_id: String,
+    instance: String,
+    /// `None` once the run has ended.
+    run: Option<ServerRun>,
+}
+
+impl std::fmt::Debug for RunGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RunGuard").field("instance", &self.instance).finish_non_exhaustive()
+    }
+}
+
+impl RunGuard {
+    /// Records that a request is about to be sent to a server.
+    pub fn start(
+        node: &Rc<Node>,
+        context: &RequestContext,
+        server: ServerKey,
+        instance: &str,
+    ) -> RunGuard {
+        let fingerprint = context.fingerprint;
+        let state = &mut *node.state.borrow_mut();
+        // A server that vanished since it was chosen has no incarnation, so its end is not counted.
+        let incarnation = state.incarnation_id(server);
+        let run = incarnation
+            .map(|incarnation| state.crashes.start_run(fingerprint, server, incarnation));
+        let crashes = state.crashes.crash_count(fingerprint);
+        if crashes > 0 {
+            log::info!(
+                request = context.info.request_id, fingerprint:% = fingerprint, crashes,
+                server = instance;
+                "sending a request that crashed servers"
+            );
+        }
+        RunGuard {
+            node: node.clone(),
+            request_id: context.info.request_id.clone(),
+            instance: instance.to_string(),
+            run,
+        }
+    }
+
+    /// Records how the run ended. `cause` is for the log.
+    pub fn finish(&mut self, end: RunEnd, cause: &str) {
+        let Some(run) = self.run.take() else { return };
+        let state = &mut *self.node.state.borrow_mut();
+        let listed = state.registry.get(run.server).is_some();
+        if end == RunEnd::Unanswered {
+            log::info!(request = self.request_id, server = self.instance, listed, cause = cause; "run ended without a response");
+            metrics::counter!("carobvane_unanswered_runs_total").increment(1);
+        }
+        let mut events = Vec::new();
+        state.crashes.end_run(clock::now(), run, end, listed, &mut events);
+        apply_events(&self.node, state, &events, Some(&self.request_id), cause);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.finish(RunEnd::Unanswered, "abandoned");
     }
 }
 
@@ -50,39 +95,97 @@
     let verdict = state.crashes.verdict(clock::now(), fingerprint);
     if verdict != CrashVerdict::Allow {
         let crashes = state.crashes.crash_count(fingerprint);
-        log::info!(request = request_id, fingerprint:% = fingerprint, crashes; "rejecting a request that crashes servers");
+        log::info!(request = request_id, fingerprint:% = fingerprint, crashes, verdict:? = verdict; "rejecting a request that crashed servers");
     }
     verdict
 }
 
-/// Applies a crash that another node has counted.
-pub fn apply_notice(state: &mut NodeState, fingerprint: SuspectFingerprint, incarnation: u64) {
-    let count = state.crashes.on_crash(clock::now(), fingerprint, incarnation);
-    log_count(fingerprint, &count);
-    if count.is_new {
-        log::info!(
-            fingerprint:% = fingerprint, incarnation, crashes = count.crashes;
-            "another node counted a crash"
-        );
-        metrics::counter!("carobvane_crashes_counted_total", "source" => "peer").increment(1);
+/// Records that connections to a server break or cannot be opened.
+pub fn record_server_lost(node: &Node, state: &mut NodeState, server: ServerKey) {
+    let mut events = Vec::new();
+    state.crashes.on_server_lost(clock::now(), server, &mut events);
+    apply_events(node, state, &events, None, "connections to the server break");
+}
+
+/// Records that a server incarnation ended without having announced that it leaves.
+pub fn record_server_ended(node: &Node, state: &mut NodeState, server: ServerKey) {
+    let mut events = Vec::new();
+    state.crashes.on_server_ended(clock::now(), server, &mut events);
+    apply_events(node, state, &events, None, "the server incarnation ended");
+}
+
+/// Applies what another node has reported of a request that changed there.
+pub fn apply_notice(node: &Node, state: &mut NodeState, report: &CrashReport) {
+    let mut events = Vec::new();
+    state.crashes.merge_reported(clock::now(), report, &mut events);
+    apply_events(node, state, &events, None, "notice of another node");
+}
+
+/// Connects to servers that fell silent, and sends changed records once more.
+pub fn tick(node: &Rc<Node>) {
+    let state = &mut *node.state.borrow_mut();
+    for server in state.crashes.tick(clock::now()) {
+        actix_rt::spawn(check_server(node.clone(), server));
+    }
+    for report in state.crashes.take_repeats() {
+        node.broadcast(NodeNotice::Crashes(report));
     }
 }
 
-/// Clears the count of a request that got a whole response.
-pub fn clear_count(state: &mut NodeState, context: &RequestContext) {
-    let crashes = state.crashes.on_completed(context.fingerprint);
-    if crashes > 0 {
-        log::info!(
-            request = context.info.request_id, fingerprint:% = context.fingerprint, crashes;
-            "cleared a crash count"
-        );
-        metrics::counter!("carobvane_crash_counts_cleared_total").increment(1);
+/// Tries to connect to a server after a run that got no response and a time of silence.
+async fn check_server(node: Rc<Node>, server: ServerKey) {
+    let Some((address, _)) = node.server_endpoint(server) else { return };
+    let reachable =
+        timeout(CONNECT_TIMEOUT, tcp::connect(address)).await.is_ok_and(|opened| opened.is_ok());
+    let state = &mut *node.state.borrow_mut();
+    let instance = state.instance_name(server).unwrap_or_default();
+    log::info!(instance = instance, reachable; "connected to a silent server");
+    metrics::counter!("carobvane_silent_server_checks_total").increment(1);
+    let mut events = Vec::new();
+    state.crashes.on_server_checked(clock::now(), server, reachable, &mut events);
+    apply_events(&node, state, &events, None, "no connection to the silent server");
+}
+
+fn apply_events(
+    node: &Node,
+    state: &NodeState,
+    events: &[CrashEvent],
+    request: Option<&str>,
+    cause: &str,
+) {
+    let request = request.unwrap_or_default();
+    for event in events {
+        match *event {
+            CrashEvent::Counted { fingerprint, incarnation, crashes } => {
+                log::info!(
+                    request = request, fingerprint:% = fingerprint, incarnation, crashes, cause = cause;
+                    "counted a crash"
+                );
+                metrics::counter!("carobvane_crashes_counted_total", "source" => "own")
+                    .increment(1);
+                broadcast_record(node, state, fingerprint);
+            }
+            CrashEvent::Withdrawn { fingerprint, crashes } => {
+                log::info!(request = request, fingerprint:% = fingerprint, crashes; "withdrew the crashes of a request");
+                metrics::counter!("carobvane_crashes_withdrawn_total").increment(1);
+                broadcast_record(node, state, fingerprint);
+            }
+            CrashEvent::Learned { fingerprint, crashes } => {
+                log::info!(fingerprint:% = fingerprint, crashes, cause = cause; "learned of crashes");
+                metrics::counter!("carobvane_crashes_counted_total", "source" => "peer")
+                    .increment(1);
+            }
+            CrashEvent::Dropped { fingerprint, crashes } => {
+                log::warn!(fingerprint:% = fingerprint, crashes; "dropped a crash record: too many requests");
+                metrics::counter!("carobvane_crash_records_dropped_total").increment(1);
+            }
+        }
     }
 }
 
-fn log_count(fingerprint: SuspectFingerprint, count: &CrashCount) {
-    if let Some(dropped) = count.dropped {
-        log::warn!(dropped:% = dropped, added:% = fingerprint; "dropped a crash count: too many requests");
-        metrics::counter!("carobvane_crash_counts_dropped_total").increment(1);
+/// Sends a changed record to the other nodes.
+fn broadcast_record(node: &Node, state: &NodeState, fingerprint: SuspectFingerprint) {
+    if let Some(report) = state.crashes.report(fingerprint) {
+        node.broadcast(NodeNotice::Crashes(report));
     }
 }
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -22,10 +22,6 @@
     /// Number of the attempt across all nodes; `None` for a request that needs no model weights, or
     /// once its prompt has been processed.
     prefill_number: Option<u64>,
-    /// Id of the client's request.
-    request_id: String,
-    /// Whether the request was sent and the server's response has not ended.
-    awaits_response: bool,
 }
 
 impl std::fmt::Debug for FlightGuard {
@@ -62,24 +58,7 @@
             node.broadcast(notice);
             number
         });
-        FlightGuard {
-            node: node.clone(),
-            server: choice.server,
-            instance,
-            prefill_number,
-            request_id: context.info.request_id.clone(),
-            awaits_response: false,
-        }
-    }
-
-    /// Records that the request is sent.
-    pub fn start_response(&mut self) {
-        self.awaits_response = true;
-    }
-
-    /// Records that the response has ended, or that there will be none.
-    pub fn end_response(&mut self) {
-        self.awaits_response = false;
+        FlightGuard { node: node.clone(), server: choice.server, instance, prefill_number }
     }
 
     /// Reports that the response has begun, or that the request ended without one.
@@ -105,11 +84,6 @@
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        if self.awaits_response {
-            let listed = self.node.state.borrow().registry.get(self.server).is_some();
-            log::info!(request = self.request_id, server = self.instance, listed; "abandoned an unanswered run");
-            metrics::counter!("carobvane_abandoned_runs_total").increment(1);
-        }
         self.report(None, 0, &[], false);
         if let Some(server) = self.node.state.borrow_mut().registry.get_mut(self.server) {
             server.in_flight = server.in_flight.saturating_sub(1);
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -38,6 +38,11 @@
     HOP_BY_HOP_HEADERS.contains(&name.as_str())
 }
 
+/// Whether the end of a body can be told from the end of its connection.
+pub fn has_explicit_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns how long the server keeps the idle connection open, if its `Keep-Alive` header says so.
 pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -44,7 +44,7 @@
     pub planner: PlacementPlanner,
     /// Decides which servers to order to load weights.
     pub rollout: RolloutPlanner,
-    /// Counts crashes per request, to reject requests that crash servers.
+    /// Requests under which servers have ended, to reject those that crash servers.
     pub crashes: CrashTracker,
     /// Known nodes, this one included.
     pub members: MemberTable,
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -1,14 +1,14 @@
 //! Notices that nodes send to each other about backend servers and store changes, as UDP datagrams.
 //!
 //! A lost notice costs a worse choice of a server, never a wrong response. That is why notices need
-//! neither connections nor acknowledgements.
+//! neither connections nor acknowledgements. A crash record is sent
+//! whole each time, so that a later notice makes up for a lost one.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use carobvane_core::{
     ids::WeightsVersion,
-    suspects::SuspectFingerprint,
-    traffic::{CacheConfidence, PromptPart, ServerLoad},
+    traffic::{CacheConfidence, CrashReport, PromptPart, ServerLoad},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
@@ -26,6 +26,9 @@
 const BATCH_DELAY: Duration = Duration::from_millis(4);
 /// The same delay in a fleet of at least [`LARGE_FLEET_NODES`] nodes.
 const LARGE_FLEET_BATCH_DELAY: Duration = Duration::from_millis(100);
+/// A server was alive this long before a notice that it responded, at the latest. Longer than any
+/// batch delay and the time on the way.
+const NOTICE_AGE: Duration = Duration::from_millis(250);
 /// Number of other nodes from which on the longer batch delay applies.
 const LARGE_FLEET_NODES: usize = 40;
 
@@ -115,13 +118,8 @@
         /// Revision of the change.
         revision: u64,
     },
-    /// The run of a request broke at a server in a way that a crash would explain.
-    Crash {
-        /// Fingerprint of the request.
-        fingerprint: SuspectFingerprint,
-        /// Incarnation of the server, as a number that all nodes derive in the same way.
-        life: u64,
-    },
+    /// All that the sender knows of a request under which servers ended.
+    Crashes(CrashReport),
 }
 
 /// Applies a notice from another node or from this one.
@@ -161,6 +159,7 @@
             server.prefill_backlog.remove(request);
             if let Some(load) = load {
                 server.health.on_load_report(now, load);
+                state.crashes.on_server_alive(key, now - NOTICE_AGE);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Confirmed);
             if saves {
@@ -174,7 +173,7 @@
         }
         // Store changes are applied by `store_sync`, cache events above.
         NodeNotice::Changed { .. } | NodeNotice::Behind { .. } | NodeNotice::Cached { .. } => {}
-        NodeNotice::Crash { fingerprint, life } => crashes::apply_notice(state, fingerprint, life),
+        NodeNotice::Crashes(report) => crashes::apply_notice(node, state, &report),
     }
 }
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     adapter::{PlatformAdapter, SettingsAdapter},
-    cache_events, cache_store, clock,
+    cache_events, cache_store, clock, crashes,
     flags::CarobvaneNode,
     logging,
     node::Node,
@@ -204,10 +204,12 @@
         ticks.tick().await;
         let now = clock::now();
         node.pool.close_expired(now);
+        crashes::tick(&node);
         let state = &mut *node.state.borrow_mut();
         state.members.expire(now);
         for (instance, server) in state.registry.remove_lapsed(now) {
             log::info!(instance = instance; "server removed: its entry did not return");
+            crashes::record_server_ended(&node, state, server);
             drop_server_state(&node, state, server);
         }
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use carobvane_core::{
     clock::ClockTime,
-    traffic::{AttemptOutcome, EventSplitter, NextStep},
+    traffic::{AttemptOutcome, EventSplitter, NextStep, RunEnd},
 };
-use http::Response;
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::{
@@ -24,8 +24,7 @@
     attempt::{Attempt, AttemptResult, OpenError, record_timeout, record_unresponsive},
     body::{ResponseBody, StreamChunk},
     clock,
-    crashes::{clear_count, record_crash},
-    headers::{client_response, keep_alive_timeout},
+    headers::{client_response, has_explicit_end, keep_alive_timeout},
     node::Node,
     request::{RequestContext, log_end},
 };
@@ -64,16 +63,33 @@
     let splitter = EventSplitter::resume_after(context.info.last_event);
     let relay =
         StreamRelay { node, context, splitter, chunk_sender, timing: StreamTiming::default() };
-    let keep_alive = keep_alive_timeout(&head.headers);
+    let framing = StreamFraming::of(&head.headers);
     actix_rt::spawn(async move {
         let mut relay = relay;
-        let outcome = relay.run::<A>(body, attempt, keep_alive).await;
+        let outcome = relay.run::<A>(body, attempt, framing).await;
         relay.log_timing();
         log_end(&relay.context, status, outcome);
     });
     response
 }
 
+/// What the head of a streamed response says about its connection.
+#[derive(Debug, Clone, Copy)]
+struct StreamFraming {
+    keep_alive: Option<Duration>,
+    /// Whether the end of the stream can be told from the end of its connection.
+    has_explicit_end: bool,
+}
+
+impl StreamFraming {
+    fn of(headers: &HeaderMap) -> StreamFraming {
+        StreamFraming {
+            keep_alive: keep_alive_timeout(headers),
+            has_explicit_end: has_explicit_end(headers),
+        }
+    }
+}
+
 struct StreamRelay {
     node: Rc<Node>,
     context: RequestContext,
@@ -107,29 +123,36 @@
         &mut self,
         mut body: Incoming,
         mut attempt: Attempt,
-        mut keep_alive: Option<Duration>,
+        mut framing: StreamFraming,
     ) -> &'static str {
         loop {
             match self.forward_events(&mut body).await {
                 SegmentEnd::Complete => {
-                    attempt.end_stream();
-                    if self.timing.events > 0 {
-                        clear_count(&mut self.node.state.borrow_mut(), &self.context);
-                    }
-                    attempt.connection.return_to_pool(keep_alive);
+                    let (end, cause) = if framing.has_explicit_end && self.timing.events > 0 {
+                        (RunEnd::Completed, "")
+                    } else {
+                        (RunEnd::Unanswered, "stream without events or explicit end")
+                    };
+                    attempt.finish_run(end, cause);
+                    attempt.connection.return_to_pool(framing.keep_alive);
                     let sent = self.chunk_sender.send(StreamChunk::End).await;
                     return if sent.is_ok() { "answered" } else { "caller left" };
                 }
-                SegmentEnd::ClientLeft => return "caller left",
-                SegmentEnd::TimedOut => return "timed out",
+                SegmentEnd::ClientLeft => {
+                    attempt.finish_run(RunEnd::Unanswered, "client left");
+                    return "caller left";
+                }
+                SegmentEnd::TimedOut => {
+                    attempt.finish_run(RunEnd::Unanswered, "deadline passed");
+                    return "timed out";
+                }
                 SegmentEnd::Broken(cause) => {
-                    attempt.end_stream();
+                    attempt.finish_run(RunEnd::Broken, &cause);
                     self.log_break(&attempt, &cause);
                     record_unresponsive(&self.node, attempt.choice.server);
-                    record_crash(&self.node, &self.context, attempt.choice.server, &cause);
                 }
                 SegmentEnd::Stalled => {
-                    attempt.end_stream();
+                    attempt.finish_run(RunEnd::Unanswered, "no event within the stall timeout");
                     self.log_break(&attempt, "no event within the stall timeout");
                     let since = self.timing.last_event_at.unwrap_or(attempt.sent_at);
                     record_timeout(&self.node, attempt.choice.server, since);
@@ -140,7 +163,7 @@
             drop(body);
             self.splitter.discard_partial();
             let Some((response, next)) = self.fail_over::<A>().await else { return "broken off" };
-            keep_alive = keep_alive_timeout(response.headers());
+            framing = StreamFraming::of(response.headers());
             body = response.into_body();
             attempt = next;
         }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -37,6 +37,8 @@
 /// Retry hint from a node that is shutting down. It is short, since the client connects to another
 /// node.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
+/// Retry hint for a request while it is not known whether it crashes servers.
+const UNRESOLVED_RETRY: Duration = Duration::from_secs(1);
 /// Retry hint for a request that crashes servers.
 const SUSPECT_RETRY: Duration = Duration::from_secs(60);
 
@@ -186,8 +188,9 @@
     let state = &mut *node.state.borrow_mut();
     state.on_request(now, &service, &node.settings.bounds);
     state.planner.on_prompt(now, &info.prompt);
-    if crashes::check_verdict(state, &id, fingerprint) == CrashVerdict::Reject {
-        return Err(refused(suspect_response(false)));
+    let verdict = crashes::check_verdict(state, &id, fingerprint);
+    if verdict != CrashVerdict::Allow {
+        return Err(refused(suspect_response(verdict, false)));
     }
     Ok(RequestContext {
         head,
@@ -246,8 +249,8 @@
                 continue;
             }
             Err(OpenError::Refused(refusal)) => return Err(refusal_response(context, refusal)),
-            Err(OpenError::Suspect) => {
-                return Err(suspect_response(context.history.may_have_run));
+            Err(OpenError::Suspect(verdict)) => {
+                return Err(suspect_response(verdict, context.history.may_have_run));
             }
         };
         let end = match attempt.send::<A>(node, context, context.info.last_event).await {
@@ -320,13 +323,12 @@
 }
 
 /// Returns the response to a request that must not run, or run again, since it crashed servers.
-fn suspect_response(may_have_run: bool) -> LocalResponse {
-    let code = "request_crashes_servers";
-    if may_have_run {
-        LocalResponse::Unknown(code)
-    } else {
-        LocalResponse::NotRun(code, SUSPECT_RETRY)
-    }
+fn suspect_response(verdict: CrashVerdict, may_have_run: bool) -> LocalResponse {
+    let (code, retry) = match verdict {
+        CrashVerdict::Wait => ("request_may_crash_servers", UNRESOLVED_RETRY),
+        CrashVerdict::Allow | CrashVerdict::Reject => ("request_crashes_servers", SUSPECT_RETRY),
+    };
+    if may_have_run { LocalResponse::Unknown(code) } else { LocalResponse::NotRun(code, retry) }
 }
 
 fn route_error_response(error: RouteError) -> LocalResponse {
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     adapter::{FleetEntry, PlatformAdapter, StoreCall, StoreEvent, StoreItem, StoreReply},
-    clock,
+    clock, crashes,
     members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
     node::{Node, NodeState},
     notices::{self, NodeNotice},
@@ -299,9 +299,13 @@
             } else if key == LEASE_HOLDER_KEY {
                 node.rollout_wake.notify_one();
             } else if let Some(instance) = A::instance_of_key(&key) {
+                let announced = state.registry.is_leaving(instance);
                 let gone = state.registry.on_listing_removed(now, instance);
                 log::info!(instance = instance, gone = gone.is_some(), revision; "server entry removed");
                 if let Some(server) = gone {
+                    if !announced {
+                        crashes::record_server_ended(node, state, server);
+                    }
                     drop_server_state(node, state, server);
                 }
             }
@@ -359,10 +363,14 @@
     let weights_version = listing.weights.first().map_or(0, |weights| weights.version.0);
     let previous_version =
         previous.and_then(|key| state.registry.get(key)).map_or(0, first_weights_version);
+    let announced = state.registry.is_leaving(&instance);
     let change = state.registry.apply_listing(listing);
     match change {
         RegistryChange::Added(key) => {
             if let Some(previous) = previous {
+                if !announced {
+                    crashes::record_server_ended(node, state, previous);
+                }
                 drop_server_state(node, state, previous);
             }
             let server = state.registry.get(key);
