Keep the crashes of a request beyond the memory of one node

What callers saw: a node that starts after three crashes runs the request a fourth time; so does every node after all have restarted. Change: records of two crashes and more are kept in the platform's store, each write under the condition that nobody has written since and holding all that was read, so that a late or repeated write takes nothing back. A node that starts, or whose store was away, reads the records of two other nodes too. Evidence: restarted_node_rejects_a_request_that_crashes_servers got 502 and a fourth run in its first case before; its four cases (store works, all nodes restart, lost acknowledgements, store down) pass. Ruled out: a full table, full_table_keeps_requests_with_the_most_crashes.

--- /dev/null
+++ b/crates/node/src/crash_store.rs
@@ -0,0 +1,165 @@
+//! Keeps the records of requests that crashed several servers in the platform's store, so that a
+//! node that starts knows them.
+//!
+//! A record only grows, and each write holds all that was read, under the condition that nobody
+//! has written since. A write that takes effect late therefore takes nothing back. The lease of the
+//! record removes it when the nodes forget it too.
+
+use std::{rc::Rc, str::FromStr, time::Duration};
+
+use carobvane_core::{
+    suspects::SuspectFingerprint,
+    traffic::{CRASH_LIFETIME, CrashReport},
+};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    adapter::{PlatformAdapter, StoreCall, StoreReply, StoreWrite},
+    clock, crashes,
+    node::{Node, NodeState},
+    peers,
+    store::{CALL_TIMEOUT, StoreCallError, StoreClient},
+    store_sync,
+};
+
+/// Prefix of the keys of crash records.
+const CRASH_PREFIX: &str = "carobvane/crashes/";
+/// Maximum number of records in one transaction; the store accepts 32 entries.
+const MAX_BATCH: usize = 16;
+/// Bounds of the pause before records are written, in which others may join them.
+const WRITE_DELAY_MIN: Duration = Duration::from_millis(10);
+const WRITE_DELAY_MAX: Duration = Duration::from_millis(60);
+/// A watcher of the store writes a record that was reported to it if the nodes that observed the
+/// crashes have not written it within this time.
+const WATCHER_GRACE: Duration = Duration::from_secs(2);
+/// The same for the other nodes, of which there may be many.
+const OTHER_GRACE: Duration = Duration::from_secs(8);
+/// Time between two reads of other nodes' records while some are wanted.
+const PEER_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of other nodes whose records are read after the start, and after the store was away. One
+/// of them may have started just now.
+const PEER_READS: u32 = 2;
+
+/// Value of a crash record in the store; its key has the request.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredCrashes {
+    crashed: Vec<u64>,
+    withdrawn: Vec<u64>,
+}
+
+/// Whether a key is that of a crash record.
+pub fn is_crash_key(key: &str) -> bool {
+    key.starts_with(CRASH_PREFIX)
+}
+
+/// Decodes the key of a crash record. Returns `None` if it names no request.
+pub fn decode_key(key: &str) -> Option<SuspectFingerprint> {
+    SuspectFingerprint::from_str(key.strip_prefix(CRASH_PREFIX)?).ok()
+}
+
+/// Decodes a crash record. The error says what is wrong with it.
+pub fn decode_record(key: &str, value: &[u8]) -> Result<CrashReport, String> {
+    let fingerprint = decode_key(key).ok_or("the key names no request")?;
+    let stored: StoredCrashes = serde_json::from_slice(value).map_err(|cause| cause.to_string())?;
+    Ok(CrashReport { fingerprint, crashed: stored.crashed, withdrawn: stored.withdrawn })
+}
+
+/// Writes records that the store lacks, until the process ends.
+pub async fn write_records<A: PlatformAdapter>(node: Rc<Node>, store: Rc<StoreClient<A>>) {
+    loop {
+        node.crash_store_wake.notified().await;
+        if missing_records(&node).is_empty() {
+            continue;
+        }
+        let pause = node.state.borrow_mut().rng.random_range(WRITE_DELAY_MIN..WRITE_DELAY_MAX);
+        sleep(pause).await;
+        for batch in missing_records(&node).chunks(MAX_BATCH) {
+            match write_batch(&node, &store, batch).await {
+                Ok(true) => {}
+                // The copy of the store is older than the store; the next tick tries again.
+                Ok(false) => break,
+                Err(cause) => {
+                    log::debug!(cause:% = cause; "failed to write crash records");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Reads the records of other nodes after the start and after the store was away, until the process
+/// ends.
+pub async fn read_peer_records(node: Rc<Node>) {
+    let mut reads_left = PEER_READS;
+    let mut was_reachable = true;
+    loop {
+        sleep(PEER_READ_INTERVAL).await;
+        let reachable = node.state.borrow().is_store_reachable();
+        if reachable != was_reachable {
+            was_reachable = reachable;
+            reads_left = PEER_READS;
+        }
+        if reads_left == 0 {
+            continue;
+        }
+        match peers::read_crash_records(&node).await {
+            Ok(Some(reports)) => {
+                crashes::apply_copy(&node, &reports);
+                reads_left -= 1;
+            }
+            Ok(None) => {}
+            Err(cause) => {
+                log::debug!(cause:% = cause; "failed to read another node's crash records")
+            }
+        }
+    }
+}
+
+fn missing_records(node: &Node) -> Vec<CrashReport> {
+    let grace = if store_sync::is_watcher(node) { WATCHER_GRACE } else { OTHER_GRACE };
+    let state = node.state.borrow();
+    if !state.is_store_reachable() || state.mirror.revision == 0 {
+        return Vec::new();
+    }
+    state.crashes.unstored(clock::now(), grace)
+}
+
+/// Writes some records. Returns whether the store has taken them.
+async fn write_batch<A: PlatformAdapter>(
+    node: &Rc<Node>,
+    store: &StoreClient<A>,
+    batch: &[CrashReport],
+) -> Result<bool, StoreCallError> {
+    let grant = StoreCall::Grant { lifetime: CRASH_LIFETIME };
+    let StoreReply::Leased { lease, .. } = store.call(&grant, CALL_TIMEOUT).await? else {
+        return Ok(false);
+    };
+    let call = encode_batch(&node.state.borrow(), lease, batch);
+    let StoreReply::Written { revision } = store.call(&call, CALL_TIMEOUT).await? else {
+        return Ok(false);
+    };
+    log::info!(records = batch.len(), revision, lease; "wrote crash records");
+    let state = &mut *node.state.borrow_mut();
+    for report in batch {
+        crashes::apply_stored(node, state, report);
+    }
+    Ok(true)
+}
+
+fn encode_batch(state: &NodeState, lease: u64, batch: &[CrashReport]) -> StoreCall {
+    let mut expected = Vec::new();
+    let mut writes = Vec::new();
+    for report in batch {
+        let key = format!("{CRASH_PREFIX}{}", report.fingerprint);
+        let revision = state.mirror.items.get(&key).map_or(0, |item| item.revision);
+        let stored =
+            StoredCrashes { crashed: report.crashed.clone(), withdrawn: report.withdrawn.clone() };
+        // Numbers always have a JSON form.
+        let value = serde_json::to_vec(&stored).unwrap_or_default();
+        expected.push((key.clone(), revision));
+        writes.push(StoreWrite { key, value, lease: Some(lease) });
+    }
+    StoreCall::Transact { expected, writes }
+}
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -121,7 +121,25 @@
     apply_events(node, state, &events, None, "notice of another node");
 }
 
-/// Connects to servers that fell silent, and sends changed records once more.
+/// Applies what the store holds of a request.
+pub fn apply_stored(node: &Node, state: &mut NodeState, report: &CrashReport) {
+    let mut events = Vec::new();
+    state.crashes.merge_stored(clock::now(), report, &mut events);
+    apply_events(node, state, &events, None, "record in the store");
+}
+
+/// Applies all that another node knows.
+pub fn apply_copy(node: &Node, reports: &[CrashReport]) {
+    let state = &mut *node.state.borrow_mut();
+    let mut events = Vec::new();
+    for report in reports {
+        state.crashes.merge_copied(clock::now(), report, &mut events);
+    }
+    apply_events(node, state, &events, None, "copy of another node");
+}
+
+/// Connects to servers that fell silent, sends changed records once more, and wakes the task that
+/// writes records to the store.
 pub fn tick(node: &Rc<Node>) {
     let state = &mut *node.state.borrow_mut();
     for server in state.crashes.tick(clock::now()) {
@@ -130,6 +148,7 @@
     for report in state.crashes.take_repeats() {
         node.broadcast(NodeNotice::Crashes(report));
     }
+    node.crash_store_wake.notify_one();
 }
 
 /// Tries to connect to a server after a run that got no response and a time of silence.
@@ -183,9 +202,10 @@
     }
 }
 
-/// Sends a changed record to the other nodes.
+/// Sends a changed record to the other nodes and has it written to the store.
 fn broadcast_record(node: &Node, state: &NodeState, fingerprint: SuspectFingerprint) {
     if let Some(report) = state.crashes.report(fingerprint) {
         node.broadcast(NodeNotice::Crashes(report));
     }
+    node.crash_store_wake.notify_one();
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod cache_store;
 pub mod clock;
 pub mod connection;
+mod crash_store;
 mod crashes;
 pub mod flags;
 mod flight;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -88,6 +88,8 @@
     pub registration_wake: Notify,
     /// Wakes the task that synchronises with the store.
     pub catch_up_wake: Notify,
+    /// Wakes the task that writes crash records to the store.
+    pub crash_store_wake: Notify,
     /// Newest revision of the store that a watcher has announced.
     pub announced_revision: Cell<u64>,
     /// Notices for the other nodes, to be sent as one batch.
@@ -137,6 +139,7 @@
             rollout_wake: Notify::new(),
             registration_wake: Notify::new(),
             catch_up_wake: Notify::new(),
+            crash_store_wake: Notify::new(),
             announced_revision: Cell::new(0),
             outbox: RefCell::default(),
             outbox_wake: Notify::new(),
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -1,8 +1,8 @@
 //! Notices that nodes send to each other about backend servers and store changes, as UDP datagrams.
 //!
 //! A lost notice costs a worse choice of a server, never a wrong response. That is why notices need
-//! neither connections nor acknowledgements. A crash record is sent
-//! whole each time, so that a later notice makes up for a lost one.
+//! neither connections nor acknowledgements. Crash records, which later notices repeat whole, are
+//! also kept in the platform's store.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,11 +1,14 @@
-//! Lets nodes read each other's copy of the platform's store while the store does not respond.
+//! Lets nodes read each other's copy of the platform's store while the store does not respond, and
+//! each other's crash records.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use carobvane_core::traffic::CrashReport;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     adapter::OutboundRequest,
@@ -20,6 +23,8 @@
 
 /// Path under which a node serves its copy; the query is the revision that the reader already has.
 const MIRROR_PATH: &str = "/mirror";
+/// Path under which a node serves its crash records.
+const CRASHES_PATH: &str = "/crashes";
 /// Timeout of connecting to a node, and of the exchange with it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a copy.
@@ -34,6 +39,7 @@
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, MIRROR_PATH) => self.send_mirror(&request),
+            (&Method::GET, CRASHES_PATH) => self.send_crash_records(),
             _ => responses::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -46,12 +52,20 @@
         if state.mirror.revision <= known {
             return responses::empty(StatusCode::NO_CONTENT);
         }
-        match postcard::to_stdvec(&state.mirror) {
-            Ok(bytes) => Response::new(ResponseBody::whole(bytes)),
-            Err(cause) => {
-                log::error!(cause:% = cause; "failed to encode the copy of the store");
-                responses::empty(StatusCode::INTERNAL_SERVER_ERROR)
-            }
+        encoded_response(&state.mirror)
+    }
+
+    fn send_crash_records(&self) -> Response<ResponseBody> {
+        encoded_response(&self.node.state.borrow().crashes.reports())
+    }
+}
+
+fn encoded_response<T: Serialize>(value: &T) -> Response<ResponseBody> {
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => Response::new(ResponseBody::whole(bytes)),
+        Err(cause) => {
+            log::error!(cause:% = cause; "failed to encode what another node asks for");
+            responses::empty(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
@@ -62,6 +76,21 @@
     node: &Rc<Node>,
     known: u64,
 ) -> Result<Option<StoreMirror>, ConnectionError> {
+    read_from_any(node, format!("{MIRROR_PATH}?{known}")).await
+}
+
+/// Reads the crash records of a randomly chosen node, or of a seed node if no other node is known.
+/// Returns `None` if there is none to ask.
+pub async fn read_crash_records(
+    node: &Rc<Node>,
+) -> Result<Option<Vec<CrashReport>>, ConnectionError> {
+    read_from_any(node, CRASHES_PATH.to_string()).await
+}
+
+async fn read_from_any<T: DeserializeOwned>(
+    node: &Rc<Node>,
+    target: String,
+) -> Result<Option<T>, ConnectionError> {
     let mut addresses = other_node_addresses(node);
     if addresses.is_empty() {
         addresses.clone_from(&node.settings.seed_addresses);
@@ -69,14 +98,13 @@
     }
     let chosen = addresses.choose(&mut node.state.borrow_mut().rng).copied();
     let Some(address) = chosen else { return Ok(None) };
-    let target = format!("{MIRROR_PATH}?{known}");
     let query = OutboundRequest { method: Method::GET, target, body: Bytes::new() };
     let response = exchange(address, query).await?;
     if response.status() != StatusCode::OK {
         return Ok(None);
     }
-    let mirror = postcard::from_bytes(response.body());
-    mirror.map(Some).map_err(|cause| ConnectionError::Broken(cause.to_string()))
+    let value = postcard::from_bytes(response.body());
+    value.map(Some).map_err(|cause| ConnectionError::Broken(cause.to_string()))
 }
 
 async fn exchange(
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     adapter::{PlatformAdapter, SettingsAdapter},
-    cache_events, cache_store, clock, crashes,
+    cache_events, cache_store, clock, crash_store, crashes,
     flags::CarobvaneNode,
     logging,
     node::Node,
@@ -129,6 +129,8 @@
         actix_rt::spawn(notices::receive_batches::<A>(node.clone(), notices));
         actix_rt::spawn(cache_store::monitor::<A>(node.clone()));
         actix_rt::spawn(cache_events::follow_engines::<A>(node.clone()));
+        actix_rt::spawn(crash_store::write_records(node.clone(), store.clone()));
+        actix_rt::spawn(crash_store::read_peer_records(node.clone()));
         actix_rt::spawn(run_housekeeping(node.clone()));
         log::info!(
             name = node.settings.name, data_centre = node.settings.data_centre,
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     adapter::{FleetEntry, PlatformAdapter, StoreCall, StoreEvent, StoreItem, StoreReply},
-    clock, crashes,
+    clock, crash_store, crashes,
     members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
     node::{Node, NodeState},
     notices::{self, NodeNotice},
@@ -296,6 +296,8 @@
                 if key == MemberRecord::key(&node.settings.name) {
                     node.registration_wake.notify_one();
                 }
+            } else if let Some(fingerprint) = crash_store::decode_key(&key) {
+                state.crashes.on_stored_removed(fingerprint);
             } else if key == LEASE_HOLDER_KEY {
                 node.rollout_wake.notify_one();
             } else if let Some(instance) = A::instance_of_key(&key) {
@@ -314,6 +316,15 @@
 }
 
 fn apply_own_item(node: &Rc<Node>, state: &mut NodeState, item: &StoreItem) {
+    if crash_store::is_crash_key(&item.key) {
+        match crash_store::decode_record(&item.key, &item.value) {
+            Ok(report) => crashes::apply_stored(node, state, &report),
+            Err(cause) => {
+                log::warn!(key = item.key, cause = cause; "failed to read a crash record")
+            }
+        }
+        return;
+    }
     if !MemberTable::is_member_key(&item.key) {
         node.rollout_wake.notify_one();
         return;
