Drop the suspect with the fewest crashes when the registry of an entry is full

Cause: a full registry dropped the record that changed first. A request that is rejected changes no more, while each crash makes suspects of all requests that ran beside, so 4,096 of these erased it and it could run again. Evidence: full_registry_keeps_requests_with_the_most_crashes got Run instead of Reject before.

--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -18,7 +18,7 @@
 
 /// Number of crashes after which a request is rejected.
 pub const MAX_CRASHES: usize = 2;
-/// Maximum number of suspects. Beyond it, the one with the oldest last crash is dropped.
+/// Maximum number of suspects. Beyond it, one with the fewest crashes is dropped.
 pub const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of dead server incarnations. Beyond it, the one that died first is dropped.
 pub const MAX_DEAD_INCARNATIONS: usize = 1_024;
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -365,10 +365,7 @@
     ) -> &mut SuspectRecord {
         if !self.records.contains_key(&fingerprint) {
             if self.records.len() >= MAX_SUSPECTS {
-                let oldest = self.records.iter().min_by_key(|(_, record)| record.last_change);
-                if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
-                    self.records.remove(&oldest);
-                }
+                self.drop_least_suspect();
             }
             self.timers.schedule(now + SUSPECT_LIFETIME, SuspectTimer::Expire(fingerprint));
         }
@@ -379,6 +376,17 @@
         })
     }
 
+    /// Drops the record with the fewest crashes, among those the one that changed first.
+    fn drop_least_suspect(&mut self) {
+        let least = self
+            .records
+            .iter()
+            .min_by_key(|(_, record)| (record.crashes.len(), record.last_change));
+        if let Some(least) = least.map(|(&fingerprint, _)| fingerprint) {
+            self.records.remove(&least);
+        }
+    }
+
     fn expire_record(&mut self, fingerprint: SuspectFingerprint, now: ClockTime) {
         let Some(record) = self.records.get(&fingerprint) else { return };
         let due = record.last_change + SUSPECT_LIFETIME;
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -215,3 +215,20 @@
     registry.tick(ClockTime::ZERO + SUSPECT_LIFETIME, &mut Vec::new());
     assert!(registry.is_empty());
 }
+
+/// Guards against a request that crashes servers again because requests that merely ran beside
+/// others took its place.
+#[test]
+fn full_registry_keeps_requests_with_the_most_crashes() {
+    let mut registry = SuspectRegistry::new();
+    record_local_crash(&mut registry, crash("r", "a", 1));
+    record_local_crash(&mut registry, crash("r", "b", 1));
+    let mut effects = Vec::new();
+    for number in 0..MAX_SUSPECTS {
+        let crashes = vec![crash(&number.to_string(), "c", 1)];
+        let report = SuspectMessage::Report { id: 0, crashes };
+        registry.receive(PEER, report, ClockTime::from_millis(1), &mut effects);
+    }
+    assert_eq!(registry.len(), MAX_SUSPECTS);
+    assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Reject);
+}
