Keep crashes beyond the limit when an earlier one is withdrawn

Cause: a third crash of a request was not recorded, since two suffice to reject it. When one of the two was withdrawn, because the server turned out to be alive, one crash was left of two true ones and the request could run. Change: up to eight crashes and as many withdrawals are recorded. Evidence: crash_beyond_the_limit_replaces_a_withdrawn_one got RunAlone instead of Reject before.

--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -18,6 +18,9 @@
 
 /// Number of crashes after which a request is rejected.
 pub const MAX_CRASHES: usize = 2;
+/// Maximum number of crashes that are recorded of a request, so that those beyond [`MAX_CRASHES`]
+/// still count when earlier ones are withdrawn.
+pub(crate) const MAX_RECORDED_CRASHES: usize = 8;
 /// Maximum number of suspects. Beyond it, one with the fewest crashes is dropped.
 pub const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of dead server incarnations. Beyond it, the one that died first is dropped.
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -5,9 +5,9 @@
 use smallvec::SmallVec;
 
 use super::{
-    EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_REPORTED_CRASHES, MAX_SUSPECTS,
-    REPORT_RETRY_INTERVAL, REPORT_TIMEOUT, SUSPECT_LIFETIME, ServerCrash, ServerIncarnation,
-    SuspectAdmission, SuspectEffect, SuspectFingerprint, SuspectMessage,
+    EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_RECORDED_CRASHES, MAX_REPORTED_CRASHES,
+    MAX_SUSPECTS, REPORT_RETRY_INTERVAL, REPORT_TIMEOUT, SUSPECT_LIFETIME, ServerCrash,
+    ServerIncarnation, SuspectAdmission, SuspectEffect, SuspectFingerprint, SuspectMessage,
 };
 use crate::{
     clock::{ClockTime, TimerQueue},
@@ -310,7 +310,7 @@
         let record = self.record_mut(crash.fingerprint, now);
         let known = record.crashes.contains(&crash.server)
             || record.withdrawn.contains(&crash.server)
-            || record.crashes.len() >= MAX_CRASHES;
+            || record.crashes.len() >= MAX_RECORDED_CRASHES;
         if !known {
             record.crashes.push(crash.server);
             record.last_change = now;
@@ -333,7 +333,7 @@
         let record = self.record_mut(crash.fingerprint, now);
         record.crashes.retain(|server| *server != crash.server);
         if !record.withdrawn.contains(&crash.server) {
-            if record.withdrawn.len() >= MAX_CRASHES {
+            if record.withdrawn.len() >= MAX_RECORDED_CRASHES {
                 record.withdrawn.remove(0);
             }
             record.withdrawn.push(crash.server);
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -232,3 +232,16 @@
     assert_eq!(registry.len(), MAX_SUSPECTS);
     assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Reject);
 }
+
+/// Guards against a request that is admitted again because crashes beyond the limit were not
+/// recorded and an earlier one is withdrawn.
+#[test]
+fn crash_beyond_the_limit_replaces_a_withdrawn_one() {
+    let mut registry = SuspectRegistry::new();
+    for server in ["a", "b", "c"] {
+        record_local_crash(&mut registry, crash("r", server, 1));
+    }
+    let withdrawn = SuspectMessage::Withdraw { crashes: vec![crash("r", "a", 1)] };
+    receive(&mut registry, withdrawn);
+    assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Reject);
+}
