Give a restarted node its part of the retry slack only after a window

Cause: a node forgets in a restart which retries it has spent, and counts only the nodes that it knows. Nodes that restart together spend their slack twice in one window; a node that knows no other one divides it by one. Change: unless the settings say that the whole system starts for the first time, a node retries only for the requests it gets itself until one window has passed since it read the list of nodes from the store.

--- a/crates/core/src/traffic/retry_budget.rs
+++ b/crates/core/src/traffic/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! In each window, the fleet may retry a share of its requests, `ratio`, plus a fixed number, the
 //! slack. A node counts only the requests that it received itself and its part of the slack. The
-//! sum over all nodes therefore stays within the budget without any coordination.
+//! sum over all nodes therefore stays within the budget without any coordination. A node that starts
+//! gets its part of the slack one window later, as it does not know what it spent before.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -10,8 +11,8 @@
 
 /// Width of the time buckets in which requests and retries are counted.
 const BUCKET_WIDTH: Duration = Duration::from_millis(250);
-/// Part of its share that a node may spend. The rest covers nodes that forget in a restart what
-/// they have spent.
+/// Part of its share that a node may spend. The rest covers nodes that have joined and are not yet
+/// counted by the others.
 const SPENDABLE_SHARE: f64 = 0.8;
 
 /// Budget of the whole fleet, and the number of nodes that share it.
@@ -25,6 +26,9 @@
     pub window: Duration,
     /// Number of nodes that share the slack.
     pub nodes: usize,
+    /// When the node gets its part of the slack; `None` if it does not know all nodes yet. An
+    /// earlier run of the node may have spent its part in the window that ends before that.
+    pub slack_from: Option<ClockTime>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,7 +65,8 @@
         self.bucket(now, share);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = share.slack / share.nodes.max(1) as f64;
+        let has_slack = share.slack_from.is_some_and(|from| now >= from);
+        let slack = if has_slack { share.slack / share.nodes.max(1) as f64 } else { 0.0 };
         SPENDABLE_SHARE * (share.ratio * f64::from(requests) + slack) - f64::from(retries)
     }
 
--- a/crates/core/tests/traffic_limits.rs
+++ b/crates/core/tests/traffic_limits.rs
@@ -16,6 +16,42 @@
     ClockTime::from_millis(ms)
 }
 
+/// Guards against nodes that restart together and spend their part of the slack again in the same
+/// window, as they have forgotten the retries before.
+#[test]
+fn restarted_nodes_stay_within_the_budget_of_the_fleet() {
+    struct Case {
+        nodes: usize,
+        requests_per_node: u64,
+    }
+    let cases = [
+        Case { nodes: 9, requests_per_node: 0 },
+        Case { nodes: 9, requests_per_node: 20 },
+        Case { nodes: 86, requests_per_node: 10 },
+    ];
+    let (ratio, slack) = (0.2, 58.0);
+    for case in cases {
+        let mut sent = 0;
+        // All nodes stop after 9 s and have read the list of nodes again at 9.5 s.
+        for (at, slack_from) in [(9_000, ClockTime::ZERO), (10_000, millis(9_500) + WINDOW)] {
+            let slack_from = Some(slack_from);
+            let share = BudgetShare { ratio, slack, window: WINDOW, nodes: case.nodes, slack_from };
+            for _ in 0..case.nodes {
+                let mut budget = RetryBudget::default();
+                for _ in 0..case.requests_per_node {
+                    budget.on_request(millis(at - 500), &share);
+                }
+                while budget.try_spend(millis(at), &share) {
+                    sent += 1;
+                }
+            }
+        }
+        let requests = (2 * case.requests_per_node * case.nodes as u64) as f64;
+        let allowed = ratio * requests + slack;
+        assert!(f64::from(sent) <= allowed, "{} nodes: {sent} of {allowed}", case.nodes);
+    }
+}
+
 /// Guards against nodes that together retry more than the budget of the fleet allows in a window.
 #[test]
 fn shares_of_all_nodes_stay_within_the_budget_of_the_fleet() {
@@ -32,8 +68,13 @@
         Case { nodes: 1, requests_per_node: 500, ratio: 0.2, slack: 58.0 },
     ];
     for case in cases {
-        let share =
-            BudgetShare { ratio: case.ratio, slack: case.slack, window: WINDOW, nodes: case.nodes };
+        let share = BudgetShare {
+            ratio: case.ratio,
+            slack: case.slack,
+            window: WINDOW,
+            nodes: case.nodes,
+            slack_from: Some(ClockTime::ZERO),
+        };
         let mut sent = 0;
         for _ in 0..case.nodes {
             let mut budget = RetryBudget::default();
@@ -63,7 +104,8 @@
         Case { after_ms: 10_000, allowed: false },
         Case { after_ms: 10_600, allowed: true },
     ];
-    let share = BudgetShare { ratio: 0.2, slack: 18.0, window: WINDOW, nodes: 9 };
+    let slack_from = Some(ClockTime::ZERO);
+    let share = BudgetShare { ratio: 0.2, slack: 18.0, window: WINDOW, nodes: 9, slack_from };
     for case in cases {
         let mut budget = RetryBudget::default();
         let start = millis(50_000);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -56,6 +56,10 @@
     /// Source of randomness for all decisions.
     pub rng: SmallRng,
     retry_budgets: HashMap<String, RetryBudget>,
+    /// When this node first read the list of nodes from the platform's store.
+    members_known_at: Option<ClockTime>,
+    /// Time from then until this node may spend its part of the slack of the retry budget.
+    slack_delay: std::time::Duration,
     /// Whether the last call to the platform's store got a reply.
     store_reachable: bool,
     store_changed_at: ClockTime,
@@ -108,6 +112,9 @@
             margin: LEASE_MARGIN,
             predecessor_wait: bounds.holder_gap,
         };
+        // Before the first start, no earlier run can have spent retries.
+        let slack_delay =
+            if settings.first_start { Default::default() } else { bounds.retry_window };
         let state = NodeState {
             routes: RouteTable::default(),
             registry: ServerRegistry::default(),
@@ -123,6 +130,8 @@
             cache_store_epoch: Some(0),
             rng: SmallRng::seed_from_u64(seed),
             retry_budgets: HashMap::new(),
+            members_known_at: None,
+            slack_delay,
             store_reachable: false,
             store_changed_at: clock::now(),
         };
@@ -205,6 +214,11 @@
         self.store_reachable
     }
 
+    /// Records that the list of nodes was read from the platform's store.
+    pub fn on_members_read(&mut self, now: ClockTime) {
+        self.members_known_at.get_or_insert(now);
+    }
+
     /// Records whether the KV cache store responds, and its epoch. Forgets what was saved there if
     /// it is down or has restarted.
     pub fn update_cache_store(&mut self, up: bool, epoch: u64) {
@@ -245,6 +259,7 @@
             slack: bounds.retry_slack,
             window: bounds.retry_window,
             nodes: self.members.recent_node_count(),
+            slack_from: self.members_known_at.map(|known_at| known_at + self.slack_delay),
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -25,6 +25,8 @@
     pub metrics_address: SocketAddr,
     /// Peer addresses of nodes to ask while no other node is known.
     pub seed_addresses: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Bandwidth of this VM's link, in Mbit/s.
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -205,6 +205,7 @@
     if mirror.revision >= node.state.borrow().mirror.revision {
         apply_snapshot::<A>(node, mirror);
     }
+    node.state.borrow_mut().on_members_read(clock::now());
     Ok(true)
 }
 
