Search each byte of a stream once for the end of its event

What callers would see: a server that sends bytes without the end of an event, in small pieces, slows down all requests of the node. Cause: each piece made the splitter search, and copy, all bytes of the incomplete event again, up to 1 MiB for each piece.

--- a/crates/core/src/traffic/event_stream.rs
+++ b/crates/core/src/traffic/event_stream.rs
@@ -20,14 +20,19 @@
 /// Buffers the bytes of an incomplete event, and checks that event ids increase.
 #[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
+    /// Bytes of the event that is not complete.
     pending: Vec<u8>,
+    /// Length of the part of `pending` that was searched for the end of the event.
+    searched: usize,
+    /// Where the last line of that part begins. Invariant: at most `searched`.
+    line_start: usize,
     last_event_id: Option<u64>,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event `last_event_id`.
     pub fn resume_after(last_event_id: Option<u64>) -> EventSplitter {
-        EventSplitter { pending: Vec::new(), last_event_id }
+        EventSplitter { last_event_id, ..EventSplitter::default() }
     }
 
     /// Adds bytes of the stream and returns the events that are now complete.
@@ -39,19 +44,24 @@
         self.pending.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         let mut start = 0;
-        while let Some(end) = event_end(&self.pending[start..]) {
-            if let Some(id) = event_id(&self.pending[start..start + end]) {
+        while let Some(end) = self.find_event_end() {
+            if let Some(id) = event_id(&self.pending[start..end]) {
                 if self.last_event_id.is_some_and(|last| id <= last) {
                     return Err(EventError::OutOfOrder);
                 }
                 self.last_event_id = Some(id);
             }
             complete.event_count += 1;
-            start += end;
+            start = end;
         }
         if self.pending.len() - start > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
+        if start == 0 {
+            return Ok(complete);
+        }
+        self.searched -= start;
+        self.line_start -= start;
         let rest = self.pending.split_off(start);
         complete.bytes = mem::replace(&mut self.pending, rest);
         Ok(complete)
@@ -70,6 +80,28 @@
     /// Discards the bytes of an event that its server did not complete.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
+        self.searched = 0;
+        self.line_start = 0;
+    }
+
+    /// Searches the bytes that were not searched yet. Returns where the next event ends, including
+    /// the blank line, or `None` if it is incomplete.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let unsearched = |splitter: &Self| {
+            splitter.pending[splitter.searched..].iter().position(|byte| *byte == b'\n')
+        };
+        while let Some(offset) = unsearched(self) {
+            let line_end = self.searched + offset;
+            let line = &self.pending[self.line_start..line_end];
+            let is_blank = line.is_empty() || line == b"\r";
+            self.searched = line_end + 1;
+            self.line_start = self.searched;
+            if is_blank {
+                return Some(self.searched);
+            }
+        }
+        self.searched = self.pending.len();
+        None
     }
 }
 
@@ -82,22 +114,6 @@
     TooLong,
 }
 
-/// Length of the first event, including the blank line that ends it; `None` if it is incomplete.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/core/tests/traffic_limits.rs
+++ b/crates/core/tests/traffic_limits.rs
@@ -244,3 +244,19 @@
         assert_eq!(splitter.is_at_boundary(), case.at_boundary, "{:?}", case.chunks);
     }
 }
+
+/// Guards against a server that sends bytes without an event in small pieces, each of which makes the
+/// splitter search all earlier ones again. A quadratic search does not end within minutes.
+#[test]
+fn endless_event_is_an_error_after_one_search() {
+    for piece in ["x", "x\n", "data: x\r\n"] {
+        let mut splitter = EventSplitter::default();
+        let error = loop {
+            match splitter.push(piece.as_bytes()) {
+                Ok(complete) => assert_eq!(complete.event_count, 0, "{piece:?}"),
+                Err(error) => break error,
+            }
+        };
+        assert_eq!(error, EventError::TooLong, "{piece:?}");
+    }
+}
