Bound the bytes that a server in trouble can make a node take

What callers would see: a node of 88 or 110 MB is killed for its memory, with all its requests, when a few servers send bodies without end. Cause: each response could take 16 MiB, a rejection as much within 100 ms, and bytes from which no head or body part comes out were read until the deadline. Change: a connection is closed after 256 KiB without a part of a response; heads have at most 64 KiB, bodies 4 MiB, rejections 16 KiB; responses share 16 MiB beyond 64 KiB each; receive buffers of connections to servers are 256 KiB. Bytes that are no response no longer count as a crash by themselves, since their server lives; the run stays unresolved. A response of 4 to 16 MiB now gets 502.

--- a/crates/core/src/traffic/event_stream.rs
+++ b/crates/core/src/traffic/event_stream.rs
@@ -72,6 +72,11 @@
         self.last_event_id
     }
 
+    /// Number of bytes of the incomplete event.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether the bytes so far end with a complete event.
     pub fn is_at_boundary(&self) -> bool {
         self.pending.is_empty()
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -21,7 +21,7 @@
     body::ResponseBody,
     cache_salt::format_salt,
     clock,
-    connection::{ConnectionError, read_body},
+    connection::ConnectionError,
     crashes::{self, RunGuard},
     flight::FlightGuard,
     headers::{client_response, has_explicit_end, keep_alive_timeout, origin_form},
@@ -32,7 +32,11 @@
 };
 
 /// Maximum size of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// The rest of a rejection is read for at most this long.
+const REJECTION_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum size of the body of a rejection, which no client sees.
+const MAX_REJECTION_BYTES: usize = 16 * 1024;
 /// A request is sent only if its expected wait is at most this fraction of the target latency:
 /// under overload the actual wait is about a third longer than the expected one.
 const MAX_WAIT_FRACTION: f64 = 0.7;
@@ -141,8 +145,7 @@
         if head.request_id.as_deref() != Some(context.info.request_id.as_str()) {
             // The response belongs to an earlier request, so nothing on this connection can be
             // trusted.
-            self.finish_run(RunEnd::Unanswered, "response to another request");
-            let cause = ConnectionError::Broken("response to another request".to_string());
+            let cause = ConnectionError::Invalid("response to another request".to_string());
             return self.on_connection_error(node, context, &cause);
         }
         if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -164,16 +167,17 @@
     ) -> AttemptResult {
         let (parts, body) = response.into_parts();
         let left = context.time_left(clock::now());
-        let body = match timeout(left, read_body(body, MAX_RESPONSE_BYTES)).await {
+        let memory = Some(node.response_memory.share());
+        let reading = self.connection.connection.read_body(body, MAX_RESPONSE_BYTES, memory);
+        let body = match timeout(left, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(cause)) => return self.on_connection_error(node, context, &cause),
             Err(_) => return self.on_connection_error(node, context, &ConnectionError::TimedOut),
         };
         let status = parts.status;
         if status.is_success() && !head.signed {
-            self.finish_run(RunEnd::Unanswered, "response without a signature");
             let cause =
-                ConnectionError::Broken("successful response without a signature".to_string());
+                ConnectionError::Invalid("successful response without a signature".to_string());
             return self.on_connection_error(node, context, &cause);
         }
         let response = client_response(status, &parts.headers, ResponseBody::whole(body));
@@ -209,10 +213,9 @@
         let keep_alive = keep_alive_timeout(response.headers());
         // The rest of a rejection is short. If it does not arrive in time, the connection is
         // closed.
-        if timeout(Duration::from_millis(100), read_body(response.into_body(), MAX_RESPONSE_BYTES))
-            .await
-            .is_ok_and(|read| read.is_ok())
-        {
+        let body = response.into_body();
+        let reading = self.connection.connection.read_body(body, MAX_REJECTION_BYTES, None);
+        if timeout(REJECTION_TIMEOUT, reading).await.is_ok_and(|read| read.is_ok()) {
             self.connection.return_to_pool(keep_alive);
         }
         AttemptResult::Ended(AttemptOutcome::Rejected)
@@ -227,13 +230,15 @@
         let run_end = match cause {
             ConnectionError::NotSent(_) => RunEnd::Refused,
             ConnectionError::Broken(_) => RunEnd::Broken,
-            ConnectionError::TimedOut => RunEnd::Unanswered,
+            ConnectionError::Invalid(_) | ConnectionError::TimedOut => RunEnd::Unanswered,
         };
         self.finish_run(run_end, &cause.to_string());
         log_failure(context, &self.instance, &self.choice, &cause.to_string());
         let end = match cause {
             ConnectionError::NotSent(_) => AttemptOutcome::NotSent,
-            ConnectionError::Broken(_) | ConnectionError::TimedOut => AttemptOutcome::Unknown,
+            ConnectionError::Broken(_)
+            | ConnectionError::Invalid(_)
+            | ConnectionError::TimedOut => AttemptOutcome::Unknown,
         };
         match cause {
             // A server that still answers other requests under load is not silent.
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -5,9 +5,9 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -15,7 +15,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::{task::AbortHandle, time::timeout};
 
-use crate::tcp;
+use crate::{
+    metered_stream::{MeteredStream, ReadAllowance},
+    response_memory::MemoryShare,
+    tcp,
+};
+
+/// Size of the buffer in which a response head is read.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Why a request got no response.
 #[derive(Debug)]
@@ -24,6 +31,8 @@
     NotSent(String),
     /// The connection broke or the peer sent no valid response; the request may have run.
     Broken(String),
+    /// The peer sent bytes that are no response, or too many; the request may have run.
+    Invalid(String),
     /// No response in time; the request may have run.
     TimedOut,
 }
@@ -33,6 +42,7 @@
         match self {
             ConnectionError::NotSent(cause) => write!(f, "failed to send: {cause}"),
             ConnectionError::Broken(cause) => write!(f, "failed to read a response: {cause}"),
+            ConnectionError::Invalid(cause) => write!(f, "invalid response: {cause}"),
             ConnectionError::TimedOut => f.write_str("response timed out"),
         }
     }
@@ -42,6 +52,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     task: AbortHandle,
 }
 
@@ -58,7 +69,9 @@
             Ok(Err(cause)) => return Err(ConnectionError::NotSent(cause.to_string())),
             Err(_) => return Err(ConnectionError::NotSent("connection timed out".to_string())),
         };
-        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let allowance = ReadAllowance::new();
+        let stream = TokioIo::new(MeteredStream::new(stream, allowance.clone()));
+        let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let (sender, connection) =
             handshake.map_err(|cause| ConnectionError::NotSent(cause.to_string()))?;
         let task = actix_rt::spawn(async move {
@@ -66,7 +79,7 @@
                 log::debug!(cause:% = cause; "outgoing connection ended");
             }
         });
-        Ok(HttpConnection { sender, task: task.abort_handle() })
+        Ok(HttpConnection { sender, allowance, task: task.abort_handle() })
     }
 
     /// Whether the connection can carry another request now.
@@ -86,21 +99,64 @@
         request: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<Response<Incoming>, ConnectionError> {
+        self.allowance.renew();
         match timeout(time_limit, self.sender.try_send_request(request)).await {
             Err(_) => Err(ConnectionError::TimedOut),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                self.allowance.renew();
+                Ok(response)
+            }
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().is_some();
-                let cause = error_chain(error.error());
                 Err(if unsent {
-                    ConnectionError::NotSent(cause)
+                    ConnectionError::NotSent(error_chain(error.error()))
                 } else {
-                    ConnectionError::Broken(cause)
+                    self.response_error(error.error())
                 })
             }
         }
     }
 
+    /// Reads the next part of a body, without trailers. Returns `None` at its end.
+    pub async fn read_part(&self, body: &mut Incoming) -> Result<Option<Bytes>, ConnectionError> {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.response_error(&error))?;
+            if let Ok(data) = frame.into_data() {
+                self.allowance.renew();
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads a body to its end. Fails if it is larger than `max_bytes` or the memory that is left.
+    pub async fn read_body(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        mut memory: Option<MemoryShare>,
+    ) -> Result<Bytes, ConnectionError> {
+        let mut read = BytesMut::new();
+        while let Some(data) = self.read_part(&mut body).await? {
+            let size = read.len() + data.len();
+            let fits = memory.as_mut().is_none_or(|memory| memory.resize(size));
+            if size > max_bytes || !fits {
+                return Err(ConnectionError::Invalid(format!("body has {size} bytes or more")));
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+
+    fn response_error(&self, error: &hyper::Error) -> ConnectionError {
+        let cause = error_chain(error);
+        if error.is_parse() || self.allowance.is_spent() {
+            ConnectionError::Invalid(cause)
+        } else {
+            ConnectionError::Broken(cause)
+        }
+    }
+
     /// Sends a request and reads the whole response. `time_limit` covers both.
     pub async fn call(
         &mut self,
@@ -110,7 +166,7 @@
     ) -> Result<Response<Bytes>, ConnectionError> {
         let exchange = async {
             let (head, body) = self.send(request, time_limit).await?.into_parts();
-            Ok(Response::from_parts(head, read_body(body, max_bytes).await?))
+            Ok(Response::from_parts(head, self.read_body(body, max_bytes, None).await?))
         };
         timeout(time_limit, exchange).await.unwrap_or(Err(ConnectionError::TimedOut))
     }
@@ -122,17 +178,6 @@
     }
 }
 
-/// Reads a response body to its end. Fails if it is larger than `max_bytes`.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ConnectionError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(cause) if cause.is::<LengthLimitError>() => {
-            Err(ConnectionError::Broken(format!("response is larger than {max_bytes} bytes")))
-        }
-        Err(cause) => Err(ConnectionError::Broken(cause.to_string())),
-    }
-}
-
 fn error_chain(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
         Some(source) => format!("{error}: {source}"),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
     members::MemberTable,
     notices::NodeNotice,
     pool::ConnectionPool,
+    response_memory::ResponseMemory,
     settings::{NodeBounds, NodeSettings},
     store_sync::StoreMirror,
 };
@@ -73,6 +74,8 @@
     pub incarnation: u64,
     /// State behind the decisions. Never borrowed across an await.
     pub state: RefCell<NodeState>,
+    /// Memory for servers' responses.
+    pub response_memory: Rc<ResponseMemory>,
     /// Connections to backend servers.
     pub pool: Rc<ConnectionPool>,
     /// Requests being handled on all listeners.
@@ -139,6 +142,7 @@
             settings,
             incarnation: seed,
             state: RefCell::new(state),
+            response_memory: Rc::default(),
             pool: Rc::default(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,7 +12,6 @@
     traffic::{AttemptOutcome, EventSplitter, NextStep, RunEnd},
 };
 use http::{HeaderMap, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::{
     sync::mpsc,
@@ -24,6 +23,7 @@
     attempt::{Attempt, AttemptResult, OpenError, record_timeout, record_unresponsive},
     body::{ResponseBody, StreamChunk},
     clock,
+    connection::{ConnectionError, HttpConnection},
     headers::{client_response, has_explicit_end, keep_alive_timeout},
     node::Node,
     request::{RequestContext, log_end},
@@ -45,6 +45,8 @@
     TimedOut,
     /// The server broke off; the text says why.
     Broken(String),
+    /// The server sent bytes that do not continue the stream; the text says why.
+    Invalid(String),
     /// The server sent no event within the stall timeout.
     Stalled,
 }
@@ -126,7 +128,7 @@
         mut framing: StreamFraming,
     ) -> &'static str {
         loop {
-            match self.forward_events(&mut body).await {
+            match self.forward_events(&mut body, &attempt.connection.connection).await {
                 SegmentEnd::Complete => {
                     let (end, cause) = if framing.has_explicit_end && self.timing.events > 0 {
                         (RunEnd::Completed, "")
@@ -151,6 +153,11 @@
                     self.log_break(&attempt, &cause);
                     record_unresponsive(&self.node, attempt.choice.server);
                 }
+                SegmentEnd::Invalid(cause) => {
+                    attempt.finish_run(RunEnd::Unanswered, &cause);
+                    self.log_break(&attempt, &cause);
+                    record_unresponsive(&self.node, attempt.choice.server);
+                }
                 SegmentEnd::Stalled => {
                     attempt.finish_run(RunEnd::Unanswered, "no event within the stall timeout");
                     self.log_break(&attempt, "no event within the stall timeout");
@@ -170,31 +177,42 @@
     }
 
     /// Forwards whole events until this server's part of the stream ends.
-    async fn forward_events(&mut self, body: &mut Incoming) -> SegmentEnd {
+    async fn forward_events(
+        &mut self,
+        body: &mut Incoming,
+        connection: &HttpConnection,
+    ) -> SegmentEnd {
+        let mut memory = self.node.response_memory.share();
         let deadline = Instant::now() + self.context.time_left(clock::now());
         loop {
             let stalls_at =
                 self.stall_timeout().map_or(deadline, |time| (Instant::now() + time).min(deadline));
-            let frame = tokio::select! {
+            let part = tokio::select! {
                 biased;
                 () = self.chunk_sender.closed() => return SegmentEnd::ClientLeft,
-                frame = body.frame() => frame,
+                part = connection.read_part(body) => part,
                 () = sleep_until(stalls_at) => {
                     return if Instant::now() >= deadline { SegmentEnd::TimedOut } else { SegmentEnd::Stalled };
                 }
             };
-            let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(cause)) => return SegmentEnd::Broken(cause.to_string()),
-                None if self.splitter.is_at_boundary() => return SegmentEnd::Complete,
-                None => return SegmentEnd::Broken("stream ended within an event".to_string()),
+            let data = match part {
+                Ok(Some(data)) => data,
+                Err(ConnectionError::Invalid(cause)) => return SegmentEnd::Invalid(cause),
+                Err(cause) => return SegmentEnd::Broken(cause.to_string()),
+                Ok(None) if self.splitter.is_at_boundary() => return SegmentEnd::Complete,
+                Ok(None) => return SegmentEnd::Broken("stream ended within an event".to_string()),
             };
             let complete = match self.splitter.push(&data) {
                 Ok(complete) => complete,
                 Err(cause) => {
-                    return SegmentEnd::Broken(format!("failed to continue the stream: {cause:?}"));
+                    return SegmentEnd::Invalid(format!(
+                        "failed to continue the stream: {cause:?}"
+                    ));
                 }
             };
+            if !memory.resize(self.splitter.pending_bytes()) {
+                return SegmentEnd::Invalid("no memory for the rest of an event".to_string());
+            }
             if complete.bytes.is_empty() {
                 continue;
             }
--- a/crates/node/src/tcp.rs
+++ b/crates/node/src/tcp.rs
@@ -16,10 +16,16 @@
 /// The connection is broken if sent bytes stay unacknowledged for this long.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Size of the receive buffer of an outgoing connection. Unread bytes count as memory of the node.
+const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Opens a connection that detects a silent peer.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
     detect_dead_peer(&stream)?;
+    if let Err(cause) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!(cause:% = cause; "failed to limit the receive buffer of a connection");
+    }
     Ok(stream)
 }
 
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -5,9 +5,13 @@
     collections::VecDeque,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -21,6 +25,9 @@
 /// Size of the read buffer, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Size of the send buffer of an endless response, in bytes.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// How a backend server responds to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BackendResponse {
@@ -33,6 +40,13 @@
     SendAndReset(String),
     /// Sends nothing and keeps the connection open.
     NoResponse,
+    /// Sends `head`, then `piece` again and again until the client closes the connection.
+    Endless {
+        /// Sent first.
+        head: String,
+        /// Sent repeatedly.
+        piece: String,
+    },
 }
 
 /// A request that a backend server received.
@@ -65,6 +79,8 @@
     /// Number of requests received, without requests for cache events, and number of connections
     /// closed by the client or by a failed write.
     counts: watch::Sender<(usize, usize)>,
+    /// Bytes of endless responses that the system has taken from the server so far.
+    endless_bytes: AtomicUsize,
 }
 
 /// Handle of a running backend server. Clones refer to the same server.
@@ -86,6 +102,7 @@
         events_read: watch::channel(0).0,
         recorded: Mutex::default(),
         counts: watch::channel((0, 0)).0,
+        endless_bytes: AtomicUsize::new(0),
     });
     let accepting = shared.clone();
     actix_rt::spawn(async move {
@@ -139,6 +156,11 @@
         self.wait(|(requests, _)| requests >= count).await;
     }
 
+    /// Returns the number of bytes of endless responses that were sent so far.
+    pub fn endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Waits until `count` connections have been closed by their clients since the start.
     pub async fn wait_for_closes(&self, count: usize) {
         self.wait(|(_, closes)| closes >= count).await;
@@ -174,6 +196,11 @@
             BackendResponse::SendAndClose(text) => (text, Some(false)),
             BackendResponse::SendAndReset(text) => (text, Some(true)),
             BackendResponse::NoResponse => (String::new(), None),
+            BackendResponse::Endless { head, piece } => {
+                let head = head.replace(ID_PLACEHOLDER, &id);
+                send_endless(&shared, &mut stream, &head, &piece).await;
+                break;
+            }
         };
         if stream.write_all(text.replace(ID_PLACEHOLDER, &id).as_bytes()).await.is_err() {
             break;
@@ -192,6 +219,20 @@
     shared.counts.send_modify(|counts| counts.1 += 1);
 }
 
+/// Sends bytes until the client closes the connection.
+async fn send_endless(shared: &BackendShared, stream: &mut TcpStream, head: &str, piece: &str) {
+    // Bytes that wait in a send buffer have not been taken by the client.
+    if SockRef::from(&*stream).set_send_buffer_size(SEND_BUFFER_BYTES).is_err() {
+        return;
+    }
+    let piece = piece.repeat(READ_BYTES.div_ceil(piece.len()));
+    let mut next = head.as_bytes();
+    while stream.write_all(next).await.is_ok() {
+        shared.endless_bytes.fetch_add(next.len(), Ordering::Relaxed);
+        next = piece.as_bytes();
+    }
+}
+
 /// Returns the number of events already read if this is a request for cache events, else `None`.
 fn parse_events_query(request: &RecordedRequest) -> Option<usize> {
     let target = request.head.strip_prefix("GET /kv-events?since=")?;
