--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -190,7 +190,10 @@
                 broadcast_record(node, state, fingerprint);
             }
             CrashEvent::Learned { fingerprint, crashes } => {
-                log::info!(fingerprint:% = fingerprint, crashes, cause = cause; "learned of crashes");
+                // After a single crash, all requests that ran at the server have one.
+                if crashes > 1 {
+                    log::info!(fingerprint:% = fingerprint, crashes, cause = cause; "learned of crashes");
+                }
                 metrics::counter!("carobvane_crashes_counted_total", "source" => "peer")
                     .increment(1);
             }
