Do not count bytes that are no response as the end of their server

What callers would see: a request is rejected with 503 for two minutes because three times a server that lives sent garbage, another request's response or one without a signature. Cause: such bytes, and a node that had used up its own connections to a server, were taken as lost connections to it, which counted all runs there that had no response yet. Change: only a broken connection, or one that cannot be opened, is a lost one. Evidence: bytes_that_are_no_response_are_no_crash got 503 at its fourth attempt before, and six times 502 now. Checked: all tests of the platform, linter.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -119,6 +119,9 @@
             Err(cause) => {
                 log_failure(context, &instance, &choice, &cause.to_string());
                 record_unresponsive(node, choice.server);
+                if !matches!(cause, ConnectionError::PoolFull) {
+                    record_lost(node, choice.server);
+                }
                 Err(OpenError::Ended(AttemptOutcome::NotSent))
             }
         }
@@ -228,14 +231,14 @@
         cause: &ConnectionError,
     ) -> AttemptResult {
         let run_end = match cause {
-            ConnectionError::NotSent(_) => RunEnd::Refused,
+            ConnectionError::NotSent(_) | ConnectionError::PoolFull => RunEnd::Refused,
             ConnectionError::Broken(_) => RunEnd::Broken,
             ConnectionError::Invalid(_) | ConnectionError::TimedOut => RunEnd::Unanswered,
         };
         self.finish_run(run_end, &cause.to_string());
         log_failure(context, &self.instance, &self.choice, &cause.to_string());
         let end = match cause {
-            ConnectionError::NotSent(_) => AttemptOutcome::NotSent,
+            ConnectionError::NotSent(_) | ConnectionError::PoolFull => AttemptOutcome::NotSent,
             ConnectionError::Broken(_)
             | ConnectionError::Invalid(_)
             | ConnectionError::TimedOut => AttemptOutcome::Unknown,
@@ -245,7 +248,13 @@
             ConnectionError::TimedOut => record_timeout(node, self.choice.server, self.sent_at),
             // The server closed an idle connection, which says nothing about its health.
             ConnectionError::NotSent(_) if !self.connection.newly_opened => {}
-            _ => record_unresponsive(node, self.choice.server),
+            ConnectionError::Invalid(_) | ConnectionError::PoolFull => {
+                record_unresponsive(node, self.choice.server);
+            }
+            ConnectionError::NotSent(_) | ConnectionError::Broken(_) => {
+                record_unresponsive(node, self.choice.server);
+                record_lost(node, self.choice.server);
+            }
         }
         AttemptResult::Ended(end)
     }
@@ -356,6 +365,10 @@
         known.health.on_no_response(clock::now());
         node.broadcast(NodeNotice::Silent { instance: known.listing.instance.clone() });
     }
+}
+
+/// Records that connections to a server break or cannot be opened.
+pub fn record_lost(node: &Rc<Node>, server: ServerKey) {
     crashes::record_server_lost(node, &mut node.state.borrow_mut(), server);
 }
 
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -29,6 +29,8 @@
 pub enum ConnectionError {
     /// The connection was not established, or closed before any byte of the request was sent.
     NotSent(String),
+    /// This node already has as many connections to the server as it may open.
+    PoolFull,
     /// The connection broke or the peer sent no valid response; the request may have run.
     Broken(String),
     /// The peer sent bytes that are no response, or too many; the request may have run.
@@ -41,6 +43,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConnectionError::NotSent(cause) => write!(f, "failed to send: {cause}"),
+            ConnectionError::PoolFull => f.write_str("too many connections to the server"),
             ConnectionError::Broken(cause) => write!(f, "failed to read a response: {cause}"),
             ConnectionError::Invalid(cause) => write!(f, "invalid response: {cause}"),
             ConnectionError::TimedOut => f.write_str("response timed out"),
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -84,9 +84,7 @@
             connections.open += 1;
             if connections.open > max_open {
                 drop(servers);
-                return Err(ConnectionError::NotSent(
-                    "too many connections to the server".to_string(),
-                ));
+                return Err(ConnectionError::PoolFull);
             }
         }
         metrics::counter!("carobvane_server_connections_opened_total").increment(1);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -20,7 +20,9 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    attempt::{Attempt, AttemptResult, OpenError, record_timeout, record_unresponsive},
+    attempt::{
+        Attempt, AttemptResult, OpenError, record_lost, record_timeout, record_unresponsive,
+    },
     body::{ResponseBody, StreamChunk},
     clock,
     connection::{ConnectionError, HttpConnection},
@@ -152,6 +154,7 @@
                     attempt.finish_run(RunEnd::Broken, &cause);
                     self.log_break(&attempt, &cause);
                     record_unresponsive(&self.node, attempt.choice.server);
+                    record_lost(&self.node, attempt.choice.server);
                 }
                 SegmentEnd::Invalid(cause) => {
                     attempt.finish_run(RunEnd::Unanswered, &cause);
