--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -5,11 +5,7 @@
 use bytes::Bytes;
 use carobvane_core::{
     clock::ClockTime,
-    ids::ServerKey,
-    traffic::{
-        AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
-        PlacementRequest, RunEnd, ServerLoad, cache_salt,
-    },
+    traffic::{AttemptOutcome, PlacementChoice, RunEnd, ServerLoad, cache_salt},
 };
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -22,13 +18,14 @@
     cache_salt::format_salt,
     clock,
     connection::ConnectionError,
-    crashes::{self, RunGuard},
+    crashes::RunGuard,
     flight::FlightGuard,
     headers::{client_response, has_explicit_end, keep_alive_timeout, origin_form},
     node::Node,
-    notices::NodeNotice,
     pool::PooledConnection,
     request::RequestContext,
+    server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server},
+    server_outcomes::{record_lost, record_timeout, record_unresponsive},
 };
 
 /// Maximum size of a response that is not streamed.
@@ -37,9 +34,6 @@
 const REJECTION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum size of the body of a rejection, which no client sees.
 const MAX_REJECTION_BYTES: usize = 16 * 1024;
-/// A request is sent only if its expected wait is at most this fraction of the target latency:
-/// under overload the actual wait is about a third longer than the expected one.
-const MAX_WAIT_FRACTION: f64 = 0.7;
 /// A repeatable request is retried at another server after this multiple of its expected duration.
 const TIMEOUT_FACTOR: f64 = 4.0;
 /// Every server gets at least this fraction of the target latency to respond.
@@ -65,17 +59,6 @@
     run: Option<RunGuard>,
 }
 
-/// Why no attempt could be opened.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum OpenError {
-    /// The connection to the chosen server could not be opened.
-    Ended(AttemptOutcome),
-    /// No server was chosen.
-    Refused(PlacementRefusal),
-    /// The request must not run, at least not now, since it crashed servers.
-    Suspect(CrashVerdict),
-}
-
 /// Outcome of an attempt.
 pub enum AttemptResult {
     /// The whole response, ready for the client.
@@ -337,41 +320,6 @@
     }
 }
 
-/// Returns where KV cache is fetched from and saved to.
-fn cache_transfer_addresses(
-    node: &Node,
-    choice: &PlacementChoice,
-) -> (Option<SocketAddr>, Option<SocketAddr>) {
-    let store = node.state.borrow().cache_store();
-    let fetch_from = choice.fetch_from.and_then(|from| match from {
-        CacheSource::Server(server) => node.server_endpoint(server).map(|(address, _)| address),
-        CacheSource::Store => store,
-    });
-    (fetch_from, store.filter(|_| choice.save_to_store))
-}
-
-/// Records that a server did not respond in time, unless it was heard from since `since`.
-pub fn record_timeout(node: &Rc<Node>, server: ServerKey, since: ClockTime) {
-    if let Some(known) = node.state.borrow_mut().registry.get_mut(server)
-        && !known.health.was_seen_since(since)
-    {
-        known.health.on_no_response(clock::now());
-    }
-}
-
-/// Records that a server did not respond, and informs the other nodes.
-pub fn record_unresponsive(node: &Rc<Node>, server: ServerKey) {
-    if let Some(known) = node.state.borrow_mut().registry.get_mut(server) {
-        known.health.on_no_response(clock::now());
-        node.broadcast(NodeNotice::Silent { instance: known.listing.instance.clone() });
-    }
-}
-
-/// Records that connections to a server break or cannot be opened.
-pub fn record_lost(node: &Rc<Node>, server: ServerKey) {
-    crashes::record_server_lost(node, &mut node.state.borrow_mut(), server);
-}
-
 fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &Attempt, failed: bool) {
     let now = clock::now();
     let took = now.since(attempt.sent_at);
@@ -396,56 +344,6 @@
     );
 }
 
-fn check_suspect(node: &Node, context: &RequestContext) -> Result<(), OpenError> {
-    let state = node.state.borrow();
-    match crashes::check_verdict(&state, &context.info.request_id, context.fingerprint) {
-        CrashVerdict::Allow => Ok(()),
-        verdict => Err(OpenError::Suspect(verdict)),
-    }
-}
-
-fn choose_server(
-    node: &Rc<Node>,
-    context: &RequestContext,
-) -> Result<(PlacementChoice, String), PlacementRefusal> {
-    let now = clock::now();
-    let state = &mut *node.state.borrow_mut();
-    let request = PlacementRequest {
-        service: &context.service,
-        model: context.info.model.as_deref(),
-        prompt: &context.info.prompt,
-        cache_scope: context.cache_scope,
-        bytes: context.body.len(),
-        has_cache_store: state.cache_store().is_some(),
-        nodes: state.members.live().count().max(1),
-        max_wait: max_expected_wait(context),
-        time_left: context.time_left(now),
-    };
-    let choice = state.planner.choose(
-        now,
-        &state.registry,
-        &request,
-        &context.tried_servers,
-        &mut state.rng,
-    )?;
-    let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
-    log::info!(
-        request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
-        expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
-        shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
-        prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
-        weighed = choice.candidate_count, config:? = state.routes.version();
-        "server chosen"
-    );
-    Ok((choice, server.listing.instance.clone()))
-}
-
-/// Returns the longest expected wait at which a request is still sent. One that would be late only
-/// delays those that can still be on time; its client is told when to retry instead.
-fn max_expected_wait(context: &RequestContext) -> Duration {
-    context.rule.target_latency.mul_f64(MAX_WAIT_FRACTION)
-}
-
 fn log_failure(context: &RequestContext, instance: &str, choice: &PlacementChoice, cause: &str) {
     log::info!(
         request = context.info.request_id, server = instance, cause = cause,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,9 +35,12 @@
 pub mod responses;
 mod rollout;
 mod rollout_lease;
+mod server_choice;
+mod server_outcomes;
 pub mod settings;
 mod sockets;
 mod store;
+mod store_changes;
 mod store_sync;
 mod tcp;
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -22,7 +22,8 @@
     settings::NodeSettings,
     sockets::NodeSockets,
     store::StoreClient,
-    store_sync::{self, drop_server_state},
+    store_changes::drop_server_state,
+    store_sync,
 };
 
 /// Exit code for invalid settings.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -20,15 +20,15 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    attempt::{
-        Attempt, AttemptResult, OpenError, record_lost, record_timeout, record_unresponsive,
-    },
+    attempt::{Attempt, AttemptResult},
     body::{ResponseBody, StreamChunk},
     clock,
     connection::{ConnectionError, HttpConnection},
     headers::{client_response, has_explicit_end, keep_alive_timeout},
     node::Node,
     request::{RequestContext, log_end},
+    server_choice::OpenError,
+    server_outcomes::{record_lost, record_timeout, record_unresponsive},
 };
 
 /// Chunks queued for a client that reads slowly.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -20,12 +20,13 @@
 
 use crate::{
     adapter::{PlatformAdapter, RequestInfo},
-    attempt::{Attempt, AttemptResult, OpenError},
+    attempt::{Attempt, AttemptResult},
     body::ResponseBody,
     cache_salt::cache_scope,
     clock, crashes,
     node::Node,
     relay, responses,
+    server_choice::OpenError,
 };
 
 /// A client is answered this much before its own deadline.
--- /dev/null
+++ b/crates/node/src/server_choice.rs
@@ -0,0 +1,89 @@
+//! Chooses a server for an attempt.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use carobvane_core::traffic::{
+    AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal, PlacementRequest,
+};
+
+use crate::{clock, crashes, node::Node, request::RequestContext};
+
+/// A request is sent only if its expected wait is at most this fraction of the target latency:
+/// under overload the actual wait is about a third longer than the expected one.
+const MAX_WAIT_FRACTION: f64 = 0.7;
+
+/// Why no attempt could be opened.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum OpenError {
+    /// The connection to the chosen server could not be opened.
+    Ended(AttemptOutcome),
+    /// No server was chosen.
+    Refused(PlacementRefusal),
+    /// The request must not run, at least not now, since it crashed servers.
+    Suspect(CrashVerdict),
+}
+
+/// Checks whether the request may run.
+pub fn check_suspect(node: &Node, context: &RequestContext) -> Result<(), OpenError> {
+    let state = node.state.borrow();
+    match crashes::check_verdict(&state, &context.info.request_id, context.fingerprint) {
+        CrashVerdict::Allow => Ok(()),
+        verdict => Err(OpenError::Suspect(verdict)),
+    }
+}
+
+/// Chooses a server, and returns the instance name with it.
+pub fn choose_server(
+    node: &Rc<Node>,
+    context: &RequestContext,
+) -> Result<(PlacementChoice, String), PlacementRefusal> {
+    let now = clock::now();
+    let state = &mut *node.state.borrow_mut();
+    let request = PlacementRequest {
+        service: &context.service,
+        model: context.info.model.as_deref(),
+        prompt: &context.info.prompt,
+        cache_scope: context.cache_scope,
+        bytes: context.body.len(),
+        has_cache_store: state.cache_store().is_some(),
+        nodes: state.members.live().count().max(1),
+        max_wait: max_expected_wait(context),
+        time_left: context.time_left(now),
+    };
+    let choice = state.planner.choose(
+        now,
+        &state.registry,
+        &request,
+        &context.tried_servers,
+        &mut state.rng,
+    )?;
+    let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
+    log::info!(
+        request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
+        expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
+        shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
+        prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
+        weighed = choice.candidate_count, config:? = state.routes.version();
+        "server chosen"
+    );
+    Ok((choice, server.listing.instance.clone()))
+}
+
+/// Returns the longest expected wait at which a request is still sent. One that would be late only
+/// delays those that can still be on time; its client is told when to retry instead.
+fn max_expected_wait(context: &RequestContext) -> Duration {
+    context.rule.target_latency.mul_f64(MAX_WAIT_FRACTION)
+}
+
+/// Returns where KV cache is fetched from and saved to.
+pub fn cache_transfer_addresses(
+    node: &Node,
+    choice: &PlacementChoice,
+) -> (Option<SocketAddr>, Option<SocketAddr>) {
+    let store = node.state.borrow().cache_store();
+    let fetch_from = choice.fetch_from.and_then(|from| match from {
+        CacheSource::Server(server) => node.server_endpoint(server).map(|(address, _)| address),
+        CacheSource::Store => store,
+    });
+    (fetch_from, store.filter(|_| choice.save_to_store))
+}
--- /dev/null
+++ b/crates/node/src/server_outcomes.rs
@@ -0,0 +1,29 @@
+//! Records what attempts show of the servers: their health, and lost connections.
+
+use std::rc::Rc;
+
+use carobvane_core::{clock::ClockTime, ids::ServerKey};
+
+use crate::{clock, crashes, node::Node, notices::NodeNotice};
+
+/// Records that a server did not respond in time, unless it was heard from since `since`.
+pub fn record_timeout(node: &Rc<Node>, server: ServerKey, since: ClockTime) {
+    if let Some(known) = node.state.borrow_mut().registry.get_mut(server)
+        && !known.health.was_seen_since(since)
+    {
+        known.health.on_no_response(clock::now());
+    }
+}
+
+/// Records that a server did not respond, and informs the other nodes.
+pub fn record_unresponsive(node: &Rc<Node>, server: ServerKey) {
+    if let Some(known) = node.state.borrow_mut().registry.get_mut(server) {
+        known.health.on_no_response(clock::now());
+        node.broadcast(NodeNotice::Silent { instance: known.listing.instance.clone() });
+    }
+}
+
+/// Records that connections to a server break or cannot be opened.
+pub fn record_lost(node: &Rc<Node>, server: ServerKey) {
+    crashes::record_server_lost(node, &mut node.state.borrow_mut(), server);
+}
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -1,32 +1,24 @@
-//! Keeps a copy of the platform's store and applies its changes to the node.
+//! Keeps a copy of the platform's store; [`store_changes`](crate::store_changes) applies its changes.
 //!
 //! A few nodes, the watchers, watch all keys and broadcast each change, since every open watch
 //! costs the store one call per change. The other nodes only check at times whether they missed a
 //! notice. While the store does not respond, a node asks other nodes for their copies, since the
 //! store may turn away one node and serve the rest.
 
-use std::{
-    collections::{BTreeMap, HashSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use carobvane_core::{
-    clock::ClockTime,
-    rendezvous::rendezvous_score,
-    traffic::{BackendServer, RegistryChange, ServerListing},
-};
+use carobvane_core::rendezvous::rendezvous_score;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    adapter::{FleetEntry, PlatformAdapter, StoreCall, StoreEvent, StoreItem, StoreReply},
-    clock, crash_store, crashes,
-    members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
-    node::{Node, NodeState},
+    adapter::{PlatformAdapter, StoreCall, StoreEvent, StoreItem, StoreReply},
+    clock,
+    node::Node,
     notices::{self, NodeNotice},
     peers,
     store::{CALL_TIMEOUT, StoreCallError, StoreClient},
+    store_changes::{apply_event, apply_snapshot},
 };
 
 /// Longest wait of a watch. A connection that has gone silent is noticed after this time.
@@ -48,8 +40,6 @@
 const RETRY_MIN: Duration = Duration::from_millis(80);
 /// Longest pause after a failed call.
 const RETRY_MAX: Duration = Duration::from_millis(400);
-/// Items of a snapshot count as this much older, since requests wait before they begin.
-const SNAPSHOT_AGE: Duration = Duration::from_secs(2);
 /// Time between two reads of another node's copy while the store does not respond.
 const PEER_READ_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -245,175 +235,3 @@
         _ => Ok(false),
     }
 }
-
-/// Applies a snapshot; keys that it lacks were removed.
-fn apply_snapshot<A: PlatformAdapter>(node: &Rc<Node>, mirror: StoreMirror) {
-    let known: Vec<String> = node.state.borrow().mirror.items.keys().cloned().collect();
-    let present: HashSet<&String> = mirror.items.keys().collect();
-    let gone: Vec<String> = known.into_iter().filter(|key| !present.contains(key)).collect();
-    for key in gone {
-        apply_event::<A>(
-            node,
-            StoreEvent::Removed { key, revision: mirror.revision },
-            Duration::ZERO,
-        );
-    }
-    // An item may have been written long before the snapshot is read. It binds this node from the
-    // time at which the deployment regards the node as connected.
-    let age = node.settings.bounds.stable_time + SNAPSHOT_AGE;
-    for item in mirror.items.into_values() {
-        apply_event::<A>(node, StoreEvent::Put(item), age);
-    }
-    node.state.borrow_mut().mirror.revision = mirror.revision;
-    node.rollout_wake.notify_one();
-}
-
-/// Applies a change that may be as old as `age`.
-fn apply_event<A: PlatformAdapter>(node: &Rc<Node>, event: StoreEvent, age: Duration) {
-    let now = clock::now();
-    let state = &mut *node.state.borrow_mut();
-    match event {
-        StoreEvent::Put(item) => {
-            let known = state.mirror.items.get(&item.key).map_or(0, |known| known.revision);
-            if item.revision <= known {
-                return;
-            }
-            if item.key.starts_with(KEY_PREFIX) {
-                apply_own_item(node, state, &item);
-            } else {
-                apply_entry(node, state, now - age, A::decode_entry(&item.key, &item.value));
-            }
-            state.mirror.items.insert(item.key.clone(), item);
-        }
-        StoreEvent::Removed { key, revision } => {
-            let known = state.mirror.items.get(&key).map_or(0, |known| known.revision);
-            if revision <= known {
-                return;
-            }
-            state.mirror.items.remove(&key);
-            if MemberTable::is_member_key(&key) {
-                log::info!(key = key; "node no longer registered");
-                state.members.mark_removed(now, &key);
-                if key == MemberRecord::key(&node.settings.name) {
-                    node.registration_wake.notify_one();
-                }
-            } else if let Some(fingerprint) = crash_store::decode_key(&key) {
-                state.crashes.on_stored_removed(fingerprint);
-            } else if key == LEASE_HOLDER_KEY {
-                node.rollout_wake.notify_one();
-            } else if let Some(instance) = A::instance_of_key(&key) {
-                let announced = state.registry.is_leaving(instance);
-                let gone = state.registry.on_listing_removed(now, instance);
-                log::info!(instance = instance, gone = gone.is_some(), revision; "server entry removed");
-                if let Some(server) = gone {
-                    if !announced {
-                        crashes::record_server_ended(node, state, server);
-                    }
-                    drop_server_state(node, state, server);
-                }
-            }
-        }
-    }
-}
-
-fn apply_own_item(node: &Rc<Node>, state: &mut NodeState, item: &StoreItem) {
-    if crash_store::is_crash_key(&item.key) {
-        match crash_store::decode_record(&item.key, &item.value) {
-            Ok(report) => crashes::apply_stored(node, state, &report),
-            Err(cause) => {
-                log::warn!(key = item.key, cause = cause; "failed to read a crash record")
-            }
-        }
-        return;
-    }
-    if !MemberTable::is_member_key(&item.key) {
-        node.rollout_wake.notify_one();
-        return;
-    }
-    match serde_json::from_slice::<MemberRecord>(&item.value) {
-        Ok(record) => {
-            log::info!(name = record.name, address:% = record.client_address; "node registered");
-            state.members.add(record);
-        }
-        Err(cause) => log::warn!(key = item.key, cause:% = cause; "failed to read a node's record"),
-    }
-}
-
-fn apply_entry(node: &Rc<Node>, state: &mut NodeState, since: ClockTime, fleet_entry: FleetEntry) {
-    match fleet_entry {
-        FleetEntry::Config(config) => {
-            let version = config.version;
-            let in_force = state.routes.version();
-            let taken = state.routes.apply(*config);
-            log::info!(version, in_force:? = in_force, taken; "configuration received");
-        }
-        FleetEntry::BadConfig(cause) => {
-            log::error!(cause = cause; "failed to read a configuration")
-        }
-        FleetEntry::Weights { model, version } => {
-            if state.planner.weights.announce(since, &model, version) {
-                log::info!(model = model, version = version.0; "weights named");
-            }
-            node.rollout_wake.notify_one();
-        }
-        FleetEntry::Server { listing: Some(listing), .. } => {
-            apply_server_listing(node, state, *listing)
-        }
-        FleetEntry::Server { instance, listing: None, problem } => {
-            log::warn!(instance = instance, problem = problem; "failed to read a server's entry");
-            if let Some(server) = state.registry.remove(&instance) {
-                drop_server_state(node, state, server);
-            }
-        }
-        FleetEntry::Other => {}
-    }
-}
-
-fn apply_server_listing(node: &Rc<Node>, state: &mut NodeState, listing: ServerListing) {
-    let previous = state.registry.key_of(&listing.instance);
-    let instance = listing.instance.clone();
-    let weights_version = listing.weights.first().map_or(0, |weights| weights.version.0);
-    let previous_version =
-        previous.and_then(|key| state.registry.get(key)).map_or(0, first_weights_version);
-    let announced = state.registry.is_leaving(&instance);
-    let change = state.registry.apply_listing(listing);
-    match change {
-        RegistryChange::Added(key) => {
-            if let Some(previous) = previous {
-                if !announced {
-                    crashes::record_server_ended(node, state, previous);
-                }
-                drop_server_state(node, state, previous);
-            }
-            let server = state.registry.get(key);
-            let service = server.map_or("", |server| server.listing.service.as_str());
-            log::info!(instance = instance, service = service, weights = weights_version; "server added");
-        }
-        RegistryChange::Updated(key) => {
-            if let Some(server) = state.registry.get_mut(key) {
-                // A changed weights version in the entry means that the load has ended.
-                if weights_version != previous_version {
-                    server.loading_until = ClockTime::ZERO;
-                }
-                let standing = server.availability;
-                log::info!(instance = instance, standing:? = standing, weights = weights_version; "server changed");
-            }
-        }
-        RegistryChange::Unchanged(_) => {}
-    }
-    node.rollout_wake.notify_one();
-}
-
-fn first_weights_version(server: &BackendServer) -> u64 {
-    server.listing.weights.first().map_or(0, |weights| weights.version.0)
-}
-
-/// Drops the connections and the KV cache records of a server incarnation that has ended.
-pub fn drop_server_state(
-    node: &Rc<Node>,
-    state: &mut NodeState,
-    server: carobvane_core::ids::ServerKey,
-) {
-    node.pool.remove_server(server);
-    state.planner.cache.remove_server(server);
-}
