Count changes that are read after a suspension as old as it may be

Cause: on the node that sent the request was frozen from 17.5 to 21.6 s, and the weights were named at 18.5 s. After it woke it read the change and counted the 8 s from then. Change: a node that did nothing for 1.5 s was suspended; what it reads within the next second counts as old as the begin of the suspension.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -23,6 +23,7 @@
 mod retry_budget;
 mod rollout;
 mod rollout_messages;
+mod suspension;
 mod unresolved_runs;
 mod weights_history;
 
@@ -51,5 +52,6 @@
     retry_budget::{BudgetShare, RetryBudget},
     rollout::RolloutPlanner,
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
+    suspension::SuspensionDetector,
     weights_history::WeightsHistory,
 };
--- a/crates/core/tests/traffic_rollout.rs
+++ b/crates/core/tests/traffic_rollout.rs
@@ -8,7 +8,7 @@
     orders::{LeaseEvent, LeaseTimes},
     traffic::{
         ListingState, ModelWeights, OrderReply, RolloutEffect, RolloutPlanner, RolloutSettings,
-        ServerListing, ServerRegistry, WeightsHistory,
+        ServerListing, ServerRegistry, SuspensionDetector, WeightsHistory,
     },
 };
 
@@ -293,3 +293,37 @@
         assert_eq!(fixture.behind(2), 0, "{engines} engines");
     }
 }
+
+/// Guards against a node that was suspended while new weights were named and counts the time in which
+/// older ones may still be used from its end.
+#[test]
+fn change_read_after_a_suspension_may_be_as_old() {
+    struct Case {
+        name: &'static str,
+        /// Times at which the node is active, in milliseconds.
+        active: &'static [u64],
+        read_at: u64,
+        max_age: u64,
+    }
+    let cases = [
+        Case { name: "first activity", active: &[5_000], read_at: 5_000, max_age: 0 },
+        Case { name: "active", active: &[500, 1_000, 1_500], read_at: 1_600, max_age: 0 },
+        Case { name: "late timer", active: &[500, 1_900], read_at: 1_900, max_age: 0 },
+        Case { name: "suspended", active: &[500, 4_600], read_at: 4_600, max_age: 4_100 },
+        Case {
+            name: "shortly after",
+            active: &[500, 4_600, 5_100],
+            read_at: 5_100,
+            max_age: 4_600,
+        },
+        Case { name: "long after", active: &[500, 4_600, 5_600], read_at: 5_600, max_age: 0 },
+    ];
+    for case in cases {
+        let mut detector = SuspensionDetector::default();
+        for at in case.active {
+            detector.on_active(ClockTime::from_millis(*at));
+        }
+        let age = detector.max_age(ClockTime::from_millis(case.read_at));
+        assert_eq!(age, Duration::from_millis(case.max_age), "{}", case.name);
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
     rendezvous::rendezvous_score,
     traffic::{
         BudgetShare, CrashTracker, PlacementPlanner, RetryBudget, RolloutPlanner, RolloutSettings,
-        RouteTable, ServerRegistry,
+        RouteTable, ServerRegistry, SuspensionDetector,
     },
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -54,6 +54,8 @@
     /// Epoch of the KV cache store; 0 until one is learned, `None` while the store does not
     /// respond.
     cache_store_epoch: Option<u64>,
+    /// Notices that this node was suspended.
+    pub suspension: SuspensionDetector,
     /// Source of randomness for all decisions.
     pub rng: SmallRng,
     retry_budgets: HashMap<String, RetryBudget>,
@@ -131,6 +133,7 @@
             members: MemberTable::default(),
             mirror: StoreMirror::default(),
             cache_store_epoch: Some(0),
+            suspension: SuspensionDetector::default(),
             rng: SmallRng::seed_from_u64(seed),
             retry_budgets: HashMap::new(),
             members_known_at: None,
@@ -218,6 +221,13 @@
         self.store_reachable
     }
 
+    /// Records that this node is active, and logs a suspension that has ended.
+    pub fn on_active(&mut self, now: ClockTime) {
+        if let Some(length) = self.suspension.on_active(now) {
+            log::warn!(length_ms = length.as_millis() as u64; "this node was suspended");
+        }
+    }
+
     /// Records that the list of nodes was read from the platform's store.
     pub fn on_members_read(&mut self, now: ClockTime) {
         self.members_known_at.get_or_insert(now);
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -206,6 +206,7 @@
     loop {
         ticks.tick().await;
         let now = clock::now();
+        node.state.borrow_mut().on_active(now);
         node.pool.close_expired(now);
         crashes::tick(&node);
         let state = &mut *node.state.borrow_mut();
--- a/crates/node/src/store_changes.rs
+++ b/crates/node/src/store_changes.rs
@@ -40,10 +40,12 @@
     node.rollout_wake.notify_one();
 }
 
-/// Applies a change that may be as old as `age`.
+/// Applies a change that may be as old as `age`, or older if this node was suspended.
 pub fn apply_event<A: PlatformAdapter>(node: &Rc<Node>, event: StoreEvent, age: Duration) {
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
+    state.on_active(now);
+    let age = age.max(state.suspension.max_age(now));
     match event {
         StoreEvent::Put(item) => {
             let known = state.mirror.items.get(&item.key).map_or(0, |known| known.revision);
