Limit the size of an event in the entry of the product's own deployment

What callers would see: an engine that sends an event without end fills the memory of the entry, or its request hangs until nothing has come for 30 s. Cause: the parser of the stream buffers an event until its end. The stand-in engine has the fault "endless".

--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -6,12 +6,15 @@
 use bytes::Bytes;
 use carobvane_core::streams::AttemptFault;
 use carobvane_proto::{engine::ChunkPosition, headers, openai::TokenUsage};
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStreamError, Eventsource};
 use futures::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-use super::send_error::is_not_sent;
+use super::{
+    event_limit::{EventBytesError, limit_events},
+    send_error::is_not_sent,
+};
 
 /// Timeout for a connection to a backend server.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -215,11 +218,14 @@
         .headers()
         .get(headers::INCARNATION)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let events = response.eventsource().map(|event| match event {
+    let events = limit_events(response).eventsource().map(|event| match event {
         Ok(event) if event.data == "[DONE]" => Ok(AttemptEvent::Done),
         Ok(event) => serde_json::from_str(&event.data)
             .map(AttemptEvent::Chunk)
             .map_err(|error| AttemptError::InvalidChunk(error.to_string())),
+        Err(EventStreamError::Transport(error @ EventBytesError::EventTooLong)) => {
+            Err(AttemptError::InvalidChunk(error.to_string()))
+        }
         Err(error) => Err(AttemptError::Broken(error.to_string())),
     });
     Ok(EngineStream { incarnation, events: Box::pin(events) })
--- a/crates/host/src/entry/mod.rs
+++ b/crates/host/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod engine_watch;
 mod error;
+mod event_limit;
 mod host;
 mod permits;
 mod placement;
--- a/crates/replay/src/scenario/parse.rs
+++ b/crates/replay/src/scenario/parse.rs
@@ -198,6 +198,7 @@
         "slow" => update.slow_factor = Some(reader.parse_value("slow factor")?),
         "stall" => update.stall = Some(reader.parse_switch("stall")?),
         "garbage" => update.garbage = Some(reader.parse_switch("garbage")?),
+        "endless" => update.endless = Some(reader.parse_switch("endless")?),
         "mix_up" => update.mix_up = Some(reader.parse_switch("mix_up")?),
         "short_stream" => update.short_stream = Some(reader.parse_value("number of tokens")?),
         "event_loss" => update.event_loss = Some(reader.parse_value("share of events")?),
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -42,6 +42,8 @@
     pub offset: u32,
     /// Completion tokens sent so far, including those of an earlier attempt.
     pub sent_tokens: u32,
+    /// Bytes sent under the fault `endless`.
+    pub endless_bytes: usize,
     /// Prompt tokens left to compute. `None` until the prefill starts.
     pub remaining_prefill: Option<u32>,
     /// Number of leading pieces found in the cache when the prefill started.
@@ -52,6 +54,12 @@
     pub crashes_engine: bool,
 }
 
+/// Size of one piece of a stream under the fault `endless`, in bytes.
+const ENDLESS_PIECE_BYTES: usize = 256 * 1024;
+/// Bytes after which such a stream falls silent, so that a client without a limit fails instead of
+/// filling the memory.
+const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
+
 impl BatchJob {
     fn order(&self) -> (i32, u64) {
         (self.priority, self.arrival_number)
@@ -67,6 +75,14 @@
         // Sending fails if the client has disconnected; the next step removes the job.
         let _ = self.sender.send(StreamItem::Chunk(bytes));
     }
+
+    /// Sends bytes without the end of an event, until there are more than a client may take.
+    fn send_endless(&mut self) {
+        if self.endless_bytes < MAX_ENDLESS_BYTES {
+            self.send(Bytes::from_static(&[b'x'; ENDLESS_PIECE_BYTES]));
+            self.endless_bytes += ENDLESS_PIECE_BYTES;
+        }
+    }
 }
 
 /// Work of the next step.
@@ -159,6 +175,10 @@
     fn decode_token(&mut self, index: usize) {
         let faults = &self.faults;
         let job = &mut self.running[index];
+        if faults.endless {
+            job.send_endless();
+            return;
+        }
         if job.offset < job.target_tokens {
             job.offset += 1;
             self.counters.decode_tokens += 1;
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -193,6 +193,7 @@
         target_tokens,
         offset,
         sent_tokens: offset,
+        endless_bytes: 0,
         remaining_prefill: None,
         hit_pieces: 0,
         first_chunk_sent: false,
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -91,6 +91,8 @@
     pub event_loss: f64,
     /// Sends chunks that are no JSON.
     pub garbage: bool,
+    /// Sends bytes without the end of an event in place of tokens.
+    pub endless: bool,
     /// Adds chunks of other attempts and repeats chunks.
     pub mix_up: bool,
     /// Ends streams without `[DONE]` after this many tokens.
@@ -116,6 +118,9 @@
     /// Sends chunks that are no JSON.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub garbage: Option<bool>,
+    /// Sends bytes without the end of an event in place of tokens.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub endless: Option<bool>,
     /// Adds chunks of other attempts and repeats chunks.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub mix_up: Option<bool>,
@@ -146,6 +151,7 @@
             slow_factor: 1.0,
             event_loss: settings.event_loss,
             garbage: false,
+            endless: false,
             mix_up: false,
             short_stream: None,
             stall: false,
@@ -159,6 +165,7 @@
         self.slow_factor = update.slow_factor.unwrap_or(self.slow_factor).max(0.01);
         self.event_loss = update.event_loss.unwrap_or(self.event_loss);
         self.garbage = update.garbage.unwrap_or(self.garbage);
+        self.endless = update.endless.unwrap_or(self.endless);
         self.mix_up = update.mix_up.unwrap_or(self.mix_up);
         self.stall = update.stall.unwrap_or(self.stall);
         self.restart_ms = update.restart_ms.unwrap_or(self.restart_ms);
