--- a/crates/node/src/crash_store.rs
+++ b/crates/node/src/crash_store.rs
@@ -2,8 +2,8 @@
 //! node that starts knows them.
 //!
 //! A record only grows, and each write holds all that was read, under the condition that nobody
-//! has written since. A write that takes effect late therefore takes nothing back. The lease of the
-//! record removes it when the nodes forget it too.
+//! has written since. A write that takes effect late therefore takes nothing back. Records have a
+//! lease, and the nodes write them again until they forget them.
 
 use std::{rc::Rc, str::FromStr, time::Duration};
 
