--- a/crates/core/src/traffic/crash_record.rs
+++ b/crates/core/src/traffic/crash_record.rs
@@ -40,15 +40,15 @@
         self.crashed.iter().filter(|server| !self.withdrawn.contains(server)).count()
     }
 
-    /// Number that counts a crash of a server incarnation in a run that starts now. A server may start
-    /// again as the same incarnation while its list entry cannot change, so a run that is sent after
-    /// a crash was counted runs in another life of the server.
-    pub fn next_life(&self, incarnation: u64) -> u64 {
-        let mut life = incarnation;
-        while self.crashed.contains(&life) {
-            life = life.wrapping_add(1);
+    /// Number under which a crash in a run that starts now is counted. A server may start again
+    /// while its list entry cannot change, so a run that starts after a crash of `incarnation` was
+    /// counted runs in a later incarnation.
+    pub fn current_incarnation(&self, incarnation: u64) -> u64 {
+        let mut current = incarnation;
+        while self.crashed.contains(&current) {
+            current = current.wrapping_add(1);
         }
-        life
+        current
     }
 
     /// Adds a crash. Returns whether it is new.
--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -96,7 +96,8 @@
     ) -> ServerRun {
         *self.running.entry(fingerprint).or_default() += 1;
         let known = self.requests.get(&fingerprint);
-        let incarnation = known.map_or(incarnation, |known| known.record.next_life(incarnation));
+        let incarnation =
+            known.map_or(incarnation, |known| known.record.current_incarnation(incarnation));
         ServerRun { fingerprint, server, incarnation }
     }
 
