Log the prompt parts and the end of each run without a response

`run ended without a response` is now written for broken connections too, and names the end and the shared parts of the prompt. The metric carobvane_run_ends_total counts all ends by kind; it replaces carobvane_unanswered_runs_total, which was one of them.

--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -6,7 +6,7 @@
 use carobvane_core::{
     ids::ServerKey,
     suspects::SuspectFingerprint,
-    traffic::{CrashEvent, CrashReport, CrashVerdict, RunEnd, ServerRun},
+    traffic::{CrashEvent, CrashReport, CrashVerdict, PromptPart, RunEnd, ServerRun},
 };
 use tokio::time::timeout;
 
@@ -25,6 +25,8 @@
     node: Rc<Node>,
     request_id: String,
     instance: String,
+    /// Shared parts of the prompt, for the log.
+    parts: String,
     /// `None` once the run has ended.
     run: Option<ServerRun>,
 }
@@ -61,6 +63,7 @@
             node: node.clone(),
             request_id: context.info.request_id.clone(),
             instance: instance.to_string(),
+            parts: format_parts(context.info.prompt.shared_parts()),
             run,
         }
     }
@@ -70,9 +73,13 @@
         let Some(run) = self.run.take() else { return };
         let state = &mut *self.node.state.borrow_mut();
         let listed = state.registry.get(run.server).is_some();
-        if end == RunEnd::Unanswered {
-            log::info!(request = self.request_id, server = self.instance, listed, cause = cause; "run ended without a response");
-            metrics::counter!("carobvane_unanswered_runs_total").increment(1);
+        metrics::counter!("carobvane_run_ends_total", "end" => end_label(end)).increment(1);
+        if matches!(end, RunEnd::Broken | RunEnd::Unanswered) {
+            log::info!(
+                request = self.request_id, server = self.instance, end = end_label(end), listed,
+                parts = self.parts, cause = cause;
+                "run ended without a response"
+            );
         }
         let mut events = Vec::new();
         state.crashes.end_run(clock::now(), run, end, listed, &mut events);
@@ -86,6 +93,22 @@
     }
 }
 
+/// Returns the ids of prompt parts in hexadecimal, separated by spaces.
+fn format_parts(parts: &[PromptPart]) -> String {
+    let ids = parts.iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(" ")
+}
+
+/// Returns the name of an end in logs and metrics.
+fn end_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Completed => "completed",
+        RunEnd::Refused => "refused",
+        RunEnd::Broken => "broken",
+        RunEnd::Unanswered => "unanswered",
+    }
+}
+
 /// Returns whether a request may run, and logs a refusal.
 pub fn check_verdict(
     state: &NodeState,
