--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -65,12 +65,21 @@
         let mut values = lines.filter(|(known, _)| known.eq_ignore_ascii_case(name));
         values.next().map(|(_, value)| value.trim())
     }
+
+    /// Whether the prompt has a part with this hexadecimal id that is not the last one.
+    pub fn has_shared_part(&self, part: &str) -> bool {
+        let prompt = self.header("prompt-prefix").unwrap_or_default();
+        let (shared, _) = prompt.rsplit_once(',').unwrap_or_default();
+        shared.split(',').any(|entry| entry.split(':').next() == Some(part))
+    }
 }
 
 #[derive(Debug)]
 struct BackendShared {
     default: BackendResponse,
     queued: Mutex<VecDeque<BackendResponse>>,
+    /// Response to requests with a prompt part, by the part's hexadecimal id.
+    part_response: Mutex<Option<(String, BackendResponse)>>,
     /// Cache events as JSON rows. Invariant: the row at index `n` has the number `n + 1`.
     cache_events: watch::Sender<Vec<String>>,
     /// Number of cache events that the client has read, taken from its latest request for events.
@@ -98,6 +107,7 @@
     let shared = Arc::new(BackendShared {
         default,
         queued: Mutex::default(),
+        part_response: Mutex::default(),
         cache_events: watch::channel(Vec::new()).0,
         events_read: watch::channel(0).0,
         recorded: Mutex::default(),
@@ -131,6 +141,17 @@
         queued.extend(responses);
     }
 
+    /// Sends `response` to all requests whose prompt has this part, unless it is the last one. The
+    /// other requests get the queued responses and the default.
+    pub fn set_part_response(&self, part: &str, response: BackendResponse) {
+        *lock(&self.shared.part_response) = Some((part.to_string(), response));
+    }
+
+    /// Returns the number of requests received whose prompt has this part, unless it is the last.
+    pub fn part_requests(&self, part: &str) -> usize {
+        lock(&self.shared.recorded).iter().filter(|request| request.has_shared_part(part)).count()
+    }
+
     /// Adds a cache event: the prompt part with this hexadecimal id is now cached under the salt
     /// (`held`), or has been evicted.
     pub fn add_cache_event(&self, salt: &str, part: &str, held: bool) {
@@ -187,10 +208,9 @@
             continue;
         }
         let id = request.header("request-id").unwrap_or_default().to_string();
+        let answer = choose_response(&shared, &request);
         lock(&shared.recorded).push(request);
         shared.counts.send_modify(|counts| counts.0 += 1);
-        let queued = lock(&shared.queued).pop_front();
-        let answer = queued.unwrap_or_else(|| shared.default.clone());
         let (text, end) = match answer {
             BackendResponse::Send(text) => (text, None),
             BackendResponse::SendAndClose(text) => (text, Some(false)),
@@ -219,6 +239,15 @@
     shared.counts.send_modify(|counts| counts.1 += 1);
 }
 
+fn choose_response(shared: &BackendShared, request: &RecordedRequest) -> BackendResponse {
+    if let Some((part, response)) = &*lock(&shared.part_response)
+        && request.has_shared_part(part)
+    {
+        return response.clone();
+    }
+    lock(&shared.queued).pop_front().unwrap_or_else(|| shared.default.clone())
+}
+
 /// Sends bytes until the client closes the connection.
 async fn send_endless(shared: &BackendShared, stream: &mut TcpStream, head: &str, piece: &str) {
     // Bytes that wait in a send buffer have not been taken by the client.
