--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,10 +1,12 @@
-//! Simulators of the users' platform: its key-value store, and backend servers that send scripted
-//! responses byte for byte.
+//! Simulators of the users' platform: its key-value store, backend servers that send scripted
+//! responses byte for byte, and a network that loses datagrams.
 
 mod backend;
+mod datagrams;
 mod store;
 
 pub use self::{
     backend::{BackendHandle, BackendResponse, RecordedRequest, start_backend},
+    datagrams::{DatagramLoss, DatagramRelay, start_datagram_relay},
     store::{StoreFault, StoreHandle, start_store},
 };
