--- a/crates/standin/src/platform/datagrams.rs
+++ b/crates/standin/src/platform/datagrams.rs
@@ -41,7 +41,7 @@
             DatagramLoss::None => false,
             DatagramLoss::All => true,
             DatagramLoss::Next(count) => number < count,
-            DatagramLoss::OneOf(count) => number % count.max(1) == 0,
+            DatagramLoss::OneOf(count) => number.is_multiple_of(count.max(1)),
         }
     }
 }
