Decide in one place which parts crash servers, for the entry too

core/suspects, which the entry of the product's own deployment uses, counted crashes by workspace and body, as the node did before: requests that share one part of their prompts crash two servers each, without end. The new test crashing_piece_of_prompts_is_rejected_at_all_entries fails with the parts taken out (all six engines are down at the sixth request) and passes with them.

SuspectRegistry and CrashTracker now hold the same SuspectTable, which records the crashes and finds the parts to blame; the registry keeps its own exchange of acknowledged reports. The entry takes each message but the last, and each piece of the prompt text but the last, as a part, by its content alone. Tests of the registry pass the request's suspects in place of its fingerprint; no bound is changed.

--- a/crates/core/src/suspects/blame.rs
+++ b/crates/core/src/suspects/blame.rs
@@ -9,7 +9,7 @@
 //! Servers can end for other reasons, several at once. Few crashes therefore blame a part only if a
 //! server has ended under a run that began when an earlier crash of the part was known.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use smallvec::SmallVec;
 
@@ -26,6 +26,15 @@
 /// not told apart from it, since servers may have ended together for another reason.
 const MAX_INDISTINCT_ROUNDS: usize = 1;
 
+/// How long a part is rejected after it is blamed. Shorter than the quarantine of a request, since
+/// more requests are rejected if the part is blamed wrongly.
+const QUARANTINE_PERIOD: Duration = Duration::from_secs(30);
+/// Factor by which the quarantine grows with each further round.
+const QUARANTINE_GROWTH: u32 = 4;
+/// Round after which the quarantine grows, and number of times that it does.
+const FIRST_GROWTH_ROUND: u8 = 2;
+const MAX_GROWTH_ROUNDS: u8 = 4;
+
 /// Parts of which one crashes servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BlamedGroup {
@@ -39,6 +48,19 @@
     pub changed_at: ClockTime,
 }
 
+impl BlamedGroup {
+    /// How long after the last change a request with all parts of the group is rejected.
+    pub fn quarantine(&self) -> Duration {
+        part_quarantine(self.round)
+    }
+}
+
+/// How long a part is rejected for crashes up to this round.
+pub fn part_quarantine(round: u8) -> Duration {
+    let further = round.saturating_sub(FIRST_GROWTH_ROUND).min(MAX_GROWTH_ROUNDS);
+    QUARANTINE_PERIOD * QUARANTINE_GROWTH.pow(further.into())
+}
+
 /// Part with so many crashes that it may be among those that are blamed.
 #[derive(Debug, Clone)]
 pub(super) struct BlameCandidate<I> {
--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -1,8 +1,10 @@
-//! Contains requests that crash servers.
+//! Contains requests that crash servers, by the whole request and by the parts of its prompt.
 //!
-//! A request becomes a suspect when a server dies while running it. After one crash, the request
-//! runs only on a server without other requests; after two, every entry rejects it. Crashes are
-//! counted per server incarnation, so that one death reported by two entries counts once.
+//! The [`SuspectTable`] records crashes and finds the parts that cause them, for the nodes of the
+//! users' platform and for the entries alike. The [`SuspectRegistry`] restricts the requests of an
+//! entry: after one crash, a request runs only on a server without other requests; after two, every
+//! entry rejects it. Crashes are counted per server incarnation, so that one death reported by two
+//! entries counts once.
 //! `docs/state.md` states what is proved about the race between a crash report and the caller's
 //! retry.
 
@@ -13,28 +15,31 @@
 mod table;
 
 pub use self::{
-    blame::BlamedGroup,
+    blame::{BlamedGroup, part_quarantine},
     fingerprint::{RequestSuspects, SuspectFingerprint, SuspectKind},
     record::{CrashEntry, CrashRecord},
     registry::SuspectRegistry,
-    table::{DroppedSuspect, PartVerdict, SuspectTable},
+    table::{DroppedSuspect, PartVerdict, RunSuspect, RunSuspects, SuspectTable},
 };
 
 use std::{fmt, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::NodeId;
+use crate::{ids::NodeId, rendezvous::rendezvous_score};
 
 /// Number of crashes after which a request is rejected.
 pub const MAX_CRASHES: usize = 2;
-/// Maximum number of crashes that are recorded of a request, so that those beyond [`MAX_CRASHES`]
-/// still count when earlier ones are withdrawn.
-pub(crate) const MAX_RECORDED_CRASHES: usize = 8;
-/// Maximum number of suspects. Beyond it, one with the fewest crashes is dropped.
+/// Maximum number of suspected requests, and of suspected parts. Beyond it, one with the fewest
+/// crashes is dropped.
 pub const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of dead server incarnations. Beyond it, the one that died first is dropped.
 pub const MAX_DEAD_INCARNATIONS: usize = 1_024;
+/// After a quarantine, one node after another may run the suspect once, with this pause between
+/// them. A crash at one node is known to the next one by then, also if the server fell silent.
+pub const PROBE_STAGGER: Duration = Duration::from_secs(4);
+/// The same pause before a run that tells blamed parts apart.
+pub const TEST_STAGGER: Duration = Duration::from_secs(1);
 /// How long a suspect is kept after its last crash.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum time to wait until the other entries have acknowledged a crash report. The caller is
@@ -68,10 +73,18 @@
 /// The death of a server while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerCrash {
-    /// The request that was running.
+    /// The request that was running, or a part of its prompt.
     pub fingerprint: SuspectFingerprint,
     /// The server incarnation that died.
     pub server: ServerIncarnation,
+    /// Round of the crash; see [`CrashEntry::round`].
+    pub round: u8,
+}
+
+impl ServerCrash {
+    fn entry(&self) -> CrashEntry<ServerIncarnation> {
+        CrashEntry { server: self.server, round: self.round, withdrawn: false }
+    }
 }
 
 /// Messages between the suspect registries of entries.
@@ -117,8 +130,8 @@
     },
 }
 
-/// Whether and under which restrictions a request may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Whether and under which restrictions a request may run, from the fewest restrictions to the most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectAdmission {
     /// Without restrictions.
     Run,
@@ -126,7 +139,7 @@
     RunAlone,
     /// Not now, because the suspect is already running at this entry.
     Busy,
-    /// Never, because it has crashed [`MAX_CRASHES`] servers.
+    /// Never, because it has crashed [`MAX_CRASHES`] servers or has a part that crashes them.
     Reject,
 }
 
@@ -141,6 +154,20 @@
     Crashed,
 }
 
+/// Returns the position of a node in the order in which the nodes may run a suspect after its
+/// quarantine, from 0. All nodes derive the same order.
+pub fn probe_rank<'a>(
+    suspect: SuspectFingerprint,
+    own: &str,
+    others: impl Iterator<Item = &'a str>,
+) -> u32 {
+    let key = suspect.to_string();
+    let score = |name: &str| rendezvous_score(key.as_bytes(), rendezvous_score(name.as_bytes(), 0));
+    let own_score = score(own);
+    let before = others.filter(|name| score(name) > own_score).count();
+    before.try_into().unwrap_or(u32::MAX)
+}
+
 impl fmt::Display for SuspectAdmission {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -1,13 +1,15 @@
 //! Counts crashes by request at one entry, and exchanges the counts with the other entries.
 
-use std::collections::HashMap;
-
-use smallvec::SmallVec;
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use super::{
-    EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_RECORDED_CRASHES, MAX_REPORTED_CRASHES,
-    MAX_SUSPECTS, REPORT_RETRY_INTERVAL, REPORT_TIMEOUT, SUSPECT_LIFETIME, ServerCrash,
-    ServerIncarnation, SuspectAdmission, SuspectEffect, SuspectFingerprint, SuspectMessage,
+    CrashRecord, EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_REPORTED_CRASHES, MAX_SUSPECTS,
+    PROBE_STAGGER, PartVerdict, REPORT_RETRY_INTERVAL, REPORT_TIMEOUT, RequestSuspects,
+    RunSuspects, SUSPECT_LIFETIME, ServerCrash, ServerIncarnation, SuspectAdmission, SuspectEffect,
+    SuspectFingerprint, SuspectKind, SuspectMessage, SuspectTable, TEST_STAGGER, part_quarantine,
 };
 use crate::{
     clock::{ClockTime, TimerQueue},
@@ -15,11 +17,11 @@
 };
 
 /// Records which requests have crashed servers, and decides whether they may run.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SuspectRegistry {
-    records: HashMap<SuspectFingerprint, SuspectRecord>,
+    suspects: SuspectTable<ServerIncarnation>,
     /// The running requests of each server.
-    running: HashMap<ServerIncarnation, Vec<SuspectFingerprint>>,
+    running: HashMap<ServerIncarnation, Vec<RunSuspects>>,
     /// Server incarnations with a counted crash, and the time at which this entry learned of the
     /// death. A request sent after that time cannot have caused it.
     dead: HashMap<ServerIncarnation, ClockTime>,
@@ -30,16 +32,6 @@
     timers: TimerQueue<SuspectTimer>,
 }
 
-#[derive(Debug, Clone)]
-struct SuspectRecord {
-    /// Invariant: contains no incarnation twice, and none that is also in `withdrawn`.
-    crashes: SmallVec<[ServerIncarnation; MAX_CRASHES]>,
-    /// Incarnations whose crashes were withdrawn, so that a delayed report does not count them
-    /// again.
-    withdrawn: SmallVec<[ServerIncarnation; MAX_CRASHES]>,
-    last_change: ClockTime,
-}
-
 #[derive(Debug, Clone)]
 struct PendingReport {
     crashes: Vec<ServerCrash>,
@@ -53,6 +45,20 @@
     Expire(SuspectFingerprint),
 }
 
+impl Default for SuspectRegistry {
+    fn default() -> SuspectRegistry {
+        SuspectRegistry {
+            suspects: SuspectTable::new(MAX_SUSPECTS),
+            running: HashMap::new(),
+            dead: HashMap::new(),
+            peers: Vec::new(),
+            reports: HashMap::new(),
+            next_report: 0,
+            timers: TimerQueue::default(),
+        }
+    }
+}
+
 impl SuspectRegistry {
     /// Creates a registry without suspects.
     pub fn new() -> SuspectRegistry {
@@ -71,29 +77,58 @@
 
     /// Sends all known crashes to an entry that has joined.
     pub fn sync_peer(&self, to: NodeId, effects: &mut Vec<SuspectEffect>) {
-        let known = self.records.iter().flat_map(|(&fingerprint, record)| {
-            record.crashes.iter().map(move |&server| ServerCrash { fingerprint, server })
-        });
-        let known = known.collect::<Vec<_>>();
+        let known = self.suspects.records();
+        let known: Vec<_> =
+            known.flat_map(|(fingerprint, record)| crashes_of(fingerprint, record)).collect();
         for crashes in known.chunks(MAX_REPORTED_CRASHES) {
             let message = SuspectMessage::Report { id: 0, crashes: crashes.to_vec() };
             effects.push(SuspectEffect::Send { to, message });
         }
     }
 
-    /// Returns whether and under which restrictions a request may run.
-    pub fn admit(&self, fingerprint: SuspectFingerprint) -> SuspectAdmission {
-        match self.crash_count(fingerprint) {
+    /// Returns whether and under which restrictions a request may run. `probe_rank` returns the
+    /// position of this entry in the order in which entries may run a suspect after its quarantine.
+    pub fn admit(
+        &self,
+        now: ClockTime,
+        suspects: &RequestSuspects,
+        probe_rank: impl Fn(SuspectFingerprint) -> u32,
+    ) -> SuspectAdmission {
+        let of_request = match self.crash_count(suspects.request) {
             0 => SuspectAdmission::Run,
             count if count >= MAX_CRASHES => SuspectAdmission::Reject,
-            _ if self.is_running(fingerprint) => SuspectAdmission::Busy,
+            _ if self.is_running(suspects.request) => SuspectAdmission::Busy,
             _ => SuspectAdmission::RunAlone,
+        };
+        of_request.max(self.admit_parts(now, &suspects.parts, probe_rank))
+    }
+
+    fn admit_parts(
+        &self,
+        now: ClockTime,
+        parts: &[SuspectFingerprint],
+        probe_rank: impl Fn(SuspectFingerprint) -> u32,
+    ) -> SuspectAdmission {
+        let (group, is_whole) = match self.suspects.judge_parts(parts) {
+            PartVerdict::Clear => return SuspectAdmission::Run,
+            PartVerdict::Unclear(group) => (group, false),
+            PartVerdict::Blamed(group) => (group, true),
+        };
+        let rank = probe_rank(group.parts[0]);
+        let waited = now.since(group.changed_at);
+        if is_whole && waited < group.quarantine() + PROBE_STAGGER * rank {
+            return SuspectAdmission::Reject;
+        }
+        let is_running = group.parts.iter().any(|part| self.is_running(*part));
+        if is_running || waited < TEST_STAGGER * rank {
+            return SuspectAdmission::Busy;
         }
+        SuspectAdmission::RunAlone
     }
 
-    /// Returns the number of crashes of a request.
+    /// Returns the number of crashes of a suspect.
     pub fn crash_count(&self, fingerprint: SuspectFingerprint) -> usize {
-        self.records.get(&fingerprint).map_or(0, |record| record.crashes.len())
+        self.suspects.crash_count(fingerprint)
     }
 
     /// Returns when this entry learned of the death of a server incarnation, or `None` if it counts
@@ -104,12 +139,12 @@
 
     /// Returns the number of suspects.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.suspects.len()
     }
 
     /// Returns whether there is no suspect.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.suspects.is_empty()
     }
 
     /// Returns whether a report still waits for acknowledgements.
@@ -118,46 +153,55 @@
     }
 
     /// Records that a request starts to run on a server.
-    pub fn start_run(&mut self, fingerprint: SuspectFingerprint, server: ServerIncarnation) {
-        self.running.entry(server).or_default().push(fingerprint);
+    pub fn start_run(&mut self, suspects: &RequestSuspects, server: ServerIncarnation) {
+        let run_suspects = self.suspects.run_suspects(suspects);
+        self.running.entry(server).or_default().push(run_suspects);
     }
 
     /// Records that a request no longer runs on a server. Returns the id of a report after a crash;
     /// the caller must not be told of the failure before that report is closed.
     pub fn end_run(
         &mut self,
-        fingerprint: SuspectFingerprint,
+        suspects: &RequestSuspects,
         server: ServerIncarnation,
         end: EndReason,
         now: ClockTime,
         effects: &mut Vec<SuspectEffect>,
     ) -> Option<u64> {
-        if let Some(running) = self.running.get_mut(&server) {
-            if let Some(position) = running.iter().position(|other| *other == fingerprint) {
-                running.swap_remove(position);
-            }
-            if running.is_empty() {
-                self.running.remove(&server);
-            }
-        }
+        let run_suspects = self.take_run(suspects.request, server);
+        let run_suspects = run_suspects.unwrap_or_else(|| self.suspects.run_suspects(suspects));
         match end {
             EndReason::Incomplete => None,
             EndReason::Completed => {
-                let known = self.records.get(&fingerprint).map(|record| record.crashes.clone());
-                let crashes = known.into_iter().flatten();
-                self.withdraw_crashes(
-                    crashes.map(|server| ServerCrash { fingerprint, server }).collect(),
-                    now,
-                    effects,
-                );
+                let known = run_suspects.iter().filter_map(|suspect| {
+                    let record = self.suspects.record(suspect.fingerprint)?;
+                    Some(crashes_of(suspect.fingerprint, record))
+                });
+                let crashes = known.flatten().collect();
+                self.withdraw_crashes(crashes, now, effects);
                 None
             }
             EndReason::Crashed => {
-                self.open_report(vec![ServerCrash { fingerprint, server }], now, effects)
+                self.open_report(crashes_under(&run_suspects, server).collect(), now, effects)
             }
         }
     }
 
+    /// Removes a run of a request on a server and returns its suspects.
+    fn take_run(
+        &mut self,
+        request: SuspectFingerprint,
+        server: ServerIncarnation,
+    ) -> Option<RunSuspects> {
+        let running = self.running.get_mut(&server)?;
+        let position = running.iter().position(|run| has_suspect(run, request))?;
+        let run_suspects = running.swap_remove(position);
+        if running.is_empty() {
+            self.running.remove(&server);
+        }
+        Some(run_suspects)
+    }
+
     /// Records that a server died, which makes all requests running there suspects. Returns the id
     /// of the report, or `None` if nothing was running there.
     pub fn record_server_death(
@@ -167,8 +211,10 @@
         effects: &mut Vec<SuspectEffect>,
     ) -> Option<u64> {
         let running = self.running.remove(&server)?;
-        let crash = |fingerprint| ServerCrash { fingerprint, server };
-        self.open_report(running.into_iter().map(crash).collect(), now, effects)
+        let crashes = running.iter().flat_map(|run| crashes_under(run, server));
+        // Parts of several requests are in the report once.
+        let crashes: BTreeSet<_> = crashes.collect();
+        self.open_report(crashes.into_iter().collect(), now, effects)
     }
 
     /// Records that a server answered a request sent at `sent`. If the death of this incarnation
@@ -185,9 +231,10 @@
             return;
         }
         self.dead.remove(&server);
-        let counted = self.records.iter().filter(|(_, record)| record.crashes.contains(&server));
-        let crashes = counted.map(|(&fingerprint, _)| ServerCrash { fingerprint, server });
-        self.withdraw_crashes(crashes.collect(), now, effects);
+        let known = self.suspects.records();
+        let crashes = known.flat_map(|(fingerprint, record)| crashes_of(fingerprint, record));
+        let crashes = crashes.filter(|crash| crash.server == server).collect();
+        self.withdraw_crashes(crashes, now, effects);
     }
 
     /// Handles a message from another entry.
@@ -241,8 +288,10 @@
         }
     }
 
+    /// Whether a run is in progress of a request, or of a part that could be blamed when it began.
     fn is_running(&self, fingerprint: SuspectFingerprint) -> bool {
-        self.running.values().any(|running| running.contains(&fingerprint))
+        let mut suspects = self.running.values().flatten().flatten();
+        suspects.any(|suspect| suspect.is_counted && suspect.fingerprint == fingerprint)
     }
 
     fn known_crashes(&self, crashes: &[ServerCrash]) -> Vec<ServerCrash> {
@@ -250,8 +299,7 @@
         fingerprints.sort_unstable();
         fingerprints.dedup();
         let known = fingerprints.into_iter().filter_map(|fingerprint| {
-            let record = self.records.get(&fingerprint)?;
-            Some(record.crashes.iter().map(move |&server| ServerCrash { fingerprint, server }))
+            Some(crashes_of(fingerprint, self.suspects.record(fingerprint)?))
         });
         known.flatten().collect()
     }
@@ -307,14 +355,9 @@
 
     fn count_crash(&mut self, crash: ServerCrash, now: ClockTime) {
         self.record_death(crash.server, now);
-        let record = self.record_mut(crash.fingerprint, now);
-        let known = record.crashes.contains(&crash.server)
-            || record.withdrawn.contains(&crash.server)
-            || record.crashes.len() >= MAX_RECORDED_CRASHES;
-        if !known {
-            record.crashes.push(crash.server);
-            record.last_change = now;
-        }
+        self.watch_expiry(crash.fingerprint, now);
+        // A dropped suspect needs no report: the other entries have a table of their own.
+        self.suspects.count_crash(now, crash.fingerprint, crash.entry(), &mut Vec::new());
     }
 
     fn record_death(&mut self, server: ServerIncarnation, now: ClockTime) {
@@ -330,14 +373,8 @@
     }
 
     fn withdraw_crash(&mut self, crash: ServerCrash, now: ClockTime) {
-        let record = self.record_mut(crash.fingerprint, now);
-        record.crashes.retain(|server| *server != crash.server);
-        if !record.withdrawn.contains(&crash.server) {
-            if record.withdrawn.len() >= MAX_RECORDED_CRASHES {
-                record.withdrawn.remove(0);
-            }
-            record.withdrawn.push(crash.server);
-        }
+        self.watch_expiry(crash.fingerprint, now);
+        self.suspects.withdraw_crash(now, crash.fingerprint, crash.server, &mut Vec::new());
     }
 
     fn withdraw_crashes(
@@ -358,42 +395,53 @@
         }
     }
 
-    fn record_mut(
-        &mut self,
-        fingerprint: SuspectFingerprint,
-        now: ClockTime,
-    ) -> &mut SuspectRecord {
-        if !self.records.contains_key(&fingerprint) {
-            if self.records.len() >= MAX_SUSPECTS {
-                self.drop_least_suspect();
-            }
+    /// Sets the timer of a suspect that is not known yet.
+    fn watch_expiry(&mut self, fingerprint: SuspectFingerprint, now: ClockTime) {
+        if self.suspects.record(fingerprint).is_none() {
             self.timers.schedule(now + SUSPECT_LIFETIME, SuspectTimer::Expire(fingerprint));
         }
-        self.records.entry(fingerprint).or_insert_with(|| SuspectRecord {
-            crashes: SmallVec::new(),
-            withdrawn: SmallVec::new(),
-            last_change: now,
-        })
-    }
-
-    /// Drops the record with the fewest crashes, among those the one that changed first.
-    fn drop_least_suspect(&mut self) {
-        let least = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| (record.crashes.len(), record.last_change));
-        if let Some(least) = least.map(|(&fingerprint, _)| fingerprint) {
-            self.records.remove(&least);
-        }
     }
 
     fn expire_record(&mut self, fingerprint: SuspectFingerprint, now: ClockTime) {
-        let Some(record) = self.records.get(&fingerprint) else { return };
-        let due = record.last_change + SUSPECT_LIFETIME;
+        let Some(record) = self.suspects.record(fingerprint) else { return };
+        let Some(changed_at) = self.suspects.changed_at(fingerprint) else { return };
+        let quarantine = match fingerprint.kind() {
+            SuspectKind::Request => Duration::ZERO,
+            SuspectKind::Part => part_quarantine(record.round()),
+        };
+        let due = changed_at + quarantine + SUSPECT_LIFETIME;
         if due <= now {
-            self.records.remove(&fingerprint);
+            self.suspects.remove(fingerprint);
         } else {
             self.timers.schedule(due, SuspectTimer::Expire(fingerprint));
         }
     }
 }
+
+fn has_suspect(run_suspects: &RunSuspects, fingerprint: SuspectFingerprint) -> bool {
+    run_suspects.iter().any(|suspect| suspect.fingerprint == fingerprint)
+}
+
+/// Returns the crashes of a suspect that are not withdrawn.
+fn crashes_of(
+    fingerprint: SuspectFingerprint,
+    record: &CrashRecord<ServerIncarnation>,
+) -> impl Iterator<Item = ServerCrash> {
+    record.crashes().map(move |entry| ServerCrash {
+        fingerprint,
+        server: entry.server,
+        round: entry.round,
+    })
+}
+
+/// Returns the crashes that the death of a server is for a run.
+fn crashes_under(
+    run_suspects: &RunSuspects,
+    server: ServerIncarnation,
+) -> impl Iterator<Item = ServerCrash> {
+    run_suspects.iter().map(move |suspect| ServerCrash {
+        fingerprint: suspect.fingerprint,
+        server,
+        round: suspect.round,
+    })
+}
--- a/crates/core/src/suspects/table.rs
+++ b/crates/core/src/suspects/table.rs
@@ -2,18 +2,38 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use smallvec::SmallVec;
+
 use super::{
-    BlamedGroup, CrashEntry, CrashRecord, SuspectFingerprint, SuspectKind,
+    BlamedGroup, CrashEntry, CrashRecord, RequestSuspects, SuspectFingerprint, SuspectKind,
     blame::{BlameCandidate, MIN_BLAMED_CRASHES, find_groups},
 };
 use crate::clock::ClockTime;
 
+/// Number of suspects of a run that are stored without an allocation.
+const INLINE_SUSPECTS: usize = 4;
+
 #[derive(Debug, Clone)]
 struct KnownSuspect<I> {
     record: CrashRecord<I>,
     changed_at: ClockTime,
 }
 
+/// A suspect in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunSuspect {
+    /// The suspect.
+    pub fingerprint: SuspectFingerprint,
+    /// Round of the crash if the server ends under the run.
+    pub round: u8,
+    /// Whether the number of such runs in progress matters: the suspect is a request, or a part
+    /// that could be blamed when the run began.
+    pub is_counted: bool,
+}
+
+/// The suspects of a run: the request and the parts of its prompt.
+pub type RunSuspects = SmallVec<[RunSuspect; INLINE_SUSPECTS]>;
+
 /// What the crashes say about the prompt parts of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PartVerdict<'a> {
@@ -79,9 +99,15 @@
         self.record(fingerprint).map_or(0, CrashRecord::crash_count)
     }
 
-    /// Returns the round of a crash in a run that starts now.
-    pub fn next_round(&self, fingerprint: SuspectFingerprint) -> u8 {
-        self.record(fingerprint).map_or(0, CrashRecord::round).saturating_add(1)
+    /// Returns the suspects of a run that starts now.
+    pub fn run_suspects(&self, suspects: &RequestSuspects) -> RunSuspects {
+        let run_suspects = suspects.iter().map(|fingerprint| RunSuspect {
+            fingerprint,
+            round: self.record(fingerprint).map_or(0, CrashRecord::round).saturating_add(1),
+            is_counted: fingerprint.kind() == SuspectKind::Request
+                || self.is_candidate(fingerprint),
+        });
+        run_suspects.collect()
     }
 
     /// Returns when the record of a suspect changed last.
@@ -100,7 +126,7 @@
     }
 
     /// Whether a part has so many crashes that it may be blamed.
-    pub fn is_candidate(&self, part: SuspectFingerprint) -> bool {
+    fn is_candidate(&self, part: SuspectFingerprint) -> bool {
         self.candidates.contains(&part)
     }
 
@@ -214,7 +240,8 @@
         changed
     }
 
-    fn remove(&mut self, fingerprint: SuspectFingerprint) {
+    /// Drops a suspect.
+    pub fn remove(&mut self, fingerprint: SuspectFingerprint) {
         if self.known.remove(&fingerprint).is_some() {
             *self.count_mut(fingerprint.kind()) -= 1;
             self.update_blame(fingerprint);
--- a/crates/core/src/traffic/crash_messages.rs
+++ b/crates/core/src/traffic/crash_messages.rs
@@ -1,16 +1,12 @@
 //! Inputs and results of the [`CrashTracker`](super::CrashTracker).
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 
 use crate::{
     ids::ServerKey,
-    suspects::{CrashEntry, SuspectFingerprint},
+    suspects::{CrashEntry, RunSuspects, SuspectFingerprint},
 };
 
-/// Number of suspects of a run that are stored without an allocation.
-pub(super) const INLINE_SUSPECTS: usize = 4;
-
 /// The crashes of one suspect, as nodes tell each other and keep them in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -43,16 +39,6 @@
     pub crashes: usize,
 }
 
-/// A suspect in a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct RunSuspect {
-    pub fingerprint: SuspectFingerprint,
-    /// Round of the crash if the server ends under the run.
-    pub round: u8,
-    /// Whether the tracker counts the run as one in progress.
-    pub is_counted: bool,
-}
-
 /// A run of a request on one server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRun {
@@ -61,7 +47,7 @@
     /// Number of the server's incarnation, the same on all nodes.
     pub(super) incarnation: u64,
     /// The request and the parts of its prompt.
-    pub(super) suspects: SmallVec<[RunSuspect; INLINE_SUSPECTS]>,
+    pub(super) suspects: RunSuspects,
 }
 
 /// How a run ended.
--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -7,21 +7,17 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use smallvec::SmallVec;
-
 use super::{
-    crash_messages::{
-        CrashEvent, CrashReport, CrashRuling, CrashVerdict, INLINE_SUSPECTS, RunEnd, RunSuspect,
-        ServerRun,
-    },
+    crash_messages::{CrashEvent, CrashReport, CrashRuling, CrashVerdict, RunEnd, ServerRun},
     unresolved_runs::UnresolvedRuns,
 };
 use crate::{
     clock::ClockTime,
     ids::ServerKey,
     suspects::{
-        BlamedGroup, CrashEntry, CrashRecord, DroppedSuspect, PartVerdict, RequestSuspects,
-        SuspectFingerprint, SuspectKind, SuspectTable,
+        BlamedGroup, CrashEntry, CrashRecord, DroppedSuspect, PROBE_STAGGER, PartVerdict,
+        RequestSuspects, RunSuspect, SuspectFingerprint, SuspectKind, SuspectTable, TEST_STAGGER,
+        part_quarantine,
     },
 };
 
@@ -32,19 +28,6 @@
 const QUARANTINE_PERIOD: Duration = Duration::from_secs(120);
 /// Maximum number of times that the quarantine of a request doubles.
 const MAX_DOUBLINGS: usize = 5;
-/// How long a part is rejected after it is blamed. Shorter than that of a request, since more
-/// requests are rejected if the part is blamed wrongly.
-const PART_QUARANTINE_PERIOD: Duration = Duration::from_secs(30);
-/// Factor by which the quarantine of a part grows with each further round.
-const PART_QUARANTINE_GROWTH: u32 = 4;
-/// Round from which on the quarantine of a part grows, and number of times that it does.
-const FIRST_GROWTH_ROUND: u8 = 2;
-const MAX_GROWTH_ROUNDS: u8 = 4;
-/// After a quarantine, one node after another may run the suspect once, with this pause between
-/// them. A crash at one node is known to the next one by then, also if the server fell silent.
-const PROBE_STAGGER: Duration = Duration::from_secs(4);
-/// The same pause before a run that tells blamed parts apart.
-const TEST_STAGGER: Duration = Duration::from_secs(1);
 /// How long a suspect is remembered after its quarantine, or after a change if it has none.
 pub const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum number of tracked requests, and of tracked parts. When full, one with the fewest crashes
@@ -140,13 +123,7 @@
         server: ServerKey,
         incarnation: u64,
     ) -> ServerRun {
-        let run_suspects = suspects.iter().map(|fingerprint| RunSuspect {
-            fingerprint,
-            round: self.suspects.next_round(fingerprint),
-            is_counted: fingerprint.kind() == SuspectKind::Request
-                || self.suspects.is_candidate(fingerprint),
-        });
-        let suspects: SmallVec<[RunSuspect; INLINE_SUSPECTS]> = run_suspects.collect();
+        let suspects = self.suspects.run_suspects(suspects);
         for suspect in suspects.iter().filter(|suspect| suspect.is_counted) {
             *self.running.entry(suspect.fingerprint).or_default() += 1;
         }
@@ -355,7 +332,7 @@
             |verdict| CrashRuling { verdict, suspect: group.parts[0], crashes: group.crashes };
         let rank = probe_rank(group.parts[0]);
         let waited = now.since(group.changed_at);
-        if is_whole && waited < part_quarantine(group.round) + PROBE_STAGGER * rank {
+        if is_whole && waited < group.quarantine() + PROBE_STAGGER * rank {
             return Some(ruling(CrashVerdict::Reject));
         }
         if waited < TEST_STAGGER * rank {
@@ -483,9 +460,3 @@
         None => Duration::ZERO,
     }
 }
-
-/// How long a blamed part is rejected after its last change.
-fn part_quarantine(round: u8) -> Duration {
-    let further = round.saturating_sub(FIRST_GROWTH_ROUND).min(MAX_GROWTH_ROUNDS);
-    PART_QUARANTINE_PERIOD * PART_QUARANTINE_GROWTH.pow(further.into())
-}
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -17,17 +17,22 @@
 
 fn crash(name: &str, server: &str, incarnation: u64) -> ServerCrash {
     let server = ServerIncarnation::new(server, incarnation);
-    ServerCrash { fingerprint: suspect(name), server }
+    ServerCrash { fingerprint: suspect(name), server, round: 1 }
 }
 
 fn record_local_crash(registry: &mut SuspectRegistry, crash: ServerCrash) -> Vec<SuspectEffect> {
     let mut effects = Vec::new();
-    registry.start_run(crash.fingerprint, crash.server);
-    let (fingerprint, server) = (crash.fingerprint, crash.server);
-    registry.end_run(fingerprint, server, EndReason::Crashed, ClockTime::ZERO, &mut effects);
+    let (suspects, server) = (crash.fingerprint.into(), crash.server);
+    registry.start_run(&suspects, server);
+    registry.end_run(&suspects, server, EndReason::Crashed, ClockTime::ZERO, &mut effects);
     effects
 }
 
+/// Returns whether the request `r` may run.
+fn admit(registry: &SuspectRegistry) -> SuspectAdmission {
+    registry.admit(ClockTime::ZERO, &suspect("r").into(), |_| 0)
+}
+
 fn receive(registry: &mut SuspectRegistry, message: SuspectMessage) -> Vec<SuspectEffect> {
     let mut effects = Vec::new();
     registry.receive(PEER, message, ClockTime::ZERO, &mut effects);
@@ -90,7 +95,7 @@
         for crash in case.reported {
             receive(&mut registry, SuspectMessage::Report { id: 0, crashes: vec![crash] });
         }
-        assert_eq!(registry.admit(suspect("r")), case.admission, "{}", case.name);
+        assert_eq!(admit(&registry), case.admission, "{}", case.name);
     }
 }
 
@@ -106,10 +111,10 @@
         Case {
             name: "completed elsewhere",
             end: |registry, effects| {
-                let (again, server) = (suspect("r"), ServerIncarnation::new("b", 1));
-                registry.start_run(again, server);
-                assert_eq!(registry.admit(again), SuspectAdmission::Busy);
-                registry.end_run(again, server, EndReason::Completed, ClockTime::ZERO, effects);
+                let (again, server) = (suspect("r").into(), ServerIncarnation::new("b", 1));
+                registry.start_run(&again, server);
+                assert_eq!(admit(registry), SuspectAdmission::Busy);
+                registry.end_run(&again, server, EndReason::Completed, ClockTime::ZERO, effects);
             },
         },
         Case {
@@ -118,7 +123,7 @@
                 let server = ServerIncarnation::new("a", 1);
                 // This answer may have been sent before the server died.
                 registry.record_server_alive(server, ClockTime::ZERO, ClockTime::ZERO, effects);
-                assert_eq!(registry.admit(suspect("r")), SuspectAdmission::RunAlone);
+                assert_eq!(admit(registry), SuspectAdmission::RunAlone);
                 let sent = ClockTime::from_millis(1);
                 registry.record_server_alive(server, sent, sent, effects);
             },
@@ -130,13 +135,13 @@
         record_local_crash(&mut registry, crash("r", "a", 1));
         let mut effects = Vec::new();
         (case.end)(&mut registry, &mut effects);
-        assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Run, "{}", case.name);
+        assert_eq!(admit(&registry), SuspectAdmission::Run, "{}", case.name);
         let message = SuspectMessage::Withdraw { crashes: vec![crash("r", "a", 1)] };
         assert_eq!(effects, [SuspectEffect::Send { to: PEER, message }], "{}", case.name);
         // A delayed report of the same crash must not count it again.
         let late = SuspectMessage::Report { id: 0, crashes: vec![crash("r", "a", 1)] };
         receive(&mut registry, late);
-        assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Run, "{}", case.name);
+        assert_eq!(admit(&registry), SuspectAdmission::Run, "{}", case.name);
     }
 }
 
@@ -195,13 +200,13 @@
     let mut new = SuspectRegistry::new();
     record_local_crash(&mut new, crash("r", "b", 1));
     receive(&mut new, message.clone());
-    assert_eq!(new.admit(suspect("r")), SuspectAdmission::Reject);
+    assert_eq!(admit(&new), SuspectAdmission::Reject);
     let mut joined = Vec::new();
     old.sync_peer(PEER, &mut joined);
     let [SuspectEffect::Send { message, .. }] = &joined[..] else { panic!("{joined:?}") };
     let mut third = SuspectRegistry::new();
     receive(&mut third, message.clone());
-    assert_eq!(third.admit(suspect("r")), SuspectAdmission::Reject);
+    assert_eq!(admit(&third), SuspectAdmission::Reject);
 }
 
 /// Guards against unbounded memory use.
@@ -230,7 +235,7 @@
         registry.receive(PEER, report, ClockTime::from_millis(1), &mut effects);
     }
     assert_eq!(registry.len(), MAX_SUSPECTS);
-    assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Reject);
+    assert_eq!(admit(&registry), SuspectAdmission::Reject);
 }
 
 /// Guards against a request that is admitted again because crashes beyond the limit were not
@@ -243,5 +248,5 @@
     }
     let withdrawn = SuspectMessage::Withdraw { crashes: vec![crash("r", "a", 1)] };
     receive(&mut registry, withdrawn);
-    assert_eq!(registry.admit(suspect("r")), SuspectAdmission::Reject);
+    assert_eq!(admit(&registry), SuspectAdmission::Reject);
 }
--- a/crates/host/src/entry/attempt_start.rs
+++ b/crates/host/src/entry/attempt_start.rs
@@ -147,7 +147,7 @@
     // A hedge does not wait for a probe, so it goes only to engines whose incarnation is known.
     let is_incarnation_known = !shared.suspects.needs_probe(&routed.name);
     let begin_run =
-        || shared.suspects.begin_run(request.fingerprint, &routed.name, SuspectAdmission::Run);
+        || shared.suspects.begin_run(&request.suspects, &routed.name, SuspectAdmission::Run);
     let Some(run) = is_incarnation_known.then(begin_run).flatten() else {
         shared.routing().fail_attempt(clock::now(), &routed, FailureKind::Cancelled);
         return None;
--- a/crates/host/src/entry/completions.rs
+++ b/crates/host/src/entry/completions.rs
@@ -8,7 +8,7 @@
     admission::RequestFeatures,
     ids::WeightsVersion,
     prefix::{ChainSalt, PrefixChain},
-    suspects::SuspectFingerprint,
+    suspects::{RequestSuspects, SuspectFingerprint},
 };
 use carobvane_proto::{engine::EngineExtension, headers, openai::CompletionRequest};
 use futures::{StreamExt, stream::unfold};
@@ -32,6 +32,9 @@
 /// plan could be reserved.
 const DEFAULT_MAX_TOKENS: u32 = 4_096;
 
+/// Maximum number of prompt parts of a request that are counted when a server crashes.
+const MAX_SUSPECT_PARTS: usize = 64;
+
 /// Registers the endpoints.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -130,7 +133,9 @@
     completion: &CompletionRequest,
     body: &[u8],
 ) -> Result<RelayRequest, ApiError> {
-    let fingerprint = SuspectFingerprint::new(&workspace.name, body);
+    let request = SuspectFingerprint::new(&workspace.name, body);
+    let parts = prompt_parts(completion, &prompt, shared.settings.piece_bytes);
+    let suspects = RequestSuspects::new(request, parts);
     let mut body: Map<String, Value> = parse_body(body)?;
     let weights_version = lists.weights_version(&completion.model);
     let query = route_query(shared, &lists, &workspace, completion, weights_version, &prompt);
@@ -152,7 +157,7 @@
         model: completion.model.clone(),
         path,
         body,
-        fingerprint,
+        suspects,
         extension,
         weights_version,
         query,
@@ -225,6 +230,24 @@
     Ok(text)
 }
 
+/// Returns the parts of a prompt that other requests may share: all messages and all pieces of the
+/// text but the last, which belong to the request itself.
+fn prompt_parts(
+    completion: &CompletionRequest,
+    prompt: &str,
+    piece_bytes: usize,
+) -> Vec<SuspectFingerprint> {
+    let pieces: Vec<&[u8]> = prompt.as_bytes().chunks(piece_bytes.max(1)).collect();
+    let shared_pieces = pieces.split_last().map_or(&[][..], |(_, shared)| shared);
+    let piece_parts = shared_pieces.iter().map(|piece| SuspectFingerprint::of_part_text(piece));
+    let messages = completion.messages.as_deref().unwrap_or_default();
+    let shared_messages = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let message_parts = shared_messages
+        .iter()
+        .map(|message| SuspectFingerprint::of_part_text(message.content.to_string().as_bytes()));
+    message_parts.chain(piece_parts).take(MAX_SUSPECT_PARTS).collect()
+}
+
 fn check_model(
     lists: &ActiveLists,
     workspace: &ClientWorkspace,
--- a/crates/host/src/entry/placement.rs
+++ b/crates/host/src/entry/placement.rs
@@ -66,7 +66,7 @@
     let started = Instant::now();
     let mut excluded = excluded.to_vec();
     loop {
-        match shared.suspects.admit(request.fingerprint) {
+        match shared.suspects.admit(&request.suspects) {
             SuspectAdmission::Reject => {
                 let message = "backend servers have crashed while they ran this request";
                 return Err(ApiError::not_run(ErrorCode::CrashesServers, message));
@@ -140,7 +140,7 @@
         routing.fail_attempt(clock::now(), &routed, FailureKind::Refused);
         return Err(StartRefusal::ServerUnreachable);
     }
-    match shared.suspects.begin_run(request.fingerprint, &routed.name, admission) {
+    match shared.suspects.begin_run(&request.suspects, &routed.name, admission) {
         Some(run) => Ok(Placement { routed, run, suspect_guard }),
         None => {
             shared.routing().fail_attempt(clock::now(), &routed, FailureKind::Cancelled);
--- a/crates/host/src/entry/relay.rs
+++ b/crates/host/src/entry/relay.rs
@@ -7,7 +7,7 @@
     ids::ServerKey,
     routing::FailureKind,
     streams::{AttemptFault, FailureAction, StreamAssembler, StreamSpec},
-    suspects::{EndReason, SuspectFingerprint},
+    suspects::{EndReason, RequestSuspects},
 };
 use carobvane_proto::{admin::DecisionReport, engine::EngineExtension, openai::TokenUsage};
 use serde_json::{Map, Value};
@@ -41,7 +41,7 @@
     pub body: Map<String, Value>,
     /// Fingerprint of the workspace and the client's body, under which crashes of servers are
     /// counted.
-    pub fingerprint: SuspectFingerprint,
+    pub suspects: RequestSuspects,
     /// Fields that the entry adds to the body of each attempt.
     pub extension: EngineExtension,
     /// Version of the weights that the answer must come from, also after a resume.
--- a/crates/host/src/entry/suspects.rs
+++ b/crates/host/src/entry/suspects.rs
@@ -9,8 +9,8 @@
     clock::ClockTime,
     ids::{NodeId, NodeIncarnation},
     suspects::{
-        EndReason, ServerIncarnation, SuspectAdmission, SuspectEffect, SuspectFingerprint,
-        SuspectMessage, SuspectRegistry,
+        self, EndReason, RequestSuspects, ServerIncarnation, SuspectAdmission, SuspectEffect,
+        SuspectFingerprint, SuspectMessage, SuspectRegistry,
     },
 };
 use carobvane_proto::peer::PeerMessage;
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct SuspectsState {
     registry: SuspectRegistry,
+    /// The other entries, which may run a suspect after its quarantine as well.
+    peers: Vec<NodeId>,
     /// Last known incarnation of each server, by server name.
     incarnations: HashMap<String, u64>,
     /// Requests whose client must not be told of a crash before the report is closed, by report id.
@@ -35,6 +37,17 @@
 }
 
 impl SuspectsState {
+    fn admit(&self, own: NodeId, suspects: &RequestSuspects) -> SuspectAdmission {
+        self.registry.admit(clock::now(), suspects, |suspect| self.probe_rank(own, suspect))
+    }
+
+    /// Returns the position of this entry in the order in which the entries may run a suspect after
+    /// its quarantine.
+    fn probe_rank(&self, own: NodeId, suspect: SuspectFingerprint) -> u32 {
+        let names: Vec<String> = self.peers.iter().map(|peer| peer.0.to_string()).collect();
+        suspects::probe_rank(suspect, &own.0.to_string(), names.iter().map(String::as_str))
+    }
+
     fn current_incarnation(&self, server: &str) -> Option<ServerIncarnation> {
         let server_incarnation = ServerIncarnation::new(server, *self.incarnations.get(server)?);
         self.registry.died_at(server_incarnation).is_none().then_some(server_incarnation)
@@ -44,7 +57,7 @@
 /// A run of a request on one incarnation of a server.
 #[derive(Debug, Clone)]
 pub struct ServerRun {
-    fingerprint: SuspectFingerprint,
+    suspects: RequestSuspects,
     server: String,
     server_incarnation: ServerIncarnation,
     /// Time before the run was sent.
@@ -65,8 +78,8 @@
     }
 
     /// Returns whether and under which restrictions a request may run.
-    pub fn admit(&self, fingerprint: SuspectFingerprint) -> SuspectAdmission {
-        self.apply_input(|state, _| state.registry.admit(fingerprint))
+    pub fn admit(&self, suspects: &RequestSuspects) -> SuspectAdmission {
+        self.apply_input(|state, _| state.admit(self.own.node, suspects))
     }
 
     /// Returns whether the server's current incarnation is unknown or known to have died.
@@ -87,13 +100,13 @@
     /// with `admission`, because another run has changed the state.
     pub fn begin_run(
         &self,
-        fingerprint: SuspectFingerprint,
+        suspects: &RequestSuspects,
         server: &str,
         admission: SuspectAdmission,
     ) -> Option<ServerRun> {
         let started = clock::now();
         self.apply_input(|state, _| {
-            if state.registry.admit(fingerprint) != admission {
+            if state.admit(self.own.node, suspects) != admission {
                 return None;
             }
             let server_incarnation = state.current_incarnation(server).unwrap_or_else(|| {
@@ -103,8 +116,9 @@
                 let unique = self.own.incarnation.0.wrapping_add(started.as_micros());
                 ServerIncarnation::new(&format!("{server} {}", self.own.node.0), unique)
             });
-            state.registry.start_run(fingerprint, server_incarnation);
-            Some(ServerRun { fingerprint, server: server.to_string(), server_incarnation, started })
+            state.registry.start_run(suspects, server_incarnation);
+            let suspects = suspects.clone();
+            Some(ServerRun { suspects, server: server.to_string(), server_incarnation, started })
         })
     }
 
@@ -116,13 +130,13 @@
             if server_incarnation != run.server_incarnation {
                 state.incarnations.insert(run.server.clone(), incarnation);
                 state.registry.end_run(
-                    run.fingerprint,
+                    &run.suspects,
                     run.server_incarnation,
                     EndReason::Incomplete,
                     run.started,
                     effects,
                 );
-                state.registry.start_run(run.fingerprint, server_incarnation);
+                state.registry.start_run(&run.suspects, server_incarnation);
                 run.server_incarnation = server_incarnation;
             }
             state.registry.record_server_alive(
@@ -147,13 +161,8 @@
                 }
                 end => end,
             };
-            let report = state.registry.end_run(
-                run.fingerprint,
-                run.server_incarnation,
-                end,
-                now,
-                effects,
-            )?;
+            let report =
+                state.registry.end_run(&run.suspects, run.server_incarnation, end, now, effects)?;
             let (sender, acknowledged) = oneshot::channel();
             state.waiting.entry(report).or_default().push(sender);
             Some(acknowledged)
@@ -167,7 +176,10 @@
 
     /// Sets the other entries, each of which must acknowledge crash reports.
     pub fn set_peers(&self, peers: Vec<NodeId>) {
-        self.apply_input(|state, effects| state.registry.set_peers(peers, effects));
+        self.apply_input(|state, effects| {
+            state.peers.clone_from(&peers);
+            state.registry.set_peers(peers, effects);
+        });
     }
 
     /// Sends the known crashes to an entry that has joined.
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -5,8 +5,7 @@
 
 use carobvane_core::{
     ids::ServerKey,
-    rendezvous::rendezvous_score,
-    suspects::{RequestSuspects, SuspectFingerprint, SuspectKind},
+    suspects::{self, RequestSuspects, SuspectFingerprint, SuspectKind},
     traffic::{CrashEvent, CrashReport, CrashRuling, CrashVerdict, PromptPart, RunEnd, ServerRun},
 };
 use tokio::time::timeout;
@@ -133,11 +132,8 @@
 /// Returns the position of this node in the order in which the live nodes may run a suspect after
 /// its quarantine.
 fn probe_rank(node: &Node, state: &NodeState, suspect: SuspectFingerprint) -> u32 {
-    let key = suspect.to_string();
-    let score = |name: &str| rendezvous_score(key.as_bytes(), rendezvous_score(name.as_bytes(), 0));
-    let own = score(&node.settings.name);
-    let before = state.members.live().filter(|member| score(&member.name) > own);
-    before.count().try_into().unwrap_or(u32::MAX)
+    let names = state.members.live().map(|member| member.name.as_str());
+    suspects::probe_rank(suspect, &node.settings.name, names)
 }
 
 /// Number of crashes of a suspect from which on they are logged. Many parts are in several requests,
--- a/crates/replay/src/check/machines/suspects.rs
+++ b/crates/replay/src/check/machines/suspects.rs
@@ -229,7 +229,8 @@
         match message {
             SuspectNodeMessage::Submit(attempt, request) => {
                 let is_new = self.seen_attempts.insert(attempt);
-                let admission = registry.admit(fingerprint(request));
+                let suspects = fingerprint(request).into();
+                let admission = registry.admit(context.now, &suspects, |_| 0);
                 let runs = matches!(admission, SuspectAdmission::Run | SuspectAdmission::RunAlone);
                 if is_new && runs {
                     let server = context.rng.random_range(FIRST_SERVER..Self::NODES);
@@ -250,10 +251,10 @@
                     return;
                 }
                 let server = ServerIncarnation::new(&from.to_string(), server_incarnation);
-                let (suspect, now) = (fingerprint(request), context.now);
-                registry.start_run(suspect, server);
+                let (suspects, now) = (fingerprint(request).into(), context.now);
+                registry.start_run(&suspects, server);
                 let report =
-                    registry.end_run(suspect, server, EndReason::Crashed, now, &mut effects);
+                    registry.end_run(&suspects, server, EndReason::Crashed, now, &mut effects);
                 if let Some(report) = report {
                     waiting.insert(report, request);
                 }
--- a/crates/replay/tests/streams.rs
+++ b/crates/replay/tests/streams.rs
@@ -175,3 +175,37 @@
     assert!(other.done, "{other:?}");
     fleet.stop().await;
 }
+
+/// Returns a prompt of whole pieces, one for each text, and a question of its own.
+fn prompt_of_pieces(texts: &[&str], question: usize) -> String {
+    let piece_bytes = FleetSettings::default().piece_bytes;
+    let pieces = texts.iter().map(|text| format!("{text:.<piece_bytes$}"));
+    pieces.chain([format!("question {question}")]).collect()
+}
+
+/// Guards against requests that crash engine after engine because only one piece of their prompts is
+/// the same, and against rejecting requests that share the other pieces.
+#[actix_rt::test]
+async fn crashing_piece_of_prompts_is_rejected_at_all_entries() {
+    const REQUESTS: usize = 10;
+    const MAX_CRASHES: u64 = 8;
+    let fleet = Fleet::start(&fleet_settings(6)).await.unwrap();
+    for engine in &fleet.engines {
+        engine.update_faults(&FaultUpdate {
+            poison: Some("poison".into()),
+            ..FaultUpdate::default()
+        });
+    }
+    for number in 0..REQUESTS {
+        let companion = format!("float {}", number % 3);
+        let crashing = prompt_of_pieces(&["firm", "poison", &companion], number);
+        let answer = ask(&fleet, number % 3, &crashing).await;
+        assert!(!answer.done, "{answer:?}");
+        let sound = prompt_of_pieces(&["firm", &companion], number);
+        let answer = ask(&fleet, (number + 1) % 3, &sound).await;
+        assert!(answer.done, "request {number}: {answer:?}");
+    }
+    let crashes: u64 = fleet.engines.iter().map(|engine| engine.counters().crashes).sum();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+    fleet.stop().await;
+}
