Log the limits that servers name and count all calls to servers

The adapter decodes the header; a change of the named limit is logged with the request that showed it, and carobvane_server_calls_total counts calls by kind. Nothing decides by the limit yet. Tests of the node crate pass.

--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -81,6 +81,8 @@
     pub prefill_backlog: PrefillBacklog,
     /// Time until which it gets no requests because it loads weights or is about to.
     pub loading_until: ClockTime,
+    /// Number of requests a second that it takes from all nodes together, as it named it last.
+    pub named_limit: Option<f64>,
 }
 
 impl BackendServer {
@@ -145,6 +147,7 @@
             in_flight: 0,
             prefill_backlog: PrefillBacklog::default(),
             loading_until: ClockTime::ZERO,
+            named_limit: None,
         });
         self.by_instance.insert(instance, key);
         self.by_service.entry(service).or_default().push(key);
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -107,8 +107,21 @@
     pub last_event: Option<u64>,
 }
 
+/// What a response says about the rate of requests that the server takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedLimit {
+    /// The server names no limit.
+    #[default]
+    None,
+    /// The server takes this many requests a second from all nodes together. Invariant: finite and
+    /// not negative.
+    PerSecond(f64),
+    /// The server names a limit that cannot be read.
+    Unreadable,
+}
+
 /// What the headers of a server's response say.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -120,6 +133,8 @@
     pub load: Option<ServerLoad>,
     /// Weights that the response was computed with.
     pub weights: Option<WeightsVersion>,
+    /// Limit on the rate of requests to the server.
+    pub limit: NamedLimit,
 }
 
 /// An order to a server to load weights.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -25,6 +25,7 @@
     pool::PooledConnection,
     request::RequestContext,
     server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server},
+    server_limits::{ServerCall, record_call, record_named_limit},
     server_outcomes::{record_lost, record_timeout, record_unresponsive},
 };
 
@@ -120,6 +121,7 @@
     ) -> AttemptResult {
         self.sent_at = clock::now();
         self.run = Some(RunGuard::start(node, context, self.choice.server, &self.instance));
+        record_call(ServerCall::Request);
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let response = match self.connection.connection.send(request, response_timeout).await {
@@ -134,6 +136,9 @@
             let cause = ConnectionError::Invalid("response to another request".to_string());
             return self.on_connection_error(node, context, &cause);
         }
+        let server = self.choice.server;
+        let id = &context.info.request_id;
+        record_named_limit(&mut node.state.borrow_mut(), server, id, head.limit);
         if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.on_rejected(node, context, response).await;
         }
--- a/crates/node/src/cache_events.rs
+++ b/crates/node/src/cache_events.rs
@@ -17,6 +17,7 @@
     connection::HttpConnection,
     node::Node,
     notices::NodeNotice,
+    server_limits::{ServerCall, record_call},
     store::build_request,
 };
 
@@ -122,6 +123,7 @@
     let mut request = build_request(A::encode_cache_events_query(since), address);
     A::set_target_instance(request.headers_mut(), instance);
     A::set_long_poll(request.headers_mut(), LONG_POLL_TIME);
+    record_call(ServerCall::CacheEvents);
     let response = used.call(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await.ok()?;
     *connection = Some(used);
     A::decode_cache_events(response.status(), response.body())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod rollout;
 mod rollout_lease;
 mod server_choice;
+mod server_limits;
 mod server_outcomes;
 pub mod settings;
 mod sockets;
