--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -9,6 +9,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Instant,
 };
 
 use socket2::SockRef;
@@ -56,6 +57,8 @@
     pub head: String,
     /// Body of `content-length` bytes; empty without that header.
     pub body: Vec<u8>,
+    /// When it was received.
+    pub received_at: Instant,
 }
 
 impl RecordedRequest {
@@ -303,7 +306,7 @@
 fn split_request(buffer: &mut Vec<u8>) -> Option<RecordedRequest> {
     let head_end = buffer.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
-    let request = RecordedRequest { head, body: Vec::new() };
+    let request = RecordedRequest { head, body: Vec::new(), received_at: Instant::now() };
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     if buffer.len() < head_end + length {
         return None;
