Keep all nodes together within the limit that a server names

Callers saw nothing yet; the servers in need got no relief.

Each node now keeps a token bucket for a limited server, which the requests of all nodes empty: a node tells the others at once how many it has sent in all. In rendezvous order each node leaves those before it 20 ms to take a token first, so that nodes seldom send in the same instant; if they do, all of them wait until the bucket has recovered. Retries and resumed streams take tokens; orders and reads of state are counted; cache events of servers with less than 10 requests a second are not read, and a limited server is not queried while it drains. A request that only limited servers could run is rejected at once with the time until there is a token.

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -15,3 +15,12 @@
     hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
 }
+
+/// Returns the position of a node in the order in which nodes come first for a key, from 0. All nodes
+/// derive the same order from the same names.
+pub fn node_rank<'a>(key: &[u8], own: &str, others: impl Iterator<Item = &'a str>) -> u32 {
+    let score = |name: &str| rendezvous_score(key, rendezvous_score(name.as_bytes(), 0));
+    let own_score = score(own);
+    let before = others.filter(|name| score(name) > own_score).count();
+    before.try_into().unwrap_or(u32::MAX)
+}
--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -26,7 +26,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ids::NodeId, rendezvous::rendezvous_score};
+use crate::{ids::NodeId, rendezvous::node_rank};
 
 /// Number of crashes after which a request is rejected.
 pub const MAX_CRASHES: usize = 2;
@@ -161,11 +161,7 @@
     own: &str,
     others: impl Iterator<Item = &'a str>,
 ) -> u32 {
-    let key = suspect.to_string();
-    let score = |name: &str| rendezvous_score(key.as_bytes(), rendezvous_score(name.as_bytes(), 0));
-    let own_score = score(own);
-    let before = others.filter(|name| score(name) > own_score).count();
-    before.try_into().unwrap_or(u32::MAX)
+    node_rank(suspect.to_string().as_bytes(), own, others)
 }
 
 impl fmt::Display for SuspectAdmission {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod rollout;
 mod rollout_messages;
+mod server_limit;
 mod suspension;
 mod unresolved_runs;
 mod weights_history;
@@ -50,6 +51,7 @@
     retry_budget::{BudgetShare, RetryBudget},
     rollout::RolloutPlanner,
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
+    server_limit::{LimitRank, LimitStatement, ServerLimit},
     suspension::SuspensionDetector,
     weights_history::WeightsHistory,
 };
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -158,7 +158,7 @@
         let best = best.or_else(|| {
             self.cheapest(now, registry, request, &context, tried, SearchPass::LastResort, rng)
         });
-        let choice = best.ok_or(PlacementRefusal::NoServer)?;
+        let choice = best.ok_or_else(|| no_server_refusal(now, registry, request, tried))?;
         let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
         let expected = expected_latency(server, &choice);
         let idle = choice.idle_latency_ms * server.health.latency_ratio() * IDLE_FACTOR / 1_000.0;
@@ -256,7 +256,7 @@
         request: &PlacementRequest<'_>,
         pass: SearchPass,
     ) -> bool {
-        if now < server.loading_until {
+        if now < server.loading_until || !server.limit.wait(now).is_zero() {
             return false;
         }
         let health = &server.health;
@@ -397,3 +397,17 @@
 pub fn cache_salt(cache_scope: u64, version: WeightsVersion) -> u64 {
     rendezvous_score(&version.0.to_le_bytes(), cache_scope)
 }
+
+/// Returns why no server can be chosen: none may be used, or those that may be have got as many
+/// requests as they take.
+fn no_server_refusal(
+    now: ClockTime,
+    registry: &ServerRegistry,
+    request: &PlacementRequest<'_>,
+    tried: &[ServerKey],
+) -> PlacementRefusal {
+    let untried = registry.usable(request.service).filter(|(key, _)| !tried.contains(key));
+    let waits = untried.map(|(_, server)| server.limit.wait(now)).filter(|wait| !wait.is_zero());
+    let shortest = waits.min().map(|wait| wait.max(MIN_RETRY_AFTER));
+    shortest.map_or(PlacementRefusal::NoServer, PlacementRefusal::Busy)
+}
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{PrefillBacklog, ServerHealth};
+use super::{PrefillBacklog, ServerHealth, ServerLimit};
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
@@ -81,8 +81,8 @@
     pub prefill_backlog: PrefillBacklog,
     /// Time until which it gets no requests because it loads weights or is about to.
     pub loading_until: ClockTime,
-    /// Number of requests a second that it takes from all nodes together, as it named it last.
-    pub named_limit: Option<f64>,
+    /// Rate of requests that it takes from all nodes together.
+    pub limit: ServerLimit,
 }
 
 impl BackendServer {
@@ -147,7 +147,7 @@
             in_flight: 0,
             prefill_backlog: PrefillBacklog::default(),
             loading_until: ClockTime::ZERO,
-            named_limit: None,
+            limit: ServerLimit::default(),
         });
         self.by_instance.insert(instance, key);
         self.by_service.entry(service).or_default().push(key);
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -226,7 +226,12 @@
                 LoadStage::Draining => LoadStage::QueriedDraining,
                 _ => continue,
             };
-            if now < loading.due {
+            let is_limited = registry.get(*key).is_some_and(|server| server.limit.rate().is_some());
+            // A server that takes few requests is queried only once, before the order.
+            let is_spared = is_limited
+                && loading.stage == LoadStage::Draining
+                && now.since(loading.since) < MAX_DRAIN_TIME;
+            if now < loading.due || is_spared {
                 continue;
             }
             let model = registry.get(*key).and_then(|server| server.listing.weights.first());
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    adapter::{PlatformAdapter, ResponseInfo, ServerRequest},
+    adapter::{NamedLimit, PlatformAdapter, ResponseInfo, ServerRequest},
     body::ResponseBody,
     cache_salt::format_salt,
     clock,
@@ -25,7 +25,7 @@
     pool::PooledConnection,
     request::RequestContext,
     server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server},
-    server_limits::{ServerCall, record_call, record_named_limit},
+    server_limits::record_named_limit,
     server_outcomes::{record_lost, record_timeout, record_unresponsive},
 };
 
@@ -121,7 +121,6 @@
     ) -> AttemptResult {
         self.sent_at = clock::now();
         self.run = Some(RunGuard::start(node, context, self.choice.server, &self.instance));
-        record_call(ServerCall::Request);
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let response = match self.connection.connection.send(request, response_timeout).await {
@@ -136,9 +135,7 @@
             let cause = ConnectionError::Invalid("response to another request".to_string());
             return self.on_connection_error(node, context, &cause);
         }
-        let server = self.choice.server;
-        let id = &context.info.request_id;
-        record_named_limit(&mut node.state.borrow_mut(), server, id, head.limit);
+        self.record_limit(node, context, head.limit);
         if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.on_rejected(node, context, response).await;
         }
@@ -267,6 +264,12 @@
         self.flight.report(load, salt, context.info.prompt.shared_parts(), self.save_to.is_some());
     }
 
+    fn record_limit(&self, node: &Rc<Node>, context: &RequestContext, limit: NamedLimit) {
+        let state = &mut *node.state.borrow_mut();
+        let id = &context.info.request_id;
+        record_named_limit(node, state, self.choice.server, id, limit, self.sent_at);
+    }
+
     fn record_response_info(&self, node: &Rc<Node>, context: &RequestContext, head: &ResponseInfo) {
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
--- a/crates/node/src/cache_events.rs
+++ b/crates/node/src/cache_events.rs
@@ -17,7 +17,7 @@
     connection::HttpConnection,
     node::Node,
     notices::NodeNotice,
-    server_limits::{ServerCall, record_call},
+    server_limits::{self, ServerCall, record_call},
     store::build_request,
 };
 
@@ -32,6 +32,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause between two responses, in which further events accumulate.
 const BATCH_PAUSE: Duration = Duration::from_millis(50);
+/// Pause while a server's limit leaves no room to read its events.
+const LIMITED_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum number of parts in a notice, so that it fits into a datagram.
@@ -76,6 +78,11 @@
     let mut connection = None;
     while let Some((key, address)) = engine(node, instance).filter(|_| is_assigned(node, instance))
     {
+        if !server_limits::may_read_events(&node.state.borrow(), key) {
+            sleep(LIMITED_PAUSE).await;
+            continue;
+        }
+        record_call(node, &mut node.state.borrow_mut(), key, ServerCall::CacheEvents);
         let Some(batch) = poll_events::<A>(&mut connection, instance, address, since).await else {
             connection = None;
             sleep(RETRY_PAUSE).await;
@@ -123,7 +130,6 @@
     let mut request = build_request(A::encode_cache_events_query(since), address);
     A::set_target_instance(request.headers_mut(), instance);
     A::set_long_poll(request.headers_mut(), LONG_POLL_TIME);
-    record_call(ServerCall::CacheEvents);
     let response = used.call(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await.ok()?;
     *connection = Some(used);
     A::decode_cache_events(response.status(), response.body())
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -108,6 +108,8 @@
     pub outbox: RefCell<Vec<NodeNotice>>,
     /// Wakes the task that sends notices.
     pub outbox_wake: Notify,
+    /// Makes the task send the queued notices at once.
+    pub outbox_flush: Notify,
 }
 
 impl Node {
@@ -163,6 +165,7 @@
             announced_revision: Cell::new(0),
             outbox: RefCell::default(),
             outbox_wake: Notify::new(),
+            outbox_flush: Notify::new(),
         }
     }
 
@@ -208,6 +211,12 @@
         self.outbox_wake.notify_one();
     }
 
+    /// Queues a notice for all other nodes and sends it without waiting for others to join it.
+    pub fn broadcast_at_once(&self, notice: NodeNotice) {
+        self.broadcast(notice);
+        self.outbox_flush.notify_one();
+    }
+
     /// Returns the address of a server and the number of connections that this node may open to it.
     pub fn server_endpoint(&self, server: ServerKey) -> Option<(SocketAddr, u32)> {
         let state = self.state.borrow();
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -8,7 +8,7 @@
 
 use carobvane_core::{
     ids::WeightsVersion,
-    traffic::{CacheConfidence, CrashReport, PromptPart, ServerLoad},
+    traffic::{CacheConfidence, CrashReport, LimitStatement, PromptPart, ServerLoad},
 };
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
@@ -17,7 +17,7 @@
     adapter::{PlatformAdapter, StoreEvent},
     cache_events, clock, crashes,
     node::Node,
-    store_sync,
+    server_limits, store_sync,
 };
 
 /// Maximum size of a datagram, below the usual packet size.
@@ -120,6 +120,17 @@
     },
     /// All that the sender knows of a request under which servers ended.
     Crashes(CrashReport),
+    /// What the sender knows of the limit of a server, and has sent to it.
+    Limited {
+        /// Instance name of the server.
+        instance: String,
+        /// Incarnation of the sending node.
+        sender: u64,
+        /// The limit.
+        statement: LimitStatement,
+        /// Number of requests that the sender has sent while the server was limited.
+        sent: u64,
+    },
 }
 
 /// Applies a notice from another node or from this one.
@@ -174,6 +185,9 @@
         // Store changes are applied by `store_sync`, cache events above.
         NodeNotice::Changed { .. } | NodeNotice::Behind { .. } | NodeNotice::Cached { .. } => {}
         NodeNotice::Crashes(report) => crashes::apply_notice(node, state, &report),
+        NodeNotice::Limited { instance, sender, statement, sent } => {
+            server_limits::apply_notice(node, state, &instance, statement, (sender, sent));
+        }
     }
 }
 
@@ -183,7 +197,11 @@
         node.outbox_wake.notified().await;
         let others = other_node_addresses(&node);
         let large = others.len() >= LARGE_FLEET_NODES;
-        sleep(if large { LARGE_FLEET_BATCH_DELAY } else { BATCH_DELAY }).await;
+        let delay = sleep(if large { LARGE_FLEET_BATCH_DELAY } else { BATCH_DELAY });
+        tokio::select! {
+            () = delay => {}
+            () = node.outbox_flush.notified() => {}
+        }
         let notices = std::mem::take(&mut *node.outbox.borrow_mut());
         for datagram in pack_datagrams(&notices) {
             for address in &others {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -19,6 +19,7 @@
     registration::{self, RegistrationLease},
     rollout,
     rollout_lease::{self, RolloutLease},
+    server_limits,
     settings::NodeSettings,
     sockets::NodeSockets,
     store::StoreClient,
@@ -209,6 +210,7 @@
         node.state.borrow_mut().on_active(now);
         node.pool.close_expired(now);
         crashes::tick(&node);
+        server_limits::tick(&node);
         let state = &mut *node.state.borrow_mut();
         state.members.expire(now);
         for (instance, server) in state.registry.remove_lapsed(now) {
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -87,7 +87,7 @@
     let order =
         WeightsOrder { model: &model, version, holder: &node.settings.name, fencing, expected };
     let query = A::encode_weights_order(&order);
-    record_call(ServerCall::Order);
+    record_call(node, &mut node.state.borrow_mut(), server, ServerCall::Order);
     let guard = || node.state.borrow().rollout.order_fencing_token(clock::now()) == Some(fencing);
     let result = query_server::<A>(&instance, address, query, guard).await;
     let reply = match &result {
@@ -107,7 +107,7 @@
 
 async fn read_state<A: PlatformAdapter>(node: &Rc<Node>, server: ServerKey, model: &str) {
     let Some((instance, address)) = server_target(node, server) else { return };
-    record_call(ServerCall::State);
+    record_call(node, &mut node.state.borrow_mut(), server, ServerCall::State);
     let reply = match query_server::<A>(&instance, address, A::encode_state_query(), || true).await
     {
         Ok(response) => A::decode_state(response.status(), response.body(), model),
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -6,7 +6,12 @@
     AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal, PlacementRequest,
 };
 
-use crate::{clock, crashes, node::Node, request::RequestContext};
+use crate::{
+    clock, crashes,
+    node::Node,
+    request::RequestContext,
+    server_limits::{ServerCall, record_call},
+};
 
 /// A request is sent only if its expected wait is at most this fraction of the target latency:
 /// under overload the actual wait is about a third longer than the expected one.
@@ -66,7 +71,10 @@
         weighed = choice.candidate_count, config:? = state.routes.version();
         "server chosen"
     );
-    Ok((choice, server.listing.instance.clone()))
+    let instance = server.listing.instance.clone();
+    // The request may be sent only later, but no other one must take its place under the limit.
+    record_call(node, state, choice.server, ServerCall::Request);
+    Ok((choice, instance))
 }
 
 /// Returns the longest expected wait at which a request is still sent. One that would be late only
