--- a/crates/core/tests/traffic_server_limits.rs
+++ b/crates/core/tests/traffic_server_limits.rs
@@ -38,6 +38,22 @@
     Bursts,
 }
 
+/// What happens to the nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disturbance {
+    Nothing,
+    /// A node restarts, every four seconds.
+    Restarts,
+    /// The first node receives no notices.
+    OneDeaf,
+    /// All notices of the first node are lost.
+    OneMute,
+    /// A node is suspended for three seconds, every six seconds.
+    Suspensions,
+    /// Half of the nodes leave after ten seconds.
+    Leaves,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Case {
     name: &'static str,
@@ -49,8 +65,7 @@
     demand: Demand,
     /// Probability that a datagram is lost.
     loss: f64,
-    /// Whether nodes restart, one every four seconds.
-    restarts: bool,
+    disturbance: Disturbance,
     is_use_judged: bool,
 }
 
@@ -61,11 +76,11 @@
     later_limit: 1.0,
     demand: Demand::AllNodes,
     loss: 0.0,
-    restarts: false,
+    disturbance: Disturbance::Nothing,
     is_use_judged: true,
 };
 
-const CASES: [Case; 12] = [
+const CASES: [Case; 17] = [
     CALM,
     Case { name: "less than one a second", limit: 0.3, later_limit: 0.3, ..CALM },
     Case { name: "fraction", limit: 1.2, later_limit: 1.2, ..CALM },
@@ -94,10 +109,15 @@
         limit: 2.0,
         later_limit: 2.0,
         loss: 0.1,
-        restarts: true,
+        disturbance: Disturbance::Restarts,
         is_use_judged: false,
         ..CALM
     },
+    Case { name: "one node hears nothing", disturbance: Disturbance::OneDeaf, ..CALM },
+    Case { name: "one node is not heard", disturbance: Disturbance::OneMute, ..CALM },
+    Case { name: "suspended nodes", disturbance: Disturbance::Suspensions, ..CALM },
+    Case { name: "nodes leave", disturbance: Disturbance::Leaves, ..CALM },
+    Case { name: "86 nodes, one has requests", nodes: 86, demand: Demand::OneNode, ..CALM },
     Case { name: "86 nodes", nodes: 86, limit: 2.0, later_limit: 2.0, loss: 0.05, ..CALM },
 ];
 
@@ -139,8 +159,10 @@
         let start = self.now;
         while self.now.since(start) < LENGTH {
             let elapsed = self.now.since(start);
-            self.deliver();
-            if self.case.restarts && is_multiple(elapsed, Duration::from_secs(4)) {
+            self.deliver(elapsed);
+            if self.case.disturbance == Disturbance::Restarts
+                && is_multiple(elapsed, Duration::from_secs(4))
+            {
                 let node = self.rng.random_range(0..self.case.nodes);
                 self.nodes[node] = ServerLimit::default();
                 self.incarnations[node] += 1_000;
@@ -155,13 +177,15 @@
                 self.broadcast(node);
             }
             if is_multiple(elapsed, REPEAT_INTERVAL) {
-                (0..self.case.nodes).for_each(|node| self.broadcast(node));
+                let active = (0..self.case.nodes).filter(|node| self.is_active(*node, elapsed));
+                let active: Vec<usize> = active.collect();
+                active.into_iter().for_each(|node| self.broadcast(node));
             }
             // Requests reach the nodes in any order.
             let first = self.rng.random_range(0..self.case.nodes);
             let nodes = self.case.nodes;
             for node in (0..nodes).map(|node| (node + first) % nodes) {
-                if self.has_request(node, elapsed) {
+                if self.is_active(node, elapsed) && self.has_request(node, elapsed) {
                     self.try_send(node);
                 }
             }
@@ -175,6 +199,17 @@
         self.nodes[node].set_rank(LimitRank { position: node as u32 });
     }
 
+    fn is_active(&self, node: usize, elapsed: Duration) -> bool {
+        match self.case.disturbance {
+            Disturbance::Leaves => elapsed < Duration::from_secs(10) || node.is_multiple_of(2),
+            Disturbance::Suspensions => {
+                let (turn, time) = (elapsed.as_secs() / 6, elapsed.as_secs() % 6);
+                time >= 3 || node != turn as usize % self.case.nodes
+            }
+            _ => true,
+        }
+    }
+
     fn has_request(&mut self, node: usize, elapsed: Duration) -> bool {
         match self.case.demand {
             Demand::AllNodes => true,
@@ -196,7 +231,12 @@
         let (sender, sent) = (self.incarnations[from], self.nodes[from].own_sent());
         for to in (0..self.case.nodes).filter(|to| *to != from) {
             let delay = Duration::from_millis(self.rng.random_range(2..15));
-            if !self.rng.random_bool(self.case.loss) {
+            let is_cut = match self.case.disturbance {
+                Disturbance::OneDeaf => to == 0,
+                Disturbance::OneMute => from == 0,
+                _ => false,
+            };
+            if !is_cut && !self.rng.random_bool(self.case.loss) {
                 self.notices.push(Notice {
                     arrives_at: self.now + delay,
                     to,
@@ -208,11 +248,12 @@
         }
     }
 
-    fn deliver(&mut self) {
+    fn deliver(&mut self, elapsed: Duration) {
         let now = self.now;
+        // Notices to a suspended node wait for it.
         let (due, waiting) = std::mem::take(&mut self.notices)
             .into_iter()
-            .partition(|notice| notice.arrives_at <= now);
+            .partition(|notice| notice.arrives_at <= now && self.is_active(notice.to, elapsed));
         self.notices = waiting;
         let due: Vec<Notice> = due;
         for notice in due {
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -91,6 +91,8 @@
     /// Number of requests received, without requests for cache events, and number of connections
     /// closed by the client or by a failed write.
     counts: watch::Sender<(usize, usize)>,
+    /// Number of requests for cache events received so far.
+    event_polls: AtomicUsize,
     /// Bytes of endless responses that the system has taken from the server so far.
     endless_bytes: AtomicUsize,
 }
@@ -115,6 +117,7 @@
         events_read: watch::channel(0).0,
         recorded: Mutex::default(),
         counts: watch::channel((0, 0)).0,
+        event_polls: AtomicUsize::new(0),
         endless_bytes: AtomicUsize::new(0),
     });
     let accepting = shared.clone();
@@ -180,6 +183,11 @@
         self.wait(|(requests, _)| requests >= count).await;
     }
 
+    /// Returns the number of requests for cache events received so far.
+    pub fn event_polls(&self) -> usize {
+        self.shared.event_polls.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of bytes of endless responses that were sent so far.
     pub fn endless_bytes(&self) -> usize {
         self.shared.endless_bytes.load(Ordering::Relaxed)
@@ -204,6 +212,7 @@
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = read_request(&mut stream, &mut buffer).await {
         if let Some(since) = parse_events_query(&request) {
+            shared.event_polls.fetch_add(1, Ordering::Relaxed);
             let answer = events_response(&shared, since).await;
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 break;
