Reproduce nodes that miss changes after the store was restored

Revisions go back, and a watch from one that it does not have gets 410. A node then reads all items, finds a revision below its own, drops what it has read and begins again, without a pause, until the revisions have caught up; what was written before that is never applied. The stand-in can be copied and restored, and names its era in all responses.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,5 +8,5 @@
 pub use self::{
     backend::{BackendHandle, BackendResponse, RecordedRequest, start_backend},
     datagrams::{DatagramLoss, DatagramRelay, start_datagram_relay},
-    store::{StoreFault, StoreHandle, start_store},
+    store::{StoreCopy, StoreFault, StoreHandle, start_store},
 };
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -9,7 +9,17 @@
     time::{Duration, Instant},
 };
 
-use actix_web::{App, HttpResponse, http::StatusCode, web};
+use actix_web::{
+    App, HttpResponse,
+    body::MessageBody,
+    dev::{ServiceRequest, ServiceResponse},
+    http::{
+        StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
+    middleware::{Next, from_fn},
+    web,
+};
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -39,6 +49,14 @@
     lease: u64,
 }
 
+/// A copy of a store's content, from which it can be restored.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: BTreeMap<String, StoredItem>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreCore {
     items: BTreeMap<String, StoredItem>,
@@ -47,6 +65,8 @@
     /// Changes up to this revision are no longer in the history.
     compacted_revision: u64,
     revision: u64,
+    /// Number of times that the store was restored from a copy, in all responses.
+    era: u64,
     /// Expiry time and time to live by lease id.
     leases: BTreeMap<u64, (Instant, Duration)>,
     fault: StoreFault,
@@ -141,6 +161,7 @@
             .route("/kv-lease", web::post().to(grant_lease))
             .route("/kv-keep/{lease}", web::post().to(renew_lease))
             .route("/kv-lease-end/{lease}", web::delete().to(revoke_lease))
+            .wrap(from_fn(name_era))
     };
     Ok(StoreHandle { shared, server: crate::serve!(listener, app) })
 }
@@ -185,6 +206,26 @@
         });
     }
 
+    /// Copies the content of the store.
+    pub fn copy(&self) -> StoreCopy {
+        let core = lock(&self.shared.core);
+        let (items, leases) = (core.items.clone(), core.leases.clone());
+        StoreCopy { items, leases, revision: core.revision }
+    }
+
+    /// Replaces the content by that of a copy. What was written since is gone, leases too, and
+    /// revisions are given out again. The era rises.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.shared.change(|core| {
+            core.items = copy.items.clone();
+            core.leases = copy.leases.clone();
+            core.revision = copy.revision;
+            core.history.clear();
+            core.compacted_revision = copy.revision;
+            core.era += 1;
+        });
+    }
+
     /// Returns the value of a key, if it exists and its lease has not expired.
     pub fn get(&self, key: &str) -> Option<Vec<u8>> {
         let mut core = lock(&self.shared.core);
@@ -274,6 +315,18 @@
     }
 }
 
+/// Adds the era of the store to a response.
+async fn name_era(
+    shared: Shared,
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let mut response = next.call(request).await?;
+    let era = HeaderValue::from(lock(&shared.core).era);
+    response.headers_mut().insert(HeaderName::from_static("store-era"), era);
+    Ok(response)
+}
+
 async fn list_range(shared: Shared, query: web::Query<RangeQuery>) -> HttpResponse {
     let fault = lock(&shared.core).record_call("range");
     if let Some(refusal) = fault_response(fault).await {
@@ -297,7 +350,7 @@
         changed.borrow_and_update();
         {
             let core = lock(&shared.core);
-            if query.after < core.compacted_revision {
+            if query.after < core.compacted_revision || query.after > core.revision {
                 return HttpResponse::Gone().finish();
             }
             let events = core.history.iter().filter(|(revision, key, _)| {
