Simulate two crashing parts at the same time

The histories of crashing parts get a case with two such parts of one caller; late runs are counted for each part.

--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -37,7 +37,7 @@
 const MIN_SOUND_SHARE: f64 = 0.5;
 const SEEDS: u64 = 10;
 
-/// Part that crashes servers.
+/// First of the parts that crash servers; the others follow it.
 const CRASHING: u64 = 0xbad;
 /// First part of the caller that sends the crashing part.
 const FIRST: u64 = 1;
@@ -46,7 +46,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Case {
     name: &'static str,
-    /// Requests a second with the crashing part, and sound ones with the same first part.
+    /// Number of parts that crash servers.
+    crashing_parts: usize,
+    /// Requests a second with a crashing part, and sound ones with the same first part.
     crashing_rate: f64,
     sound_rate: f64,
     /// Number of other parts that both kinds of request share.
@@ -69,6 +71,7 @@
 
 const CALM: Case = Case {
     name: "calm",
+    crashing_parts: 1,
     crashing_rate: 3.0,
     sound_rate: 12.0,
     companions: 6,
@@ -81,11 +84,12 @@
     waves: false,
 };
 
-const CASES: [Case; 12] = [
+const CASES: [Case; 13] = [
     CALM,
     Case { name: "rare requests", crashing_rate: 0.4, sound_rate: 1.5, ..CALM },
     Case { name: "many at once", crashing_rate: 25.0, ..CALM },
     Case { name: "few sound requests", sound_rate: 1.0, companions: 1, ..CALM },
+    Case { name: "two parts", crashing_parts: 2, crashing_rate: 5.0, ..CALM },
     Case { name: "nested parts", nested: true, ..CALM },
     Case { name: "silent servers", silent: true, crashing_rate: 2.0, ..CALM },
     Case { name: "lost datagrams", loss: 0.3, ..CALM },
@@ -141,7 +145,8 @@
     node: usize,
     server: usize,
     run: ServerRun,
-    is_crashing: bool,
+    /// Index of the crashing part, if the request has one.
+    crashing: Option<usize>,
     begins_at: ClockTime,
     ends_at: ClockTime,
 }
@@ -150,12 +155,19 @@
 #[derive(Debug, Default)]
 struct Outcome {
     crashes: usize,
-    /// Runs with the crashing part that began too late.
+    /// Largest number of runs with one crashing part that began too late.
     late_runs: usize,
     sound_allowed: usize,
     sound_rejected: usize,
 }
 
+#[derive(Debug, Clone, Default)]
+struct PartCount {
+    crashes: usize,
+    fifth_crash: Option<ClockTime>,
+    late_runs: usize,
+}
+
 struct Simulation {
     case: Case,
     rng: SmallRng,
@@ -170,7 +182,8 @@
     /// Records in the store, by the text of their suspect.
     store: BTreeMap<String, CrashReport>,
     last_crash: Option<ClockTime>,
-    fifth_crash: Option<ClockTime>,
+    /// Crashes of each crashing part, the time of its fifth one, and its late runs.
+    parts: Vec<PartCount>,
     next_request: u64,
     outcome: Outcome,
 }
@@ -192,7 +205,7 @@
             silent: Vec::new(),
             store: BTreeMap::new(),
             last_crash: None,
-            fifth_crash: None,
+            parts: vec![PartCount::default(); case.crashing_parts],
             next_request: 0,
             outcome: Outcome::default(),
         }
@@ -211,6 +224,8 @@
             self.arrive();
             self.now = self.now + STEP;
         }
+        let late_runs = self.parts.iter().map(|part| part.late_runs);
+        self.outcome.late_runs = late_runs.max().unwrap_or(0);
         self.outcome
     }
 
@@ -252,23 +267,24 @@
                 true => 900 + self.rng.random_range(0..3),
                 false => 100 + self.rng.random_range(0..self.case.companions),
             };
-            self.request(&[FIRST, CRASHING, companion], true);
+            let index = self.rng.random_range(0..self.case.crashing_parts);
+            self.request(&[FIRST, CRASHING + index as u64, companion], Some(index));
         }
         if self.rng.random_bool((self.case.sound_rate * seconds).min(1.0)) {
             let companion = 100 + self.rng.random_range(0..self.case.companions);
             let has_companion = self.rng.random_bool(0.7);
             let parts = [FIRST, companion];
-            self.request(if has_companion { &parts } else { &parts[..1] }, false);
+            self.request(if has_companion { &parts } else { &parts[..1] }, None);
         }
         // Other callers, whose requests run beside them.
         if self.rng.random_bool(0.3) {
             let first = self.rng.random_range(10..16);
             let second = self.rng.random_range(200..240);
-            self.request(&[first, second], false);
+            self.request(&[first, second], None);
         }
     }
 
-    fn request(&mut self, parts: &[u64], is_crashing: bool) {
+    fn request(&mut self, parts: &[u64], crashing: Option<usize>) {
         self.next_request += 1;
         let request = SuspectFingerprint::new("workspace", &self.next_request.to_le_bytes());
         let parts_suspects = parts.iter().map(|part| SuspectFingerprint::of_part(*part));
@@ -281,7 +297,11 @@
         };
         let ruling = self.nodes[node].tracker.verdict(self.now, &suspects, rank);
         let is_allowed = ruling.verdict == CrashVerdict::Allow;
-        if !is_crashing && parts[0] == FIRST && self.is_sound_judged() && self.is_in_touch(node) {
+        if crashing.is_none()
+            && parts[0] == FIRST
+            && self.is_sound_judged()
+            && self.is_in_touch(node)
+        {
             match is_allowed {
                 true => self.outcome.sound_allowed += 1,
                 false => self.outcome.sound_rejected += 1,
@@ -295,13 +315,15 @@
         let server = up[self.rng.random_range(0..up.len())];
         let SimServer { key, incarnation, .. } = self.servers[server];
         let run = self.nodes[node].tracker.start_run(&suspects, key, incarnation);
-        let is_late = self.fifth_crash.is_some_and(|at| self.now.since(at) > STABLE_TIME);
-        if is_crashing && is_late && self.is_in_touch(node) {
-            self.outcome.late_runs += 1;
+        if let Some(index) = crashing
+            && self.parts[index].fifth_crash.is_some_and(|at| self.now.since(at) > STABLE_TIME)
+            && self.is_in_touch(node)
+        {
+            self.parts[index].late_runs += 1;
         }
         let begins_at = self.now + Duration::from_millis(self.rng.random_range(20..300));
         let ends_at = begins_at + Duration::from_millis(self.rng.random_range(100..1_500));
-        self.runs.push(SimRun { node, server, run, is_crashing, begins_at, ends_at });
+        self.runs.push(SimRun { node, server, run, crashing, begins_at, ends_at });
     }
 
     fn is_in_touch(&self, node: usize) -> bool {
@@ -311,18 +333,24 @@
 
     /// Whether sound requests count: from twice the stable time after the fifth crash on.
     fn is_sound_judged(&self) -> bool {
-        self.fifth_crash.or(self.last_crash).is_some_and(|at| self.now.since(at) > STABLE_TIME * 2)
+        let fifth_crashes = self.parts.iter().map(|part| part.fifth_crash);
+        let all_fifth = fifth_crashes.collect::<Option<Vec<_>>>();
+        let since = all_fifth.and_then(|times| times.into_iter().max()).or(self.last_crash);
+        since.is_some_and(|at| self.now.since(at) > STABLE_TIME * 2)
     }
 
     /// Ends the runs that are due, and the servers under runs that crash them.
     fn end_runs(&mut self) {
         let now = self.now;
-        let crashing = self.runs.iter().find(|run| run.is_crashing && run.begins_at <= now);
-        if let Some(server) = crashing.map(|run| run.server) {
+        let mut begun = self.runs.iter().filter(|run| run.begins_at <= now);
+        let crashing = begun.find_map(|run| Some((run.server, run.crashing?)));
+        if let Some((server, index)) = crashing {
             self.outcome.crashes += 1;
             self.last_crash = Some(now);
-            if self.outcome.crashes == CRASHES_BEFORE_REJECTION {
-                self.fifth_crash = Some(now);
+            let part = &mut self.parts[index];
+            part.crashes += 1;
+            if part.crashes == CRASHES_BEFORE_REJECTION {
+                part.fifth_crash = Some(now);
             }
             self.end_server(server);
             return self.end_runs();
