--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -12,6 +12,7 @@
 mod fingerprint;
 mod record;
 mod registry;
+mod running;
 mod table;
 
 pub use self::{
@@ -82,6 +83,30 @@
 }
 
 impl ServerCrash {
+    /// Returns the crashes of a suspect that are not withdrawn.
+    fn of_record(
+        fingerprint: SuspectFingerprint,
+        record: &CrashRecord<ServerIncarnation>,
+    ) -> impl Iterator<Item = ServerCrash> {
+        record.crashes().map(move |entry| ServerCrash {
+            fingerprint,
+            server: entry.server,
+            round: entry.round,
+        })
+    }
+
+    /// Returns the crashes that the death of a server is for a run.
+    fn of_run(
+        run_suspects: &RunSuspects,
+        server: ServerIncarnation,
+    ) -> impl Iterator<Item = ServerCrash> {
+        run_suspects.iter().map(move |suspect| ServerCrash {
+            fingerprint: suspect.fingerprint,
+            server,
+            round: suspect.round,
+        })
+    }
+
     fn entry(&self) -> CrashEntry<ServerIncarnation> {
         CrashEntry { server: self.server, round: self.round, withdrawn: false }
     }
--- a/crates/core/src/suspects/registry.rs
+++ b/crates/core/src/suspects/registry.rs
@@ -6,10 +6,11 @@
 };
 
 use super::{
-    CrashRecord, EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_REPORTED_CRASHES, MAX_SUSPECTS,
+    EndReason, MAX_CRASHES, MAX_DEAD_INCARNATIONS, MAX_REPORTED_CRASHES, MAX_SUSPECTS,
     PROBE_STAGGER, PartVerdict, REPORT_RETRY_INTERVAL, REPORT_TIMEOUT, RequestSuspects,
-    RunSuspects, SUSPECT_LIFETIME, ServerCrash, ServerIncarnation, SuspectAdmission, SuspectEffect,
+    SUSPECT_LIFETIME, ServerCrash, ServerIncarnation, SuspectAdmission, SuspectEffect,
     SuspectFingerprint, SuspectKind, SuspectMessage, SuspectTable, TEST_STAGGER, part_quarantine,
+    running::RunningRequests,
 };
 use crate::{
     clock::{ClockTime, TimerQueue},
@@ -20,8 +21,7 @@
 #[derive(Debug, Clone)]
 pub struct SuspectRegistry {
     suspects: SuspectTable<ServerIncarnation>,
-    /// The running requests of each server.
-    running: HashMap<ServerIncarnation, Vec<RunSuspects>>,
+    running: RunningRequests,
     /// Server incarnations with a counted crash, and the time at which this entry learned of the
     /// death. A request sent after that time cannot have caused it.
     dead: HashMap<ServerIncarnation, ClockTime>,
@@ -49,7 +49,7 @@
     fn default() -> SuspectRegistry {
         SuspectRegistry {
             suspects: SuspectTable::new(MAX_SUSPECTS),
-            running: HashMap::new(),
+            running: RunningRequests::default(),
             dead: HashMap::new(),
             peers: Vec::new(),
             reports: HashMap::new(),
@@ -78,8 +78,9 @@
     /// Sends all known crashes to an entry that has joined.
     pub fn sync_peer(&self, to: NodeId, effects: &mut Vec<SuspectEffect>) {
         let known = self.suspects.records();
-        let known: Vec<_> =
-            known.flat_map(|(fingerprint, record)| crashes_of(fingerprint, record)).collect();
+        let known: Vec<_> = known
+            .flat_map(|(fingerprint, record)| ServerCrash::of_record(fingerprint, record))
+            .collect();
         for crashes in known.chunks(MAX_REPORTED_CRASHES) {
             let message = SuspectMessage::Report { id: 0, crashes: crashes.to_vec() };
             effects.push(SuspectEffect::Send { to, message });
@@ -97,7 +98,7 @@
         let of_request = match self.crash_count(suspects.request) {
             0 => SuspectAdmission::Run,
             count if count >= MAX_CRASHES => SuspectAdmission::Reject,
-            _ if self.is_running(suspects.request) => SuspectAdmission::Busy,
+            _ if self.running.has_counted(suspects.request) => SuspectAdmission::Busy,
             _ => SuspectAdmission::RunAlone,
         };
         of_request.max(self.admit_parts(now, &suspects.parts, probe_rank))
@@ -119,7 +120,7 @@
         if is_whole && waited < group.quarantine() + PROBE_STAGGER * rank {
             return SuspectAdmission::Reject;
         }
-        let is_running = group.parts.iter().any(|part| self.is_running(*part));
+        let is_running = group.parts.iter().any(|part| self.running.has_counted(*part));
         if is_running || waited < TEST_STAGGER * rank {
             return SuspectAdmission::Busy;
         }
@@ -155,7 +156,7 @@
     /// Records that a request starts to run on a server.
     pub fn start_run(&mut self, suspects: &RequestSuspects, server: ServerIncarnation) {
         let run_suspects = self.suspects.run_suspects(suspects);
-        self.running.entry(server).or_default().push(run_suspects);
+        self.running.start(server, run_suspects);
     }
 
     /// Records that a request no longer runs on a server. Returns the id of a report after a crash;
@@ -168,40 +169,25 @@
         now: ClockTime,
         effects: &mut Vec<SuspectEffect>,
     ) -> Option<u64> {
-        let run_suspects = self.take_run(suspects.request, server);
+        let run_suspects = self.running.end(server, suspects.request);
         let run_suspects = run_suspects.unwrap_or_else(|| self.suspects.run_suspects(suspects));
         match end {
             EndReason::Incomplete => None,
             EndReason::Completed => {
                 let known = run_suspects.iter().filter_map(|suspect| {
                     let record = self.suspects.record(suspect.fingerprint)?;
-                    Some(crashes_of(suspect.fingerprint, record))
+                    Some(ServerCrash::of_record(suspect.fingerprint, record))
                 });
                 let crashes = known.flatten().collect();
                 self.withdraw_crashes(crashes, now, effects);
                 None
             }
             EndReason::Crashed => {
-                self.open_report(crashes_under(&run_suspects, server).collect(), now, effects)
+                self.open_report(ServerCrash::of_run(&run_suspects, server).collect(), now, effects)
             }
         }
     }
 
-    /// Removes a run of a request on a server and returns its suspects.
-    fn take_run(
-        &mut self,
-        request: SuspectFingerprint,
-        server: ServerIncarnation,
-    ) -> Option<RunSuspects> {
-        let running = self.running.get_mut(&server)?;
-        let position = running.iter().position(|run| has_suspect(run, request))?;
-        let run_suspects = running.swap_remove(position);
-        if running.is_empty() {
-            self.running.remove(&server);
-        }
-        Some(run_suspects)
-    }
-
     /// Records that a server died, which makes all requests running there suspects. Returns the id
     /// of the report, or `None` if nothing was running there.
     pub fn record_server_death(
@@ -210,8 +196,8 @@
         now: ClockTime,
         effects: &mut Vec<SuspectEffect>,
     ) -> Option<u64> {
-        let running = self.running.remove(&server)?;
-        let crashes = running.iter().flat_map(|run| crashes_under(run, server));
+        let running = self.running.remove_server(server)?;
+        let crashes = running.iter().flat_map(|run| ServerCrash::of_run(run, server));
         // Parts of several requests are in the report once.
         let crashes: BTreeSet<_> = crashes.collect();
         self.open_report(crashes.into_iter().collect(), now, effects)
@@ -232,7 +218,8 @@
         }
         self.dead.remove(&server);
         let known = self.suspects.records();
-        let crashes = known.flat_map(|(fingerprint, record)| crashes_of(fingerprint, record));
+        let crashes =
+            known.flat_map(|(fingerprint, record)| ServerCrash::of_record(fingerprint, record));
         let crashes = crashes.filter(|crash| crash.server == server).collect();
         self.withdraw_crashes(crashes, now, effects);
     }
@@ -288,18 +275,12 @@
         }
     }
 
-    /// Whether a run is in progress of a request, or of a part that could be blamed when it began.
-    fn is_running(&self, fingerprint: SuspectFingerprint) -> bool {
-        let mut suspects = self.running.values().flatten().flatten();
-        suspects.any(|suspect| suspect.is_counted && suspect.fingerprint == fingerprint)
-    }
-
     fn known_crashes(&self, crashes: &[ServerCrash]) -> Vec<ServerCrash> {
         let mut fingerprints = crashes.iter().map(|crash| crash.fingerprint).collect::<Vec<_>>();
         fingerprints.sort_unstable();
         fingerprints.dedup();
         let known = fingerprints.into_iter().filter_map(|fingerprint| {
-            Some(crashes_of(fingerprint, self.suspects.record(fingerprint)?))
+            Some(ServerCrash::of_record(fingerprint, self.suspects.record(fingerprint)?))
         });
         known.flatten().collect()
     }
@@ -417,31 +398,3 @@
         }
     }
 }
-
-fn has_suspect(run_suspects: &RunSuspects, fingerprint: SuspectFingerprint) -> bool {
-    run_suspects.iter().any(|suspect| suspect.fingerprint == fingerprint)
-}
-
-/// Returns the crashes of a suspect that are not withdrawn.
-fn crashes_of(
-    fingerprint: SuspectFingerprint,
-    record: &CrashRecord<ServerIncarnation>,
-) -> impl Iterator<Item = ServerCrash> {
-    record.crashes().map(move |entry| ServerCrash {
-        fingerprint,
-        server: entry.server,
-        round: entry.round,
-    })
-}
-
-/// Returns the crashes that the death of a server is for a run.
-fn crashes_under(
-    run_suspects: &RunSuspects,
-    server: ServerIncarnation,
-) -> impl Iterator<Item = ServerCrash> {
-    run_suspects.iter().map(move |suspect| ServerCrash {
-        fingerprint: suspect.fingerprint,
-        server,
-        round: suspect.round,
-    })
-}
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -158,7 +158,11 @@
         let best = best.or_else(|| {
             self.cheapest(now, registry, request, &context, tried, SearchPass::LastResort, rng)
         });
-        let choice = best.ok_or_else(|| no_server_refusal(now, registry, request, tried))?;
+        let Some(choice) = best else {
+            let wait = registry.limit_wait(now, request.service, tried);
+            let busy = wait.map(|wait| PlacementRefusal::Busy(wait.max(MIN_RETRY_AFTER)));
+            return Err(busy.unwrap_or(PlacementRefusal::NoServer));
+        };
         let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
         let expected = expected_latency(server, &choice);
         let idle = choice.idle_latency_ms * server.health.latency_ratio() * IDLE_FACTOR / 1_000.0;
@@ -397,17 +401,3 @@
 pub fn cache_salt(cache_scope: u64, version: WeightsVersion) -> u64 {
     rendezvous_score(&version.0.to_le_bytes(), cache_scope)
 }
-
-/// Returns why no server can be chosen: none may be used, or those that may be have got as many
-/// requests as they take.
-fn no_server_refusal(
-    now: ClockTime,
-    registry: &ServerRegistry,
-    request: &PlacementRequest<'_>,
-    tried: &[ServerKey],
-) -> PlacementRefusal {
-    let untried = registry.usable(request.service).filter(|(key, _)| !tried.contains(key));
-    let waits = untried.map(|(_, server)| server.limit.wait(now)).filter(|wait| !wait.is_zero());
-    let shortest = waits.min().map(|wait| wait.max(MIN_RETRY_AFTER));
-    shortest.map_or(PlacementRefusal::NoServer, PlacementRefusal::Busy)
-}
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -258,6 +258,19 @@
         keys.filter_map(|&key| Some((key, self.servers.get(key)?)))
     }
 
+    /// Shortest time until a server of a service takes a request again that got as many as it takes;
+    /// `None` if there is no such server outside `tried`.
+    pub fn limit_wait(
+        &self,
+        now: ClockTime,
+        service: &str,
+        tried: &[ServerKey],
+    ) -> Option<Duration> {
+        let untried = self.usable(service).filter(|(key, _)| !tried.contains(key));
+        let waits = untried.map(|(_, server)| server.limit.wait(now));
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+
     fn may_have_lapsed(&self, now: ClockTime) -> bool {
         self.store_unreachable || self.relist_deadline.is_some_and(|due| now < due)
     }
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -226,16 +226,15 @@
                 LoadStage::Draining => LoadStage::QueriedDraining,
                 _ => continue,
             };
-            let is_limited = registry.get(*key).is_some_and(|server| server.limit.rate().is_some());
-            // A server that takes few requests is queried only once, before the order.
-            let is_spared = is_limited
+            let Some(server) = registry.get(*key) else { continue };
+            // A server that limits requests is queried only once, before the order.
+            let is_spared = server.limit.rate().is_some()
                 && loading.stage == LoadStage::Draining
                 && now.since(loading.since) < MAX_DRAIN_TIME;
             if now < loading.due || is_spared {
                 continue;
             }
-            let model = registry.get(*key).and_then(|server| server.listing.weights.first());
-            if let Some(weights) = model {
+            if let Some(weights) = server.listing.weights.first() {
                 loading.stage = queried;
                 effects.push(RolloutEffect::Query { server: *key, model: weights.model.clone() });
             }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,6 +1,8 @@
 //! A simulated key-value store of the users' platform, with revisions, leases and long-polling
 //! watches.
 
+mod handlers;
+
 use std::{
     collections::BTreeMap,
     io,
@@ -9,22 +11,13 @@
     time::{Duration, Instant},
 };
 
-use actix_web::{
-    App, HttpResponse,
-    body::MessageBody,
-    dev::{ServiceRequest, ServiceResponse},
-    http::{
-        StatusCode,
-        header::{HeaderName, HeaderValue},
-    },
-    middleware::{Next, from_fn},
-    web,
-};
-use base64::{Engine, engine::general_purpose::STANDARD};
-use serde::Deserialize;
-use serde_json::{Value, json};
-use tokio::{sync::watch, time::timeout_at};
+use actix_web::{App, middleware::from_fn, web};
+use serde_json::Value;
+use tokio::sync::watch;
 
+use self::handlers::{
+    grant_lease, list_range, name_era, renew_lease, revoke_lease, transact, watch_prefix,
+};
 use crate::util::{self, RunningServer, lock};
 
 /// Fault injected into the store.
@@ -255,195 +248,3 @@
         }
     }
 }
-
-type Shared = web::Data<StoreShared>;
-
-#[derive(Debug, Deserialize)]
-struct RangeQuery {
-    prefix: String,
-    after: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WatchQuery {
-    prefix: String,
-    after: u64,
-    wait_ms: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct ExpectedRow {
-    key: String,
-    revision: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct WriteRow {
-    key: String,
-    value: String,
-    lease: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct TransactBody {
-    expected: Vec<ExpectedRow>,
-    writes: Vec<WriteRow>,
-    remove: Vec<String>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct GrantBody {
-    ttl_ms: u64,
-}
-
-fn item_json(key: &str, item: &StoredItem) -> Value {
-    json!({
-        "key": key, "value": STANDARD.encode(&item.value), "revision": item.revision,
-        "created": item.created, "lease": item.lease,
-    })
-}
-
-/// Returns the response of a faulty store, or `None` if the call is to be carried out. Never
-/// returns under [`StoreFault::Silent`].
-async fn fault_response(fault: StoreFault) -> Option<HttpResponse> {
-    match fault {
-        StoreFault::Busy => Some(HttpResponse::ServiceUnavailable().finish()),
-        StoreFault::Silent => std::future::pending().await,
-        StoreFault::None | StoreFault::LoseAcknowledgements => None,
-    }
-}
-
-/// Adds the era of the store to a response.
-async fn name_era(
-    shared: Shared,
-    request: ServiceRequest,
-    next: Next<impl MessageBody>,
-) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
-    let mut response = next.call(request).await?;
-    let era = HeaderValue::from(lock(&shared.core).era);
-    response.headers_mut().insert(HeaderName::from_static("store-era"), era);
-    Ok(response)
-}
-
-async fn list_range(shared: Shared, query: web::Query<RangeQuery>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("range");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    let core = lock(&shared.core);
-    let items = core.items.iter().filter(|(key, _)| key.starts_with(&query.prefix));
-    let items = items.filter(|(key, _)| query.after.as_ref().is_none_or(|after| *key > after));
-    let items: Vec<Value> = items.map(|(key, item)| item_json(key, item)).collect();
-    HttpResponse::Ok().json(json!({"items": items, "hasMore": false, "asOf": core.revision}))
-}
-
-async fn watch_prefix(shared: Shared, query: web::Query<WatchQuery>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("watch");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    let end = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
-    let mut changed = shared.changed.subscribe();
-    loop {
-        changed.borrow_and_update();
-        {
-            let core = lock(&shared.core);
-            if query.after < core.compacted_revision || query.after > core.revision {
-                return HttpResponse::Gone().finish();
-            }
-            let events = core.history.iter().filter(|(revision, key, _)| {
-                *revision > query.after && key.starts_with(&query.prefix)
-            });
-            let events: Vec<Value> = events
-                .map(|(revision, key, item)| match item {
-                    Some(item) => item_json(key, item),
-                    None => json!({"key": key, "revision": revision, "tombstone": true}),
-                })
-                .collect();
-            if !events.is_empty() {
-                return HttpResponse::Ok().json(json!({"events": events, "asOf": core.revision}));
-            }
-        }
-        if timeout_at(end, changed.changed()).await.is_err() {
-            let revision = lock(&shared.core).revision;
-            return HttpResponse::Ok().json(json!({"events": [], "asOf": revision}));
-        }
-        let fault = lock(&shared.core).fault;
-        if let Some(refusal) = fault_response(fault).await {
-            return refusal;
-        }
-    }
-}
-
-async fn transact(shared: Shared, body: web::Json<TransactBody>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("transact");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    let body = body.into_inner();
-    let outcome = shared.change(|core| {
-        let held = |key: &str| core.items.get(key).map_or(0, |item| item.revision);
-        if body.expected.iter().any(|row| held(&row.key) != row.revision) {
-            return Err(StatusCode::PRECONDITION_FAILED);
-        }
-        let unknown = |row: &&WriteRow| row.lease != 0 && !core.leases.contains_key(&row.lease);
-        if body.writes.iter().any(|row| unknown(&row)) {
-            return Err(StatusCode::NOT_FOUND);
-        }
-        let decode = |row: WriteRow| Ok((row.key, STANDARD.decode(row.value)?, row.lease));
-        let writes: Result<Vec<_>, base64::DecodeError> =
-            body.writes.into_iter().map(decode).collect();
-        match writes {
-            Ok(writes) => Ok(core.write(writes, &body.remove)),
-            Err(_) => Err(StatusCode::BAD_REQUEST),
-        }
-    });
-    if fault == StoreFault::LoseAcknowledgements {
-        return util::aborted_response();
-    }
-    match outcome {
-        Ok(revision) => HttpResponse::Ok().json(json!({"revision": revision})),
-        Err(status) => HttpResponse::build(status).json(json!({"items": []})),
-    }
-}
-
-async fn grant_lease(shared: Shared, body: web::Json<GrantBody>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("grant");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    let lifetime = Duration::from_millis(body.ttl_ms);
-    let mut core = lock(&shared.core);
-    core.revision += 1;
-    let lease = core.revision;
-    core.leases.insert(lease, (Instant::now() + lifetime, lifetime));
-    HttpResponse::Ok().json(json!({"lease": lease, "ttlMs": body.ttl_ms}))
-}
-
-async fn renew_lease(shared: Shared, lease: web::Path<u64>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("keep");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    let mut core = lock(&shared.core);
-    match core.leases.get_mut(&lease) {
-        Some((end, lifetime)) => {
-            *end = Instant::now() + *lifetime;
-            HttpResponse::Ok().json(json!({"ttlMs": lifetime.as_millis() as u64}))
-        }
-        None => HttpResponse::NotFound().finish(),
-    }
-}
-
-async fn revoke_lease(shared: Shared, lease: web::Path<u64>) -> HttpResponse {
-    let fault = lock(&shared.core).record_call("end");
-    if let Some(refusal) = fault_response(fault).await {
-        return refusal;
-    }
-    match shared.change(|core| core.end_lease(*lease)) {
-        true => HttpResponse::Ok().finish(),
-        false => HttpResponse::NotFound().finish(),
-    }
-}
