--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -10,7 +10,8 @@
 use crate::exit::{ExitStatus, Failure};
 
 /// A parsed line of a node's log.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct LogLine {
     #[serde(skip)]
     node: Option<String>,
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -23,7 +23,8 @@
 }
 
 /// A node that gave no usable response, and why.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct UnreachableNode {
     pub(crate) url: String,
     pub(crate) cause: String,
@@ -38,7 +39,8 @@
 }
 
 /// State of a node, from its own response or, if it gave none, from another node's member list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct NodeView {
     pub(crate) node: u32,
     pub(crate) role: NodeRole,
--- a/crates/cli/src/in_force.rs
+++ b/crates/cli/src/in_force.rs
@@ -21,7 +21,8 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Which nodes have a version in force.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct InForceReport {
     /// Number of the version.
     pub(crate) version: u64,
--- a/crates/cli/src/plan_record.rs
+++ b/crates/cli/src/plan_record.rs
@@ -15,7 +15,8 @@
 pub const PLAN_RECORD_FILE: &str = ".carobvane-plan.json";
 
 /// Versions that `plan` compared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct PlanRecord {
     /// Accepted version at the time of the plan.
     pub(crate) base: ListVersion,
--- a/crates/core/src/admission/limits.rs
+++ b/crates/core/src/admission/limits.rs
@@ -5,7 +5,8 @@
 use crate::routing::{ClassCounts, RequestClass};
 
 /// Limits on the use of a server's slots, as shares of the slots between 0 and 1.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotLimits {
     /// Share of the slots that only short requests may use.
     pub short_reserved: f32,
--- a/crates/core/src/admission/predictor.rs
+++ b/crates/core/src/admission/predictor.rs
@@ -45,7 +45,8 @@
 }
 
 /// Time that an engine needs per token.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TokenCosts {
     /// Prefill time per prompt token, in milliseconds.
     pub prefill_ms: f32,
@@ -60,7 +61,8 @@
 }
 
 /// Predicted work of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkPrediction {
     /// Number of prompt tokens to prefill, without the cached ones.
     pub prefill_tokens: u32,
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -24,7 +24,8 @@
 const MAX_RETRY: Duration = Duration::from_secs(30);
 
 /// Limits on the length of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct QueueSettings {
     /// Maximum number of waiting requests.
     pub capacity: usize,
@@ -57,7 +58,8 @@
 }
 
 /// Reason for which a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCause {
     /// The queue has reached its capacity.
@@ -69,7 +71,8 @@
 }
 
 /// Refusal of a request, which did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct QueueRefusal {
     /// Reason for the refusal.
     pub cause: RefusalCause,
--- a/crates/core/src/claims/record.rs
+++ b/crates/core/src/claims/record.rs
@@ -46,7 +46,8 @@
 
 /// Digest of a request's method, path and body.
 #[serde_as]
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct BodyFingerprint(#[serde_as(as = "Hex")] [u8; 32]);
 
 impl BodyFingerprint {
@@ -71,7 +72,8 @@
 ///
 /// Invariant: an incarnation of an entry uses each sequence number once, and an entry uses each
 /// incarnation once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimWriter {
     /// The entry that wrote the claim, in its incarnation at that time.
     #[serde(rename = "life")]
@@ -81,7 +83,8 @@
 }
 
 /// The value of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// The only request that may run under the claim.
     pub writer: ClaimWriter,
@@ -92,7 +95,8 @@
 }
 
 /// Whether the request of a claim has a result.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimState {
     /// No result is stored. The request may be waiting, running, finished or lost.
@@ -103,7 +107,8 @@
 
 /// A server's response, stored to answer callers that resend the request.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredResponse {
     /// HTTP status.
     pub status: u16,
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -13,9 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A point in time in microseconds on the host's monotonic clock. Arithmetic saturates.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ClockTime(u64);
 
 impl ClockTime {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -19,17 +19,18 @@
 
 /// Number of a node, that is, an entry or steward process. It is set in the settings and stable
 /// across restarts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeId(pub u32);
 
 /// One run of a process from start to exit. A later run of the same node has a higher number.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct IncarnationId(pub u64);
 
 /// One incarnation of a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeIncarnation {
     /// Number of the node.
     pub node: NodeId,
@@ -43,14 +44,14 @@
 );
 
 /// Version of a model's weights; a later version has a higher number.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightsVersion(pub u64);
 
 /// Number that identifies the network address of a backend server. All entries derive the same
 /// number from the same address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AddressId(pub u64);
 
 impl AddressId {
--- a/crates/core/src/lists/delta.rs
+++ b/crates/core/src/lists/delta.rs
@@ -12,7 +12,8 @@
 /// Changes to one map of the document.
 ///
 /// Invariant: no key is in both `put` and `remove`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MapDelta<V> {
     /// Entries to insert or overwrite.
     pub put: BTreeMap<String, V>,
@@ -54,7 +55,8 @@
 }
 
 /// One accepted change, which leads from the document of version `from` to that of version `to`.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ListDelta {
     /// The version that the delta applies to.
     pub from: ListVersion,
--- a/crates/core/src/lists/document.rs
+++ b/crates/core/src/lists/document.rs
@@ -18,7 +18,8 @@
 /// Invariant: names are unique within each map. `carobvane-lists` checks references between maps (a
 /// workspace's plan, a grant's plan) before a version is accepted. Readers must treat a dangling
 /// reference as "nothing is allowed".
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ListDocument {
     /// Workspaces by name.
     pub workspaces: BTreeMap<String, WorkspaceEntry>,
@@ -35,7 +36,8 @@
 }
 
 /// A customer's workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceEntry {
     /// Hashes of the bearer keys that identify the workspace. More than one is valid while a
     /// customer rotates a key.
@@ -45,7 +47,8 @@
 }
 
 /// A plan, whose limits apply to the total usage of all its workspaces.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanEntry {
     /// Limits over all entries together.
     pub limits: PlanLimits,
@@ -54,7 +57,8 @@
 }
 
 /// Models, services and adapters that one plan may use.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct GrantEntry {
     /// Names of allowed models.
     pub models: BTreeSet<String>,
@@ -65,7 +69,8 @@
 }
 
 /// A backend server of the deployment.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendServer {
     /// Numeric IP address and port, such as `127.0.0.1:8101`.
     pub address: String,
@@ -80,7 +85,8 @@
 }
 
 /// Kind of software that a backend server runs.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServerRole {
     /// An inference engine; the value is the name of its model.
@@ -90,7 +96,8 @@
 }
 
 /// The weights that every engine of a model should load.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelWeights {
     /// Version of the weights.
     pub version: u64,
@@ -99,7 +106,8 @@
 }
 
 /// A VM that runs an entry, the process that accepts clients' requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryVm {
     /// Number of the node, unique in the deployment and stable across restarts.
     pub node: NodeId,
--- a/crates/core/src/lists/replicator.rs
+++ b/crates/core/src/lists/replicator.rs
@@ -26,7 +26,8 @@
 pub const KEY_VALUE_READ_JITTER: Duration = Duration::from_secs(1);
 
 /// Messages that two nodes exchange to replicate the lists.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ListMessage {
     /// Pushes a newly accepted version as a delta.
     Push(Box<ListDelta>),
--- a/crates/core/src/lists/version.rs
+++ b/crates/core/src/lists/version.rs
@@ -9,12 +9,14 @@
 
 /// BLAKE3 digest of a document's canonical bytes. Serialized as hex in text formats.
 #[serde_as]
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ListDigest(#[serde_as(as = "IfIsHumanReadable<Hex>")] pub [u8; 32]);
 
 /// BLAKE3 hash of a bearer key. Serialized as hex in text formats.
 #[serde_as]
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyHash(#[serde_as(as = "IfIsHumanReadable<Hex>")] pub [u8; 32]);
 
 impl KeyHash {
@@ -61,9 +63,8 @@
 }
 
 /// Identifies an accepted version of the lists. Ordered by number, then digest.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ListVersion {
     /// Increases by one with each accepted change; 0 is the empty document.
     pub number: u64,
@@ -86,7 +87,8 @@
 }
 
 /// A whole document with its version.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ListSnapshot {
     /// Invariant of an accepted snapshot: the version's digest is that of `document`.
     pub version: ListVersion,
@@ -121,9 +123,8 @@
 }
 
 /// Short form of the sender's version on each probe, at most 18 bytes when encoded.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionSummary {
     /// Number of the version.
     pub number: u64,
--- a/crates/core/src/membership/leaving.rs
+++ b/crates/core/src/membership/leaving.rs
@@ -18,7 +18,8 @@
 
 /// Short identifier of a backend server in messages: the first bytes of the BLAKE3 hash of its
 /// name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerId(pub [u8; 8]);
 
 impl ServerId {
@@ -31,7 +32,8 @@
 }
 
 /// Announces that one incarnation of a backend server takes no new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaveNotice {
     /// The leaving server.
     pub server: ServerId,
--- a/crates/core/src/membership/messages.rs
+++ b/crates/core/src/membership/messages.rs
@@ -12,7 +12,8 @@
 pub const LOAD_SUMMARY_BYTES: usize = 16;
 
 /// Status of a member's process as other nodes see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum MemberStatus {
     /// The member answers probes, or has not been probed yet.
     Live,
@@ -25,7 +26,8 @@
 /// Status of one member as of some time. Of two changes, the one with the higher incarnation wins,
 /// then the one with the higher refutation, then the one with the worse status. Draining is never
 /// undone within an incarnation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberChange {
     /// Node that the change is about.
     pub node: NodeId,
@@ -40,7 +42,8 @@
 }
 
 /// Fixed-size data that is sent with every probe and answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ProbePayload {
     /// Summary of the sender's list version.
     pub lists: VersionSummary,
@@ -49,7 +52,8 @@
 }
 
 /// Messages between the failure detectors of two nodes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum MemberMessage {
     /// Requests an answer from the receiver.
     Probe {
--- a/crates/core/src/orders/messages.rs
+++ b/crates/core/src/orders/messages.rs
@@ -8,7 +8,8 @@
 
 /// The weights that a server holds or should hold: one version of one model with exactly these
 /// adapters.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineWeights {
     /// Name of the model.
     pub model: String,
@@ -19,7 +20,8 @@
 }
 
 /// The state that a server reported when it was read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightsStatus {
     /// The weights that it holds; `None` if it holds none.
     pub held: Option<EngineWeights>,
--- a/crates/core/src/plans/limits.rs
+++ b/crates/core/src/plans/limits.rs
@@ -12,7 +12,8 @@
 pub const MAX_STREAM_TIME: Duration = Duration::from_secs(600);
 
 /// Fleet-wide limits of one plan. A limit of 0 rejects every use of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanLimits {
     /// Most requests that may start in any second.
     pub requests_per_second: u64,
@@ -23,7 +24,8 @@
 }
 
 /// Identifies one of the limits of a plan.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LimitKind {
     /// Requests that start in any second.
--- a/crates/core/src/plans/messages.rs
+++ b/crates/core/src/plans/messages.rs
@@ -31,7 +31,8 @@
 
 /// Identifies a plan in messages by the first bytes of the BLAKE3 hash of its name, which are
 /// shorter than the name. `carobvane-lists` rejects lists in which two plans have the same id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanId(pub [u8; 4]);
 
 impl PlanId {
@@ -45,7 +46,8 @@
 
 /// A borrower's statement of the units that it holds, and its request for more, for one limit of
 /// one plan.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoanRequest {
     /// Plan that the units belong to.
     pub plan: PlanId,
@@ -64,7 +66,8 @@
 }
 
 /// A lender's answer to one [`LoanRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoanGrant {
     /// Plan that the units belong to.
     pub plan: PlanId,
@@ -78,7 +81,8 @@
 }
 
 /// Messages between the limiters of two entries. One message covers all plans.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum LimiterMessage {
     /// Loan requests of a borrower.
     #[serde(rename = "Asks")]
--- a/crates/core/src/plans/usage.rs
+++ b/crates/core/src/plans/usage.rs
@@ -7,7 +7,8 @@
 use super::LimitKind;
 
 /// What a workspace has used at this entry since the process started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceUsage {
     /// Number of admitted requests.
     pub requests: u64,
@@ -20,7 +21,8 @@
 }
 
 /// Units and use of a plan at this entry. Arrays are in the order of [`LimitKind::ALL`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanUsage {
     /// Use that counts against each limit now.
     pub used: [u64; 3],
--- a/crates/core/src/prefix/chain.rs
+++ b/crates/core/src/prefix/chain.rs
@@ -12,7 +12,8 @@
 
 /// Identifies a prompt prefix by the hash of its last piece, which covers all earlier pieces. Never
 /// zero.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PieceHash(u64);
 
 impl PieceHash {
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -10,7 +10,8 @@
 pub const MAX_CANDIDATES: usize = 16;
 
 /// How a server became a candidate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CandidateSource {
     /// The block index lists it as a holder of a part of the prefix.
@@ -22,7 +23,8 @@
 }
 
 /// A server that was compared, with its expected cost.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 pub struct CandidateCost {
     /// The compared server.
     pub server: ServerKey,
--- a/crates/core/src/routing/cost.rs
+++ b/crates/core/src/routing/cost.rs
@@ -17,7 +17,8 @@
 const BATCH_DELAY_MS: f32 = 20.0;
 
 /// Speed parameters of the cost model.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CostSettings {
     /// Number of tokens in a piece.
     pub piece_tokens: u32,
@@ -47,7 +48,8 @@
 }
 
 /// The components of a cost, in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct CostParts {
     /// Time to prefill the tokens that the server does not hold.
     pub prefill: f32,
--- a/crates/core/src/routing/placement_notice.rs
+++ b/crates/core/src/routing/placement_notice.rs
@@ -14,7 +14,8 @@
 };
 
 /// Announces a request that the sending entry has just sent to a server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlacementNotice {
     /// Address of the chosen server.
     pub address: AddressId,
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -11,7 +11,8 @@
 };
 
 /// Class of a request by its predicted work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestClass {
     /// Little predicted work, such as a stock question.
@@ -44,7 +45,8 @@
 }
 
 /// Why a server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RouteReason {
     /// The server holds a part of the prefix, and no candidate holds more.
@@ -61,7 +63,8 @@
 }
 
 /// A chosen server and the basis of the choice.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 pub struct RouteDecision {
     /// The chosen server.
     pub server: ServerKey,
@@ -82,7 +85,8 @@
 }
 
 /// Why no server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum RouteRefusal {
     /// No server holds the model.
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -31,7 +31,8 @@
 pub(super) const MAX_SERVERS: usize = 65_534;
 
 /// Number of requests in flight by class.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassCounts {
     /// Number of short requests.
     pub short: u32,
@@ -54,7 +55,8 @@
 }
 
 /// Load that a server reports about itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ReportedLoad {
     /// Number of requests in the running batch.
     pub running: u32,
--- a/crates/core/src/suspects/fingerprint.rs
+++ b/crates/core/src/suspects/fingerprint.rs
@@ -13,7 +13,8 @@
 const PART_PREFIX: &str = "part-";
 
 /// What a fingerprint identifies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum SuspectKind {
     /// A whole request: all requests with the same workspace, target and body.
     Request,
@@ -22,7 +23,8 @@
 }
 
 /// Identifies what may crash servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SuspectFingerprint {
     kind: SuspectKind,
     hash: u128,
--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -52,7 +52,8 @@
 pub const MAX_REPORTED_CRASHES: usize = 1_000;
 
 /// Identifies one incarnation of a server. All entries derive the same value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerIncarnation {
     server: u128,
     incarnation: u64,
@@ -72,7 +73,8 @@
 }
 
 /// The death of a server while it ran a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerCrash {
     /// The request that was running, or a part of its prompt.
     pub fingerprint: SuspectFingerprint,
@@ -113,7 +115,8 @@
 }
 
 /// Messages between the suspect registries of entries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum SuspectMessage {
     /// Reports crashes that the sender knows of.
     Report {
--- a/crates/core/src/suspects/record.rs
+++ b/crates/core/src/suspects/record.rs
@@ -15,7 +15,8 @@
 
 /// The end of one server incarnation under a suspect. `I` identifies the incarnation in the same way
 /// on all nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashEntry<I> {
     /// The server incarnation that ended.
     pub server: I,
--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -7,7 +7,8 @@
 use crate::rendezvous::rendezvous_score;
 
 /// Whether a route's requests may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RouteKind {
     /// May run more than once.
     Idempotent,
--- a/crates/core/src/traffic/crash_messages.rs
+++ b/crates/core/src/traffic/crash_messages.rs
@@ -8,7 +8,8 @@
 };
 
 /// The crashes of one suspect, as nodes tell each other and keep them in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashReport {
     /// The suspect.
     pub fingerprint: SuspectFingerprint,
--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -23,7 +23,8 @@
 const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
 /// Load that a server reported.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Number of running requests.
     pub running: u32,
--- a/crates/core/src/traffic/prompt.rs
+++ b/crates/core/src/traffic/prompt.rs
@@ -4,7 +4,8 @@
 use smallvec::SmallVec;
 
 /// One part of a prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PromptPart {
     /// Identity of the text. Equal parts of different prompts have the same id.
     pub id: u64,
--- a/crates/core/src/traffic/server_limit.rs
+++ b/crates/core/src/traffic/server_limit.rs
@@ -25,7 +25,8 @@
 const MIN_RATE: f64 = 0.2;
 
 /// What a server says of its limit, as nodes tell each other.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitStatement {
     /// Grows each time a node sees another limit in a response. The higher one holds.
     pub version: u64,
--- a/crates/host/src/entry/attempt.rs
+++ b/crates/host/src/entry/attempt.rs
@@ -41,7 +41,8 @@
 }
 
 /// A chunk of an engine's answer, in the OpenAI format with the engine's extensions.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineChunk {
     /// Position of the chunk in the stream. Removed before the chunk goes to the client.
     #[serde(default, skip_serializing)]
@@ -58,7 +59,8 @@
 }
 
 /// One choice of a chunk.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChunkChoice {
     /// Text, in a text completion.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -75,7 +77,8 @@
 }
 
 /// Part of a chat message.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ChatDelta {
     /// Text of this part.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/host/src/entry/vm_watch.rs
+++ b/crates/host/src/entry/vm_watch.rs
@@ -15,7 +15,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A VM in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 struct ListedVm {
     state: String,
     addr: String,
--- a/crates/lists/src/difference.rs
+++ b/crates/lists/src/difference.rs
@@ -17,7 +17,8 @@
 use crate::limit::{format_limit, limit_field};
 
 /// List that an entry belongs to, named after its section in the files.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EntryKind {
     /// `[workspace.NAME]`.
@@ -35,7 +36,8 @@
 }
 
 /// Kind of change of an entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeAction {
     /// Only the new document has the entry.
@@ -47,7 +49,8 @@
 }
 
 /// Difference in one field of an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(untagged)]
 pub enum FieldChange {
     /// Field with a single value.
@@ -71,7 +74,8 @@
 }
 
 /// Difference in one entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct EntryChange {
     /// List that the entry belongs to.
     pub kind: EntryKind,
@@ -84,7 +88,8 @@
 }
 
 /// All differences between two documents, sorted by list and name.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize)]
 pub struct ListDifference {
     /// Entries that were added, removed or changed.
     pub changes: Vec<EntryChange>,
--- a/crates/lists/src/finding.rs
+++ b/crates/lists/src/finding.rs
@@ -101,7 +101,8 @@
 }
 
 /// Mistake in the lists.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 pub struct Finding {
     /// Place of the mistake in the files.
     #[serde(flatten)]
--- a/crates/lists/src/impact.rs
+++ b/crates/lists/src/impact.rs
@@ -26,7 +26,8 @@
 }
 
 /// One effect of a change on a workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct WorkspaceEffect {
     /// Description of the effect for operators.
     pub text: String,
@@ -39,7 +40,8 @@
 }
 
 /// All effects of a change on a workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct WorkspaceImpact {
     /// Name of the workspace.
     pub workspace: String,
@@ -48,7 +50,8 @@
 }
 
 /// Preview of a change: the differences in the lists and their effects on workspaces.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct ChangePlan {
     /// Differences in the lists.
     #[serde(flatten)]
--- a/crates/lists/src/source.rs
+++ b/crates/lists/src/source.rs
@@ -67,7 +67,8 @@
 }
 
 /// Position in one of the files.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
 pub struct Position {
     /// Name of the file.
     pub file: &'static str,
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -8,18 +8,8 @@
 
 /// A state of the platform's store. Each time the store is restored from an older copy, its era rises
 /// and revisions are given out again, so a later era is newer whatever its revision.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoreRevision {
     /// Era of the store.
     pub era: u64,
@@ -37,7 +27,8 @@
 }
 
 /// An item of the platform's store.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoreItem {
     /// Key of the item.
     pub key: String,
@@ -50,7 +41,8 @@
 }
 
 /// A change in the store.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum StoreEvent {
     /// An item was written.
     Put(StoreItem),
--- a/crates/node/src/crash_store.rs
+++ b/crates/node/src/crash_store.rs
@@ -43,7 +43,8 @@
 const PEER_READS: u32 = 2;
 
 /// Value of a crash record in the store; its key has the suspect.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct StoredCrashes {
     crashes: Vec<CrashEntry<u64>>,
 }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -22,7 +22,8 @@
 const RETENTION_PERIOD: Duration = Duration::from_secs(20);
 
 /// What a node registers about itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Name of the node's VM.
     pub name: String,
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -33,7 +33,8 @@
 const LARGE_FLEET_NODES: usize = 40;
 
 /// A notice to all other nodes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum NodeNotice {
     /// A server is about to load weights and takes no requests until it has.
     Loading {
--- a/crates/node/src/rollout_lease.rs
+++ b/crates/node/src/rollout_lease.rs
@@ -59,7 +59,8 @@
 
 /// Servers that were ordered to load weights lately. The holder writes this record before it sends
 /// orders, on the condition that it still holds the lease.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
 struct RecentOrders {
     instances: Vec<String>,
     /// Era of the store in which the record was written.
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -44,7 +44,8 @@
 const PEER_READ_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A copy of the platform's store, from which other nodes can start.
-#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct StoreMirror {
     /// Revision up to which the items are complete.
     pub revision: StoreRevision,
--- a/crates/proto/src/admin.rs
+++ b/crates/proto/src/admin.rs
@@ -17,9 +17,8 @@
 pub const DRAIN_PATH: &str = "/admin/drain";
 
 /// Program that a node runs.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NodeRole {
     /// Serves callers.
@@ -30,7 +29,8 @@
 }
 
 /// State of a node, and of the fleet as this node sees it.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeStatus {
     /// Number of the node.
     pub node: u32,
@@ -67,7 +67,8 @@
 }
 
 /// Whether a node or backend server can be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HealthState {
     /// Responds to probes or calls.
@@ -82,7 +83,8 @@
 }
 
 /// State of a node as seen by another node.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Number of the node.
     pub node: u32,
@@ -102,7 +104,8 @@
 }
 
 /// State of a backend server as seen by an entry.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerStatus {
     /// Name of the server in the lists.
     pub server: String,
@@ -134,7 +137,8 @@
 }
 
 /// Requests of one workspace through one entry.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkspaceUsage {
     /// Name of the workspace.
     pub workspace: String,
@@ -152,7 +156,8 @@
 }
 
 /// Usage of one limit of a plan through one entry.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitUsage {
     /// Name of the limit: `requests`, `tokens` or `streams`.
     pub limit: String,
@@ -167,7 +172,8 @@
 }
 
 /// Number of requests to one model or service.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetUsage {
     /// `model/NAME` or `service/NAME`.
     pub target: String,
@@ -176,7 +182,8 @@
 }
 
 /// Routing decisions for one request: its attempts, their servers and the reasons.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct DecisionReport {
     /// Id of the request.
     pub request_id: String,
@@ -201,7 +208,8 @@
 }
 
 /// One attempt of a request.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptReport {
     /// Id of the attempt, as sent in `x-attempt-id`.
     pub attempt: String,
@@ -221,7 +229,8 @@
 }
 
 /// Predicted cost of running a request on one candidate server, in milliseconds.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct CandidateCost {
     /// Name of the server.
     pub server: String,
@@ -238,7 +247,8 @@
 }
 
 /// Request to a node to stop taking requests and to finish those in progress.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct DrainRequest {
     /// Reason for the drain, which the node logs.
     #[serde(default)]
@@ -246,7 +256,8 @@
 }
 
 /// Phase of a drain, in order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DrainPhase {
     /// The node is no longer in the discovery response (`GET /v1/entries`) and waits until earlier
@@ -260,7 +271,8 @@
 }
 
 /// State of a drain.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct DrainReport {
     /// Number of the node that drains.
     pub node: u32,
--- a/crates/proto/src/engine.rs
+++ b/crates/proto/src/engine.rs
@@ -8,7 +8,8 @@
 
 /// Body fields that the entry adds to a completion request.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineExtension {
     /// Priority in the engine's queue; lower values run first.
     #[serde(default)]
@@ -29,7 +30,8 @@
 }
 
 /// Position of a chunk in its stream, sent in the `position` field of each chunk.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChunkPosition {
     /// Attempt that the chunk belongs to, as sent in `x-attempt-id`.
     pub attempt: String,
@@ -44,7 +46,8 @@
 
 /// One event of the stream in which an engine reports changes of its cache.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Sequence number, which increases by one with each event of an incarnation; a gap shows lost
     /// events.
@@ -58,7 +61,8 @@
 
 /// A change of an engine's cache.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum CacheChange {
     /// Prompt pieces were added to the cache.
@@ -78,7 +82,8 @@
 }
 
 /// Load report of an engine (`GET /load`), which lags behind the actual load.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Incarnation of the engine.
     pub incarnation: u64,
@@ -93,7 +98,8 @@
 }
 
 /// State of an engine (`GET /state`), which stewards read to check the effect of an order.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineState {
     /// Incarnation of the engine.
     pub incarnation: u64,
@@ -108,7 +114,8 @@
 }
 
 /// A model in an engine's memory.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadedModel {
     /// Name of the model.
     pub model: String,
@@ -120,7 +127,8 @@
 }
 
 /// Order to an engine (`POST /orders`). It states the target state, so it is safe to repeat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum EngineOrder {
     /// Load this version of the model with exactly these adapters.
--- a/crates/proto/src/keyvalue.rs
+++ b/crates/proto/src/keyvalue.rs
@@ -18,7 +18,8 @@
 
 /// Header of every response.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct ResponseHeader {
     /// Revision of the store when the request was handled.
@@ -28,7 +29,8 @@
 
 /// Stored key with its value and metadata.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct KeyValue {
     /// Key in base64.
@@ -51,7 +53,8 @@
 
 /// Body of `POST /v3/kv/range`, which reads a range of keys; also a read within a transaction.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeRequest {
     /// First key in base64.
@@ -66,7 +69,8 @@
 
 /// Response to a range request.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeResponse {
     /// Header with the store revision.
@@ -82,7 +86,8 @@
 
 /// Write of one key within a transaction.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PutRequest {
     /// Key in base64.
@@ -95,7 +100,8 @@
 }
 
 /// Deletion of a range of keys within a transaction.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct DeleteRangeRequest {
     /// First key in base64.
@@ -108,7 +114,8 @@
 /// Condition of a transaction: compares one field of `key`, selected by `target`, with the revision
 /// or value given here.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Compare {
     /// Required result of the comparison: `EQUAL`, `GREATER`, `LESS` or `NOT_EQUAL`.
@@ -131,7 +138,8 @@
 }
 
 /// Operation of a transaction; exactly one field is set.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RequestOp {
     /// Read of a range.
@@ -146,7 +154,8 @@
 }
 
 /// Body of `POST /v3/kv/txn`, which runs a transaction.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnRequest {
     /// Conditions, all of which must hold for `success` to run.
@@ -158,7 +167,8 @@
 }
 
 /// Response to one operation of a transaction.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct ResponseOp {
     /// Response to a read; absent for writes and deletions.
@@ -167,7 +177,8 @@
 }
 
 /// Response to a transaction.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnResponse {
     /// Header with the store revision.
@@ -180,7 +191,8 @@
 
 /// Body of `POST /v3/lease/grant`, which creates a lease.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct LeaseGrantRequest {
     /// Time to live in seconds.
@@ -191,7 +203,8 @@
 
 /// Response to a lease grant or, inside a [`StreamResult`], to a lease keep-alive.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct LeaseResponse {
     /// Id of the lease.
@@ -206,7 +219,8 @@
 
 /// Body of `POST /v3/lease/keepalive` and `POST /v3/lease/revoke`.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct LeaseRequest {
     /// Id of the lease.
@@ -216,7 +230,8 @@
 }
 
 /// Wrapper in which the gateway sends each message of a streamed response.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct StreamResult<T> {
     /// Message of the stream.
@@ -225,7 +240,8 @@
 
 /// Body of `POST /v3/watch`. The response is a stream of JSON lines, each a
 /// `StreamResult<WatchResponse>`.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchRequest {
     /// Range to watch.
@@ -234,7 +250,8 @@
 
 /// Range of keys to watch and the revision to start from.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchCreateRequest {
     /// First key in base64.
@@ -248,7 +265,8 @@
 }
 
 /// Changes in a watched range.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchResponse {
     /// Header with the store revision.
@@ -258,7 +276,8 @@
 }
 
 /// Change of one key in a watched range.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchEvent {
     /// `PUT` or `DELETE`; absent means `PUT`.
--- a/crates/proto/src/openai.rs
+++ b/crates/proto/src/openai.rs
@@ -4,7 +4,8 @@
 use serde_json::{Map, Value};
 
 /// Completion request, with the fields that the router reads. All others are passed on unchanged.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CompletionRequest {
     /// Name of the model.
     pub model: String,
@@ -29,7 +30,8 @@
 }
 
 /// Chat message.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChatMessage {
     /// `system`, `user`, `assistant` or `tool`.
     pub role: String,
@@ -42,7 +44,8 @@
 }
 
 /// Options of a streamed response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct StreamOptions {
     /// Whether the stream ends with a chunk that has the token counts.
     #[serde(default)]
@@ -50,7 +53,8 @@
 }
 
 /// Token counts of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct TokenUsage {
     /// Number of tokens in the prompt.
     pub prompt_tokens: u32,
@@ -61,7 +65,8 @@
 }
 
 /// Whether a request that was rejected or failed has run on a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunOutcome {
     /// The request did not run.
@@ -81,14 +86,16 @@
 }
 
 /// Body of an error response.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// Description of the error.
     pub error: ErrorDetail,
 }
 
 /// Error in the OpenAI format, with the request's outcome added.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorDetail {
     /// Description for people; the wording may change.
     pub message: String,
@@ -103,7 +110,8 @@
 }
 
 /// Response to `POST /v1/permits`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PermitResponse {
     /// Single-use permits, each for the header `x-permit`.
     pub permits: Vec<String>,
@@ -112,7 +120,8 @@
 }
 
 /// Response to `GET /v1/entries`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryList {
     /// Entries that the caller should use, in order of preference.
     pub entries: Vec<EntryAddress>,
@@ -121,7 +130,8 @@
 }
 
 /// Address of an entry that a caller may use.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryAddress {
     /// Base URL of the entry.
     pub url: String,
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -75,7 +75,8 @@
 }
 
 /// Role of a process in the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerRole {
     /// Serves callers.
     Entry,
@@ -84,7 +85,8 @@
 }
 
 /// A message with its sender.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerEnvelope {
     /// Node and incarnation of the sender.
     pub from: NodeIncarnation,
@@ -95,7 +97,8 @@
 }
 
 /// Messages between processes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// First message on a connection; tells the receiver who the sender is.
     Hello,
--- a/crates/replay/src/bench/mod.rs
+++ b/crates/replay/src/bench/mod.rs
@@ -14,7 +14,8 @@
 use serde::Serialize;
 
 /// A measured quantity with the statistics of its runs.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct BenchFigure {
     /// What was measured.
     pub name: String,
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -12,7 +12,8 @@
 const PLOT_SIZE_PIXELS: (u32, u32) = (720, 360);
 
 /// The value of one measure for one subject, such as a routing policy.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct MeasureRow {
     /// Name of the measure.
     pub measure: String,
@@ -25,7 +26,8 @@
 }
 
 /// All measures of a comparison or benchmark.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct MeasureReport {
     /// Title of the report.
     pub title: String,
--- a/crates/replay/src/stats.rs
+++ b/crates/replay/src/stats.rs
@@ -12,7 +12,8 @@
 }
 
 /// Median and range of a measure over several runs.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct SampleSummary {
     /// Median of the values; the mean of the middle two for an even number of runs.
     pub median: f64,
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One request of a trace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TraceRequest {
     /// Arrival time, in milliseconds from the start of the trace.
@@ -31,7 +32,8 @@
 }
 
 /// The kind of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TraceClass {
     /// A completion with a short response, such as the answer to a question about stock.
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -300,7 +300,8 @@
 
 /// Pieces of KV cache that move between engines.
 #[serde_as]
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 struct KvTransfer {
     #[serde(default)]
     cache_salt: String,
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -106,7 +106,8 @@
 }
 
 /// A change of faults (`POST /faults`); absent fields stay as they are.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FaultUpdate {
     /// Factor on all compute times.
@@ -179,7 +180,8 @@
 }
 
 /// Counters of an engine since its start, over all incarnations (`GET /counters`).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineCounters {
     /// Completion requests accepted.
     pub requests: u64,
--- a/crates/standin/src/keyvalue/mod.rs
+++ b/crates/standin/src/keyvalue/mod.rs
@@ -45,7 +45,8 @@
 }
 
 /// How the service fails during an outage.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OutageKind {
     /// Responds to every call with status 503.
@@ -55,7 +56,8 @@
 }
 
 /// A change of faults (`POST /faults`); absent fields stay as they are.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KeyValueFaults {
     /// Starts an outage, which also ends the open watches.
@@ -77,7 +79,8 @@
 }
 
 /// Calls by kind since the start (`GET /counters`).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyValueCounters {
     /// Range reads and transactions without writes.
     pub reads: u64,
--- a/crates/standin/src/platform/store/handlers.rs
+++ b/crates/standin/src/platform/store/handlers.rs
@@ -23,13 +23,15 @@
 
 pub(super) type Shared = web::Data<StoreShared>;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct RangeQuery {
     prefix: String,
     after: Option<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct WatchQuery {
     prefix: String,
@@ -37,27 +39,31 @@
     wait_ms: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct ExpectedRow {
     key: String,
     revision: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct WriteRow {
     key: String,
     value: String,
     lease: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct TransactBody {
     expected: Vec<ExpectedRow>,
     writes: Vec<WriteRow>,
     remove: Vec<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct GrantBody {
     ttl_ms: u64,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -35,7 +35,8 @@
 }
 
 /// A change of faults (`POST /faults`); absent fields stay as they are.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Number of upcoming bookings that run and then lose their connection before the response.
@@ -50,7 +51,8 @@
 }
 
 /// Counters of a plain service since its start (`GET /counters`).
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceCounters {
     /// Number of runs by booking name.
     pub bookings: BTreeMap<String, u64>,
--- a/crates/standin/src/vm_list.rs
+++ b/crates/standin/src/vm_list.rs
@@ -16,7 +16,8 @@
 use crate::util::{self, RunningServer, lock, millis};
 
 /// A VM in the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmEntry {
     /// Name of the VM.
     pub name: String,
@@ -27,7 +28,8 @@
 }
 
 /// State of a VM in the list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
     /// The VM is running.
--- a/crates/standin/src/weight_store.rs
+++ b/crates/standin/src/weight_store.rs
@@ -32,7 +32,8 @@
 }
 
 /// Counters of a weight store since its start (`GET /counters`).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightStoreCounters {
     /// Loads started.
     pub loads: u64,
