Spread the return of clients that limited servers refuse

Clients refused because all usable servers are at their limit were told the same short time and would return together for one place; the time is now one to three times the wait.

--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -1,6 +1,8 @@
 //! Estimates of how long servers take for requests.
 
-use super::BackendServer;
+use std::time::Duration;
+
+use super::{BackendServer, PlacementChoice};
 use crate::clock::ClockTime;
 
 /// Prefill rate assumed for an engine before its own latency has been observed, in tokens per ms.
@@ -40,3 +42,9 @@
     let wait_ms = f64::from(queued) / f64::from(slots) * idle_ms;
     idle_ms * (1.0 + FULL_SLOTS_SLOWDOWN * f64::from(busy.min(slots)) / f64::from(slots)) + wait_ms
 }
+
+/// Expected time until the response, or the first event of a stream.
+pub(super) fn expected_latency(server: &BackendServer, choice: &PlacementChoice) -> Duration {
+    let ms = choice.base_latency_ms * server.health.latency_ratio();
+    Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 3_600.0))
+}
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -13,7 +13,7 @@
     BackendServer, CacheConfidence, CacheMap, CacheSource, LONG_PROMPT_TOKENS, LongPromptPool,
     PlacementChoice, PlacementRefusal, PlacementRequest, PromptShape, ServerAvailability,
     ServerRegistry, WeightsHistory,
-    latency::{backlog_ms, pace_factor, plain_request_ms, prefill_ms},
+    latency::{backlog_ms, expected_latency, pace_factor, plain_request_ms, prefill_ms},
 };
 use crate::{
     clock::ClockTime,
@@ -65,6 +65,9 @@
 const IDLE_FACTOR: f64 = 1.3;
 /// Longest retry delay that a refused client is told.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// The retry delay of a client that is refused because of servers' limits is up to this multiple of the
+/// time until one of them takes a request.
+const MAX_LIMIT_SPREAD: f64 = 3.0;
 /// Shortest retry delay that a refused client is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -159,9 +162,12 @@
             self.cheapest(now, registry, request, &context, tried, SearchPass::LastResort, rng)
         });
         let Some(choice) = best else {
-            let wait = registry.limit_wait(now, request.service, tried);
-            let busy = wait.map(|wait| PlacementRefusal::Busy(wait.max(MIN_RETRY_AFTER)));
-            return Err(busy.unwrap_or(PlacementRefusal::NoServer));
+            let Some(wait) = registry.limit_wait(now, request.service, tried) else {
+                return Err(PlacementRefusal::NoServer);
+            };
+            // Clients that come back together would find the same single place.
+            let spread = rng.random_range(1.0..MAX_LIMIT_SPREAD);
+            return Err(PlacementRefusal::Busy(wait.max(MIN_RETRY_AFTER).mul_f64(spread)));
         };
         let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
         let expected = expected_latency(server, &choice);
@@ -229,7 +235,7 @@
                 context.holder = Some(CacheHolder { server: key, version, tokens: held });
             }
             if server.availability == ServerAvailability::Ready && !server.health.in_backoff(now) {
-                let number = instance_hash(&server.listing.instance);
+                let number = rendezvous_score(server.listing.instance.as_bytes(), 0);
                 ranked.push((rendezvous_score(POOL_RANKING_KEY, number), key, version));
             }
         }
@@ -386,17 +392,6 @@
     }
 }
 
-/// Expected time until the response, or the first event of a stream.
-fn expected_latency(server: &BackendServer, choice: &PlacementChoice) -> Duration {
-    let ms = choice.base_latency_ms * server.health.latency_ratio();
-    Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 3_600.0))
-}
-
-/// Hash of an instance name; the same on all nodes.
-fn instance_hash(instance: &str) -> u64 {
-    rendezvous_score(instance.as_bytes(), 0)
-}
-
 /// Salt that separates the KV cache of different scopes and weights versions.
 pub fn cache_salt(cache_scope: u64, version: WeightsVersion) -> u64 {
     rendezvous_score(&version.0.to_le_bytes(), cache_scope)
--- a/crates/core/src/traffic/server_limit.rs
+++ b/crates/core/src/traffic/server_limit.rs
@@ -20,6 +20,8 @@
 /// Most that can be overdrawn, as the time in which the limit adds it, beyond the requests below.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(4);
 const MAX_EXTRA_DEBT: f64 = 5.0;
+/// Number of times that a node tells the others once more what has changed, as notices get lost.
+const REPEATS: u8 = 2;
 /// Rate at which a server gets requests although it names a lower limit, in requests a second. Its
 /// response to one of them shows that the limit has changed.
 const MIN_RATE: f64 = 0.2;
@@ -47,6 +49,8 @@
     own_sent: u64,
     /// The same of other nodes, as they told, by their incarnations.
     others_sent: HashMap<u64, u64>,
+    /// Number of times that the other nodes are to be told of these once more.
+    repeats_left: u8,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +102,7 @@
         }
         let version = self.statement.version + 1;
         self.adopt(now, LimitStatement { version, rate });
+        self.repeats_left = REPEATS;
         true
     }
 
@@ -142,8 +147,16 @@
         let Some(bucket) = &mut self.bucket else { return false };
         bucket.take(now, 1.0);
         self.own_sent += 1;
+        self.repeats_left = REPEATS;
         true
     }
+
+    /// Whether the other nodes are to be told once more what this node knows and has sent.
+    pub fn take_repeat(&mut self) -> bool {
+        let is_due = self.repeats_left > 0;
+        self.repeats_left = self.repeats_left.saturating_sub(1);
+        is_due
+    }
 }
 
 /// Whether a limit is lower than another one; no limit is higher than any.
--- a/crates/node/src/server_limits.rs
+++ b/crates/node/src/server_limits.rs
@@ -122,13 +122,20 @@
 /// changes of the nodes that share the limits.
 pub fn tick(node: &Rc<Node>) {
     let state = &mut *node.state.borrow_mut();
-    let limited = state.registry.iter().filter(|(_, server)| server.limit.rate().is_some());
-    let limited: Vec<ServerKey> = limited.map(|(key, _)| key).collect();
-    metrics::gauge!("carobvane_limited_servers").set(limited.len() as f64);
-    for server in limited {
-        update_rank(node, state, server);
-        broadcast_limit(node, state, server);
+    let servers: Vec<ServerKey> = state.registry.iter().map(|(key, _)| key).collect();
+    let mut limited_count = 0;
+    for server in servers {
+        let Some(known) = state.registry.get_mut(server) else { continue };
+        let is_told_again = known.limit.take_repeat();
+        if known.limit.rate().is_some() {
+            limited_count += 1;
+            update_rank(node, state, server);
+        }
+        if is_told_again {
+            broadcast_limit(node, state, server);
+        }
     }
+    metrics::gauge!("carobvane_limited_servers").set(f64::from(limited_count));
 }
 
 fn broadcast_limit(node: &Node, state: &NodeState, server: ServerKey) {
