Keep what a restored store lacks for nodes that start

A node that starts after the store was restored, and before the operator has written the newer configuration again, served the older one of the copy. The other nodes now keep the operator's entries that the restored store lacks; a starting node reads them from two others, as it read their crash records.

--- a/crates/node/src/crash_store.rs
+++ b/crates/node/src/crash_store.rs
@@ -19,7 +19,6 @@
     adapter::{PlatformAdapter, StoreCall, StoreReply, StoreWrite},
     clock, crashes,
     node::{Node, NodeState},
-    peers,
     store::{CALL_TIMEOUT, StoreCallError, StoreClient},
     store_sync,
 };
@@ -36,12 +35,6 @@
 const WATCHER_GRACE: Duration = Duration::from_secs(2);
 /// The same for the other nodes, of which there may be many.
 const OTHER_GRACE: Duration = Duration::from_secs(8);
-/// Time between two reads of other nodes' records while some are wanted.
-const PEER_READ_INTERVAL: Duration = Duration::from_millis(400);
-/// Number of other nodes whose records are read after the start, and after the store was away. One
-/// of them may have started just now.
-const PEER_READS: u32 = 2;
-
 /// Value of a crash record in the store; its key has the suspect.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -89,34 +82,6 @@
     }
 }
 
-/// Reads the records of other nodes after the start and after the store was away, until the process
-/// ends.
-pub async fn read_peer_records(node: Rc<Node>) {
-    let mut reads_left = PEER_READS;
-    let mut was_reachable = true;
-    loop {
-        sleep(PEER_READ_INTERVAL).await;
-        let reachable = node.state.borrow().is_store_reachable();
-        if reachable != was_reachable {
-            was_reachable = reachable;
-            reads_left = PEER_READS;
-        }
-        if reads_left == 0 {
-            continue;
-        }
-        match peers::read_crash_records(&node).await {
-            Ok(Some(reports)) => {
-                crashes::apply_copy(&node, &reports);
-                reads_left -= 1;
-            }
-            Ok(None) => {}
-            Err(cause) => {
-                log::debug!(cause:% = cause; "failed to read another node's crash records")
-            }
-        }
-    }
-}
-
 fn missing_records(node: &Node) -> Vec<CrashReport> {
     let grace = if store_sync::is_watcher(node) { WATCHER_GRACE } else { OTHER_GRACE };
     let state = node.state.borrow();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod metered_stream;
 mod node;
 mod notices;
+mod peer_knowledge;
 mod peers;
 mod pool;
 mod program;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    adapter::StoreRevision,
+    adapter::{StoreItem, StoreRevision},
     clock,
     members::MemberTable,
     notices::NodeNotice,
@@ -55,6 +55,9 @@
     pub members: MemberTable,
     /// Copy of the platform's store.
     pub mirror: StoreMirror,
+    /// Entries of the operator that were in force when the store was restored without them, by their
+    /// keys.
+    pub lost_entries: BTreeMap<String, StoreItem>,
     /// Keys of the servers' entries that were removed lately, and when.
     pub removed_entries: BTreeMap<String, ClockTime>,
     /// Epoch of the KV cache store; 0 until one is learned, `None` while the store does not
@@ -141,6 +144,7 @@
             logged_blame: Vec::new(),
             members: MemberTable::default(),
             mirror: StoreMirror::default(),
+            lost_entries: BTreeMap::new(),
             removed_entries: BTreeMap::new(),
             cache_store_epoch: Some(0),
             suspension: SuspensionDetector::default(),
--- /dev/null
+++ b/crates/node/src/peer_knowledge.rs
@@ -0,0 +1,65 @@
+//! Reads from other nodes what the platform's store does not hold: crash records that were not written
+//! yet, and entries of the operator that a restored store lacks.
+
+use std::{rc::Rc, time::Duration};
+
+use carobvane_core::traffic::CrashReport;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    adapter::{PlatformAdapter, StoreItem},
+    crashes,
+    node::{Node, NodeState},
+    peers, store_changes,
+};
+
+/// Time between two reads of other nodes while some are wanted.
+const PEER_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of other nodes that are read after the start, and after the store was away. One of them may
+/// have started just now.
+const PEER_READS: u32 = 2;
+
+/// What a node knows beyond the platform's store.
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct PeerKnowledge {
+    /// Crashes of requests and prompt parts.
+    pub crashes: Vec<CrashReport>,
+    /// Entries of the operator that were in force when the store was restored without them.
+    pub lost_entries: Vec<StoreItem>,
+}
+
+impl PeerKnowledge {
+    /// Collects what this node knows.
+    pub fn of_node(state: &NodeState) -> PeerKnowledge {
+        let lost_entries = state.lost_entries.values().cloned().collect();
+        PeerKnowledge { crashes: state.crashes.reports(), lost_entries }
+    }
+}
+
+/// Reads other nodes after the start and after the store was away, until the process ends.
+pub async fn read_peers<A: PlatformAdapter>(node: Rc<Node>) {
+    let mut reads_left = PEER_READS;
+    let mut was_reachable = true;
+    loop {
+        sleep(PEER_READ_INTERVAL).await;
+        let reachable = node.state.borrow().is_store_reachable();
+        if reachable != was_reachable {
+            was_reachable = reachable;
+            reads_left = PEER_READS;
+        }
+        if reads_left == 0 {
+            continue;
+        }
+        match peers::read_knowledge(&node).await {
+            Ok(Some(knowledge)) => {
+                crashes::apply_copy(&node, &knowledge.crashes);
+                store_changes::apply_lost_entries::<A>(&node, knowledge.lost_entries);
+                reads_left -= 1;
+            }
+            Ok(None) => {}
+            Err(cause) => log::debug!(cause:% = cause; "failed to read another node's knowledge"),
+        }
+    }
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,10 +1,9 @@
 //! Lets nodes read each other's copy of the platform's store while the store does not respond, and
-//! each other's crash records.
+//! what each other knows beyond it.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carobvane_core::traffic::CrashReport;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
@@ -16,6 +15,7 @@
     connection::{ConnectionError, HttpConnection},
     ingress::RequestHandler,
     node::Node,
+    peer_knowledge::PeerKnowledge,
     responses,
     store::build_request,
     store_sync::StoreMirror,
@@ -23,8 +23,8 @@
 
 /// Path under which a node serves its copy; the query is the revision that the reader already has.
 const MIRROR_PATH: &str = "/mirror";
-/// Path under which a node serves its crash records.
-const CRASHES_PATH: &str = "/crashes";
+/// Path under which a node serves what it knows beyond the platform's store.
+const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Timeout of connecting to a node, and of the exchange with it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a copy.
@@ -39,7 +39,7 @@
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, MIRROR_PATH) => self.send_mirror(&request),
-            (&Method::GET, CRASHES_PATH) => self.send_crash_records(),
+            (&Method::GET, KNOWLEDGE_PATH) => self.send_knowledge(),
             _ => responses::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -55,8 +55,8 @@
         encoded_response(&state.mirror)
     }
 
-    fn send_crash_records(&self) -> Response<ResponseBody> {
-        encoded_response(&self.node.state.borrow().crashes.reports())
+    fn send_knowledge(&self) -> Response<ResponseBody> {
+        encoded_response(&PeerKnowledge::of_node(&self.node.state.borrow()))
     }
 }
 
@@ -85,12 +85,10 @@
     read_from_any(node, format!("{MIRROR_PATH}?{}-{}", known.era, known.number)).await
 }
 
-/// Reads the crash records of a randomly chosen node, or of a seed node if no other node is known.
-/// Returns `None` if there is none to ask.
-pub async fn read_crash_records(
-    node: &Rc<Node>,
-) -> Result<Option<Vec<CrashReport>>, ConnectionError> {
-    read_from_any(node, CRASHES_PATH.to_string()).await
+/// Reads what a randomly chosen node, or a seed node if no other node is known, knows beyond the
+/// platform's store. Returns `None` if there is none to ask.
+pub async fn read_knowledge(node: &Rc<Node>) -> Result<Option<PeerKnowledge>, ConnectionError> {
+    read_from_any(node, KNOWLEDGE_PATH.to_string()).await
 }
 
 async fn read_from_any<T: DeserializeOwned>(
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -15,7 +15,7 @@
     flags::CarobvaneNode,
     logging,
     node::Node,
-    notices,
+    notices, peer_knowledge,
     registration::{self, RegistrationLease},
     rollout,
     rollout_lease::{self, RolloutLease},
@@ -132,7 +132,7 @@
         actix_rt::spawn(cache_store::monitor::<A>(node.clone()));
         actix_rt::spawn(cache_events::follow_engines::<A>(node.clone()));
         actix_rt::spawn(crash_store::write_records(node.clone(), store.clone()));
-        actix_rt::spawn(crash_store::read_peer_records(node.clone()));
+        actix_rt::spawn(peer_knowledge::read_peers::<A>(node.clone()));
         actix_rt::spawn(run_housekeeping(node.clone()));
         log::info!(
             name = node.settings.name, data_centre = node.settings.data_centre,
--- a/crates/node/src/store_changes.rs
+++ b/crates/node/src/store_changes.rs
@@ -28,6 +28,7 @@
     let known = node.state.borrow().mirror.revision;
     if mirror.revision.era != known.era && known.number > 0 {
         begin_era(node, known, &mut mirror);
+        keep_lost_entries::<A>(node, &mirror);
     }
     let known: Vec<String> = node.state.borrow().mirror.items.keys().cloned().collect();
     let present: HashSet<&String> = mirror.items.keys().collect();
@@ -49,6 +50,34 @@
     node.rollout_wake.notify_one();
 }
 
+/// Keeps the entries in force that a restored store lacks, for nodes that start before the operator has
+/// written them again.
+fn keep_lost_entries<A: PlatformAdapter>(node: &Rc<Node>, mirror: &StoreMirror) {
+    let state = &mut *node.state.borrow_mut();
+    let is_lost = |item: &&StoreItem| {
+        let restored = mirror.items.get(&item.key);
+        restored.is_none_or(|restored| restored.value != item.value)
+    };
+    let is_kept = |item: &&StoreItem| {
+        let entry = A::decode_entry(&item.key, &item.value);
+        matches!(entry, FleetEntry::Config(_) | FleetEntry::Weights { .. })
+    };
+    let lost = state.mirror.items.values().filter(is_lost).filter(is_kept).cloned();
+    let lost: Vec<StoreItem> = lost.collect();
+    state.lost_entries.extend(lost.into_iter().map(|item| (item.key.clone(), item)));
+}
+
+/// Applies entries that a restored store lacks, from another node. Versions never fall, so an entry
+/// that the operator has replaced meanwhile changes nothing.
+pub fn apply_lost_entries<A: PlatformAdapter>(node: &Rc<Node>, items: Vec<StoreItem>) {
+    let now = clock::now();
+    for item in items {
+        let state = &mut *node.state.borrow_mut();
+        apply_entry(node, state, now, A::decode_entry(&item.key, &item.value));
+        state.lost_entries.insert(item.key.clone(), item);
+    }
+}
+
 /// Prepares for the items of a store that was restored from an older copy. Servers and nodes that wrote
 /// their entries after the copy get time to write them again.
 fn begin_era(node: &Rc<Node>, known: StoreRevision, mirror: &mut StoreMirror) {
@@ -94,6 +123,9 @@
             } else {
                 apply_entry(node, state, now - age, A::decode_entry(&item.key, &item.value));
             }
+            if state.lost_entries.get(&item.key).is_some_and(|lost| lost.value == item.value) {
+                state.lost_entries.remove(&item.key);
+            }
             state.mirror.items.insert(item.key.clone(), item);
         }
         StoreEvent::Removed { key, revision } => {
