Tell a refusal for servers' limits apart from busy servers

A client refused because all usable servers are at their limits got the code servers_busy, so its log said nothing of the cause; it is servers_at_their_limit now. The parts of a prompt are formatted only when a line is written.

--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -167,7 +167,7 @@
             };
             // Clients that come back together would find the same single place.
             let spread = rng.random_range(1.0..MAX_LIMIT_SPREAD);
-            return Err(PlacementRefusal::Busy(wait.max(MIN_RETRY_AFTER).mul_f64(spread)));
+            return Err(PlacementRefusal::Limited(wait.max(MIN_RETRY_AFTER).mul_f64(spread)));
         };
         let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
         let expected = expected_latency(server, &choice);
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -65,6 +65,8 @@
     NoServer,
     /// All are too busy; the client may retry after this time.
     Busy(Duration),
+    /// All have got as many requests as they take; the client may retry after this time.
+    Limited(Duration),
 }
 
 /// Where a server may fetch KV cache.
--- a/crates/core/src/traffic/server_limit.rs
+++ b/crates/core/src/traffic/server_limit.rs
@@ -1,11 +1,11 @@
 //! Keeps all nodes together within the rate of requests that a server takes.
 //!
 //! Each node keeps the same token bucket for a limited server. It holds what the limit adds and loses
-//! a token for each request that any node sends: nodes tell each other how many they have sent since
-//! their start, so a lost notice is made up for by the next one. A node sends if there is a token. Nodes
-//! that send in the same instant overdraw the bucket, and all of them wait until it has recovered. That
-//! they seldom do so is ensured by their order: the first one takes a token as soon as there is one, each
-//! further one only when those before it had time to take it and to tell.
+//! a token for each request that any node sends: nodes tell each other how many they have sent in all, so
+//! a lost notice is made up for by the next one. A node sends only if there is a token. Nodes that send in
+//! the same instant overdraw the bucket, and all of them wait until it has recovered. To make that rare,
+//! the nodes have an order: the first one takes a token as soon as there is one, each further one only
+//! after those before it had time to take it and to tell.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -17,7 +17,8 @@
 const NOTICE_TIME: Duration = Duration::from_millis(20);
 /// Largest number of tokens, as the time in which the limit adds them, beyond the first one.
 const MAX_BURST_TIME: Duration = Duration::from_secs(1);
-/// Most that can be overdrawn, as the time in which the limit adds it, beyond the requests below.
+/// Largest debt of a bucket: the tokens that the limit adds in this time, and some more. A node that was
+/// told too high numbers therefore sends again soon.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(4);
 const MAX_EXTRA_DEBT: f64 = 5.0;
 /// Number of times that a node tells the others once more what has changed, as notices get lost.
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -8,6 +8,7 @@
     suspects::{self, RequestSuspects, SuspectFingerprint, SuspectKind},
     traffic::{CrashEvent, CrashReport, CrashRuling, CrashVerdict, PromptPart, RunEnd, ServerRun},
 };
+use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use crate::{
@@ -26,7 +27,7 @@
     request_id: String,
     instance: String,
     /// Shared parts of the prompt, for the log.
-    parts: String,
+    parts: SmallVec<[PromptPart; 4]>,
     /// `None` once the run has ended.
     run: Option<ServerRun>,
 }
@@ -65,7 +66,7 @@
             node: node.clone(),
             request_id: context.info.request_id.clone(),
             instance: instance.to_string(),
-            parts: format_parts(context.info.prompt.shared_parts()),
+            parts: context.info.prompt.shared_parts().into(),
             run,
         }
     }
@@ -79,7 +80,7 @@
         if matches!(end, RunEnd::Broken | RunEnd::Unanswered) {
             log::info!(
                 request = self.request_id, server = self.instance, end = end_label(end), listed,
-                parts = self.parts, cause = cause;
+                parts = format_parts(&self.parts), cause = cause;
                 "run ended without a response"
             );
         }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -327,6 +327,7 @@
     match refusal {
         PlacementRefusal::NoServer => LocalResponse::NotRun("no_server", NO_SERVER_RETRY),
         PlacementRefusal::Busy(wait) => LocalResponse::NotRun("servers_busy", wait),
+        PlacementRefusal::Limited(wait) => LocalResponse::NotRun("servers_at_their_limit", wait),
     }
 }
 
