--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod crash_messages;
 mod crash_tracker;
+mod crash_verdict;
 mod entry_directory;
 mod event_stream;
 mod health;
@@ -35,7 +36,8 @@
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
     },
     crash_messages::{CrashEvent, CrashReport, CrashRuling, CrashVerdict, RunEnd, ServerRun},
-    crash_tracker::{CRASH_LIFETIME, CrashTracker, MAX_CRASHES},
+    crash_tracker::{CRASH_LIFETIME, CrashTracker},
+    crash_verdict::MAX_CRASHES,
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -228,10 +228,9 @@
             };
             let Some(server) = registry.get(*key) else { continue };
             // A server that limits requests is queried only once, before the order.
-            let is_spared = server.limit.rate().is_some()
-                && loading.stage == LoadStage::Draining
-                && now.since(loading.since) < MAX_DRAIN_TIME;
-            if now < loading.due || is_spared {
+            let may_wait =
+                loading.stage == LoadStage::Draining && now.since(loading.since) < MAX_DRAIN_TIME;
+            if now < loading.due || (may_wait && server.limit.rate().is_some()) {
                 continue;
             }
             if let Some(weights) = server.listing.weights.first() {
