--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -13,6 +13,7 @@
 mod record;
 mod registry;
 mod running;
+mod server_build;
 mod table;
 
 pub use self::{
@@ -20,6 +21,7 @@
     fingerprint::{RequestSuspects, SuspectFingerprint, SuspectKind},
     record::{CrashEntry, CrashRecord},
     registry::SuspectRegistry,
+    server_build::ServerBuild,
     table::{DroppedSuspect, PartVerdict, RunSuspect, RunSuspects, SuspectTable},
 };
 
--- a/crates/core/src/traffic/crash_messages.rs
+++ b/crates/core/src/traffic/crash_messages.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::ServerKey,
-    suspects::{CrashEntry, RunSuspects, SuspectFingerprint},
+    suspects::{CrashEntry, RunSuspects, ServerBuild, SuspectFingerprint},
 };
 
 /// The crashes of one suspect, as nodes tell each other and keep them in the store.
@@ -47,6 +47,8 @@
     pub server: ServerKey,
     /// Number of the server's incarnation, the same on all nodes.
     pub(super) incarnation: u64,
+    /// Software and weights of the server.
+    pub build: ServerBuild,
     /// The request and the parts of its prompt.
     pub(super) suspects: RunSuspects,
 }
@@ -74,6 +76,8 @@
         fingerprint: SuspectFingerprint,
         /// The server incarnation.
         incarnation: u64,
+        /// Build of the server.
+        build: ServerBuild,
         /// Number of crashes of the suspect.
         crashes: usize,
     },
@@ -83,6 +87,8 @@
         fingerprint: SuspectFingerprint,
         /// Number of crashes that were withdrawn.
         crashes: usize,
+        /// Build of the server at which it has completed.
+        build: ServerBuild,
     },
     /// Another node has reported crashes or withdrawals that were not known.
     Learned {
--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -17,7 +17,7 @@
     ids::ServerKey,
     suspects::{
         BlamedGroup, CrashEntry, CrashRecord, DroppedSuspect, RequestSuspects, RunSuspect,
-        SuspectFingerprint, SuspectKind, SuspectTable, part_quarantine,
+        ServerBuild, SuspectFingerprint, SuspectKind, SuspectTable, part_quarantine,
     },
 };
 
@@ -93,19 +93,20 @@
     }
 
     /// Records that a run starts at a server. `incarnation` is the number of its incarnation, the
-    /// same on all nodes.
+    /// same on all nodes, and `build` its software and weights.
     pub fn start_run(
         &mut self,
         suspects: &RequestSuspects,
         server: ServerKey,
         incarnation: u64,
+        build: ServerBuild,
     ) -> ServerRun {
         let suspects = self.suspects.run_suspects(suspects);
         for suspect in suspects.iter().filter(|suspect| suspect.is_counted) {
             *self.running.entry(suspect.fingerprint).or_default() += 1;
         }
         let incarnation = self.current_incarnation(&suspects, incarnation);
-        ServerRun { server, incarnation, suspects }
+        ServerRun { server, incarnation, build, suspects }
     }
 
     /// Records that a run has ended. `is_listed` is whether the server incarnation is still known.
@@ -330,6 +331,7 @@
                 events.push(CrashEvent::Counted {
                     fingerprint,
                     incarnation: run.incarnation,
+                    build: run.build,
                     crashes: self.crash_count(fingerprint),
                 });
             }
@@ -343,7 +345,7 @@
             let crashes = self.suspects.withdraw_all(now, fingerprint);
             if crashes > 0 {
                 self.mark_observed(fingerprint);
-                events.push(CrashEvent::Withdrawn { fingerprint, crashes });
+                events.push(CrashEvent::Withdrawn { fingerprint, crashes, build: run.build });
             }
         }
     }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -8,7 +8,7 @@
     clock::ClockTime,
     ids::ServerKey,
     rendezvous::rendezvous_score,
-    suspects::{RequestSuspects, SuspectFingerprint},
+    suspects::{RequestSuspects, ServerBuild, SuspectFingerprint},
     traffic::{CrashEvent, CrashReport, CrashTracker, CrashVerdict, RunEnd, ServerRun},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -314,7 +314,8 @@
         }
         let server = up[self.rng.random_range(0..up.len())];
         let SimServer { key, incarnation, .. } = self.servers[server];
-        let run = self.nodes[node].tracker.start_run(&suspects, key, incarnation);
+        let run =
+            self.nodes[node].tracker.start_run(&suspects, key, incarnation, ServerBuild::UNKNOWN);
         if let Some(index) = crashing
             && self.parts[index].fifth_crash.is_some_and(|at| self.now.since(at) > STABLE_TIME)
             && self.is_in_touch(node)
--- a/crates/core/tests/traffic_crashes.rs
+++ b/crates/core/tests/traffic_crashes.rs
@@ -6,7 +6,7 @@
     arena::KeyArena,
     clock::ClockTime,
     ids::ServerKey,
-    suspects::{RequestSuspects, SuspectFingerprint},
+    suspects::{RequestSuspects, ServerBuild, SuspectFingerprint},
     traffic::{CrashEvent, CrashReport, CrashTracker, CrashVerdict, MAX_CRASHES, RunEnd},
 };
 
@@ -15,6 +15,9 @@
 /// Number of other requests that fill the table of a tracker.
 const FLOOD: usize = 2_048;
 
+/// Build of all servers.
+const BUILD: ServerBuild = ServerBuild::UNKNOWN;
+
 fn millis(ms: u64) -> ClockTime {
     ClockTime::from_millis(ms)
 }
@@ -42,7 +45,7 @@
     /// Runs a request at the server with this number.
     fn run(&mut self, number: usize, server: usize, end: RunEnd) {
         let key = self.servers[server];
-        let run = self.tracker.start_run(&request(number).into(), key, incarnation(server));
+        let run = self.tracker.start_run(&request(number).into(), key, incarnation(server), BUILD);
         self.tracker.end_run(self.now, run, end, true, &mut self.events);
     }
 
@@ -123,8 +126,8 @@
 fn one_death_counts_once() {
     let mut fixture = Fixture::new();
     let server = fixture.servers[1];
-    let runs =
-        [0; 3].map(|_| fixture.tracker.start_run(&request(0).into(), server, incarnation(1)));
+    let runs = [0; 3]
+        .map(|_| fixture.tracker.start_run(&request(0).into(), server, incarnation(1), BUILD));
     for run in runs {
         fixture.tracker.end_run(fixture.now, run, RunEnd::Broken, true, &mut fixture.events);
     }
@@ -283,7 +286,7 @@
         (0..case.unanswered).for_each(|server| fixture.run(0, 3 + server, RunEnd::Unanswered));
         let server = fixture.servers[7];
         for _ in 0..case.running {
-            fixture.tracker.start_run(&request(0).into(), server, incarnation(7));
+            fixture.tracker.start_run(&request(0).into(), server, incarnation(7), BUILD);
         }
         assert_eq!(fixture.verdict(), case.verdict, "{}", case.name);
     }
@@ -302,7 +305,8 @@
         fixture.advance(Duration::from_secs(1));
         assert_eq!(fixture.verdict(), CrashVerdict::Allow, "after {quarantine} s");
         let server = fixture.servers[4];
-        let run = fixture.tracker.start_run(&request(0).into(), server, incarnation(4 + further));
+        let run =
+            fixture.tracker.start_run(&request(0).into(), server, incarnation(4 + further), BUILD);
         assert_eq!(fixture.verdict(), CrashVerdict::Wait, "one run at a time");
         fixture.tracker.end_run(fixture.now, run, RunEnd::Broken, true, &mut fixture.events);
         assert_eq!(fixture.verdict(), CrashVerdict::Reject);
@@ -455,7 +459,7 @@
         for (number, (parts, server, end)) in case.runs.iter().enumerate() {
             let suspects = with_parts(number, parts);
             let key = fixture.servers[*server];
-            let run = fixture.tracker.start_run(&suspects, key, incarnation(*server));
+            let run = fixture.tracker.start_run(&suspects, key, incarnation(*server), BUILD);
             fixture.tracker.end_run(fixture.now, run, *end, true, &mut fixture.events);
         }
         for (parts, verdict) in case.verdicts {
@@ -476,7 +480,7 @@
             .map(|server| {
                 let suspects = with_parts(server, &[1]);
                 let key = fixture.servers[server];
-                fixture.tracker.start_run(&suspects, key, incarnation(server))
+                fixture.tracker.start_run(&suspects, key, incarnation(server), BUILD)
             })
             .collect();
         for run in runs {
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -6,6 +6,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::ServerKey,
+    suspects::ServerBuild,
     traffic::{AttemptOutcome, LinkFailure, PlacementChoice, RunEnd, ServerLoad, cache_salt},
 };
 use http::{Request, Response, StatusCode};
@@ -132,7 +133,9 @@
         last_event: Option<u64>,
     ) -> AttemptResult {
         self.sent_at = clock::now();
-        self.run = Some(RunGuard::start(node, context, self.choice.server, &self.instance));
+        let build = ServerBuild::new(self.software.as_deref(), self.choice.weights);
+        let run = RunGuard::start(node, context, self.choice.server, &self.instance, build);
+        self.run = Some(run);
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let response = match self.connection.connection.send(request, response_timeout).await {
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -5,7 +5,7 @@
 
 use carobvane_core::{
     ids::ServerKey,
-    suspects::{self, RequestSuspects, SuspectFingerprint, SuspectKind},
+    suspects::{self, RequestSuspects, ServerBuild, SuspectFingerprint, SuspectKind},
     traffic::{
         CrashEvent, CrashReport, CrashRuling, CrashVerdict, LinkFailure, LinkState, PromptPart,
         RunEnd, ServerRun,
@@ -48,13 +48,14 @@
         context: &RequestContext,
         server: ServerKey,
         instance: &str,
+        build: ServerBuild,
     ) -> RunGuard {
         let suspects = &context.suspects;
         let state = &mut *node.state.borrow_mut();
         // A server that vanished since it was chosen has no incarnation, so its end is not counted.
         let incarnation = state.incarnation_id(server);
-        let run =
-            incarnation.map(|incarnation| state.crashes.start_run(suspects, server, incarnation));
+        let run = incarnation
+            .map(|incarnation| state.crashes.start_run(suspects, server, incarnation, build));
         for fingerprint in suspects.iter() {
             let crashes = state.crashes.crash_count(fingerprint);
             if crashes >= min_logged_crashes(fingerprint) {
@@ -84,7 +85,7 @@
         if matches!(end, RunEnd::Broken | RunEnd::Unanswered) {
             log::info!(
                 request = self.request_id, server = self.instance, end = end_label(end), listed,
-                parts = format_parts(&self.parts), cause = cause;
+                build:% = run.build, parts = format_parts(&self.parts), cause = cause;
                 "run ended without a response"
             );
         }
@@ -251,11 +252,11 @@
     let request = request.unwrap_or_default();
     for event in events {
         match *event {
-            CrashEvent::Counted { fingerprint, incarnation, crashes } => {
+            CrashEvent::Counted { fingerprint, incarnation, build, crashes } => {
                 if crashes >= min_logged_crashes(fingerprint) {
                     log::info!(
-                        request = request, fingerprint:% = fingerprint, incarnation, crashes,
-                        cause = cause;
+                        request = request, fingerprint:% = fingerprint, incarnation, build:% = build,
+                        crashes, cause = cause;
                         "counted a crash"
                     );
                 }
@@ -266,9 +267,9 @@
                 .increment(1);
                 broadcast_record(node, state, fingerprint);
             }
-            CrashEvent::Withdrawn { fingerprint, crashes } => {
+            CrashEvent::Withdrawn { fingerprint, crashes, build } => {
                 if crashes >= min_logged_crashes(fingerprint) {
-                    log::info!(request = request, fingerprint:% = fingerprint, crashes; "withdrew the crashes of a suspect");
+                    log::info!(request = request, fingerprint:% = fingerprint, crashes, build:% = build; "withdrew the crashes of a suspect");
                 }
                 metrics::counter!("carobvane_crashes_withdrawn_total").increment(1);
                 broadcast_record(node, state, fingerprint);
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -71,7 +71,8 @@
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.candidate_count, config:? = state.routes.version(),
-        software:? = server.listing.software, last_event:? = context.info.last_event,
+        software:? = server.listing.software, weights:? = choice.weights.map(|version| version.0),
+        last_event:? = context.info.last_event,
         first_attempt:? = context.info.first_attempt;
         "server chosen"
     );
