Let only runs at servers of the same build refute crashes, and not a single one

Cause: a whole response withdrew all crashes of its request and of the parts it ran with, whichever server gave it. A request that ends the servers of one software version, or at some weights, completes at the others in between, so its count never reached three. The class: evidence that clears a suspect is accepted where it says nothing of the cause.

A crash now has the build (software and weights) of its server, and the runs that completed after it, as a set of bits that nodes merge in any order. Eight runs of a request, or five with a part, at servers of the same build refute it; one is enough only after a quarantine. Runs at other builds only tell parts apart. Popular sound parts are kept out: runs of the last seconds before a crash count as well, a part without any completed run explains the crashes of parts that were not with it, and a part that completes after each of its crashes is tested, one request at a time. The same holds for runs without a response, which a completed run elsewhere used to forget.

Four expectations in traffic_crashes.rs said that one whole response refutes all crashes, which is the fault itself. They now say both that one does not and that eight (five) do, also for runs without a response.

--- a/crates/core/src/suspects/mod.rs
+++ b/crates/core/src/suspects/mod.rs
@@ -9,6 +9,7 @@
 //! retry.
 
 mod blame;
+mod completed_runs;
 mod fingerprint;
 mod record;
 mod registry;
@@ -18,11 +19,12 @@
 
 pub use self::{
     blame::{BlamedGroup, part_quarantine},
+    completed_runs::{CompletedRuns, refuting_runs},
     fingerprint::{RequestSuspects, SuspectFingerprint, SuspectKind},
-    record::{CrashEntry, CrashRecord},
+    record::{Completion, CrashEntry, CrashRecord},
     registry::SuspectRegistry,
     server_build::ServerBuild,
-    table::{DroppedSuspect, PartVerdict, RunSuspect, RunSuspects, SuspectTable},
+    table::{CompletedRun, DroppedSuspect, PartVerdict, RunSuspect, RunSuspects, SuspectTable},
 };
 
 use std::{fmt, time::Duration};
@@ -112,7 +114,7 @@
     }
 
     fn entry(&self) -> CrashEntry<ServerIncarnation> {
-        CrashEntry { server: self.server, round: self.round, withdrawn: false }
+        CrashEntry::new(self.server, self.round, ServerBuild::UNKNOWN)
     }
 }
 
--- a/crates/core/src/suspects/record.rs
+++ b/crates/core/src/suspects/record.rs
@@ -1,12 +1,14 @@
 //! The server incarnations that ended while they ran one suspect.
 //!
-//! A record only learns: an entry is added, its round rises, or it is withdrawn. Nodes can therefore
+//! A record only learns: an entry is added, its round rises, runs complete after it, or it is withdrawn. Nodes can therefore
 //! merge what they know in any order and any number of times, and agree once each has received the
 //! reports of the others.
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::{CompletedRuns, ServerBuild, SuspectKind, refuting_runs};
+
 /// Maximum number of entries in a record. Nodes that run a suspect at the same time can crash more
 /// servers than it takes to reject it.
 const MAX_ENTRIES: usize = 16;
@@ -25,6 +27,28 @@
     pub round: u8,
     /// Whether the suspect has not caused this crash, since it has completed later.
     pub withdrawn: bool,
+    /// Build of the server.
+    #[serde(default)]
+    pub build: ServerBuild,
+    /// Runs with the suspect that completed later.
+    #[serde(default)]
+    pub completed: CompletedRuns,
+}
+
+impl<I> CrashEntry<I> {
+    /// Creates the entry of a crash after which no run is known to have completed.
+    pub fn new(server: I, round: u8, build: ServerBuild) -> CrashEntry<I> {
+        CrashEntry { server, round, withdrawn: false, build, completed: CompletedRuns::default() }
+    }
+}
+
+/// What a completed run has changed in a record.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Completion {
+    /// Whether the run was not counted yet for some crash.
+    pub is_new: bool,
+    /// Number of crashes that are withdrawn for it.
+    pub withdrawn: usize,
 }
 
 /// The crashes of one suspect. Invariant: no two entries have the same server incarnation.
@@ -50,6 +74,11 @@
         self.entries.iter().filter(|entry| !entry.withdrawn)
     }
 
+    /// Returns the server incarnations and rounds of the crashes that are not withdrawn.
+    pub fn crash_entries(&self) -> SmallVec<[(I, u8); 8]> {
+        self.crashes().map(|entry| (entry.server, entry.round)).collect()
+    }
+
     /// Returns the number of server incarnations that the suspect has crashed.
     pub fn crash_count(&self) -> usize {
         self.crashes().count()
@@ -66,21 +95,42 @@
     }
 
     /// Adds a crash. Returns whether the record has changed.
-    pub fn add_crash(&mut self, server: I, round: u8) -> bool {
-        if let Some(known) = self.find_mut(server) {
-            let raised = !known.withdrawn && known.round < round;
+    pub fn add_crash(&mut self, entry: CrashEntry<I>) -> bool {
+        if let Some(known) = self.find_mut(entry.server) {
+            let raised = !known.withdrawn && known.round < entry.round;
             if raised {
-                known.round = round;
+                known.round = entry.round;
             }
             return raised;
         }
-        self.insert(CrashEntry { server, round, withdrawn: false })
+        self.insert(entry)
+    }
+
+    /// Records that a run completed at a server of `build`, and withdraws the crashes that `required`
+    /// runs speak against. `number` identifies the run.
+    pub fn add_completed(
+        &mut self,
+        number: u64,
+        build: ServerBuild,
+        required: impl Fn(I) -> u32,
+    ) -> Completion {
+        let mut completion = Completion::default();
+        for entry in self.entries.iter_mut().filter(|entry| !entry.withdrawn) {
+            let is_same_build = entry.build.is_refuted_at(build);
+            completion.is_new |= entry.completed.add(number, is_same_build);
+            let required = required(entry.server);
+            entry.withdrawn = entry.completed.same_build_count() >= required;
+            completion.withdrawn += usize::from(entry.withdrawn);
+        }
+        completion
     }
 
-    /// Withdraws all crashes known so far. Returns their number.
-    pub fn withdraw_all(&mut self) -> usize {
+    /// Withdraws the crashes that enough completed runs speak against. Returns whether there were any.
+    pub fn withdraw_refuted(&mut self, kind: SuspectKind) -> bool {
+        let required = refuting_runs(kind);
         let crashes = self.entries.iter_mut().filter(|entry| !entry.withdrawn);
-        crashes.map(|entry| entry.withdrawn = true).count()
+        let refuted = crashes.filter(|entry| entry.completed.same_build_count() >= required);
+        refuted.map(|entry| entry.withdrawn = true).count() > 0
     }
 
     /// Withdraws the crash of one server incarnation, also if it is reported only later.
@@ -88,7 +138,8 @@
         match self.find_mut(server) {
             Some(known) => known.withdrawn = true,
             None => {
-                self.insert(CrashEntry { server, round: 0, withdrawn: true });
+                let entry = CrashEntry::new(server, 0, ServerBuild::UNKNOWN);
+                self.insert(CrashEntry { withdrawn: true, ..entry });
             }
         }
     }
@@ -123,6 +174,10 @@
             let before = *known;
             known.withdrawn |= reported.withdrawn;
             known.round = known.round.max(reported.round);
+            known.completed.merge(reported.completed);
+            if !known.build.is_known() {
+                known.build = reported.build;
+            }
             return *known != before;
         }
         self.insert(*reported)
--- a/crates/core/src/suspects/server_build.rs
+++ b/crates/core/src/suspects/server_build.rs
@@ -26,6 +26,12 @@
         ServerBuild(Some(NonZeroU32::new(score as u32).unwrap_or(NonZeroU32::MIN)))
     }
 
+    /// Whether a run that completed at a server of build `completed` speaks against a crash of a server of
+    /// this build. If nothing is known of a server that ended, all runs do.
+    pub fn is_refuted_at(self, completed: ServerBuild) -> bool {
+        self == completed || !self.is_known()
+    }
+
     /// Whether the build is known.
     pub fn is_known(self) -> bool {
         self.0.is_some()
--- a/crates/core/src/suspects/table.rs
+++ b/crates/core/src/suspects/table.rs
@@ -5,11 +5,17 @@
 use smallvec::SmallVec;
 
 use super::{
-    BlamedGroup, CrashEntry, CrashRecord, RequestSuspects, SuspectFingerprint, SuspectKind,
+    BlamedGroup, CompletedRuns, Completion, CrashEntry, CrashRecord, RequestSuspects, ServerBuild,
+    SuspectFingerprint, SuspectKind,
     blame::{BlameCandidate, MIN_BLAMED_CRASHES, find_groups},
 };
 use crate::clock::ClockTime;
 
+/// A part without a completed run explains crashes of another one if it has at least this many crashes.
+const MIN_CRASHES_EXPLAINING: usize = 2;
+/// The same as a share of the other one's crashes, numerator and denominator.
+const MIN_SHARE_EXPLAINED: (usize, usize) = (2, 3);
+
 /// Number of suspects of a run that are stored without an allocation.
 const INLINE_SUSPECTS: usize = 4;
 
@@ -29,20 +35,33 @@
     /// Whether the number of such runs in progress matters: the suspect is a request, or a part
     /// that could be blamed when the run began.
     pub is_counted: bool,
+    /// Runs with the suspect that completed after this one had ended.
+    pub completed: CompletedRuns,
 }
 
 /// The suspects of a run: the request and the parts of its prompt.
 pub type RunSuspects = SmallVec<[RunSuspect; INLINE_SUSPECTS]>;
 
+/// A run that has completed.
+#[derive(Debug, Clone, Copy)]
+pub struct CompletedRun<'a> {
+    /// Identifies the run on all nodes.
+    pub number: u64,
+    /// Build of its server.
+    pub build: ServerBuild,
+    /// Its request and the parts of its prompt.
+    pub suspects: &'a RunSuspects,
+}
+
 /// What the crashes say about the prompt parts of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PartVerdict<'a> {
     /// No part is blamed.
     Clear,
-    /// Some parts are blamed together with parts that the request does not have. Its run tells them
-    /// apart.
+    /// Some parts are blamed together with parts that the request does not have, or in doubt. Its run
+    /// tells more.
     Unclear(&'a BlamedGroup),
-    /// All parts that are blamed together are in the request.
+    /// All parts that are blamed together are in the request, and there is no doubt.
     Blamed(&'a BlamedGroup),
 }
 
@@ -106,6 +125,7 @@
             round: self.record(fingerprint).map_or(0, CrashRecord::round).saturating_add(1),
             is_counted: fingerprint.kind() == SuspectKind::Request
                 || self.is_candidate(fingerprint),
+            completed: CompletedRuns::default(),
         });
         run_suspects.collect()
     }
@@ -145,7 +165,7 @@
         let mut verdict = PartVerdict::Clear;
         for group in &self.groups {
             let held = group.parts.iter().filter(|part| parts.contains(part)).count();
-            if held == group.parts.len() {
+            if held == group.parts.len() && !group.is_doubtful {
                 return PartVerdict::Blamed(group);
             }
             if held > 0 && verdict == PartVerdict::Clear {
@@ -163,7 +183,7 @@
         entry: CrashEntry<I>,
         dropped: &mut Vec<DroppedSuspect>,
     ) -> bool {
-        self.change(now, fingerprint, dropped, |record| record.add_crash(entry.server, entry.round))
+        self.change(now, fingerprint, dropped, |record| record.add_crash(entry))
     }
 
     /// Adds what a report says of a suspect. Returns whether anything in it is new.
@@ -174,18 +194,72 @@
         report: &[CrashEntry<I>],
         dropped: &mut Vec<DroppedSuspect>,
     ) -> bool {
-        self.change(now, fingerprint, dropped, |record| record.merge(report))
+        let crashes_before = self.crash_entries(fingerprint);
+        let mut is_new = false;
+        self.change(now, fingerprint, dropped, |record| {
+            is_new = record.merge(report);
+            record.withdraw_refuted(fingerprint.kind());
+            record.crash_entries() != crashes_before
+        });
+        if is_new {
+            self.update_blame(fingerprint);
+        }
+        is_new
     }
 
-    /// Withdraws all crashes of a suspect. Returns their number.
-    pub fn withdraw_all(&mut self, now: ClockTime, fingerprint: SuspectFingerprint) -> usize {
-        let Some(known) = self.known.get_mut(&fingerprint) else { return 0 };
-        let count = known.record.withdraw_all();
-        if count > 0 {
+    /// Records that a run of some suspects completed at a server of `build`, which withdraws the crashes
+    /// of one of them that `required` such runs speak against. `number` identifies the run on all nodes.
+    pub fn add_completed(
+        &mut self,
+        now: ClockTime,
+        fingerprint: SuspectFingerprint,
+        run: &CompletedRun<'_>,
+        required: u32,
+    ) -> Completion {
+        if !self.known.contains_key(&fingerprint) {
+            return Completion::default();
+        }
+        let explained = self.explained_crashes(fingerprint, run.suspects);
+        let Some(known) = self.known.get_mut(&fingerprint) else { return Completion::default() };
+        let completion = known.record.add_completed(run.number, run.build, |server| {
+            // A part that was not in the run explains this crash better.
+            if explained.contains(&server) { 1 } else { required }
+        });
+        if completion.withdrawn > 0 {
             known.changed_at = now;
+        }
+        if completion.is_new {
             self.update_blame(fingerprint);
         }
-        count
+        completion
+    }
+
+    /// Returns the server incarnations that ended under parts which explain the crashes of this one better,
+    /// since they were not in the run that has completed and no run with them has.
+    fn explained_crashes(
+        &self,
+        fingerprint: SuspectFingerprint,
+        suspects: &RunSuspects,
+    ) -> SmallVec<[I; 8]> {
+        let crash_count = self.crash_count(fingerprint);
+        if fingerprint.kind() == SuspectKind::Request || crash_count == 0 {
+            return SmallVec::new();
+        }
+        let least = (crash_count * MIN_SHARE_EXPLAINED.0).div_ceil(MIN_SHARE_EXPLAINED.1);
+        let is_present = |part| suspects.iter().any(|suspect| suspect.fingerprint == part);
+        let others = self.known.iter().filter(|(part, known)| {
+            part.kind() == SuspectKind::Part
+                && known.record.crash_count() >= least.max(MIN_CRASHES_EXPLAINING)
+                && known.record.crashes().all(|crash| crash.completed.same_build_count() == 0)
+                && !is_present(**part)
+        });
+        let crashes = others.flat_map(|(_, known)| known.record.crashes());
+        crashes.map(|crash| crash.server).collect()
+    }
+
+    /// Returns the server incarnations and rounds of the crashes of a suspect.
+    fn crash_entries(&self, fingerprint: SuspectFingerprint) -> SmallVec<[(I, u8); 8]> {
+        self.record(fingerprint).map(CrashRecord::crash_entries).unwrap_or_default()
     }
 
     /// Withdraws the crash of one server incarnation, also if it is reported only later.
--- a/crates/core/src/traffic/crash_messages.rs
+++ b/crates/core/src/traffic/crash_messages.rs
@@ -49,6 +49,8 @@
     pub(super) incarnation: u64,
     /// Software and weights of the server.
     pub build: ServerBuild,
+    /// Identifies the run on all nodes.
+    pub(super) number: u64,
     /// The request and the parts of its prompt.
     pub(super) suspects: RunSuspects,
 }
@@ -81,15 +83,20 @@
         /// Number of crashes of the suspect.
         crashes: usize,
     },
-    /// A request with the suspect has completed, so its earlier crashes had another cause.
+    /// So many requests with the suspect have completed that earlier crashes had another cause.
     Withdrawn {
         /// The suspect.
         fingerprint: SuspectFingerprint,
         /// Number of crashes that were withdrawn.
         crashes: usize,
-        /// Build of the server at which it has completed.
+        /// Build of the server at which the last one has completed.
         build: ServerBuild,
     },
+    /// A request with the suspect has completed, which is not enough to withdraw a crash.
+    Completed {
+        /// The suspect.
+        fingerprint: SuspectFingerprint,
+    },
     /// Another node has reported crashes or withdrawals that were not known.
     Learned {
         /// The suspect.
--- a/crates/core/src/traffic/crash_tracker.rs
+++ b/crates/core/src/traffic/crash_tracker.rs
@@ -2,22 +2,26 @@
 //! nodes.
 //!
 //! Crashes are counted by request and by prompt part, at most once for each server incarnation. Only
-//! a whole response refutes them: a server that has begun to respond can still end under the
-//! request. Requests that merely ran during the crash of a server are therefore still served.
+//! whole responses refute them: a server that has begun to respond can still end under the request. A
+//! request may crash the servers of one build, some of the servers, or servers in some of its runs, and
+//! complete otherwise; several whole responses from servers of the same build refute a crash. Requests that merely ran during the crash of a server are therefore still served.
 
 use std::{collections::HashMap, time::Duration};
 
 use super::{
     crash_messages::{CrashEvent, CrashReport, RunEnd, ServerRun},
     crash_verdict::request_quarantine,
+    recent_runs::RecentRuns,
     unresolved_runs::UnresolvedRuns,
 };
 use crate::{
     clock::ClockTime,
     ids::ServerKey,
+    rendezvous::rendezvous_score,
     suspects::{
-        BlamedGroup, CrashEntry, CrashRecord, DroppedSuspect, RequestSuspects, RunSuspect,
-        ServerBuild, SuspectFingerprint, SuspectKind, SuspectTable, part_quarantine,
+        BlamedGroup, CompletedRun, CrashEntry, CrashRecord, DroppedSuspect, RequestSuspects,
+        RunSuspect, ServerBuild, SuspectFingerprint, SuspectKind, SuspectTable, part_quarantine,
+        refuting_runs,
     },
 };
 
@@ -63,6 +67,11 @@
     /// began. Invariant: no entry is 0.
     pub(super) running: HashMap<SuspectFingerprint, usize>,
     pub(super) unresolved: UnresolvedRuns,
+    recent: RecentRuns,
+    /// Distinguishes the runs of this node from those of others.
+    node_number: u64,
+    /// Number of runs begun so far.
+    next_run: u64,
 }
 
 impl Default for CrashTracker {
@@ -72,11 +81,19 @@
             sharing: HashMap::new(),
             running: HashMap::new(),
             unresolved: UnresolvedRuns::default(),
+            recent: RecentRuns::default(),
+            node_number: 0,
+            next_run: 0,
         }
     }
 }
 
 impl CrashTracker {
+    /// Creates a tracker without suspects. `node_number` is another one for each run of each node.
+    pub fn new(node_number: u64) -> CrashTracker {
+        CrashTracker { node_number, ..CrashTracker::default() }
+    }
+
     /// Number of server incarnations that a suspect has crashed.
     pub fn crash_count(&self, fingerprint: SuspectFingerprint) -> usize {
         self.suspects.crash_count(fingerprint)
@@ -106,7 +123,9 @@
             *self.running.entry(suspect.fingerprint).or_default() += 1;
         }
         let incarnation = self.current_incarnation(&suspects, incarnation);
-        ServerRun { server, incarnation, build, suspects }
+        self.next_run = self.next_run.wrapping_add(1);
+        let number = rendezvous_score(&self.next_run.to_le_bytes(), self.node_number);
+        ServerRun { server, incarnation, build, number, suspects }
     }
 
     /// Records that a run has ended. `is_listed` is whether the server incarnation is still known.
@@ -121,7 +140,7 @@
         let counted = run.suspects.iter().filter(|suspect| suspect.is_counted);
         counted.for_each(|suspect| self.remove_running(suspect.fingerprint));
         match end {
-            RunEnd::Completed => self.withdraw(now, &run, events),
+            RunEnd::Completed => self.add_completed(now, &run, events),
             RunEnd::Refused => {}
             RunEnd::Broken => self.count(now, &run, events),
             RunEnd::Unanswered if is_listed => self.unresolved.add(now, run),
@@ -165,15 +184,11 @@
     /// Drops what has expired, and returns the silent servers to which a connection is to be opened.
     /// Pass the results to [`CrashTracker::on_server_checked`].
     pub fn tick(&mut self, now: ClockTime) -> Vec<ServerKey> {
-        self.suspects.expire(now, |fingerprint, record| {
-            let quarantine = match fingerprint.kind() {
-                SuspectKind::Request => request_quarantine(record.crash_count()),
-                SuspectKind::Part => part_quarantine(record.round()),
-            };
-            quarantine + CRASH_LIFETIME
-        });
+        self.suspects
+            .expire(now, |fingerprint, record| quarantine(fingerprint, record) + CRASH_LIFETIME);
         let suspects = &self.suspects;
         self.sharing.retain(|fingerprint, _| suspects.record(*fingerprint).is_some());
+        self.recent.tick(now);
         self.unresolved.tick(now)
     }
 
@@ -321,12 +336,19 @@
     fn count(&mut self, now: ClockTime, run: &ServerRun, events: &mut Vec<CrashEvent>) {
         for suspect in &run.suspects {
             let fingerprint = suspect.fingerprint;
-            let entry =
-                CrashEntry { server: run.incarnation, round: suspect.round, withdrawn: false };
+            let mut entry = CrashEntry::new(run.incarnation, suspect.round, run.build);
+            let mut completed = self.recent.find(fingerprint, run.build);
+            entry.completed = completed.at_other_builds();
+            entry.completed.merge(suspect.completed);
+            completed.merge(suspect.completed);
+            let required = refuting_runs(fingerprint.kind());
+            entry.withdrawn = completed.same_build_count() >= required;
             let mut dropped = Vec::new();
             let changed = self.suspects.count_crash(now, fingerprint, entry, &mut dropped);
             self.drop_sharing(&dropped, events);
-            if changed {
+            if changed && entry.withdrawn {
+                self.sharing.entry(fingerprint).or_default().origin = RecordOrigin::Observed;
+            } else if changed {
                 self.mark_observed(fingerprint);
                 events.push(CrashEvent::Counted {
                     fingerprint,
@@ -338,18 +360,35 @@
         }
     }
 
-    fn withdraw(&mut self, now: ClockTime, run: &ServerRun, events: &mut Vec<CrashEvent>) {
+    fn add_completed(&mut self, now: ClockTime, run: &ServerRun, events: &mut Vec<CrashEvent>) {
         for suspect in &run.suspects {
             let fingerprint = suspect.fingerprint;
-            self.unresolved.clear_suspect(fingerprint);
-            let crashes = self.suspects.withdraw_all(now, fingerprint);
-            if crashes > 0 {
+            self.recent.add(fingerprint, run.build, run.number);
+            self.unresolved.add_completed(fingerprint, run);
+            let required = self.required_runs(now, fingerprint);
+            let completed =
+                CompletedRun { number: run.number, build: run.build, suspects: &run.suspects };
+            let completion = self.suspects.add_completed(now, fingerprint, &completed, required);
+            if completion.withdrawn > 0 {
                 self.mark_observed(fingerprint);
+                let crashes = completion.withdrawn;
                 events.push(CrashEvent::Withdrawn { fingerprint, crashes, build: run.build });
+            } else if completion.is_new {
+                events.push(CrashEvent::Completed { fingerprint });
             }
         }
     }
 
+    /// Returns how many completed runs refute the crashes of a suspect. After its quarantine, the first
+    /// one does.
+    fn required_runs(&self, now: ClockTime, fingerprint: SuspectFingerprint) -> u32 {
+        let changed_at = self.suspects.changed_at(fingerprint).unwrap_or(now);
+        let record = self.suspects.record(fingerprint);
+        let quarantine = record.map_or(Duration::ZERO, |record| quarantine(fingerprint, record));
+        let has_passed = !quarantine.is_zero() && now.since(changed_at) >= quarantine;
+        if has_passed { 1 } else { refuting_runs(fingerprint.kind()) }
+    }
+
     fn mark_observed(&mut self, fingerprint: SuspectFingerprint) {
         let sharing = self.sharing.entry(fingerprint).or_default();
         sharing.origin = RecordOrigin::Observed;
@@ -379,6 +418,14 @@
     }
 }
 
+/// How long a suspect is rejected after its last crash.
+fn quarantine(fingerprint: SuspectFingerprint, record: &CrashRecord<u64>) -> Duration {
+    match fingerprint.kind() {
+        SuspectKind::Request => request_quarantine(record.crash_count()),
+        SuspectKind::Part => part_quarantine(record.round()),
+    }
+}
+
 fn report(fingerprint: SuspectFingerprint, record: &CrashRecord<u64>) -> CrashReport {
     CrashReport { fingerprint, crashes: record.entries().to_vec() }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod placement_request;
 mod prefill_backlog;
 mod prompt;
+mod recent_runs;
 mod registry;
 mod retry_budget;
 mod rollout;
--- a/crates/core/src/traffic/unresolved_runs.rs
+++ b/crates/core/src/traffic/unresolved_runs.rs
@@ -7,7 +7,11 @@
 use std::time::Duration;
 
 use super::crash_messages::ServerRun;
-use crate::{clock::ClockTime, ids::ServerKey, suspects::SuspectFingerprint};
+use crate::{
+    clock::ClockTime,
+    ids::ServerKey,
+    suspects::{SuspectFingerprint, refuting_runs},
+};
 
 /// A server that shows no sign of life for this long after a run is connected to. A sound one may be
 /// silent for a second or so.
@@ -50,10 +54,18 @@
         self.runs.iter().filter(|known| known.run.has_suspect(fingerprint)).count()
     }
 
-    /// Removes a suspect from all runs, since it has completed.
-    pub fn clear_suspect(&mut self, fingerprint: SuspectFingerprint) {
+    /// Records that a run with a suspect has completed, and removes the suspect from the runs that enough
+    /// completed ones speak against.
+    pub fn add_completed(&mut self, fingerprint: SuspectFingerprint, completed: &ServerRun) {
+        let required = refuting_runs(fingerprint.kind());
         for known in &mut self.runs {
-            known.run.suspects.retain(|suspect| suspect.fingerprint != fingerprint);
+            let is_same_build = known.run.build.is_refuted_at(completed.build);
+            known.run.suspects.retain(|suspect| {
+                if suspect.fingerprint == fingerprint {
+                    suspect.completed.add(completed.number, is_same_build);
+                }
+                suspect.completed.same_build_count() < required
+            });
         }
         self.runs.retain(|known| !known.run.suspects.is_empty());
     }
--- a/crates/core/tests/crashing_parts/main.rs
+++ b/crates/core/tests/crashing_parts/main.rs
@@ -26,34 +26,48 @@
     check_histories(&CASES, SEEDS);
 }
 
-/// Guards against a part or a request that goes on crashing servers because it completes at others in
-/// between, or now and then, and against rejecting sound requests that share parts with it.
-#[test]
-fn crashing_request_is_rejected_although_it_completes_elsewhere() {
+/// Returns the conditions under which a request crashes servers, in histories like `around`.
+fn conditions(around: Case) -> impl Iterator<Item = Case> {
     let weights_period = Some(Duration::from_secs(5));
-    let conditions = [
-        Case {
-            name: "new software, half",
-            condition: Condition::NewSoftware,
-            releases: Releases::Half,
-            ..CALM
-        },
-        Case {
-            name: "new software, one",
-            condition: Condition::NewSoftware,
-            releases: Releases::One,
-            ..CALM
-        },
-        Case {
-            name: "new software, rolling",
-            condition: Condition::NewSoftware,
-            releases: Releases::Rolling,
-            ..CALM
-        },
-        Case { name: "odd weights", condition: Condition::OddWeights, weights_period, ..CALM },
-        Case { name: "some servers", condition: Condition::SomeServers, ..CALM },
-        Case { name: "some runs", condition: Condition::SomeRuns, ..CALM },
+    let software = [
+        ("new software, half", Releases::Half),
+        ("new software, one", Releases::One),
+        ("new software, rolling", Releases::Rolling),
     ];
+    let software = software.map(|(name, releases)| {
+        let condition = Condition::NewSoftware;
+        Case { name, condition, releases, ..around }
+    });
+    let weights =
+        Case { name: "odd weights", condition: Condition::OddWeights, weights_period, ..around };
+    software.into_iter().chain([weights])
+}
+
+/// Returns conditions that nodes cannot know of.
+fn hidden_conditions(around: Case) -> impl Iterator<Item = Case> {
+    let hidden = [("some servers", Condition::SomeServers), ("some runs", Condition::SomeRuns)];
+    hidden.into_iter().map(move |(name, condition)| Case { name, condition, ..around })
+}
+
+/// Guards against a part or a request that goes on crashing the servers of some builds because it
+/// completes at those of others in between, and against rejecting sound requests that share parts with it.
+#[test]
+fn request_that_crashes_some_builds_is_rejected() {
+    let surroundings = [CALM, Case { repeated: true, ..CALM }];
+    let cases: Vec<_> = surroundings.into_iter().flat_map(conditions).collect();
+    check_histories(&cases, SEEDS);
+}
+
+/// Guards against the same request, whole, that completes now and then at servers of the same build.
+#[test]
+fn repeated_request_that_crashes_now_and_then_is_rejected() {
+    let around = Case { repeated: true, ..CALM };
+    check_histories(&hidden_conditions(around).collect::<Vec<_>>(), SEEDS);
+}
+
+/// Guards against the same with servers that end for other reasons, lost datagrams, restarts and cuts.
+#[test]
+fn crashing_request_is_rejected_although_it_completes_elsewhere() {
     let surroundings = [
         CALM,
         Case { waves: true, ..CALM },
@@ -62,12 +76,8 @@
         Case { repeated: true, waves: true, ..CALM },
         Case { repeated: true, loss: 0.2, restarts: true, cuts: true, ..CALM },
     ];
-    let cases = surroundings.iter().flat_map(|around| {
-        conditions.iter().map(|case| {
-            let Case { name, condition, releases, weights_period, .. } = *case;
-            Case { name, condition, releases, weights_period, ..*around }
-        })
-    });
+    let cases = surroundings.into_iter();
+    let cases = cases.flat_map(|around| conditions(around).chain(hidden_conditions(around)));
     check_histories(&cases.collect::<Vec<_>>(), CONDITION_SEEDS);
 }
 
@@ -80,7 +90,9 @@
             let share = outcome.sound_allowed as f64 / judged.max(1) as f64;
             let is_served = judged < 20 || share >= MIN_SOUND_SHARE;
             if outcome.late_runs > MAX_LATER_RUNS || !is_served {
-                failures.push(format!("{case:?}, seed {seed}: {outcome:?}"));
+                let Case { name, repeated, waves, restarts, .. } = case;
+                let around = format!("repeated {repeated}, waves {waves}, restarts {restarts}");
+                failures.push(format!("{name}, {around}, seed {seed}: {outcome:?}"));
             }
         }
     }
--- a/crates/core/tests/crashing_parts/simulation.rs
+++ b/crates/core/tests/crashing_parts/simulation.rs
@@ -52,9 +52,9 @@
 }
 
 impl SimNode {
-    fn new(now: ClockTime) -> SimNode {
+    fn new(now: ClockTime, number: u64) -> SimNode {
         SimNode {
-            tracker: CrashTracker::default(),
+            tracker: CrashTracker::new(number),
             disturbed_at: now,
             cut_until: ClockTime::ZERO,
             inbox: Vec::new(),
@@ -138,7 +138,7 @@
             case,
             rng: SmallRng::seed_from_u64(seed),
             now: START,
-            nodes: (0..nodes).map(|_| SimNode::new(ClockTime::ZERO)).collect(),
+            nodes: (0..nodes).map(|number| SimNode::new(ClockTime::ZERO, number)).collect(),
             servers: (0..SERVERS as u64).map(server).collect(),
             runs: Vec::new(),
             silent_runs: Vec::new(),
@@ -176,7 +176,7 @@
             let node = self.rng.random_range(0..self.nodes.len());
             self.runs.retain(|run| run.node != node);
             self.silent_runs.retain(|(_, run)| run.node != node);
-            self.nodes[node] = SimNode::new(self.now);
+            self.nodes[node] = SimNode::new(self.now, self.next_request);
             self.copy_store(node);
         }
         if self.case.cuts && is_multiple(elapsed + Duration::from_secs(9), Duration::from_secs(12))
@@ -188,7 +188,7 @@
             self.nodes[node].reads.extend([until, until + Duration::from_millis(400)]);
         }
         if self.case.joins && elapsed == Duration::from_secs(10) {
-            self.nodes.push(SimNode::new(self.now));
+            self.nodes.push(SimNode::new(self.now, self.next_request));
             self.copy_store(self.nodes.len() - 1);
         }
         if self.case.waves && is_multiple(elapsed + Duration::from_secs(2), Duration::from_secs(4))
@@ -368,7 +368,8 @@
     fn share(&mut self, node: usize, events: &[CrashEvent]) {
         for event in events {
             if let CrashEvent::Counted { fingerprint, .. }
-            | CrashEvent::Withdrawn { fingerprint, .. } = event
+            | CrashEvent::Withdrawn { fingerprint, .. }
+            | CrashEvent::Completed { fingerprint } = event
                 && let Some(report) = self.nodes[node].tracker.report(*fingerprint)
             {
                 self.broadcast(node, &report);
@@ -427,12 +428,16 @@
             self.nodes[node].tracker.on_server_checked(self.now, key, is_up, &mut events);
             self.share(node, &events);
         }
-        let repeats = self.nodes[node].tracker.take_repeats();
+        let mut repeats = self.nodes[node].tracker.take_repeats();
+        // The order of the records must not decide which datagrams get lost.
+        repeats.sort_by_key(|report| report.fingerprint);
         repeats.iter().for_each(|report| self.broadcast(node, report));
         if self.nodes[node].is_cut(self.now) {
             return;
         }
-        for report in self.nodes[node].tracker.unstored(self.now, WRITE_GRACE) {
+        let mut unstored = self.nodes[node].tracker.unstored(self.now, WRITE_GRACE);
+        unstored.sort_by_key(|report| report.fingerprint);
+        for report in unstored {
             self.store.insert(report.fingerprint.to_string(), report.clone());
             for other in self.nodes.iter_mut().filter(|other| !other.is_cut(self.now)) {
                 other.tracker.merge_stored(self.now, &report, &mut Vec::new());
@@ -444,7 +449,9 @@
             self.copy_store(node);
             let other = self.rng.random_range(0..self.nodes.len());
             if !self.nodes[other].is_cut(now) {
-                for report in self.nodes[other].tracker.reports() {
+                let mut reports = self.nodes[other].tracker.reports();
+                reports.sort_by_key(|report| report.fingerprint);
+                for report in reports {
                     self.nodes[node].tracker.merge_copied(now, &report, &mut Vec::new());
                 }
             }
--- a/crates/core/tests/traffic_crashes.rs
+++ b/crates/core/tests/traffic_crashes.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{
     arena::KeyArena,
     clock::ClockTime,
-    ids::ServerKey,
+    ids::{ServerKey, WeightsVersion},
     suspects::{RequestSuspects, ServerBuild, SuspectFingerprint},
     traffic::{CrashEvent, CrashReport, CrashTracker, CrashVerdict, MAX_CRASHES, RunEnd},
 };
@@ -15,6 +15,8 @@
 /// Number of other requests that fill the table of a tracker.
 const FLOOD: usize = 2_048;
 
+/// Number of whole responses that refute the crashes of a request.
+const REFUTING_RUNS: usize = 8;
 /// Build of all servers.
 const BUILD: ServerBuild = ServerBuild::UNKNOWN;
 
@@ -49,6 +51,19 @@
         self.tracker.end_run(self.now, run, end, true, &mut self.events);
     }
 
+    /// Runs a request at server 5 as often as it takes to refute its crashes.
+    fn complete(&mut self, number: usize) {
+        (0..REFUTING_RUNS).for_each(|_| self.run(number, 5, RunEnd::Completed));
+    }
+
+    /// Lets so much time pass that completed runs say nothing of the next crash.
+    fn forget_runs(&mut self) {
+        for _ in 0..2 {
+            self.advance(Duration::from_secs(5));
+            self.tracker.tick(self.now);
+        }
+    }
+
     fn advance(&mut self, time: Duration) {
         self.now = self.now + time;
     }
@@ -98,9 +113,27 @@
             verdict: CrashVerdict::Reject,
         },
         Case {
-            name: "completed between the crashes",
+            name: "completed once between the crashes",
             runs: &[(1, Broken), (2, Broken), (4, Completed), (3, Broken)],
-            crashes: 1,
+            crashes: 3,
+            verdict: CrashVerdict::Reject,
+        },
+        Case {
+            name: "completed often between the crashes, and shortly before the last",
+            runs: &[
+                (1, Broken),
+                (2, Broken),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (4, Completed),
+                (3, Broken),
+            ],
+            crashes: 0,
             verdict: CrashVerdict::Allow,
         },
         Case {
@@ -236,11 +269,19 @@
             crashes: 0,
         },
         Case {
-            name: "the request completes elsewhere, then the server ends",
+            name: "the request completes once elsewhere, then the server ends",
             then: |fixture, server| {
                 fixture.run(0, 2, RunEnd::Completed);
                 fixture.tracker.on_server_ended(fixture.now, server, &mut fixture.events);
             },
+            crashes: 1,
+        },
+        Case {
+            name: "the request completes often elsewhere, then the server ends",
+            then: |fixture, server| {
+                fixture.complete(0);
+                fixture.tracker.on_server_ended(fixture.now, server, &mut fixture.events);
+            },
             crashes: 0,
         },
     ];
@@ -333,10 +374,14 @@
 fn nodes_agree_whatever_the_order_of_reports() {
     let mut reports = Vec::new();
     let mut origin = Fixture::new();
-    for (server, end) in
-        [(1, RunEnd::Broken), (2, RunEnd::Broken), (5, RunEnd::Completed), (3, RunEnd::Broken)]
-    {
-        origin.run(0, server, end);
+    for step in 0..4 {
+        match step {
+            2 => {
+                origin.complete(0);
+                origin.forget_runs();
+            }
+            _ => origin.run(0, step + 1, RunEnd::Broken),
+        }
         reports.push(origin.tracker.report(request(0)).expect("a crash was counted"));
     }
     let orders: [&[usize]; 5] =
@@ -383,7 +428,7 @@
     };
     stored(&mut observer.tracker, &written[0]);
     assert_eq!(observer.tracker.unstored(observer.now, GRACE), []);
-    observer.run(0, 5, RunEnd::Completed);
+    observer.complete(0);
     let withdrawn = observer.tracker.unstored(observer.now, GRACE);
     assert_eq!(withdrawn.len(), 1, "a restarted node must learn of the completion");
     stored(&mut observer.tracker, &withdrawn[0]);
@@ -444,13 +489,28 @@
             verdicts: &[(&[2], Reject), (&[9, 2], Reject), (&[1, 3], Allow), (&[4], Allow)],
         },
         Case {
-            name: "completed between the crashes",
+            name: "completed once between the crashes",
             runs: &[
                 (&[1, 2], 1, Broken),
                 (&[1, 2], 2, Broken),
                 (&[1, 2], 3, Completed),
                 (&[1, 2], 4, Broken),
             ],
+            verdicts: &[(&[1, 2], Reject)],
+        },
+        Case {
+            name: "completed often between the crashes",
+            runs: &[
+                (&[1, 2], 1, Broken),
+                (&[1, 2], 2, Broken),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 3, Completed),
+                (&[1, 2], 4, Broken),
+            ],
             verdicts: &[(&[1, 2], Allow)],
         },
     ];
@@ -490,3 +550,35 @@
         assert_eq!(ruling.verdict, verdict, "{servers} servers");
     }
 }
+
+/// Guards against a whole response from a server of another build that clears the crashes of a request.
+#[test]
+fn crashes_are_refuted_only_at_servers_of_the_same_build() {
+    struct Case {
+        name: &'static str,
+        crashed: ServerBuild,
+        completed: ServerBuild,
+        crashes: usize,
+    }
+    let build = |software, weights| ServerBuild::new(Some(software), Some(WeightsVersion(weights)));
+    let unknown = ServerBuild::UNKNOWN;
+    let cases = [
+        Case { name: "same", crashed: build("v1", 1), completed: build("v1", 1), crashes: 0 },
+        Case { name: "software", crashed: build("v1", 1), completed: build("v2", 1), crashes: 3 },
+        Case { name: "weights", crashed: build("v1", 1), completed: build("v1", 2), crashes: 3 },
+        Case { name: "completed unknown", crashed: build("v1", 1), completed: unknown, crashes: 3 },
+        Case { name: "crashed unknown", crashed: unknown, completed: build("v1", 1), crashes: 0 },
+    ];
+    for case in cases {
+        let mut fixture = Fixture::new();
+        let mut run = |server: usize, build, end| {
+            let key = fixture.servers[server];
+            let incarnation = incarnation(server);
+            let run = fixture.tracker.start_run(&request(0).into(), key, incarnation, build);
+            fixture.tracker.end_run(fixture.now, run, end, true, &mut fixture.events);
+        };
+        (0..MAX_CRASHES).for_each(|server| run(server, case.crashed, RunEnd::Broken));
+        (0..REFUTING_RUNS).for_each(|_| run(5, case.completed, RunEnd::Completed));
+        assert_eq!(fixture.crashes(), case.crashes, "{}", case.name);
+    }
+}
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -274,6 +274,11 @@
                 metrics::counter!("carobvane_crashes_withdrawn_total").increment(1);
                 broadcast_record(node, state, fingerprint);
             }
+            CrashEvent::Completed { fingerprint } => {
+                metrics::counter!("carobvane_suspects_completed_total", "suspect" => kind_label(fingerprint))
+                    .increment(1);
+                broadcast_record(node, state, fingerprint);
+            }
             CrashEvent::Learned { fingerprint, crashes } => {
                 // After a single crash, all requests that ran at the server have one.
                 if crashes > 1 {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -169,7 +169,7 @@
                 handover_gap: bounds.holder_gap,
                 old_version_lifetime: bounds.version_time,
             }),
-            crashes: CrashTracker::default(),
+            crashes: CrashTracker::new(seed),
             logged_blame: Vec::new(),
             members: MemberTable::default(),
             mirror: StoreMirror::default(),
