Log what servers say of leaving and of rest

The adapter decodes Server-Leaving, and Retry-After of a 503, in the responses to all kinds of call; each is logged and counted. Nothing is decided by it.

--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -128,7 +128,19 @@
     Unreadable,
 }
 
-/// What the headers of a server's response say.
+/// For how long a server wants no requests from this node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RequestedRest {
+    /// It does not say.
+    #[default]
+    None,
+    /// For this long.
+    For(Duration),
+    /// It says so in a form that cannot be read.
+    Unreadable,
+}
+
+/// What the head of a server's response says.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to.
@@ -146,6 +158,10 @@
     /// Number of rejections in a second, counted over all nodes, after which the server falls over; `None`
     /// if it does not.
     pub max_rejections: Option<u32>,
+    /// Whether the server is about to leave.
+    pub leaving: bool,
+    /// For how long the server wants no requests from this node.
+    pub rest: RequestedRest,
 }
 
 /// An order to a server to load weights.
@@ -203,8 +219,8 @@
 pub trait ServerAdapter {
     /// Builds the headers of a request to a server.
     fn encode_request_headers(request: &ServerRequest<'_>) -> HeaderMap;
-    /// Decodes the headers of a server's response.
-    fn decode_response(headers: &HeaderMap) -> ResponseInfo;
+    /// Decodes the head of a server's response to any kind of request.
+    fn decode_response(status: StatusCode, headers: &HeaderMap) -> ResponseInfo;
     /// Adds the header that names the server for which a request of the node is meant.
     fn set_target_instance(headers: &mut HeaderMap, instance: &str);
     /// Encodes an order to load weights.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -30,6 +30,7 @@
     server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server},
     server_limits::{record_max_rejections, record_named_limit, record_rejection},
     server_outcomes::{record_lost, record_timeout, record_unusable},
+    server_signals::record_signals,
 };
 
 /// Maximum size of a response that is not streamed.
@@ -142,7 +143,7 @@
             Ok(response) => response,
             Err(cause) => return self.on_connection_error(node, context, &cause),
         };
-        let head = A::decode_response(response.headers());
+        let head = A::decode_response(response.status(), response.headers());
         self.record_response_info(node, context, &head);
         if head.request_id.as_deref() != Some(context.info.request_id.as_str()) {
             // The response belongs to an earlier request, so nothing on this connection can be
@@ -293,6 +294,7 @@
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
         links::record_heard(node, state, self.choice.server);
+        record_signals(state, self.choice.server, &context.info.request_id, head);
         state.crashes.on_server_alive(self.choice.server, self.sent_at);
         if let Some(load) = head.load
             && let Some(server) = state.registry.get_mut(self.choice.server)
--- a/crates/node/src/cache_events.rs
+++ b/crates/node/src/cache_events.rs
@@ -22,6 +22,7 @@
     node::Node,
     node_notice::NodeNotice,
     server_limits::{self, ServerCall, record_call},
+    server_signals::record_signals,
     store::build_request,
 };
 
@@ -88,7 +89,9 @@
             continue;
         }
         record_call(node, &mut node.state.borrow_mut(), key, ServerCall::CacheEvents);
-        let Some(batch) = poll_events::<A>(&mut connection, instance, address, since).await else {
+        let Some(batch) =
+            poll_events::<A>(node, &mut connection, (key, address), instance, since).await
+        else {
             connection = None;
             sleep(RETRY_PAUSE).await;
             continue;
@@ -123,9 +126,10 @@
 }
 
 async fn poll_events<A: PlatformAdapter>(
+    node: &Node,
     connection: &mut Option<HttpConnection>,
+    (server, address): (ServerKey, SocketAddr),
     instance: &str,
-    address: SocketAddr,
     since: u64,
 ) -> Option<CacheEventBatch> {
     let mut used = match connection.take().filter(HttpConnection::is_ready) {
@@ -136,6 +140,8 @@
     A::set_target_instance(request.headers_mut(), instance);
     A::set_long_poll(request.headers_mut(), LONG_POLL_TIME);
     let response = used.call(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await.ok()?;
+    let head = A::decode_response(response.status(), response.headers());
+    record_signals(&mut node.state.borrow_mut(), server, "", &head);
     *connection = Some(used);
     A::decode_cache_events(response.status(), response.body())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,6 +44,7 @@
 mod server_choice;
 mod server_limits;
 mod server_outcomes;
+mod server_signals;
 pub mod settings;
 mod sockets;
 mod store;
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -18,6 +18,7 @@
     node_notice::NodeNotice,
     notices, rollout_lease,
     server_limits::{ServerCall, record_call},
+    server_signals::record_signals,
     store::{StoreClient, build_request},
 };
 
@@ -168,8 +169,12 @@
         return Err(ConnectionError::NotSent("the rollout lease has ended".to_string()));
     }
     let result = connection.call(request, ORDER_TIMEOUT, MAX_STATE_BYTES).await;
-    if result.is_err() {
-        links::record_failure(node, server, LinkFailure::Broken);
+    match &result {
+        Ok(response) => {
+            let head = A::decode_response(response.status(), response.headers());
+            record_signals(&mut node.state.borrow_mut(), server, "", &head);
+        }
+        Err(_) => links::record_failure(node, server, LinkFailure::Broken),
     }
     result
 }
