--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -26,6 +26,7 @@
     store_changes::drop_server_state,
     store_sync, stream_origin,
 };
+use carobvane_core::traffic::{BackendServer, ServerAvailability};
 
 /// Exit code for invalid settings.
 const SETTINGS_EXIT_CODE: u8 = 2;
@@ -164,6 +165,15 @@
         state.registry.iter().filter(|(_, server)| server.health.is_suspected(now)).count()
     }
 
+    /// Returns the number of servers that get no requests because they leave.
+    pub fn leaving_servers(&self) -> usize {
+        let state = self.node.state.borrow();
+        let servers = state.registry.iter();
+        let is_leaving =
+            |server: &BackendServer| server.availability == ServerAvailability::Leaving;
+        servers.filter(|(_, server)| is_leaving(server)).count()
+    }
+
     /// Returns the number of servers that did not respond to this node's latest requests.
     pub fn unresponsive_servers(&self) -> usize {
         let state = self.node.state.borrow();
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -83,6 +83,8 @@
     queued: Mutex<VecDeque<BackendResponse>>,
     /// Response to requests with a prompt part, by the part's hexadecimal id.
     part_response: Mutex<Option<(String, BackendResponse)>>,
+    /// Header lines that all responses have, each with its line end.
+    extra_headers: Mutex<String>,
     /// Response to requests that continue a stream.
     resume_response: Mutex<Option<BackendResponse>>,
     /// Cache events as JSON rows. Invariant: the row at index `n` has the number `n + 1`.
@@ -115,6 +117,7 @@
         default,
         queued: Mutex::default(),
         part_response: Mutex::default(),
+        extra_headers: Mutex::default(),
         resume_response: Mutex::default(),
         cache_events: watch::channel(Vec::new()).0,
         events_read: watch::channel(0).0,
@@ -162,6 +165,11 @@
         *lock(&self.shared.resume_response) = Some(response);
     }
 
+    /// Adds header lines, each with its line end, to all responses from now on.
+    pub fn set_extra_headers(&self, lines: &str) {
+        *lock(&self.shared.extra_headers) = lines.to_string();
+    }
+
     /// Returns the number of requests received whose prompt has this part, unless it is the last.
     pub fn part_requests(&self, part: &str) -> usize {
         lock(&self.shared.recorded).iter().filter(|request| request.has_shared_part(part)).count()
@@ -233,7 +241,7 @@
     while let Ok(Some(request)) = read_request(&mut stream, &mut buffer).await {
         if let Some(since) = parse_events_query(&request) {
             shared.event_polls.fetch_add(1, Ordering::Relaxed);
-            let answer = events_response(&shared, since).await;
+            let answer = with_extra_headers(&shared, &events_response(&shared, since).await);
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 break;
             }
@@ -254,7 +262,8 @@
                 break;
             }
         };
-        if stream.write_all(text.replace(ID_PLACEHOLDER, &id).as_bytes()).await.is_err() {
+        let text = with_extra_headers(&shared, &text.replace(ID_PLACEHOLDER, &id));
+        if stream.write_all(text.as_bytes()).await.is_err() {
             break;
         }
         match end {
@@ -271,6 +280,13 @@
     shared.counts.send_modify(|counts| counts.1 += 1);
 }
 
+fn with_extra_headers(shared: &BackendShared, text: &str) -> String {
+    match text.split_once("\r\n") {
+        Some((status, rest)) => format!("{status}\r\n{}{rest}", lock(&shared.extra_headers)),
+        None => text.to_string(),
+    }
+}
+
 fn choose_response(shared: &BackendShared, request: &RecordedRequest) -> BackendResponse {
     if let Some((part, response)) = &*lock(&shared.part_response)
         && request.has_shared_part(part)
