Send nothing new to servers that have said that they leave

The class: a state with two sources of which one is ignored.

What any answer says, also to an order, a state query or a poll of cache events, marks the incarnation of the server as leaving, whatever the store lists, until it starts again.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -27,7 +27,7 @@
     node::Node,
     pool::PooledConnection,
     request::RequestContext,
-    server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server},
+    server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server, is_open},
     server_limits::{record_max_rejections, record_named_limit, record_rejection},
     server_outcomes::{record_lost, record_timeout, record_unusable},
     server_signals::record_signals,
@@ -96,6 +96,9 @@
                     links::record_connected(node, choice.server);
                 }
                 check_suspect(node, context)?;
+                if !is_open(node, choice.server) {
+                    return Err(OpenError::Ended(AttemptOutcome::NotSent));
+                }
                 let (fetch_from, save_to) = cache_transfer_addresses(node, &choice);
                 let run = None;
                 let software = known_software(node, choice.server);
@@ -294,7 +297,7 @@
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
         links::record_heard(node, state, self.choice.server);
-        record_signals(state, self.choice.server, &context.info.request_id, head);
+        record_signals(node, state, self.choice.server, &context.info.request_id, head);
         state.crashes.on_server_alive(self.choice.server, self.sent_at);
         if let Some(load) = head.load
             && let Some(server) = state.registry.get_mut(self.choice.server)
--- a/crates/node/src/cache_events.rs
+++ b/crates/node/src/cache_events.rs
@@ -141,7 +141,7 @@
     A::set_long_poll(request.headers_mut(), LONG_POLL_TIME);
     let response = used.call(request, RESPONSE_TIMEOUT, MAX_RESPONSE_BYTES).await.ok()?;
     let head = A::decode_response(response.status(), response.headers());
-    record_signals(&mut node.state.borrow_mut(), server, "", &head);
+    record_signals(node, &mut node.state.borrow_mut(), server, "", &head);
     *connection = Some(used);
     A::decode_cache_events(response.status(), response.body())
 }
--- a/crates/node/src/node_notice.rs
+++ b/crates/node/src/node_notice.rs
@@ -79,6 +79,13 @@
         /// Epoch of the store; changes when it restarts empty.
         epoch: u64,
     },
+    /// A server has said that it leaves.
+    Leaving {
+        /// Instance name of the server.
+        instance: String,
+        /// Start of its incarnation in Unix milliseconds; 0 if unknown.
+        started_at_ms: u64,
+    },
     /// A server did not respond.
     Silent {
         /// Instance name of the server.
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     adapter::PlatformAdapter, cache_events, clock, crashes, links, node::Node,
-    node_notice::NodeNotice, server_limits, store_sync, stream_origin,
+    node_notice::NodeNotice, server_limits, server_signals, store_sync, stream_origin,
 };
 
 /// Maximum size of a datagram, below the usual packet size.
@@ -70,6 +70,9 @@
                 state.planner.cache.record_stored(now, salt, &parts);
             }
         }
+        NodeNotice::Leaving { instance, started_at_ms } => {
+            server_signals::apply_leaving(state, &instance, started_at_ms);
+        }
         NodeNotice::Silent { instance } => {
             if let Some(server) = state.registry.get_instance_mut(&instance) {
                 if !server.health.is_suspected(now) {
--- a/crates/node/src/peer_knowledge.rs
+++ b/crates/node/src/peer_knowledge.rs
@@ -1,6 +1,6 @@
 //! Reads from other nodes what the platform's store does not hold: crash records that were not written
-//! yet, entries of the operator that a restored store lacks, and the software versions of servers that
-//! are gone.
+//! yet, entries of the operator that a restored store lacks, the software versions of servers that are
+//! gone, and which servers have said that they leave.
 
 use std::{rc::Rc, time::Duration};
 
@@ -12,7 +12,7 @@
     adapter::{PlatformAdapter, StoreItem},
     clock, crashes,
     node::{Node, NodeState},
-    peers, store_changes,
+    peers, server_signals, store_changes,
 };
 
 /// Time between two reads of other nodes while some are wanted.
@@ -31,6 +31,10 @@
     pub lost_entries: Vec<StoreItem>,
     /// Software versions of the servers of all services.
     pub software: SoftwareReport,
+    /// Servers that have said that they leave: the instance name, and the start of the incarnation in Unix
+    /// milliseconds.
+    #[serde(default)]
+    pub leaving: Vec<(String, u64)>,
 }
 
 impl PeerKnowledge {
@@ -38,7 +42,9 @@
     pub fn of_node(state: &NodeState) -> PeerKnowledge {
         let lost_entries = state.lost_entries.values().cloned().collect();
         let software = state.streams.report(clock::now());
-        PeerKnowledge { crashes: state.crashes.reports(), lost_entries, software }
+        let leaving = state.registry.said_leaving();
+        let leaving = leaving.map(|(instance, start)| (instance.to_string(), start)).collect();
+        PeerKnowledge { crashes: state.crashes.reports(), lost_entries, software, leaving }
     }
 }
 
@@ -61,7 +67,11 @@
                 crashes::apply_copy(&node, &knowledge.crashes);
                 store_changes::apply_lost_entries::<A>(&node, knowledge.lost_entries);
                 let now = clock::now();
-                node.state.borrow_mut().streams.on_told(now, &knowledge.software);
+                let state = &mut *node.state.borrow_mut();
+                state.streams.on_told(now, &knowledge.software);
+                for (instance, started_at_ms) in &knowledge.leaving {
+                    server_signals::apply_leaving(state, instance, *started_at_ms);
+                }
                 reads_left -= 1;
             }
             Ok(None) => {}
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -19,7 +19,7 @@
     registration::{self, RegistrationLease},
     rollout,
     rollout_lease::{self, RolloutLease},
-    server_limits,
+    server_limits, server_signals,
     settings::NodeSettings,
     sockets::NodeSockets,
     store::StoreClient,
@@ -235,6 +235,7 @@
         node.node_pool.close_expired(now);
         crashes::tick(&node);
         server_limits::tick(&node);
+        server_signals::tick(&node);
         let state = &mut *node.state.borrow_mut();
         state.members.expire(now);
         stream_origin::tick(state, now);
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -172,7 +172,7 @@
     match &result {
         Ok(response) => {
             let head = A::decode_response(response.status(), response.headers());
-            record_signals(&mut node.state.borrow_mut(), server, "", &head);
+            record_signals(node, &mut node.state.borrow_mut(), server, "", &head);
         }
         Err(_) => links::record_failure(node, server, LinkFailure::Broken),
     }
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -2,9 +2,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use carobvane_core::traffic::{
-    AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal, PlacementRequest,
-    SoftwareRule,
+use carobvane_core::{
+    ids::ServerKey,
+    traffic::{
+        AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
+        PlacementRequest, ServerAvailability, SoftwareRule,
+    },
 };
 
 use crate::{
@@ -82,6 +85,13 @@
     Ok((choice, instance))
 }
 
+/// Whether a chosen server still takes requests; it may have said otherwise since it was chosen.
+pub fn is_open(node: &Node, server: ServerKey) -> bool {
+    let state = node.state.borrow();
+    let known = state.registry.get(server);
+    known.is_some_and(|known| known.availability != ServerAvailability::Leaving)
+}
+
 /// Returns the longest expected wait at which a request is still sent. One that would be late only
 /// delays those that can still be on time; its client is told when to retry instead. A stream that
 /// continues has no other servers to go to.
--- a/crates/node/src/server_signals.rs
+++ b/crates/node/src/server_signals.rs
@@ -1,26 +1,32 @@
 //! Applies what a server says of itself in any answer: that it leaves, or that it wants rest.
 
+use std::time::Duration;
+
 use carobvane_core::ids::ServerKey;
 
 use crate::{
     adapter::{RequestedRest, ResponseInfo},
-    node::NodeState,
+    clock,
+    node::{Node, NodeState},
+    node_notice::NodeNotice,
 };
 
+/// The other nodes are told of a server that leaves for this long, as datagrams get lost.
+const REPEAT_PERIOD: Duration = Duration::from_secs(2);
+
 /// Records what an answer says. `request` is the id of the client's request that it belongs to, or empty.
 pub fn record_signals(
+    node: &Node,
     state: &mut NodeState,
     server: ServerKey,
     request: &str,
     head: &ResponseInfo,
 ) {
-    let Some(known) = state.registry.get(server) else { return };
-    let instance = &known.listing.instance;
-    let standing = known.availability;
     if head.leaving {
-        log::info!(request = request, server = instance, standing:? = standing; "server says that it leaves");
-        metrics::counter!("carobvane_server_signals_total", "signal" => "leaving").increment(1);
+        record_leaving(node, state, server, request);
     }
+    let Some(known) = state.registry.get(server) else { return };
+    let instance = &known.listing.instance;
     match head.rest {
         RequestedRest::None => {}
         RequestedRest::For(rest) => {
@@ -35,3 +41,33 @@
         }
     }
 }
+
+/// Stops sending requests to a server that has said that it leaves, and tells the other nodes.
+fn record_leaving(node: &Node, state: &mut NodeState, server: ServerKey, request: &str) {
+    metrics::counter!("carobvane_server_signals_total", "signal" => "leaving").increment(1);
+    let Some(known) = state.registry.get(server) else { return };
+    let (instance, standing) = (known.listing.instance.clone(), known.availability);
+    let started_at_ms = known.listing.started_at_ms;
+    if state.registry.on_said_leaving(clock::now(), &instance, started_at_ms, true) {
+        log::info!(request = request, server = instance, standing:? = standing; "server says that it leaves");
+        node.broadcast_at_once(NodeNotice::Leaving { instance, started_at_ms });
+    }
+}
+
+/// Applies that a server has said to another node that it leaves.
+pub fn apply_leaving(state: &mut NodeState, instance: &str, started_at_ms: u64) {
+    if state.registry.on_said_leaving(clock::now(), instance, started_at_ms, false) {
+        log::info!(server = instance, started_at_ms; "another node heard that a server leaves");
+    }
+}
+
+/// Tells the other nodes again of the servers that leave.
+pub fn tick(node: &Node) {
+    let state = &mut *node.state.borrow_mut();
+    let now = clock::now();
+    state.registry.expire_leaving(now);
+    for (instance, started_at_ms) in state.registry.said_leaving_lately(now, REPEAT_PERIOD) {
+        let instance = instance.to_string();
+        node.broadcast(NodeNotice::Leaving { instance, started_at_ms });
+    }
+}
