Send nothing to servers for as long as they ask for rest

What a rejection leaves is a backoff of 150 ms, which a response to an earlier request clears and the last search for a server ignores. The class: what another side demands is kept as a guess about its health.

The rest is kept apart from the backoff: it never moves back, ends with its time or with the incarnation, and holds for every search, for requests that wait for a connection, for polls of cache events, and for state queries and orders of the rollout. It concerns this node alone. A number that cannot be read, or 0, changes nothing; more than 600 s count as 600 s. If all usable servers rest, the client is told at once when the first rest ends.

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -12,6 +12,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 /// Backoff after a server rejected a request because it was full or busy.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(150);
+/// Longest time for which a server gets no requests because it asked for rest. One that asks for more is
+/// asked again after this time.
+const MAX_REST: Duration = Duration::from_secs(600);
 /// How long a server stays suspected after it did not respond to another node.
 const SUSPICION_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Weight of the newest outcome in the moving averages.
@@ -48,6 +51,9 @@
     /// Number of requests in a row that got no response.
     unanswered: u32,
     backoff_until: ClockTime,
+    /// Until when the server wants no requests from this node. Invariant: never moves back, whatever other
+    /// requests show meanwhile.
+    rests_until: ClockTime,
     /// When this node last learned that the server responded, to itself or to another node.
     last_seen_at: ClockTime,
     /// When a connection to the server broke or could not be opened, unless the server responded
@@ -113,6 +119,21 @@
         self.backoff_until = self.backoff_until.max(now + REJECTION_BACKOFF);
     }
 
+    /// Records that the server wants no requests from this node for some time.
+    pub fn on_rest_requested(&mut self, now: ClockTime, rest: Duration) {
+        self.rests_until = self.rests_until.max(now + rest.min(MAX_REST));
+    }
+
+    /// Returns the rest of the time for which the server wants no requests from this node.
+    pub fn rest_left(&self, now: ClockTime) -> Duration {
+        self.rests_until.since(now)
+    }
+
+    /// Whether the server wants no requests from this node now.
+    pub fn is_at_rest(&self, now: ClockTime) -> bool {
+        now < self.rests_until
+    }
+
     /// Records a load report.
     pub fn on_load_report(&mut self, now: ClockTime, load: ServerLoad) {
         self.load_report = Some((load, now));
@@ -148,9 +169,9 @@
         }
     }
 
-    /// Whether the server should get no requests until its backoff ends.
+    /// Whether the server should get no requests until its backoff or its rest ends.
     pub fn in_backoff(&self, now: ClockTime) -> bool {
-        now < self.backoff_until
+        now < self.backoff_until || self.is_at_rest(now)
     }
 
     /// Whether the last attempt got no response. Such a server is probed by one request at a time.
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -80,7 +80,7 @@
 enum SearchPass {
     /// Skips servers in backoff, and unresponsive ones that already have a request in flight.
     Normal,
-    /// Considers every server that is able to run the request.
+    /// Considers every server that is able to run the request and has not asked for rest.
     LastResort,
 }
 
@@ -260,7 +260,7 @@
         request: &PlacementRequest<'_>,
         pass: SearchPass,
     ) -> bool {
-        if now < server.loading_until {
+        if now < server.loading_until || server.health.is_at_rest(now) {
             return false;
         }
         let health = &server.health;
--- a/crates/core/src/traffic/placement_limits.rs
+++ b/crates/core/src/traffic/placement_limits.rs
@@ -15,6 +15,9 @@
 /// The retry delay of a client that is refused because of servers' limits is up to this multiple of the
 /// time until one of them takes a request.
 const MAX_LIMIT_SPREAD: f64 = 3.0;
+/// The retry delay of a client that is refused because servers are at rest is up to this multiple of the time
+/// until the first of them takes requests again.
+const MAX_REST_SPREAD: f64 = 1.2;
 /// Time after which a brittle server without room may have some again.
 const FULL_RETRY: Duration = Duration::from_millis(300);
 
@@ -56,6 +59,11 @@
     if let Some(wait) = registry.limit_wait(now, request.service, tried) {
         return PlacementRefusal::Limited(wait.max(MIN_RETRY_AFTER).mul_f64(spread));
     }
+    let rests = registry.usable(request.service).map(|(_, server)| server.health.rest_left(now));
+    if let Some(wait) = rests.filter(|rest| !rest.is_zero()).min() {
+        let spread = rng.random_range(1.0..MAX_REST_SPREAD);
+        return PlacementRefusal::AtRest(wait.max(MIN_RETRY_AFTER).mul_f64(spread));
+    }
     let mut untried = registry.usable(request.service).filter(|(key, _)| !tried.contains(key));
     if untried.any(|(_, server)| server.brittle.is_brittle(now)) {
         return PlacementRefusal::Busy(FULL_RETRY.mul_f64(spread));
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -69,6 +69,8 @@
     Busy(Duration),
     /// All have got as many requests as they take; the client may retry after this time.
     Limited(Duration),
+    /// Those that could run the request have asked for rest; the client may retry after this time.
+    AtRest(Duration),
 }
 
 /// Where a server may fetch KV cache.
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -230,7 +230,8 @@
             // A server that limits requests is queried only once, before the order.
             let may_wait =
                 loading.stage == LoadStage::Draining && now.since(loading.since) < MAX_DRAIN_TIME;
-            if now < loading.due || (may_wait && server.limit.rate().is_some()) {
+            let is_held = may_wait && server.limit.rate().is_some();
+            if now < loading.due || is_held || server.health.is_at_rest(now) {
                 continue;
             }
             if let Some(weights) = server.listing.weights.first() {
@@ -260,8 +261,8 @@
         let ordered = self.loading.values().filter(|loading| loading.is_loading(now)).count();
         let free = (engine_count / ENGINES_PER_ORDER).max(1).saturating_sub(ordered);
         let behind = |key: &ServerKey| {
-            registry
-                .get(*key)
+            let server = registry.get(*key).filter(|server| !server.health.is_at_rest(now));
+            server
                 .and_then(|server| server.weights_version(model))
                 .is_some_and(|held| held < version)
         };
@@ -308,7 +309,7 @@
         };
         let mut behind: Vec<_> = engines
             .into_iter()
-            .filter(|(key, _)| !excluded(key))
+            .filter(|(key, server)| !excluded(key) && !server.health.is_at_rest(now))
             .filter(|(key, server)| {
                 let idle =
                     self.loading.get(key).is_none_or(|loading| loading.stage == LoadStage::Idle);
--- a/crates/node/src/local_response.rs
+++ b/crates/node/src/local_response.rs
@@ -68,6 +68,7 @@
         PlacementRefusal::NoServer => LocalResponse::NotRun("no_server", NO_SERVER_RETRY),
         PlacementRefusal::Busy(wait) => LocalResponse::NotRun("servers_busy", wait),
         PlacementRefusal::Limited(wait) => LocalResponse::NotRun("servers_at_their_limit", wait),
+        PlacementRefusal::AtRest(wait) => LocalResponse::NotRun("servers_at_rest", wait),
     }
 }
 
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -89,7 +89,9 @@
 pub fn is_open(node: &Node, server: ServerKey) -> bool {
     let state = node.state.borrow();
     let known = state.registry.get(server);
-    known.is_some_and(|known| known.availability != ServerAvailability::Leaving)
+    known.is_some_and(|known| {
+        known.availability != ServerAvailability::Leaving && !known.health.is_at_rest(clock::now())
+    })
 }
 
 /// Returns the longest expected wait at which a request is still sent. One that would be late only
--- a/crates/node/src/server_limits.rs
+++ b/crates/node/src/server_limits.rs
@@ -67,7 +67,8 @@
 pub fn may_read_events(state: &NodeState, server: ServerKey) -> bool {
     let Some(known) = state.registry.get(server) else { return false };
     let is_followed = known.limit.rate().is_none_or(|rate| rate >= MIN_FOLLOWED_RATE);
-    is_followed && known.limit.wait(clock::now()).is_zero()
+    let now = clock::now();
+    is_followed && known.limit.wait(now).is_zero() && !known.health.is_at_rest(now)
 }
 
 /// Records what a response says about the limit of its server. `sent_at` is when its request was
--- a/crates/node/src/server_signals.rs
+++ b/crates/node/src/server_signals.rs
@@ -25,11 +25,12 @@
     if head.leaving {
         record_leaving(node, state, server, request);
     }
-    let Some(known) = state.registry.get(server) else { return };
+    let Some(known) = state.registry.get_mut(server) else { return };
     let instance = &known.listing.instance;
     match head.rest {
         RequestedRest::None => {}
         RequestedRest::For(rest) => {
+            known.health.on_rest_requested(clock::now(), rest);
             let rest_ms = rest.as_millis() as u64;
             log::info!(request = request, server = instance, rest_ms; "server asks for rest");
             metrics::counter!("carobvane_server_signals_total", "signal" => "rest").increment(1);
