--- a/crates/core/src/suspects/table.rs
+++ b/crates/core/src/suspects/table.rs
@@ -14,7 +14,7 @@
 /// A part without a completed run explains crashes of another one if it has at least this many crashes.
 const MIN_CRASHES_EXPLAINING: usize = 2;
 /// The same as a share of the other one's crashes, numerator and denominator.
-const MIN_SHARE_EXPLAINED: (usize, usize) = (2, 3);
+const MIN_SHARE_EXPLAINED: (usize, usize) = (1, 2);
 
 /// Number of suspects of a run that are stored without an allocation.
 const INLINE_SUSPECTS: usize = 4;
