--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -275,3 +275,34 @@
     registry.apply_listing(listing(Some("v2")));
     assert_ne!(registry.key_of("a"), before);
 }
+
+/// Guards against a stream of an unknown version that continues anywhere, and against one that continues
+/// at a server of another or an unknown version.
+#[test]
+fn stream_continues_only_at_servers_of_its_version() {
+    struct Case {
+        name: &'static str,
+        rule: SoftwareRule,
+        software: Option<&'static str>,
+        is_allowed: bool,
+    }
+    let only = |version: &str| SoftwareRule::Only(version.to_string());
+    let case = |name, rule, software, is_allowed| Case { name, rule, software, is_allowed };
+    let cases = [
+        case("no stream", SoftwareRule::Any, Some("v1"), true),
+        case("no stream, unknown server", SoftwareRule::Any, None, true),
+        case("unknown stream", SoftwareRule::Unknown, Some("v1"), false),
+        case("unknown stream and server", SoftwareRule::Unknown, None, false),
+        case("its version", only("v1"), Some("v1"), true),
+        case("another version", only("v1"), Some("v2"), false),
+        case("unknown server", only("v1"), None, false),
+    ];
+    for case in cases {
+        let mut registry = ServerRegistry::default();
+        registry.apply_listing(listing(case.software));
+        let key = registry.key_of("a").expect("the server is listed");
+        let server = registry.get(key).expect("the server is listed");
+        let is_allowed = case.rule.allows_server(seconds(1), &registry, server);
+        assert_eq!(is_allowed, case.is_allowed, "{}", case.name);
+    }
+}
