Untie the circle of files around RequestContext

Seventeen files of crates/node/src imported each other in a circle, tied by RequestContext in request.rs and by peers.rs, which both read other nodes and served them. The context has a file of its own, and so has what serves other nodes; reading their knowledge is generic. A circle of eight files around links and notices is left.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -26,7 +26,7 @@
     links,
     node::Node,
     pool::PooledConnection,
-    request::RequestContext,
+    request_context::RequestContext,
     server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server, is_open},
     server_limits::{record_max_rejections, record_named_limit, record_rejection},
     server_outcomes::{record_lost, record_timeout, record_unusable},
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -19,7 +19,7 @@
     node::{Node, NodeState},
     node_notice::NodeNotice,
     pool::CONNECT_TIMEOUT,
-    request::RequestContext,
+    request_context::RequestContext,
     tcp,
 };
 
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -8,7 +8,7 @@
     traffic::{PlacementChoice, PromptPart, ServerLoad, cache_salt},
 };
 
-use crate::{clock, node::Node, node_notice::NodeNotice, notices, request::RequestContext};
+use crate::{clock, node::Node, node_notice::NodeNotice, notices, request_context::RequestContext};
 
 /// Counts one attempt at a server while it is in flight, and informs the other nodes.
 pub struct FlightGuard {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -25,7 +25,7 @@
     headers::{client_response, is_hop_by_hop, origin_form},
     node::Node,
     pool::PooledConnection,
-    request::RequestContext,
+    request_context::RequestContext,
     request_log::log_end,
     responses,
 };
--- a/crates/node/src/peer_knowledge.rs
+++ b/crates/node/src/peer_knowledge.rs
@@ -62,7 +62,7 @@
         if reads_left == 0 {
             continue;
         }
-        match peers::read_knowledge(&node).await {
+        match peers::read_knowledge::<PeerKnowledge>(&node).await {
             Ok(Some(knowledge)) => {
                 crashes::apply_copy(&node, &knowledge.crashes);
                 store_changes::apply_lost_entries::<A>(&node, knowledge.lost_entries);
--- /dev/null
+++ b/crates/node/src/peer_server.rs
@@ -0,0 +1,69 @@
+//! Serves other nodes: this node's copy of the platform's store, what it knows beyond the store, and the
+//! requests that they pass on.
+
+use std::{marker::PhantomData, rc::Rc};
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::{
+    adapter::{PlatformAdapter, StoreRevision},
+    body::ResponseBody,
+    forward,
+    ingress::RequestHandler,
+    node::Node,
+    peer_knowledge::PeerKnowledge,
+    peers::{KNOWLEDGE_PATH, MIRROR_PATH},
+    request, responses,
+};
+
+/// Handles requests from other nodes.
+pub struct PeerHandler<A> {
+    pub node: Rc<Node>,
+    pub adapter: PhantomData<A>,
+}
+
+impl<A: PlatformAdapter> RequestHandler for PeerHandler<A> {
+    async fn handle(self: Rc<Self>, mut request: Request<Incoming>) -> Response<ResponseBody> {
+        if let Some(hop) = forward::take_hop(request.headers_mut()) {
+            return request::handle_forwarded::<A>(self.node.clone(), request, hop).await;
+        }
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, MIRROR_PATH) => self.send_mirror(&request),
+            (&Method::GET, KNOWLEDGE_PATH) => self.send_knowledge(),
+            _ => responses::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl<A> PeerHandler<A> {
+    fn send_mirror(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let known = request.uri().query().and_then(parse_revision).unwrap_or_default();
+        let state = self.node.state.borrow();
+        if state.mirror.revision <= known {
+            return responses::empty(StatusCode::NO_CONTENT);
+        }
+        encoded_response(&state.mirror)
+    }
+
+    fn send_knowledge(&self) -> Response<ResponseBody> {
+        encoded_response(&PeerKnowledge::of_node(&self.node.state.borrow()))
+    }
+}
+
+/// Parses the revision that the reader of a copy already has: its era and number, joined by a dash.
+fn parse_revision(query: &str) -> Option<StoreRevision> {
+    let (era, number) = query.split_once('-')?;
+    Some(StoreRevision { era: era.parse().ok()?, number: number.parse().ok()? })
+}
+
+fn encoded_response<T: Serialize>(value: &T) -> Response<ResponseBody> {
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => Response::new(ResponseBody::whole(bytes)),
+        Err(cause) => {
+            log::error!(cause:% = cause; "failed to encode what another node asks for");
+            responses::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -27,7 +27,7 @@
     headers::{client_response, has_explicit_end, keep_alive_timeout},
     links,
     node::Node,
-    request::RequestContext,
+    request_context::RequestContext,
     request_log::log_end,
     server_choice::OpenError,
     server_outcomes::{record_lost, record_timeout, record_unusable},
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock, crashes,
     node::Node,
-    request::RequestContext,
+    request_context::RequestContext,
     server_limits::{ServerCall, record_call},
 };
 
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -11,7 +11,7 @@
     handlers::{ClientHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
     ingress,
     node::Node,
-    peers::PeerHandler,
+    peer_server::PeerHandler,
     settings::NodeSettings,
     tcp,
 };
--- a/crates/node/src/stream_origin.rs
+++ b/crates/node/src/stream_origin.rs
@@ -17,7 +17,7 @@
     node::{Node, NodeState},
     node_notice::NodeNotice,
     notices,
-    request::RequestContext,
+    request_context::RequestContext,
 };
 
 /// Time between two queries for the same stream, as datagrams get lost.
