--- a/crates/core/tests/traffic_rollout.rs
+++ b/crates/core/tests/traffic_rollout.rs
@@ -328,3 +328,35 @@
         assert_eq!(age, Duration::from_millis(case.max_age), "{}", case.name);
     }
 }
+
+/// Guards against orders and state queries to a server that has asked this node for rest, and against one
+/// that keeps its old weights after it.
+#[test]
+fn server_at_rest_gets_its_orders_afterwards() {
+    struct Case {
+        name: &'static str,
+        /// Time from the announcement of the weights until the server asks for rest.
+        asks_after: Duration,
+    }
+    let cases = [
+        Case { name: "before the rollout", asks_after: Duration::ZERO },
+        Case { name: "during it", asks_after: 2 * TICK },
+    ];
+    const REST: Duration = Duration::from_secs(3);
+    for case in cases {
+        let mut fixture = RolloutFixture::new(4);
+        let key = fixture.registry.key_of("i0").expect("the engine is listed");
+        fixture.weights.announce(fixture.now, MODEL, WeightsVersion(2));
+        fixture.run(case.asks_after);
+        let asked_at = fixture.now;
+        let server = fixture.registry.get_mut(key).expect("the engine is listed");
+        server.health.on_rest_requested(asked_at, REST);
+        fixture.run(Duration::from_secs(8));
+        let in_rest = fixture
+            .ordered
+            .iter()
+            .filter(|(at, server, _)| *server == key && *at > asked_at && *at < asked_at + REST);
+        assert_eq!(in_rest.count(), 0, "{}", case.name);
+        assert_eq!(fixture.behind(2), 0, "{}: all have the new weights", case.name);
+    }
+}
