Split the files of crash records and of listed servers

What a node shares of suspects and what servers have said of leaving have files of their own. Moves, and the notices in a type of their own; all tests as before.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -9,12 +9,14 @@
 mod cache_map;
 mod config;
 mod crash_messages;
+mod crash_sharing;
 mod crash_tracker;
 mod crash_verdict;
 mod entry_directory;
 mod event_stream;
 mod health;
 mod latency;
+mod leaving_notices;
 mod long_prompt_pool;
 mod placement;
 mod placement_limits;
@@ -47,6 +49,7 @@
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
+    leaving_notices::LeavingNotices,
     long_prompt_pool::{LONG_PROMPT_TOKENS, LongPromptPool},
     placement::{PlacementPlanner, cache_salt},
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -6,17 +6,13 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{BrittleServer, PrefillBacklog, ServerHealth, ServerLimit};
+use super::{BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit};
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
 };
 
-/// How long it is remembered that an incarnation has said that it leaves, after it is no longer listed. A
-/// store that is restored from an older copy may list it again.
-const LEAVING_LIFETIME: Duration = Duration::from_secs(120);
-
 /// Time in which live servers list themselves again after the store becomes reachable.
 const RELIST_GRACE: Duration = Duration::from_millis(2_200);
 
@@ -106,17 +102,6 @@
     }
 }
 
-/// What an incarnation of a server has said of leaving, in an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct LeavingNotice {
-    /// Start of the incarnation in Unix milliseconds; 0 if unknown.
-    started_at_ms: u64,
-    /// When this node learned of it first.
-    heard_at: ClockTime,
-    /// Whether the server has said it to this node, which then tells the others.
-    is_own: bool,
-}
-
 /// Effect of a listing on the registry. The keys are those of the listed server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -136,8 +121,8 @@
     by_instance: HashMap<String, ServerKey>,
     /// Invariant: has the servers of each service, in the order in which they were added.
     by_service: HashMap<String, Vec<ServerKey>>,
-    /// Servers that have said that they leave, by instance name, whether or not they are listed.
-    leaving: HashMap<String, LeavingNotice>,
+    /// Servers that have said that they leave, whether or not they are listed.
+    leaving: LeavingNotices,
     store_unreachable: bool,
     relist_deadline: Option<ClockTime>,
 }
@@ -146,7 +131,7 @@
     /// Adds or updates a server from its listing. A new incarnation gets a new key.
     pub fn apply_listing(&mut self, listing: ServerListing) -> RegistryChange {
         let availability = match listing.state {
-            ListingState::Ready if !self.has_said_leaving(&listing) => ServerAvailability::Ready,
+            ListingState::Ready if !self.leaving.has_said(&listing) => ServerAvailability::Ready,
             _ => ServerAvailability::Leaving,
         };
         if let Some(&key) = self.by_instance.get(&listing.instance) {
@@ -186,52 +171,23 @@
         started_at_ms: u64,
         is_own: bool,
     ) -> bool {
-        let known = self.leaving.get(instance);
-        if known.is_some_and(|known| known.started_at_ms == started_at_ms) {
-            return false;
-        }
-        let notice = LeavingNotice { started_at_ms, heard_at: now, is_own };
-        self.leaving.insert(instance.to_string(), notice);
-        let listed = self.get_instance_mut(instance);
+        let is_new = self.leaving.add(now, instance, started_at_ms, is_own);
+        let listed = self.get_instance_mut(instance).filter(|_| is_new);
         if let Some(server) = listed.filter(|it| it.listing.started_at_ms == started_at_ms) {
             server.availability = ServerAvailability::Leaving;
         }
-        true
-    }
-
-    /// Returns the instances that have said to this node within `period` that they leave, and when each
-    /// started.
-    pub fn said_leaving_lately(
-        &self,
-        now: ClockTime,
-        period: Duration,
-    ) -> impl Iterator<Item = (&str, u64)> {
-        let is_recent = move |notice: &LeavingNotice| now.since(notice.heard_at) < period;
-        let notices =
-            self.leaving.iter().filter(move |(_, notice)| notice.is_own && is_recent(notice));
-        notices.map(|(instance, notice)| (instance.as_str(), notice.started_at_ms))
+        is_new
     }
 
-    /// Returns all instances that are known to have said that they leave, and when each started.
-    pub fn said_leaving(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.leaving.iter().map(|(instance, notice)| (instance.as_str(), notice.started_at_ms))
+    /// Servers that have said that they leave.
+    pub fn leaving_notices(&self) -> &LeavingNotices {
+        &self.leaving
     }
 
     /// Forgets what servers that are no longer listed have said.
     pub fn expire_leaving(&mut self, now: ClockTime) {
         let listed = &self.by_instance;
-        self.leaving.retain(|instance, notice| {
-            listed.contains_key(instance) || now.since(notice.heard_at) < LEAVING_LIFETIME
-        });
-    }
-
-    /// Whether a listed incarnation has said that it leaves. If nobody knows when it started, it may be
-    /// another one than that which said so, unless its entry has been there all the while.
-    fn has_said_leaving(&self, listing: &ServerListing) -> bool {
-        let notice = self.leaving.get(&listing.instance);
-        notice.is_some_and(|notice| {
-            notice.started_at_ms != 0 && notice.started_at_ms == listing.started_at_ms
-        })
+        self.leaving.expire(now, |instance| listed.contains_key(instance));
     }
 
     /// Handles a listing that was removed. Returns the server's key if the server was removed too,
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -228,10 +228,10 @@
             };
             let Some(server) = registry.get(*key) else { continue };
             // A server that limits requests is queried only once, before the order.
-            let may_wait =
+            let is_drained_soon =
                 loading.stage == LoadStage::Draining && now.since(loading.since) < MAX_DRAIN_TIME;
-            let is_held = may_wait && server.limit.rate().is_some();
-            if now < loading.due || is_held || server.health.is_at_rest(now) {
+            let may_wait = is_drained_soon && server.limit.rate().is_some();
+            if now < loading.due || may_wait || server.health.is_at_rest(now) {
                 continue;
             }
             if let Some(weights) = server.listing.weights.first() {
--- a/crates/node/src/peer_knowledge.rs
+++ b/crates/node/src/peer_knowledge.rs
@@ -42,7 +42,7 @@
     pub fn of_node(state: &NodeState) -> PeerKnowledge {
         let lost_entries = state.lost_entries.values().cloned().collect();
         let software = state.streams.report(clock::now());
-        let leaving = state.registry.said_leaving();
+        let leaving = state.registry.leaving_notices().all();
         let leaving = leaving.map(|(instance, start)| (instance.to_string(), start)).collect();
         PeerKnowledge { crashes: state.crashes.reports(), lost_entries, software, leaving }
     }
--- a/crates/node/src/server_signals.rs
+++ b/crates/node/src/server_signals.rs
@@ -67,7 +67,8 @@
     let state = &mut *node.state.borrow_mut();
     let now = clock::now();
     state.registry.expire_leaving(now);
-    for (instance, started_at_ms) in state.registry.said_leaving_lately(now, REPEAT_PERIOD) {
+    for (instance, started_at_ms) in state.registry.leaving_notices().own_lately(now, REPEAT_PERIOD)
+    {
         let instance = instance.to_string();
         node.broadcast(NodeNotice::Leaving { instance, started_at_ms });
     }
