--- a/crates/core/src/suspects/record.rs
+++ b/crates/core/src/suspects/record.rs
@@ -1,8 +1,8 @@
 //! The server incarnations that ended while they ran one suspect.
 //!
-//! A record only learns: an entry is added, its round rises, runs complete after it, or it is withdrawn. Nodes can therefore
-//! merge what they know in any order and any number of times, and agree once each has received the
-//! reports of the others.
+//! A record only learns: an entry is added, its round rises, runs complete after it, or it is
+//! withdrawn. Nodes can therefore merge what they know in any order and any number of times, and
+//! agree once each has received the reports of the others.
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
