--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -245,6 +245,13 @@
         core.items.get(key).map(|item| item.value.clone())
     }
 
+    /// Returns the lease that a key is attached to, if the key exists; 0 for none.
+    pub fn lease_of(&self, key: &str) -> Option<u64> {
+        let mut core = lock(&self.shared.core);
+        core.expire_leases();
+        core.items.get(key).map(|item| item.lease)
+    }
+
     /// Returns whether a key begins with this prefix.
     pub fn has_prefix(&self, prefix: &str) -> bool {
         lock(&self.shared.core).items.keys().any(|key| key.starts_with(prefix))
