Reproduce requests that stay rejected after new software has fixed them

A request that crashed three servers, or all with a part that did, is rejected for 120 s or 30 s and more, although no server of the software that ended is left: 0 to 6 of some 60 requests are served in the 22 s after a release in the simulation, in all of 20 histories.

--- a/crates/core/tests/crashing_parts/cases.rs
+++ b/crates/core/tests/crashing_parts/cases.rs
@@ -13,6 +13,8 @@
     Always,
     /// The server has any software but the first.
     NewSoftware,
+    /// The server has the first software.
+    OldSoftware,
     /// The version of the server's weights is odd.
     OddWeights,
     /// The server is one of half of them, which are not told apart by anything that nodes know.
@@ -31,13 +33,18 @@
     One,
     /// The servers get new software one after the other, and newer software later.
     Rolling,
+    /// All servers get new software from the eighth second on, within four seconds.
+    Fix,
 }
 
+/// Time by which all servers have new software in [`Releases::Fix`].
+pub const FIXED_BY: Duration = Duration::from_secs(12);
+
 impl Releases {
     /// Returns the software with which a server starts.
     pub fn first_software(self, server: u64) -> u64 {
         match self {
-            Releases::None | Releases::Rolling => 0,
+            Releases::None | Releases::Rolling | Releases::Fix => 0,
             Releases::Half => server % 2,
             Releases::One => u64::from(server == 0),
         }
@@ -45,8 +52,11 @@
 
     /// Returns the software that a server must have after this time, if it changes.
     pub fn software(self, server: u64, elapsed: Duration) -> Option<u64> {
-        let begun = elapsed.as_secs().checked_sub(2 * server)?;
-        (self == Releases::Rolling).then_some(begun / 12)
+        match self {
+            Releases::None | Releases::Half | Releases::One => None,
+            Releases::Rolling => Some(elapsed.as_secs().checked_sub(2 * server)? / 12),
+            Releases::Fix => Some(u64::from(elapsed.as_millis() as u64 >= 8_000 + 300 * server)),
+        }
     }
 }
 
--- a/crates/core/tests/crashing_parts/main.rs
+++ b/crates/core/tests/crashing_parts/main.rs
@@ -65,6 +65,27 @@
     check_histories(&hidden_conditions(around).collect::<Vec<_>>(), SEEDS);
 }
 
+/// Guards against rejecting a request, or all with a part, long after new software at all servers has
+/// mended what crashed them, and against crashing servers of the new software again and again.
+#[test]
+fn request_that_new_software_has_fixed_is_served_again() {
+    let condition = Condition::OldSoftware;
+    let releases = Releases::Fix;
+    let mut failures = Vec::new();
+    for repeated in [false, true] {
+        for seed in 0..SEEDS {
+            let case = Case { repeated, condition, releases, ..CALM };
+            let outcome = Simulation::new(case, seed).play();
+            let judged = outcome.fixed_allowed + outcome.fixed_rejected;
+            let share = outcome.fixed_allowed as f64 / judged.max(1) as f64;
+            if outcome.late_runs > MAX_LATER_RUNS || share < MIN_SOUND_SHARE {
+                failures.push(format!("repeated {repeated}, seed {seed}: {outcome:?}"));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 /// Guards against the same with servers that end for other reasons, lost datagrams, restarts and cuts.
 #[test]
 fn crashing_request_is_rejected_although_it_completes_elsewhere() {
--- a/crates/core/tests/crashing_parts/simulation.rs
+++ b/crates/core/tests/crashing_parts/simulation.rs
@@ -13,7 +13,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::cases::{Case, Condition};
+use crate::cases::{Case, Condition, FIXED_BY, Releases};
 
 const SERVERS: usize = 12;
 /// When a history begins.
@@ -91,6 +91,9 @@
     pub crashes: usize,
     /// Largest number of runs with one crashing part, or of the crashing request, that began too late.
     pub late_runs: usize,
+    /// Requests that crashed servers before all of them got other software, and would complete now.
+    pub fixed_allowed: usize,
+    pub fixed_rejected: usize,
     pub sound_allowed: usize,
     pub sound_rejected: usize,
 }
@@ -264,6 +267,12 @@
                 false => self.outcome.sound_rejected += 1,
             }
         }
+        if crashing.is_some() && self.is_fixed() && self.is_in_touch(node) {
+            match is_allowed {
+                true => self.outcome.fixed_allowed += 1,
+                false => self.outcome.fixed_rejected += 1,
+            }
+        }
         let up: Vec<usize> =
             (0..SERVERS).filter(|&server| self.servers[server].up_at <= self.now).collect();
         if !is_allowed || up.is_empty() {
@@ -277,6 +286,7 @@
         if let Some(index) = crashing
             && self.parts[index].bound_reached.is_some_and(|at| self.now.since(at) > STABLE_TIME)
             && self.is_in_touch(node)
+            && !self.is_fixed()
         {
             self.parts[index].late_runs += 1;
         }
@@ -291,12 +301,19 @@
         match self.case.condition {
             Condition::Always => true,
             Condition::NewSoftware => self.servers[server].software > 0,
+            Condition::OldSoftware => self.servers[server].software == 0,
             Condition::OddWeights => !self.weights(server).is_multiple_of(2),
             Condition::SomeServers => server.is_multiple_of(2),
             Condition::SomeRuns => self.rng.random_bool(0.5),
         }
     }
 
+    /// Whether the crashing requests would complete at all servers, long enough for the nodes to know.
+    fn is_fixed(&self) -> bool {
+        let fixed_for = self.now.since(START).checked_sub(FIXED_BY);
+        self.case.releases == Releases::Fix && fixed_for.is_some_and(|time| time > STABLE_TIME * 2)
+    }
+
     /// Version of the weights at a server. The servers load new weights one after the other.
     fn weights(&self, server: usize) -> u64 {
         let Some(period) = self.case.weights_period else { return 0 };
@@ -311,8 +328,8 @@
 
     /// Whether sound requests count: from twice the stable time after the fifth crash on.
     fn is_sound_judged(&self) -> bool {
-        let bound_reachedes = self.parts.iter().map(|part| part.bound_reached);
-        let all_reached = bound_reachedes.collect::<Option<Vec<_>>>();
+        let reached = self.parts.iter().map(|part| part.bound_reached);
+        let all_reached = reached.collect::<Option<Vec<_>>>();
         let since = all_reached.and_then(|times| times.into_iter().max()).or(self.last_crash);
         since.is_some_and(|at| self.now.since(at) > STABLE_TIME * 2)
     }
