Serve a request again once new software may have fixed it

A request that crashed three servers, or one with a part that did, stayed rejected for 120 s or 30 s and more although no server of the software that ended was left. Cause: crashes know the build of their server, but the quarantine did not look at it.

Once no usable server of the service has the software of any of its crashes, the suspect may run, one run at a time, first at one node and 4 s later at each further one, at all once one run completed, and without limits after eight (five for a part). A crash of the new software holds it back as before. Software and weights are apart in a build now; weights alone change too often to count.

--- a/crates/core/src/suspects/server_build.rs
+++ b/crates/core/src/suspects/server_build.rs
@@ -10,20 +10,26 @@
 /// crash the servers of one build and complete at those of another.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
-pub struct ServerBuild(Option<NonZeroU32>);
+pub struct ServerBuild {
+    /// Hash of the software version; `None` if it is not known.
+    software: Option<NonZeroU32>,
+    /// Version of the weights, plus one; 0 without a model.
+    weights: u64,
+}
 
 impl ServerBuild {
     /// Build of a server whose software is not known.
-    pub const UNKNOWN: ServerBuild = ServerBuild(None);
+    pub const UNKNOWN: ServerBuild = ServerBuild { software: None, weights: 0 };
 
     /// Identifies the build of a server. `weights` is `None` for a server without a model; without
     /// `software` the build is unknown.
     pub fn new(software: Option<&str>, weights: Option<WeightsVersion>) -> ServerBuild {
         let Some(software) = software else { return ServerBuild::UNKNOWN };
-        let weights = weights.map_or(0, |version| version.0.wrapping_add(1));
-        let score = rendezvous_score(software.as_bytes(), weights);
-        // Zero would stand for an unknown build.
-        ServerBuild(Some(NonZeroU32::new(score as u32).unwrap_or(NonZeroU32::MIN)))
+        let hash = rendezvous_score(software.as_bytes(), 0) as u32;
+        ServerBuild {
+            software: Some(NonZeroU32::new(hash).unwrap_or(NonZeroU32::MIN)),
+            weights: weights.map_or(0, |version| version.0.wrapping_add(1)),
+        }
     }
 
     /// Whether a run that completed at a server of build `completed` speaks against a crash of a server of
@@ -32,16 +38,21 @@
         self == completed || !self.is_known()
     }
 
+    /// Whether both are known to have the same software, whatever the weights.
+    pub fn has_software_of(self, other: ServerBuild) -> bool {
+        self.is_known() && self.software == other.software
+    }
+
     /// Whether the build is known.
     pub fn is_known(self) -> bool {
-        self.0.is_some()
+        self.software.is_some()
     }
 }
 
 impl fmt::Display for ServerBuild {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(number) => write!(f, "{number:08x}"),
+        match self.software {
+            Some(software) => write!(f, "{software:08x}-{}", self.weights),
             None => f.write_str("unknown"),
         }
     }
--- a/crates/core/src/traffic/crash_verdict.rs
+++ b/crates/core/src/traffic/crash_verdict.rs
@@ -8,7 +8,10 @@
 };
 use crate::{
     clock::ClockTime,
-    suspects::{PROBE_STAGGER, PartVerdict, RequestSuspects, SuspectFingerprint, TEST_STAGGER},
+    suspects::{
+        PROBE_STAGGER, PartVerdict, RequestSuspects, ServerBuild, SuspectFingerprint, TEST_STAGGER,
+        refuting_runs,
+    },
 };
 
 /// A request is rejected after it crashed this many server incarnations.
@@ -21,18 +24,20 @@
 
 impl CrashTracker {
     /// Returns whether a request may run. `probe_rank` returns the position of this node in the
-    /// order in which nodes may run a suspect after its quarantine, from 0.
+    /// order in which nodes may run a suspect after its quarantine, from 0. `replaced_for` returns for how
+    /// long no server with the software of a build has been there; `None` if one may be there.
     pub fn verdict(
         &self,
         now: ClockTime,
         suspects: &RequestSuspects,
         probe_rank: impl Fn(SuspectFingerprint) -> u32,
+        replaced_for: impl Fn(ServerBuild) -> Option<Duration>,
     ) -> CrashRuling {
-        let of_request = self.request_verdict(now, suspects.request, &probe_rank);
+        let of_request = self.request_verdict(now, suspects.request, &probe_rank, &replaced_for);
         if of_request.verdict == CrashVerdict::Reject {
             return of_request;
         }
-        let of_parts = self.part_verdict(now, &suspects.parts, &probe_rank);
+        let of_parts = self.part_verdict(now, &suspects.parts, &probe_rank, &replaced_for);
         of_parts.filter(|ruling| ruling.verdict != CrashVerdict::Allow).unwrap_or(of_request)
     }
 
@@ -41,15 +46,22 @@
         now: ClockTime,
         request: SuspectFingerprint,
         probe_rank: &impl Fn(SuspectFingerprint) -> u32,
+        replaced_for: &impl Fn(ServerBuild) -> Option<Duration>,
     ) -> CrashRuling {
         let count = self.crash_count(request);
         let ruling = |verdict| CrashRuling { verdict, suspect: request, crashes: count };
         if count >= MAX_CRASHES
             && let Some(changed_at) = self.suspects.changed_at(request)
-            && now.since(changed_at)
-                < request_quarantine(count) + PROBE_STAGGER * probe_rank(request)
         {
-            return ruling(CrashVerdict::Reject);
+            let rank = probe_rank(request);
+            let fix = self.fix_state([request], rank, replaced_for);
+            if fix == FixState::Fixed {
+                return ruling(CrashVerdict::Allow);
+            }
+            let quarantine = request_quarantine(count) + PROBE_STAGGER * rank;
+            if fix == FixState::None && now.since(changed_at) < quarantine {
+                return ruling(CrashVerdict::Reject);
+            }
         }
         // After a quarantine, one run is allowed at a time.
         let suspected = count.min(MAX_CRASHES - 1) + self.unresolved.count(request);
@@ -66,6 +78,7 @@
         now: ClockTime,
         parts: &[SuspectFingerprint],
         probe_rank: &impl Fn(SuspectFingerprint) -> u32,
+        replaced_for: &impl Fn(ServerBuild) -> Option<Duration>,
     ) -> Option<CrashRuling> {
         let (group, is_whole) = match self.suspects.judge_parts(parts) {
             PartVerdict::Clear => return None,
@@ -76,7 +89,12 @@
             |verdict| CrashRuling { verdict, suspect: group.parts[0], crashes: group.crashes };
         let rank = probe_rank(group.parts[0]);
         let waited = now.since(group.changed_at);
-        if is_whole && waited < group.quarantine() + PROBE_STAGGER * rank {
+        let blamed = group.parts.iter().copied();
+        let fix = self.fix_state(blamed, rank, replaced_for);
+        if fix == FixState::Fixed {
+            return None;
+        }
+        if is_whole && fix == FixState::None && waited < group.quarantine() + PROBE_STAGGER * rank {
             return Some(ruling(CrashVerdict::Reject));
         }
         if waited < TEST_STAGGER * rank {
@@ -92,6 +110,46 @@
     }
 }
 
+/// Whether new software may have fixed what crashed servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FixState {
+    /// Servers with the software of those that ended are left, or this node has to wait for another one.
+    None,
+    /// None is left, so runs are allowed one at a time, until one has completed at one node after another.
+    Probed,
+    /// None is left, and enough runs have completed.
+    Fixed,
+}
+
+impl CrashTracker {
+    /// Returns whether new software may have fixed the crashes of suspects. `rank` is the position of this
+    /// node among those that may run them.
+    fn fix_state(
+        &self,
+        suspects: impl IntoIterator<Item = SuspectFingerprint>,
+        rank: u32,
+        replaced_for: &impl Fn(ServerBuild) -> Option<Duration>,
+    ) -> FixState {
+        let mut fix = FixState::Fixed;
+        for suspect in suspects {
+            let Some(record) = self.suspects.record(suspect) else { continue };
+            let replaced = record.crashes().map(|crash| replaced_for(crash.build));
+            let Some(waited) = replaced.min().unwrap_or(Some(Duration::MAX)) else {
+                return FixState::None;
+            };
+            let completed = record.crashes().map(|crash| crash.completed.count()).min();
+            let completed = completed.unwrap_or(0);
+            if completed == 0 && waited < PROBE_STAGGER * rank {
+                return FixState::None;
+            }
+            if completed < refuting_runs(suspect.kind()) {
+                fix = FixState::Probed;
+            }
+        }
+        fix
+    }
+}
+
 /// How long a request with this many crashes is rejected after its last change.
 pub(super) fn request_quarantine(crashes: usize) -> Duration {
     match crashes.checked_sub(MAX_CRASHES) {
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -11,6 +11,7 @@
     arena::KeyArena,
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
+    suspects::ServerBuild,
 };
 
 /// Time in which live servers list themselves again after the store becomes reachable.
@@ -282,6 +283,18 @@
         usable.any(|(_, server)| server.listing.software.as_deref() == Some(software))
     }
 
+    /// Whether a usable server of a service may have the software of a build. Without a usable server, or
+    /// if some may run unknown software, any build may be there.
+    pub fn may_have_software(&self, service: &str, build: ServerBuild) -> bool {
+        let mut servers = self.usable(service).peekable();
+        let none_known = servers.peek().is_none() || !build.is_known() || self.store_unreachable;
+        none_known
+            || servers.any(|(_, server)| {
+                let own = ServerBuild::new(server.listing.software.as_deref(), None);
+                !own.is_known() || own.has_software_of(build)
+            })
+    }
+
     /// Whether an instance has announced that it leaves.
     pub fn is_leaving(&self, instance: &str) -> bool {
         let key = self.by_instance.get(instance);
--- a/crates/core/src/traffic/stream_origins.rs
+++ b/crates/core/src/traffic/stream_origins.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{BackendServer, ServerRegistry};
-use crate::{clock::ClockTime, rendezvous::rendezvous_score};
+use crate::{clock::ClockTime, rendezvous::rendezvous_score, suspects::ServerBuild};
 
 /// A client takes a stream up at most this long after its first event. Far above the time that any
 /// client waits for a response.
@@ -147,6 +147,17 @@
         }
     }
 
+    /// Returns how long ago a server of a service with the software of a build was listed last; zero if
+    /// this node has seen none.
+    pub fn gone_for(&self, now: ClockTime, service: &str, build: ServerBuild) -> Duration {
+        let listed = self.listed.iter().filter(|known| known.service == service);
+        let has_software = |known: &ListedSoftware| {
+            ServerBuild::new(known.software.as_deref(), None).has_software_of(build)
+        };
+        let seen_at = listed.filter(|known| has_software(known)).map(|known| known.listed_at);
+        seen_at.max().map_or(Duration::ZERO, |at| now.since(at))
+    }
+
     /// Returns the versions that this node knows of, for a node that has started.
     pub fn report(&self, now: ClockTime) -> SoftwareReport {
         let listed = self.listed.iter();
--- a/crates/core/tests/crashing_parts/main.rs
+++ b/crates/core/tests/crashing_parts/main.rs
@@ -86,6 +86,15 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+/// Guards against crashing servers again and again because each release may have fixed the request.
+#[test]
+fn request_that_no_release_has_fixed_is_rejected() {
+    let around = Case { name: "new software", releases: Releases::Fix, ..CALM };
+    let newer = Case { name: "newer software", releases: Releases::Rolling, ..CALM };
+    let cases = [around, newer].map(|case| [case, Case { repeated: true, ..case }]);
+    check_histories(&cases.concat(), SEEDS);
+}
+
 /// Guards against the same with servers that end for other reasons, lost datagrams, restarts and cuts.
 #[test]
 fn crashing_request_is_rejected_although_it_completes_elsewhere() {
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -128,16 +128,22 @@
     }
 }
 
-/// Returns whether a request may run, and logs a refusal.
+/// Returns whether a request to a service may run, and logs a refusal.
 pub fn check_verdict(
     node: &Node,
     state: &NodeState,
     request_id: &str,
+    service: &str,
     suspects: &RequestSuspects,
 ) -> CrashVerdict {
     let rank = |fingerprint| probe_rank(node, state, fingerprint);
+    let now = clock::now();
+    let replaced_for = |build| {
+        let is_gone = !state.registry.may_have_software(service, build);
+        is_gone.then(|| state.streams.gone_for(now, service, build))
+    };
     let CrashRuling { verdict, suspect, crashes } =
-        state.crashes.verdict(clock::now(), suspects, rank);
+        state.crashes.verdict(now, suspects, rank, replaced_for);
     if verdict != CrashVerdict::Allow {
         log::info!(request = request_id, fingerprint:% = suspect, crashes, verdict:? = verdict; "rejecting a request that crashed servers");
         metrics::counter!("carobvane_suspects_rejected_total", "suspect" => kind_label(suspect))
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -160,7 +160,7 @@
     let state = &mut *node.state.borrow_mut();
     state.on_request(now, &service, &node.settings.bounds);
     state.planner.on_prompt(now, &info.prompt);
-    let verdict = crashes::check_verdict(node, state, &id, &suspects);
+    let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
     if verdict != CrashVerdict::Allow {
         return Err(refused(suspect_response(verdict, false)));
     }
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -35,7 +35,8 @@
 /// Checks whether the request may run.
 pub fn check_suspect(node: &Node, context: &RequestContext) -> Result<(), OpenError> {
     let state = node.state.borrow();
-    match crashes::check_verdict(node, &state, &context.info.request_id, &context.suspects) {
+    let id = &context.info.request_id;
+    match crashes::check_verdict(node, &state, id, &context.service, &context.suspects) {
         CrashVerdict::Allow => Ok(()),
         verdict => Err(OpenError::Suspect(verdict)),
     }
