--- a/crates/core/tests/crashing_parts/simulation.rs
+++ b/crates/core/tests/crashing_parts/simulation.rs
@@ -1,19 +1,22 @@
 //! A simulated fleet of nodes that tell each other of crashes by datagrams that get lost, with its servers
 //! and clients.
 
+mod conditions;
+mod network;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use carobvane_core::{
     arena::KeyArena,
     clock::ClockTime,
-    ids::{ServerKey, WeightsVersion},
+    ids::ServerKey,
     rendezvous::rendezvous_score,
-    suspects::{RequestSuspects, ServerBuild, SuspectFingerprint},
-    traffic::{CrashEvent, CrashReport, CrashTracker, CrashVerdict, RunEnd, ServerRun},
+    suspects::{RequestSuspects, SuspectFingerprint},
+    traffic::{CrashReport, CrashTracker, CrashVerdict, RunEnd, ServerRun},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::cases::{Case, Condition, FIXED_BY};
+use crate::cases::Case;
 
 const SERVERS: usize = 12;
 /// When a history begins.
@@ -300,51 +303,6 @@
         self.runs.push(SimRun { node, server, run, crashing, begins_at, ends_at });
     }
 
-    /// Whether a run with the crashing part, or of the crashing request, ends this server.
-    fn is_fatal(&mut self, server: usize) -> bool {
-        match self.case.condition {
-            Condition::Always => true,
-            Condition::NewSoftware => self.servers[server].software > 0,
-            Condition::OldSoftware => self.servers[server].software == 0,
-            Condition::OddWeights => !self.weights(server).is_multiple_of(2),
-            Condition::SomeServers => server.is_multiple_of(2),
-            Condition::SomeRuns => self.rng.random_bool(0.5),
-        }
-    }
-
-    /// Whether the crashing requests complete at all servers, since these have other software now.
-    fn is_harmless(&self) -> bool {
-        let has_new_software = self.servers.iter().all(|server| server.software > 0);
-        self.case.condition == Condition::OldSoftware && has_new_software
-    }
-
-    /// Whether they have done so long enough for the nodes to know.
-    fn is_fixed(&self) -> bool {
-        self.is_harmless() && self.now.since(START) > FIXED_BY + STABLE_TIME * 2
-    }
-
-    /// Returns for how long no server with the software of a build has been there.
-    fn replaced_for(&self, build: ServerBuild) -> Option<Duration> {
-        let has = |software: u64| {
-            ServerBuild::new(Some(&software.to_string()), None).has_software_of(build)
-        };
-        let seen = self.software_seen.iter().find(|(software, _)| has(**software));
-        let gone_for = seen.map_or(Duration::ZERO, |(_, at)| self.now.since(*at));
-        (!gone_for.is_zero()).then_some(gone_for)
-    }
-
-    fn server_build(&self, server: usize) -> ServerBuild {
-        let software = self.servers[server].software.to_string();
-        ServerBuild::new(Some(&software), Some(WeightsVersion(self.weights(server))))
-    }
-
-    /// Version of the weights at a server. The servers load new weights one after the other.
-    fn weights(&self, server: usize) -> u64 {
-        let Some(period) = self.case.weights_period else { return 0 };
-        let loaded = self.now.since(START).saturating_sub(LOAD_TIME * server as u32);
-        (loaded.as_millis() / period.as_millis()) as u64
-    }
-
     fn is_in_touch(&self, node: usize) -> bool {
         let node = &self.nodes[node];
         !node.is_cut(self.now) && self.now.since(node.disturbed_at) >= STABLE_TIME
@@ -404,106 +362,6 @@
         tracker.end_run(self.now, run.run, end, is_listed, &mut events);
         self.share(run.node, &events);
     }
-
-    /// Sends the records that this node has changed to the other nodes.
-    fn share(&mut self, node: usize, events: &[CrashEvent]) {
-        for event in events {
-            if let CrashEvent::Counted { fingerprint, .. }
-            | CrashEvent::Withdrawn { fingerprint, .. }
-            | CrashEvent::Completed { fingerprint } = event
-                && let Some(report) = self.nodes[node].tracker.report(*fingerprint)
-            {
-                self.broadcast(node, &report);
-            }
-        }
-    }
-
-    fn broadcast(&mut self, from: usize, report: &CrashReport) {
-        if self.nodes[from].is_cut(self.now) {
-            return;
-        }
-        for to in (0..self.nodes.len()).filter(|to| *to != from) {
-            let delay = Duration::from_millis(self.rng.random_range(5..30));
-            let is_lost = self.rng.random_bool(self.case.loss);
-            if !is_lost && !self.nodes[to].is_cut(self.now) {
-                self.nodes[to].inbox.push((self.now + delay, report.clone()));
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
-        let now = self.now;
-        for node in &mut self.nodes {
-            let (due, waiting) =
-                std::mem::take(&mut node.inbox).into_iter().partition(|(at, _)| *at <= now);
-            node.inbox = waiting;
-            let due: Vec<(ClockTime, CrashReport)> = due;
-            for (_, report) in due {
-                node.tracker.merge_reported(now, &report, &mut Vec::new());
-            }
-        }
-        let (timed_out, waiting) =
-            std::mem::take(&mut self.silent_runs).into_iter().partition(|(at, _)| *at <= now);
-        self.silent_runs = waiting;
-        let timed_out: Vec<(ClockTime, SimRun)> = timed_out;
-        timed_out.into_iter().for_each(|(_, run)| self.end_run(run, RunEnd::Unanswered, true));
-        let (ended, silent) =
-            std::mem::take(&mut self.silent).into_iter().partition(|(at, _)| *at <= now);
-        self.silent = silent;
-        let ended: Vec<(ClockTime, usize)> = ended;
-        for (_, server) in ended {
-            for node in 0..self.nodes.len() {
-                let mut events = Vec::new();
-                let key = self.servers[server].key;
-                self.nodes[node].tracker.on_server_ended(now, key, &mut events);
-                self.share(node, &events);
-            }
-        }
-    }
-
-    fn tick(&mut self, node: usize) {
-        for key in self.nodes[node].tracker.tick(self.now) {
-            let server = self.servers.iter().find(|server| server.key == key);
-            let is_up = server.is_some_and(|server| server.up_at <= self.now);
-            let mut events = Vec::new();
-            self.nodes[node].tracker.on_server_checked(self.now, key, is_up, &mut events);
-            self.share(node, &events);
-        }
-        let mut repeats = self.nodes[node].tracker.take_repeats();
-        // The order of the records must not decide which datagrams get lost.
-        repeats.sort_by_key(|report| report.fingerprint);
-        repeats.iter().for_each(|report| self.broadcast(node, report));
-        if self.nodes[node].is_cut(self.now) {
-            return;
-        }
-        let mut unstored = self.nodes[node].tracker.unstored(self.now, WRITE_GRACE);
-        unstored.sort_by_key(|report| report.fingerprint);
-        for report in unstored {
-            self.store.insert(report.fingerprint.to_string(), report.clone());
-            for other in self.nodes.iter_mut().filter(|other| !other.is_cut(self.now)) {
-                other.tracker.merge_stored(self.now, &report, &mut Vec::new());
-            }
-        }
-        let now = self.now;
-        if self.nodes[node].reads.iter().any(|at| *at <= now) {
-            self.nodes[node].reads.retain(|at| *at > now);
-            self.copy_store(node);
-            let other = self.rng.random_range(0..self.nodes.len());
-            if !self.nodes[other].is_cut(now) {
-                let mut reports = self.nodes[other].tracker.reports();
-                reports.sort_by_key(|report| report.fingerprint);
-                for report in reports {
-                    self.nodes[node].tracker.merge_copied(now, &report, &mut Vec::new());
-                }
-            }
-        }
-    }
-
-    fn copy_store(&mut self, node: usize) {
-        for report in self.store.values() {
-            self.nodes[node].tracker.merge_stored(self.now, report, &mut Vec::new());
-        }
-    }
 }
 
 fn is_multiple(elapsed: Duration, period: Duration) -> bool {
