Send notices in a format that tolerates additions, by way of relays

Cause: notices were the postcard bytes of an enum.

Change: notices are numbered CBOR fields (minicbor) in segments; unknown ones are skipped one by one. Nodes name the formats that they read in their records. The formats of records that name none are found out by asking the node, which gets only what both formats write alike until then. Answers between nodes are JSON if the reader asks for it. From 40 nodes on, segments go to a relay in each data centre; urgent ones go two ways, and duplicates are dropped. Nodes that start at once no longer share an incarnation.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -46,7 +46,9 @@
 /// Version of a model's weights; a later version has a higher number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(Serialize, Deserialize)]
-pub struct WeightsVersion(pub u64);
+#[derive(minicbor::Encode, minicbor::Decode)]
+#[cbor(transparent)]
+pub struct WeightsVersion(#[n(0)] pub u64);
 
 /// Number that identifies the network address of a backend server. All entries derive the same
 /// number from the same address.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod arena;
+mod cbor_u128;
 pub mod claims;
 pub mod clock;
 pub mod ids;
--- a/crates/core/src/suspects/completed_runs.rs
+++ b/crates/core/src/suspects/completed_runs.rs
@@ -16,11 +16,14 @@
 /// that take the same bit count as one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct CompletedRuns {
     /// Runs at servers of the same build as the one that ended.
+    #[n(0)]
     same_build: u64,
     /// Runs at servers of other builds. They tell suspects apart but refute no crash: the suspect may
     /// crash servers of some builds only.
+    #[n(1)]
     other_builds: u64,
 }
 
--- a/crates/core/src/suspects/fingerprint.rs
+++ b/crates/core/src/suspects/fingerprint.rs
@@ -15,18 +15,24 @@
 /// What a fingerprint identifies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub enum SuspectKind {
     /// A whole request: all requests with the same workspace, target and body.
+    #[n(0)]
     Request,
     /// A part of a prompt, whatever else the request holds.
+    #[n(1)]
     Part,
 }
 
 /// Identifies what may crash servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct SuspectFingerprint {
+    #[n(0)]
     kind: SuspectKind,
+    #[cbor(n(1), with = "crate::cbor_u128")]
     hash: u128,
 }
 
--- a/crates/core/src/suspects/record.rs
+++ b/crates/core/src/suspects/record.rs
@@ -19,19 +19,25 @@
 /// on all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct CrashEntry<I> {
     /// The server incarnation that ended.
+    #[n(0)]
     pub server: I,
     /// 1 if no crash of the suspect was known when the run began, else one more than the highest
     /// round that was known. Servers that end together under a suspect are of the same round.
+    #[n(1)]
     pub round: u8,
     /// Whether the suspect has not caused this crash, since it has completed later.
+    #[n(2)]
     pub withdrawn: bool,
     /// Build of the server.
     #[serde(default)]
+    #[cbor(n(3), default)]
     pub build: ServerBuild,
     /// Runs with the suspect that completed later.
     #[serde(default)]
+    #[cbor(n(4), default)]
     pub completed: CompletedRuns,
 }
 
--- a/crates/core/src/suspects/server_build.rs
+++ b/crates/core/src/suspects/server_build.rs
@@ -10,10 +10,13 @@
 /// crash the servers of one build and complete at those of another.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct ServerBuild {
     /// Hash of the software version; `None` if it is not known.
+    #[n(0)]
     software: Option<NonZeroU32>,
     /// Version of the weights, plus one; 0 without a model.
+    #[n(1)]
     weights: u64,
 }
 
--- a/crates/core/src/traffic/crash_messages.rs
+++ b/crates/core/src/traffic/crash_messages.rs
@@ -10,10 +10,13 @@
 /// The crashes of one suspect, as nodes tell each other and keep them in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct CrashReport {
     /// The suspect.
+    #[n(0)]
     pub fingerprint: SuspectFingerprint,
     /// Server incarnations that ended under it, by numbers that are the same on all nodes.
+    #[n(1)]
     pub crashes: Vec<CrashEntry<u64>>,
 }
 
--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -34,14 +34,19 @@
 /// Load that a server reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct ServerLoad {
     /// Number of running requests.
+    #[n(0)]
     pub running: u32,
     /// Number of waiting requests.
+    #[n(1)]
     pub waiting: u32,
     /// Number of requests that can run at the same time.
+    #[n(2)]
     pub slots: u32,
     /// Current duration of work in percent of the usual one; 100 if the server does not report it.
+    #[n(3)]
     pub pace_percent: u32,
 }
 
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod latency;
 mod leaving_notices;
 mod long_prompt_pool;
+mod notice_relays;
 mod placement;
 mod placement_limits;
 mod placement_request;
@@ -51,6 +52,10 @@
     health::{ServerHealth, ServerLoad},
     leaving_notices::LeavingNotices,
     long_prompt_pool::{LONG_PROMPT_TOKENS, LongPromptPool},
+    notice_relays::{
+        DuplicateFilter, HEARTBEAT_INTERVAL, MIN_RELAYED_NODES, RelayPeer, RelayPlan, RelayTable,
+        RelayTarget,
+    },
     placement::{PlacementPlanner, cache_salt},
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     prefill_backlog::PrefillBacklog,
--- a/crates/core/src/traffic/prompt.rs
+++ b/crates/core/src/traffic/prompt.rs
@@ -6,10 +6,13 @@
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct PromptPart {
     /// Identity of the text. Equal parts of different prompts have the same id.
+    #[n(0)]
     pub id: u64,
     /// Length in tokens.
+    #[n(1)]
     pub tokens: u32,
 }
 
--- a/crates/core/src/traffic/server_limit.rs
+++ b/crates/core/src/traffic/server_limit.rs
@@ -30,10 +30,13 @@
 /// What a server says of its limit, as nodes tell each other.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct LimitStatement {
     /// Grows each time a node sees another limit in a response. The higher one holds.
+    #[n(0)]
     pub version: u64,
     /// Requests a second that the server takes; `None` if it takes any number.
+    #[n(1)]
     pub rate: Option<f64>,
 }
 
--- a/crates/core/src/traffic/stream_origins.rs
+++ b/crates/core/src/traffic/stream_origins.rs
@@ -26,7 +26,9 @@
 /// Identifies a stream on all nodes by the client's attempt that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
-pub struct StreamKey(u64);
+#[derive(minicbor::Encode, minicbor::Decode)]
+#[cbor(transparent)]
+pub struct StreamKey(#[n(0)] u64);
 
 impl StreamKey {
     /// Returns the key of the stream whose first event came with this attempt.
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
+use serde_with::{IfIsHumanReadable, Same, base64::Base64, serde_as};
 
 use super::OutboundRequest;
 
@@ -10,10 +11,13 @@
 /// and revisions are given out again, so a later era is newer whatever its revision.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct StoreRevision {
     /// Era of the store.
+    #[n(0)]
     pub era: u64,
     /// Revision within the era; 0 before the first read.
+    #[n(1)]
     pub number: u64,
 }
 
@@ -27,30 +31,42 @@
 }
 
 /// An item of the platform's store.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub struct StoreItem {
     /// Key of the item.
+    #[n(0)]
     pub key: String,
     /// Value, in the platform's encoding.
+    #[cbor(n(1), with = "minicbor::bytes")]
+    #[serde_as(as = "IfIsHumanReadable<Base64, Vec<Same>>")]
     pub value: Vec<u8>,
     /// Revision of the store at which the item was last written.
+    #[n(2)]
     pub revision: u64,
     /// Revision at which the key was created.
+    #[n(3)]
     pub created: u64,
 }
 
 /// A change in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
+#[derive(minicbor::Encode, minicbor::Decode)]
 pub enum StoreEvent {
     /// An item was written.
-    Put(StoreItem),
+    #[n(0)]
+    Put(#[n(0)] StoreItem),
     /// A key was removed, or its lease expired.
+    #[n(1)]
     Removed {
         /// The removed key.
+        #[n(0)]
         key: String,
         /// Revision of the removal.
+        #[n(1)]
         revision: u64,
     },
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -14,7 +14,7 @@
     clock, crashes,
     node::{Node, NodeState},
     node_notice::NodeNotice,
-    notices,
+    notice_transport::{self, NoticeSender},
     pool::CONNECT_TIMEOUT,
     server_outcomes, tcp,
 };
@@ -172,7 +172,7 @@
     };
     node.link_answers.borrow_mut().clear();
     for _ in 0..ASK_ROUNDS {
-        notices::send_to(node, asked.iter().copied(), &NodeNotice::LinksWanted);
+        notice_transport::send_to(node, asked.iter().copied(), &NodeNotice::LinksWanted);
         let next_round = Instant::now() + ASK_INTERVAL;
         loop {
             let answered = node.links_answered.notified();
@@ -194,10 +194,10 @@
 }
 
 /// Answers another node that wants to know whether this one reaches a server.
-pub async fn answer(node: Rc<Node>, from: SocketAddr) {
+pub async fn answer(node: Rc<Node>, from: NoticeSender) {
     let reaches =
         node.state.borrow().links.serves_others(clock::now()) || reaches_server(&node).await;
-    notices::send_to(&node, [from], &NodeNotice::Links { reaches });
+    notice_transport::reply(&node, from, &NodeNotice::Links { reaches });
 }
 
 /// Records whether another node reaches a server.
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -5,6 +5,8 @@
 use carobvane_core::{clock::ClockTime, traffic::EntryNode};
 use serde::{Deserialize, Serialize};
 
+use crate::wire::WireFormat;
+
 /// Prefix of all keys that the nodes write.
 pub const KEY_PREFIX: &str = "carobvane/";
 /// Prefix of the keys of node records.
@@ -49,6 +51,9 @@
     pub data_centre: String,
     /// Region of the VM.
     pub region: String,
+    /// Formats of notices that the node reads, by their numbers; empty in records of earlier builds.
+    #[serde(default)]
+    pub formats: Vec<u32>,
 }
 
 impl MemberRecord {
@@ -58,9 +63,24 @@
     }
 }
 
+/// A node as a receiver of notices.
+#[derive(Debug, Clone, Copy)]
+pub struct NoticeReceiver<'a> {
+    /// Record of the node.
+    pub record: &'a MemberRecord,
+    /// Format of notices to the node; `None` if its build is not known yet.
+    pub format: Option<WireFormat>,
+    /// When this incarnation became known.
+    pub known_since: ClockTime,
+}
+
 #[derive(Debug, Clone)]
 struct KnownMember {
     record: MemberRecord,
+    /// When the record of this incarnation became known.
+    known_since: ClockTime,
+    /// Format of notices to the node; `None` if its build is not known yet.
+    format: Option<WireFormat>,
     /// When the record vanished from the store; `None` while it is there.
     removed_at: Option<ClockTime>,
     /// Whether the node may be alive although its record vanished, since the store was down.
@@ -79,9 +99,39 @@
 
 impl MemberTable {
     /// Adds or replaces a node's record.
-    pub fn add(&mut self, record: MemberRecord) {
+    pub fn add(&mut self, now: ClockTime, record: MemberRecord) {
         let name = record.name.clone();
-        self.members.insert(name, KnownMember { record, removed_at: None, presumed_live: false });
+        let known = self.members.get(&name);
+        let known = known.filter(|known| known.record.incarnation == record.incarnation);
+        let format =
+            WireFormat::best_of(&record.formats).or_else(|| known.and_then(|known| known.format));
+        let known_since = known.map_or(now, |known| known.known_since);
+        let member =
+            KnownMember { record, known_since, format, removed_at: None, presumed_live: false };
+        self.members.insert(name, member);
+    }
+
+    /// Records in which format a node writes and reads, as its answer has shown.
+    pub fn on_format_shown(&mut self, name: &str, incarnation: u64, format: WireFormat) {
+        let member = self.members.get_mut(name);
+        if let Some(member) = member.filter(|member| member.record.incarnation == incarnation) {
+            member.format.get_or_insert(format);
+        }
+    }
+
+    /// Returns the live nodes with the format of notices to each, and since when it is known.
+    pub fn receivers(&self) -> impl Iterator<Item = NoticeReceiver<'_>> {
+        self.live_members().map(|member| NoticeReceiver {
+            record: &member.record,
+            format: member.format,
+            known_since: member.known_since,
+        })
+    }
+
+    /// Returns the format of the node that sends notices from an address; `None` if it is not known.
+    pub fn format_at(&self, address: SocketAddr) -> Option<WireFormat> {
+        let mut members = self.members.values();
+        members.find(|member| member.record.notice_address == address)?.format
     }
 
     /// Records that a node's record vanished. During an outage of the store, and shortly after it,
@@ -130,11 +180,11 @@
 
     /// Returns the nodes that are registered or presumed alive.
     pub fn live(&self) -> impl Iterator<Item = &MemberRecord> {
-        let live = self
-            .members
-            .values()
-            .filter(|member| member.removed_at.is_none() || member.presumed_live);
-        live.map(|member| &member.record)
+        self.live_members().map(|member| &member.record)
+    }
+
+    fn live_members(&self) -> impl Iterator<Item = &KnownMember> {
+        self.members.values().filter(|member| member.removed_at.is_none() || member.presumed_live)
     }
 
     /// Records that a node reaches no server, as it has told.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,6 +26,7 @@
     clock,
     members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
     node_notice::NodeNotice,
+    notice_transport::NoticeRelay,
     pool::ConnectionPool,
     response_memory::ResponseMemory,
     settings::{NodeBounds, NodeSettings},
@@ -133,6 +134,10 @@
     pub link_answers: RefCell<HashMap<SocketAddr, bool>>,
     /// Wakes the check when another node has answered.
     pub links_answered: Notify,
+    /// Notices that this node relays, and what that depends on.
+    pub relay: RefCell<NoticeRelay>,
+    /// Number of the next segment of notices.
+    segment_number: Cell<u64>,
     /// Notices for the other nodes, to be sent as one batch.
     pub outbox: RefCell<Vec<NodeNotice>>,
     /// Wakes the task that sends notices.
@@ -207,6 +212,8 @@
             links_wake: Notify::new(),
             link_answers: RefCell::default(),
             links_answered: Notify::new(),
+            relay: RefCell::default(),
+            segment_number: Cell::new(0),
             outbox: RefCell::default(),
             outbox_wake: Notify::new(),
             outbox_flush: Notify::new(),
@@ -249,16 +256,21 @@
         }
     }
 
-    /// Queues a notice for all other nodes.
+    /// Queues a notice for all other nodes. An urgent one is sent without waiting for others to join it.
     pub fn broadcast(&self, notice: NodeNotice) {
+        let is_urgent = notice.is_urgent();
         self.outbox.borrow_mut().push(notice);
         self.outbox_wake.notify_one();
+        if is_urgent {
+            self.outbox_flush.notify_one();
+        }
     }
 
-    /// Queues a notice for all other nodes and sends it without waiting for others to join it.
-    pub fn broadcast_at_once(&self, notice: NodeNotice) {
-        self.broadcast(notice);
-        self.outbox_flush.notify_one();
+    /// Returns the number of the next segment of notices.
+    pub fn next_segment_number(&self) -> u64 {
+        let number = self.segment_number.get();
+        self.segment_number.set(number + 1);
+        number
     }
 
     /// Returns the address of a server and the number of connections that this node may open to it.
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -1,30 +1,18 @@
-//! Notices that nodes send to each other about backend servers and store changes, as UDP datagrams.
-//!
-//! A lost notice costs a worse choice of a server, never a wrong response. That is why notices need
-//! neither connections nor acknowledgements. Crash records, which later notices repeat whole, are
-//! also kept in the platform's store.
+//! Applies the notices that nodes send to each other about backend servers and store changes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use carobvane_core::traffic::CacheConfidence;
-use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
     adapter::PlatformAdapter, cache_events, clock, crashes, links, node::Node,
-    node_notice::NodeNotice, server_limits, server_signals, store_sync, stream_origin,
+    node_notice::NodeNotice, notice_transport::NoticeSender, server_limits, server_signals,
+    store_sync, stream_origin,
 };
 
-/// Maximum size of a datagram, below the usual packet size.
-const MAX_DATAGRAM_BYTES: usize = 1_200;
-/// Notices that arise within this time are sent together.
-const BATCH_DELAY: Duration = Duration::from_millis(4);
-/// The same delay in a fleet of at least [`LARGE_FLEET_NODES`] nodes.
-const LARGE_FLEET_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// A server was alive this long before a notice that it responded, at the latest. Longer than any
 /// batch delay and the time on the way.
 const NOTICE_AGE: Duration = Duration::from_millis(250);
-/// Number of other nodes from which on the longer batch delay applies.
-const LARGE_FLEET_NODES: usize = 40;
 
 /// Applies a notice from another node or from this one.
 pub fn apply(node: &Rc<Node>, notice: NodeNotice) {
@@ -116,58 +104,16 @@
     }
 }
 
-/// Sends queued notices to the other nodes until the process ends.
-pub async fn send_batches(node: Rc<Node>) {
-    loop {
-        node.outbox_wake.notified().await;
-        let others = other_node_addresses(&node);
-        let large = others.len() >= LARGE_FLEET_NODES;
-        let delay = sleep(if large { LARGE_FLEET_BATCH_DELAY } else { BATCH_DELAY });
-        tokio::select! {
-            () = delay => {}
-            () = node.outbox_flush.notified() => {}
-        }
-        let notices = std::mem::take(&mut *node.outbox.borrow_mut());
-        for datagram in pack_datagrams(&notices) {
-            for address in &others {
-                send_datagram(&node.notice_socket, &datagram, *address);
-            }
-        }
-    }
-}
-
-/// Applies the notices of other nodes until the process ends.
-pub async fn receive_batches<A: PlatformAdapter>(node: Rc<Node>) {
-    let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
-    loop {
-        match node.notice_socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => {
-                match postcard::from_bytes::<Vec<NodeNotice>>(&buffer[..length]) {
-                    Ok(notices) => notices
-                        .into_iter()
-                        .for_each(|notice| receive_notice::<A>(&node, from, notice)),
-                    Err(cause) => {
-                        log::debug!(from:% = from, cause:% = cause; "failed to decode notices")
-                    }
-                }
-            }
-            Err(cause) => {
-                log::debug!(cause:% = cause; "failed to receive notices");
-                sleep(BATCH_DELAY).await;
-            }
-        }
-    }
-}
-
-fn receive_notice<A: PlatformAdapter>(node: &Rc<Node>, from: SocketAddr, notice: NodeNotice) {
+/// Applies a notice of another node, or answers it.
+pub fn receive_notice<A: PlatformAdapter>(node: &Rc<Node>, from: NoticeSender, notice: NodeNotice) {
     match notice {
         NodeNotice::StreamWanted { stream, service } => {
             stream_origin::answer(node, from, stream, &service);
         }
         NodeNotice::LinksWanted => drop(actix_rt::spawn(links::answer(node.clone(), from))),
-        NodeNotice::Links { reaches } => links::on_answer(node, from, reaches),
+        NodeNotice::Links { reaches } => links::on_answer(node, from.address, reaches),
         NodeNotice::StreamOrigin { stream, software } => {
-            stream_origin::on_answer(node, from, stream, software);
+            stream_origin::on_answer(node, from.address, stream, software);
         }
         NodeNotice::Changed { after, events } => {
             store_sync::apply_announced_change::<A>(node, after, events)
@@ -176,55 +122,3 @@
         notice => apply(node, notice),
     }
 }
-
-/// Sends a notice to some nodes at once.
-pub fn send_to(node: &Node, addresses: impl IntoIterator<Item = SocketAddr>, notice: &NodeNotice) {
-    let datagram = encode(std::slice::from_ref(notice));
-    for address in addresses {
-        send_datagram(&node.notice_socket, &datagram, address);
-    }
-}
-
-/// Sends a datagram. A full link drops datagrams as well; one that could not be sent is only counted.
-fn send_datagram(socket: &UdpSocket, datagram: &[u8], address: SocketAddr) {
-    if socket.try_send_to(datagram, address).is_err() {
-        metrics::counter!("carobvane_notices_unsent_total").increment(1);
-    }
-}
-
-/// Whether a notice fits into one datagram.
-pub fn fits_datagram(notice: &NodeNotice) -> bool {
-    encode(std::slice::from_ref(notice)).len() <= MAX_DATAGRAM_BYTES
-}
-
-/// Packs notices into datagrams. A notice that exceeds a datagram by itself is dropped.
-fn pack_datagrams(notices: &[NodeNotice]) -> Vec<Vec<u8>> {
-    let mut datagrams = Vec::new();
-    let mut from = 0;
-    while from < notices.len() {
-        let mut count = (notices.len() - from).min(16);
-        let mut bytes = encode(&notices[from..from + count]);
-        while bytes.len() > MAX_DATAGRAM_BYTES && count > 1 {
-            count /= 2;
-            bytes = encode(&notices[from..from + count]);
-        }
-        if bytes.len() <= MAX_DATAGRAM_BYTES {
-            datagrams.push(bytes);
-        }
-        from += count;
-    }
-    datagrams
-}
-
-fn encode(notices: &[NodeNotice]) -> Vec<u8> {
-    postcard::to_stdvec(notices).unwrap_or_else(|cause| {
-        log::error!(cause:% = cause; "failed to encode notices");
-        Vec::new()
-    })
-}
-
-fn other_node_addresses(node: &Rc<Node>) -> Vec<SocketAddr> {
-    let state = node.state.borrow();
-    let others = state.members.live().filter(|record| record.name != node.settings.name);
-    others.map(|record| record.notice_address).collect()
-}
--- a/crates/node/src/peer_knowledge.rs
+++ b/crates/node/src/peer_knowledge.rs
@@ -26,10 +26,13 @@
 #[derive(Serialize, Deserialize)]
 pub struct PeerKnowledge {
     /// Crashes of requests and prompt parts.
+    #[serde(default)]
     pub crashes: Vec<CrashReport>,
     /// Entries of the operator that were in force when the store was restored without them.
+    #[serde(default)]
     pub lost_entries: Vec<StoreItem>,
     /// Software versions of the servers of all services.
+    #[serde(default)]
     pub software: SoftwareReport,
     /// Servers that have said that they leave: the instance name, and the start of the incarnation in Unix
     /// milliseconds.
@@ -62,7 +65,7 @@
         if reads_left == 0 {
             continue;
         }
-        match peers::read_knowledge::<PeerKnowledge>(&node).await {
+        match peers::read_knowledge(&node).await {
             Ok(Some(knowledge)) => {
                 crashes::apply_copy(&node, &knowledge.crashes);
                 store_changes::apply_lost_entries::<A>(&node, knowledge.lost_entries);
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -3,7 +3,7 @@
 
 use std::{marker::PhantomData, rc::Rc};
 
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
 
@@ -14,8 +14,9 @@
     ingress::RequestHandler,
     node::Node,
     peer_knowledge::PeerKnowledge,
-    peers::{KNOWLEDGE_PATH, MIRROR_PATH},
+    peers::{JSON, KNOWLEDGE_PATH, MIRROR_PATH},
     request, responses,
+    wire::legacy,
 };
 
 /// Handles requests from other nodes.
@@ -31,7 +32,7 @@
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, MIRROR_PATH) => self.send_mirror(&request),
-            (&Method::GET, KNOWLEDGE_PATH) => self.send_knowledge(),
+            (&Method::GET, KNOWLEDGE_PATH) => self.send_knowledge(&request),
             _ => responses::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -44,26 +45,51 @@
         if state.mirror.revision <= known {
             return responses::empty(StatusCode::NO_CONTENT);
         }
-        encoded_response(&state.mirror)
+        if wants_json(request) {
+            return json_response(&state.mirror);
+        }
+        postcard_response(postcard::to_stdvec(&state.mirror))
     }
 
-    fn send_knowledge(&self) -> Response<ResponseBody> {
-        encoded_response(&PeerKnowledge::of_node(&self.node.state.borrow()))
+    fn send_knowledge(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let knowledge = PeerKnowledge::of_node(&self.node.state.borrow());
+        if wants_json(request) {
+            return json_response(&knowledge);
+        }
+        postcard_response(legacy::encode_knowledge(knowledge))
     }
 }
 
+/// Whether the reader is of a build that reads JSON.
+fn wants_json(request: &Request<Incoming>) -> bool {
+    request.headers().get(header::ACCEPT).is_some_and(|wanted| wanted == JSON)
+}
+
 /// Parses the revision that the reader of a copy already has: its era and number, joined by a dash.
 fn parse_revision(query: &str) -> Option<StoreRevision> {
     let (era, number) = query.split_once('-')?;
     Some(StoreRevision { era: era.parse().ok()?, number: number.parse().ok()? })
 }
 
-fn encoded_response<T: Serialize>(value: &T) -> Response<ResponseBody> {
-    match postcard::to_stdvec(value) {
-        Ok(bytes) => Response::new(ResponseBody::whole(bytes)),
-        Err(cause) => {
-            log::error!(cause:% = cause; "failed to encode what another node asks for");
-            responses::empty(StatusCode::INTERNAL_SERVER_ERROR)
+fn json_response<T: Serialize>(value: &T) -> Response<ResponseBody> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut response = Response::new(ResponseBody::whole(bytes));
+            response.headers_mut().insert(header::CONTENT_TYPE, JSON);
+            response
         }
+        Err(cause) => encoding_failed(&cause),
     }
 }
+
+fn postcard_response(encoded: Result<Vec<u8>, postcard::Error>) -> Response<ResponseBody> {
+    match encoded {
+        Ok(bytes) => Response::new(ResponseBody::whole(bytes)),
+        Err(cause) => encoding_failed(&cause),
+    }
+}
+
+fn encoding_failed(cause: &impl std::fmt::Display) -> Response<ResponseBody> {
+    log::error!(cause:% = cause; "failed to encode what another node asks for");
+    responses::empty(StatusCode::INTERNAL_SERVER_ERROR)
+}
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -13,9 +13,9 @@
     adapter::{PlatformAdapter, SettingsAdapter},
     cache_events, cache_store, clock, crash_store, crashes,
     flags::CarobvaneNode,
-    links, logging,
+    legacy_nodes, links, logging,
     node::Node,
-    notices, peer_knowledge,
+    notice_transport, peer_knowledge,
     registration::{self, RegistrationLease},
     rollout,
     rollout_lease::{self, RolloutLease},
@@ -26,7 +26,10 @@
     store_changes::drop_server_state,
     store_sync, stream_origin,
 };
-use carobvane_core::traffic::{BackendServer, ServerAvailability};
+use carobvane_core::{
+    rendezvous::rendezvous_score,
+    traffic::{BackendServer, ServerAvailability},
+};
 
 /// Exit code for invalid settings.
 const SETTINGS_EXIT_CODE: u8 = 2;
@@ -107,7 +110,9 @@
     ///
     /// Fails if one of its addresses cannot be used.
     pub async fn start(mut settings: NodeSettings, metrics: PrometheusHandle) -> Result<Self> {
-        let seed = clock::now().as_micros() ^ (u64::from(std::process::id()) << 40);
+        // Nodes that start at the same time may have the same process id.
+        let started = clock::now().as_micros() ^ (u64::from(std::process::id()) << 40);
+        let seed = rendezvous_score(settings.name.as_bytes(), started);
         let sockets = NodeSockets::open(&mut settings).await?;
         let node = Rc::new(Node::new(settings, sockets.notices.clone(), seed));
         let store = Rc::new(StoreClient::<A>::new(node.settings.store_address));
@@ -127,13 +132,15 @@
             rollout_lease.clone(),
         ));
         actix_rt::spawn(rollout::run_rollout(node.clone(), store.clone()));
-        actix_rt::spawn(notices::send_batches(node.clone()));
+        actix_rt::spawn(notice_transport::send_batches(node.clone()));
+        actix_rt::spawn(notice_transport::send_heartbeats(node.clone()));
         actix_rt::spawn(links::watch(node.clone()));
-        actix_rt::spawn(notices::receive_batches::<A>(node.clone()));
+        actix_rt::spawn(notice_transport::receive_batches::<A>(node.clone()));
         actix_rt::spawn(cache_store::monitor::<A>(node.clone()));
         actix_rt::spawn(cache_events::follow_engines::<A>(node.clone()));
         actix_rt::spawn(crash_store::write_records(node.clone(), store.clone()));
         actix_rt::spawn(peer_knowledge::read_peers::<A>(node.clone()));
+        actix_rt::spawn(legacy_nodes::find_formats(node.clone()));
         actix_rt::spawn(run_housekeeping(node.clone()));
         log::info!(
             name = node.settings.name, data_centre = node.settings.data_centre,
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -10,6 +10,7 @@
     members::{LEASE_LIFETIME, MemberRecord},
     node::Node,
     store::{CALL_TIMEOUT, StoreCallError, StoreClient},
+    wire::READABLE_FORMATS,
 };
 
 /// Time between two renewals. One may fail before the lease expires.
@@ -120,6 +121,7 @@
         link_mbps: settings.link_mbps,
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
+        formats: READABLE_FORMATS.to_vec(),
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let write = StoreWrite { key: MemberRecord::key(&record.name), value, lease: Some(id) };
--- a/crates/node/src/server_limits.rs
+++ b/crates/node/src/server_limits.rs
@@ -111,7 +111,7 @@
     let told_at = state.brittle_told_at.entry(service.clone()).or_default();
     if now.since(*told_at) >= BRITTLE_NOTICE_INTERVAL {
         *told_at = now;
-        node.broadcast_at_once(NodeNotice::Brittle { service, limit });
+        node.broadcast(NodeNotice::Brittle { service, limit });
     }
 }
 
@@ -144,7 +144,7 @@
     if known.brittle.is_brittle(now) {
         metrics::counter!("carobvane_brittle_rejections_total").increment(1);
         let instance = known.listing.instance.clone();
-        node.broadcast_at_once(NodeNotice::Rejected { instance, waiting });
+        node.broadcast(NodeNotice::Rejected { instance, waiting });
     }
 }
 
@@ -198,7 +198,7 @@
 
 fn broadcast_limit(node: &Node, state: &NodeState, server: ServerKey) {
     let Some(known) = state.registry.get(server) else { return };
-    node.broadcast_at_once(NodeNotice::Limited {
+    node.broadcast(NodeNotice::Limited {
         instance: known.listing.instance.clone(),
         sender: node.incarnation,
         statement: known.limit.statement(),
--- a/crates/node/src/server_signals.rs
+++ b/crates/node/src/server_signals.rs
@@ -51,7 +51,7 @@
     let started_at_ms = known.listing.started_at_ms;
     if state.registry.on_said_leaving(clock::now(), &instance, started_at_ms, true) {
         log::info!(request = request, server = instance, standing:? = standing; "server says that it leaves");
-        node.broadcast_at_once(NodeNotice::Leaving { instance, started_at_ms });
+        node.broadcast(NodeNotice::Leaving { instance, started_at_ms });
     }
 }
 
--- a/crates/node/src/store_changes.rs
+++ b/crates/node/src/store_changes.rs
@@ -178,7 +178,7 @@
     match serde_json::from_slice::<MemberRecord>(&item.value) {
         Ok(record) => {
             log::info!(name = record.name, address:% = record.client_address; "node registered");
-            state.members.add(record);
+            state.members.add(clock::now(), record);
         }
         Err(cause) => log::warn!(key = item.key, cause:% = cause; "failed to read a node's record"),
     }
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -17,7 +17,7 @@
     members::MemberRecord,
     node::Node,
     node_notice::NodeNotice,
-    notices, peers,
+    notice_transport, peers,
     store::{CALL_TIMEOUT, StoreCallError, StoreClient},
     store_changes::{apply_event, apply_snapshot},
     store_mirror::StoreMirror,
@@ -140,7 +140,7 @@
         let Some(number) = group.first().map(StoreEvent::revision) else { continue };
         let revision = StoreRevision { number, ..after };
         let notice = NodeNotice::Changed { after, events: group.to_vec() };
-        if notices::fits_datagram(&notice) {
+        if notice_transport::fits_datagram(&notice) {
             node.broadcast(notice);
         } else {
             node.broadcast(NodeNotice::Behind { revision });
--- a/crates/node/src/stream_origin.rs
+++ b/crates/node/src/stream_origin.rs
@@ -16,6 +16,7 @@
     clock,
     node::{Node, NodeState},
     node_notice::NodeNotice,
+    notice_transport::{self, NoticeSender},
     notices,
     request_context::RequestContext,
 };
@@ -70,19 +71,20 @@
     let SoftwareRule::Only(software) = &context.software else { return };
     let first_attempt = context.info.first_attempt.as_ref();
     let stream = StreamKey::of_attempt(first_attempt.unwrap_or(&context.info.request_id));
-    let state = &mut *node.state.borrow_mut();
-    state.streams.record(clock::now(), stream, software);
+    let now = clock::now();
+    node.state.borrow_mut().streams.record(now, stream, software);
     // Every node knows the version of a service that never had but one.
-    if state.streams.only_version(clock::now(), &context.service).is_none() {
+    if node.state.borrow().streams.only_version(now, &context.service).is_none() {
         let notice = NodeNotice::StreamOrigin { stream, software: Some(software.clone()) };
-        notices::send_to(node, replicas(node, state, stream), &notice);
+        let holders = replicas(node, &node.state.borrow(), stream);
+        notice_transport::send_to(node, holders, &notice);
     }
 }
 
 /// Answers another node that wants to know the version of a stream.
-pub fn answer(node: &Node, from: SocketAddr, stream: StreamKey, service: &str) {
+pub fn answer(node: &Node, from: NoticeSender, stream: StreamKey, service: &str) {
     let software = known_version(&node.state.borrow(), Some(stream), service);
-    notices::send_to(node, [from], &NodeNotice::StreamOrigin { stream, software });
+    notice_transport::reply(node, from, &NodeNotice::StreamOrigin { stream, software });
 }
 
 /// Applies what another node knows of a stream.
@@ -116,7 +118,7 @@
     for _ in 0..QUERY_ROUNDS {
         let service = context.service.clone();
         let query = NodeNotice::StreamWanted { stream, service };
-        notices::send_to(node, asked.iter().copied(), &query);
+        notice_transport::send_to(node, asked.iter().copied(), &query);
         let next_round = Instant::now() + QUERY_INTERVAL;
         loop {
             let answered = node.stream_wake.notified();
