Ask other nodes at which version a stream began

Cause: a node that knew of one software version took it for that of every stream of the service.

Change: a stream that is not recorded here continues only at the version that another node tells, also if its client does not name the first attempt; a node alone uses what it knows.

--- a/crates/node/src/stream_origin.rs
+++ b/crates/node/src/stream_origin.rs
@@ -36,12 +36,13 @@
     if !context.is_stream() || !continues {
         return SoftwareRule::Any;
     }
-    let stream = info.first_attempt.as_deref().map(StreamKey::of_attempt);
-    let known = known_version(&node.state.borrow(), stream, &context.service);
-    let software = match (known, stream) {
-        (Some(software), _) => Some(software),
-        (None, Some(stream)) => ask_nodes(node, context, stream).await,
-        (None, None) => None,
+    // Of a stream whose first attempt is not named, other nodes can only tell the service's version.
+    let first_attempt = info.first_attempt.as_ref().unwrap_or(&info.request_id);
+    let stream = StreamKey::of_attempt(first_attempt);
+    let recorded = node.state.borrow().streams.origin(stream).map(str::to_string);
+    let software = match recorded {
+        Some(software) => Some(software),
+        None => ask_nodes(node, context, stream).await,
     };
     log::info!(
         request = info.request_id, first_attempt:? = info.first_attempt, software:? = software,
@@ -53,9 +54,10 @@
     software.map_or(SoftwareRule::Unknown, SoftwareRule::Only)
 }
 
-fn known_version(state: &NodeState, stream: Option<StreamKey>, service: &str) -> Option<String> {
+/// Returns the version of a stream as far as this node knows it, for another node or without one.
+fn known_version(state: &NodeState, stream: StreamKey, service: &str) -> Option<String> {
     let now = clock::now();
-    let recorded = stream.and_then(|stream| state.streams.origin(stream));
+    let recorded = state.streams.origin(stream);
     let is_current = now.since(state.mirror_checked_at) < MIRROR_LIFETIME;
     let only = state.streams.only_version(now, service).filter(|_| is_current);
     recorded.or(only).map(str::to_string)
@@ -83,7 +85,7 @@
 
 /// Answers another node that wants to know the version of a stream.
 pub fn answer(node: &Node, from: NoticeSender, stream: StreamKey, service: &str) {
-    let software = known_version(&node.state.borrow(), Some(stream), service);
+    let software = known_version(&node.state.borrow(), stream, service);
     notice_transport::reply(node, from, &NodeNotice::StreamOrigin { stream, software });
 }
 
@@ -108,11 +110,12 @@
 }
 
 /// Asks the nodes that hold the record of a stream until one knows it, none does, or the time for it
-/// ends.
+/// ends. This node may know of one version only because it is out of step, and servers of another one
+/// began the stream, so its own knowledge counts only if it is the only node.
 async fn ask_nodes(node: &Rc<Node>, context: &RequestContext, stream: StreamKey) -> Option<String> {
     let asked = replicas(node, &node.state.borrow(), stream);
     if asked.is_empty() {
-        return None;
+        return known_version(&node.state.borrow(), stream, &context.service);
     }
     let _waiting = QueryGuard::start(node, stream);
     for _ in 0..QUERY_ROUNDS {
@@ -122,9 +125,8 @@
         let next_round = Instant::now() + QUERY_INTERVAL;
         loop {
             let answered = node.stream_wake.notified();
-            if let Some(known) = known_version(&node.state.borrow(), Some(stream), &context.service)
-            {
-                return Some(known);
+            if let Some(known) = node.state.borrow().streams.origin(stream) {
+                return Some(known.to_string());
             }
             let unknown_at =
                 node.stream_queries.borrow().get(&stream).map_or(0, |query| query.unknown_at.len());
