Let only whole events keep a stream from going on elsewhere

Cause: each byte put off the time at which a stream counts as stalled, so one whose server sent part of an event or comments now and then was kept until the request's deadline.

Change: that time counts from the last whole event that was forwarded.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -186,9 +186,11 @@
         let connection = &attempt.connection.connection;
         let mut memory = self.node.response_memory.share();
         let deadline = Instant::now() + self.context.time_left(clock::now());
+        // Bytes that complete no event are no progress.
+        let mut progressed_at = Instant::now();
         loop {
             let stalls_at =
-                self.stall_timeout().map_or(deadline, |time| (Instant::now() + time).min(deadline));
+                self.stall_timeout().map_or(deadline, |time| (progressed_at + time).min(deadline));
             let part = tokio::select! {
                 biased;
                 () = self.chunk_sender.closed() => return SegmentEnd::ClientLeft,
@@ -236,6 +238,8 @@
                 }
                 () = sleep_until(deadline) => return SegmentEnd::TimedOut,
             }
+            // The time that a slow client takes is not the server's.
+            progressed_at = Instant::now();
         }
     }
 
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -9,7 +9,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use socket2::SockRef;
@@ -48,6 +48,18 @@
         /// Sent repeatedly.
         piece: String,
     },
+    /// Sends `head`, then `pieces` one after another with pauses before them. The last one is repeated
+    /// until the client closes the connection, unless `ends` is set.
+    Paced {
+        /// Sent first.
+        head: String,
+        /// Sent one after another.
+        pieces: Vec<String>,
+        /// Pause before each piece.
+        pause: Duration,
+        /// Whether the response ends with the last piece.
+        ends: bool,
+    },
 }
 
 /// A request that a backend server received.
@@ -261,6 +273,13 @@
                 send_endless(&shared, &mut stream, &head, &piece).await;
                 break;
             }
+            BackendResponse::Paced { head, pieces, pause, ends } => {
+                let head = head.replace(ID_PLACEHOLDER, &id);
+                if !send_paced(&mut stream, &head, &pieces, pause, ends).await {
+                    break;
+                }
+                continue;
+            }
         };
         let text = with_extra_headers(&shared, &text.replace(ID_PLACEHOLDER, &id));
         if stream.write_all(text.as_bytes()).await.is_err() {
@@ -302,6 +321,26 @@
 }
 
 /// Sends bytes until the client closes the connection.
+/// Sends pieces with pauses. Returns whether the response has ended and the connection is open.
+async fn send_paced(
+    stream: &mut TcpStream,
+    head: &str,
+    pieces: &[String],
+    pause: Duration,
+    ends: bool,
+) -> bool {
+    let repeats = if ends { 0 } else { usize::MAX };
+    let repeated = pieces.last().into_iter().cycle().take(repeats);
+    let sent = std::iter::once(head).chain(pieces.iter().chain(repeated).map(String::as_str));
+    for piece in sent {
+        if stream.write_all(piece.as_bytes()).await.is_err() {
+            return false;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    true
+}
+
 async fn send_endless(shared: &BackendShared, stream: &mut TcpStream, head: &str, piece: &str) {
     // Bytes that wait in a send buffer have not been taken by the client.
     if SockRef::from(&*stream).set_send_buffer_size(SEND_BUFFER_BYTES).is_err() {
