--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -1,6 +1,8 @@
 //! A simulated backend server that sends scripted responses byte for byte, so that tests can send
 //! malformed and truncated HTTP.
 
+mod paced;
+
 use std::{
     collections::VecDeque,
     io,
@@ -20,6 +22,7 @@
 };
 
 use crate::util::{self, lock};
+use paced::send_paced;
 
 /// Placeholder in a response that is replaced by the request's `request-id` header.
 const ID_PLACEHOLDER: &str = "{id}";
@@ -321,26 +324,6 @@
 }
 
 /// Sends bytes until the client closes the connection.
-/// Sends pieces with pauses. Returns whether the response has ended and the connection is open.
-async fn send_paced(
-    stream: &mut TcpStream,
-    head: &str,
-    pieces: &[String],
-    pause: Duration,
-    ends: bool,
-) -> bool {
-    let repeats = if ends { 0 } else { usize::MAX };
-    let repeated = pieces.last().into_iter().cycle().take(repeats);
-    let sent = std::iter::once(head).chain(pieces.iter().chain(repeated).map(String::as_str));
-    for piece in sent {
-        if stream.write_all(piece.as_bytes()).await.is_err() {
-            return false;
-        }
-        tokio::time::sleep(pause).await;
-    }
-    true
-}
-
 async fn send_endless(shared: &BackendShared, stream: &mut TcpStream, head: &str, piece: &str) {
     // Bytes that wait in a send buffer have not been taken by the client.
     if SockRef::from(&*stream).set_send_buffer_size(SEND_BUFFER_BYTES).is_err() {
