--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -2,8 +2,9 @@
 //!
 //! A few nodes, the watchers, watch all keys and broadcast each change, since every open watch
 //! costs the store one call per change. The first of them also broadcasts at short intervals up to
-//! which revision nothing is missing. A node that does not hear that checks the store itself. While the store does not respond, a node asks other nodes for their copies, since the
-//! store may turn away one node and serve the rest.
+//! which revision nothing is missing. A node that does not hear that checks the store itself. While
+//! the store does not respond, a node asks other nodes for their copies, since the store may turn
+//! away one node and serve the rest.
 
 use std::{rc::Rc, time::Duration};
 
@@ -28,8 +29,8 @@
 
 /// Longest wait of a watch. A connection that has gone silent is noticed after this time.
 const WATCH_WAIT: Duration = Duration::from_millis(2_400);
-/// Longest wait of the first watcher's watches, as a fraction of `config_apply_time`. The others rely on
-/// a watch for one more such wait, and on its notice for the time that it may take.
+/// Longest wait of the first watcher's watches, as a fraction of `config_apply_time`. What a watch shows
+/// may be as old as its call, so the next one has to end well before the other nodes check.
 const FIRST_WATCH_FRACTION: f64 = 0.2;
 /// A watch has failed if it takes this much longer than its wait.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -83,8 +84,8 @@
     }
 }
 
-/// Waits until this node, which is no watcher, has to check for missed changes. Returns whether that
-/// is so, or whether there may be reason to wait again.
+/// Waits until this node, which is no watcher, has to check for missed changes. Returns `false` if what
+/// it was told meanwhile makes the check needless.
 async fn wait_until_check_is_due(node: &Rc<Node>) -> bool {
     let lifetime = node.settings.bounds.config_apply_time.mul_f64(CATCH_UP_FRACTION);
     let due = node.state.borrow().store_checked_at + lifetime;
