--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out. Build first: cargo build --release --package carobvane --bin carobvane-node, and
+# review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/lab ] && [ -x target/release/carobvane-node ] || exit 2
+exec target/review/lab stale-entry review/5
--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -458,6 +458,15 @@
     }
 }
 
+impl Node {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let Some(child) = &self.child else { return };
+        let command = format!("kill -{signal} {}", child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -23,7 +23,8 @@
 const HOST: &str = "host.example";
 const MODEL: &str = "m0";
 const START_LIMIT: Duration = Duration::from_secs(15);
-const QUICK: Behaviour = Behaviour { events: 4, gap: Duration::from_millis(5), spoil_every: 0 };
+const QUICK: Behaviour =
+    Behaviour { events: 4, gap: Duration::from_millis(5), cold_ms: 0, spoil_every: 0 };
 
 /// Config with one streaming route to one service of engines, or of servers without a model.
 fn config(version: u64, service: &str, is_engine: bool, tenants: &str) -> String {
@@ -275,7 +276,8 @@
     let record = &setting.record;
     let store = Store::start(record);
     let caches = Caches::default();
-    let behaviour = Behaviour { events: 40, gap: Duration::from_millis(50), spoil_every: 0 };
+    let behaviour =
+        Behaviour { events: 40, gap: Duration::from_millis(50), cold_ms: 0, spoil_every: 0 };
     let spec =
         |id, software| ServerSpec { id, service: "drafting", software, model: None, behaviour };
     let servers = ["i-1", "i-2", "i-3"].map(|id| {
@@ -342,3 +344,80 @@
     }
     vec![format!("{} streams hold events of v1 and v2: {}", mixed.len(), mixed.join(" "))]
 }
+
+/// Rule DRAIN: a node is frozen while the entry of a server changes and is then removed.
+pub fn stale_entry(setting: &Setting) -> Vec<String> {
+    let record = &setting.record;
+    let store = Store::start(record);
+    let caches = Caches::default();
+    let behaviour =
+        |cold_ms| Behaviour { events: 40, gap: Duration::from_millis(50), cold_ms, spoil_every: 0 };
+    let start_server = |id, cold_ms| {
+        let behaviour = behaviour(cold_ms);
+        let spec = ServerSpec { id, service: "drafting", software: "v1", model: None, behaviour };
+        let server = Server::start(&store, record, &spec, &caches);
+        server.register();
+        server
+    };
+    let _servers = ["i-1", "i-2", "i-3"].map(|id| start_server(id, 0));
+    let config = config(1, "drafting", false, "");
+    let config = config.replace(r#""maxAttempts":2"#, r#""maxAttempts":1"#);
+    store.put("op/config", &config.replace(r#""resumable":true"#, r#""resumable":false"#));
+    let nodes = start_nodes(setting, &store, 3);
+    // Not the node that watches the store first, by the order of the names.
+    let node = &nodes[1];
+    sleep_ms(4_000);
+    let fresh = start_server("i-4", 6_000);
+    sleep_ms(1_200);
+    // The entry tells how much longer the server is slow, and changes with each ping.
+    fresh.register();
+    sleep_ms(800);
+    if setting.trouble {
+        record.add("front-z1-2 is frozen");
+        node.signal("STOP");
+    }
+    sleep_ms(400);
+    fresh.register();
+    sleep_ms(300);
+    record.add("i-4 leaves without a report of draining; it goes on serving for 8 s");
+    store.remove("servers/i-4");
+    let removed_at = Instant::now();
+    sleep_ms(600);
+    if setting.trouble {
+        node.signal("CONT");
+        record.add("front-z1-2 is woken");
+    }
+    // Longer than stableMs after the node woke, and than drainMs after the removal.
+    sleep_ms(4_000);
+    let front = node.front;
+    let send = |name: &str, count: usize| {
+        let clients = (0..count).map(|number| {
+            let (record, id) = (record.clone(), format!("{name}-{number}"));
+            thread::spawn(move || {
+                sleep_ms(50 * number as u64);
+                (id.clone(), ask(&record, front, &id, ""))
+            })
+        });
+        clients.collect::<Vec<_>>()
+    };
+    let mut clients = send("late", 20);
+    sleep_ms(2_200);
+    clients.extend(send("last", 20));
+    thread::sleep(Duration::from_millis(8_000).saturating_sub(removed_at.elapsed()));
+    record.add("i-4 exits");
+    fresh.stop();
+    let answers = clients.into_iter().map(|client| client.join().expect("a client"));
+    let broken: Vec<String> =
+        answers.filter(|(_, answer)| answer.is_none()).map(|(id, _)| id).collect();
+    let runs = fresh.runs.lock().expect("no panic").clone();
+    if runs.is_empty() {
+        return Vec::new();
+    }
+    vec![format!(
+        "{} requests, sent 4.6 s and more after i-4 had gone from the store, reached it: {}; {} of the streams were cut off when it exited: {}",
+        runs.len(),
+        runs.join(" "),
+        broken.len(),
+        broken.join(" ")
+    )]
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -28,6 +28,7 @@
         "late-record" => cases::late_record(&setting),
         "unsigned-stream" => cases::unsigned_stream(&setting),
         "isolation" => cases::isolation(&setting),
+        "stale-entry" => cases::stale_entry(&setting),
         "upgrade" => cases::upgrade(&setting),
         _ => panic!("could not run: unknown case"),
     });
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -59,6 +59,8 @@
     /// Events of a stream, and the time between two.
     pub events: u64,
     pub gap: Duration,
+    /// How long a server is slow after its start, as its entry tells.
+    pub cold_ms: u64,
     /// Every so many answers have wrong bytes; 0 for none.
     pub spoil_every: u64,
 }
@@ -87,6 +89,8 @@
     pub orders: Arc<Mutex<Vec<Order>>>,
     pub shared: Arc<Mutex<Vec<Shared>>>,
     pub spoilt: Arc<AtomicU64>,
+    /// Ids of the requests that have begun here.
+    pub runs: Arc<Mutex<Vec<String>>>,
     answers: Arc<AtomicU64>,
     /// Requests that run now.
     running: Arc<AtomicU64>,
@@ -137,6 +141,7 @@
             orders: Arc::default(),
             shared: Arc::default(),
             spoilt: Arc::default(),
+            runs: Arc::default(),
             answers: Arc::default(),
             running: Arc::default(),
             is_down: Arc::default(),
@@ -156,9 +161,11 @@
             format!(r#"{{"name":"{model}","version":{},"adapters":[]}}"#, inner.version)
         });
         let (service, software, seq) = (&inner.service, &inner.software, inner.seq);
+        let age_ms = unix_ms().saturating_sub(inner.born);
+        let cold_ms = self.behaviour.cold_ms.saturating_sub(age_ms);
         let (address, born, id) = (self.address, inner.born, &inner.id);
         let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"z1","version":"{software}","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"stage":"unified","models":[{models}],"seq":{seq},"born":{born}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"z1","version":"{software}","slots":{SLOTS},"state":"ready","coldRemainingMs":{cold_ms},"stage":"unified","models":[{models}],"seq":{seq},"born":{born}}}"#
         );
         self.store.put(&format!("servers/{id}"), &entry);
     }
@@ -268,6 +275,7 @@
             self.id,
             request.header("cache-salt")
         ));
+        self.runs.lock().expect("no panic").push(id.clone());
         self.use_cache(request, &id, &tenant, version);
         let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         let is_due = |every: u64| every > 0 && number % every == 0;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -175,6 +175,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes a key as a server that leaves does.
+    pub fn remove(&self, key: &str) {
+        let state = &mut *self.shared.0.lock().expect("no panic");
+        state.revision += 1;
+        state.remove(key);
+        self.record.add(&format!("store: {key} removed, revision {}", state.revision));
+        self.shared.1.notify_all();
+    }
+
     /// Value of a key, as text.
     pub fn get(&self, key: &str) -> Option<String> {
         let state = self.shared.0.lock().expect("no panic");
