--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,11 @@
 # review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/lab ] && [ -x target/release/carobvane-node ] || exit 2
-exec target/review/lab unsigned-stream review/1
+# The nodes are in the process group of the stand-ins, which ends with the script.
+set -m
+target/review/lab unsigned-stream review/1 &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' HUP INT TERM
+wait "$group"
+exit $?
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -280,7 +280,7 @@
         Behaviour { events: 40, gap: Duration::from_millis(50), cold_ms: 0, spoil_every: 0 };
     let spec =
         |id, software| ServerSpec { id, service: "drafting", software, model: None, behaviour };
-    let servers = ["i-1", "i-2", "i-3"].map(|id| {
+    let servers = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"].map(|id| {
         let server = Server::start(&store, record, &spec(id, "v1"), &caches);
         server.register();
         server
@@ -300,7 +300,7 @@
         });
         clients.collect::<Vec<_>>()
     };
-    for client in send("before", 9, 50) {
+    for client in send("before", 42, 15) {
         client.join().expect("a client");
     }
     sleep_ms(500);
@@ -318,7 +318,7 @@
         upgraded.register();
     }
     sleep_ms(300);
-    let clients = send("after", 30, 30);
+    let clients = send("after", 60, 15);
     sleep_ms(1_400);
     record.add("i-1 crashes");
     upgraded.stop();
@@ -363,9 +363,9 @@
     let config = config(1, "drafting", false, "");
     let config = config.replace(r#""maxAttempts":2"#, r#""maxAttempts":1"#);
     store.put("op/config", &config.replace(r#""resumable":true"#, r#""resumable":false"#));
-    let nodes = start_nodes(setting, &store, 3);
-    // Not the node that watches the store first, by the order of the names.
-    let node = &nodes[1];
+    let nodes = start_nodes(setting, &store, 9);
+    // One of the three nodes that watch the store, by the order of the names, and not the first of them.
+    let node = &nodes[6];
     sleep_ms(4_000);
     let fresh = start_server("i-4", 6_000);
     sleep_ms(1_200);
@@ -373,7 +373,7 @@
     fresh.register();
     sleep_ms(800);
     if setting.trouble {
-        record.add("front-z1-2 is frozen");
+        record.add("front-z1-7 is frozen");
         node.signal("STOP");
     }
     sleep_ms(400);
@@ -385,7 +385,7 @@
     sleep_ms(600);
     if setting.trouble {
         node.signal("CONT");
-        record.add("front-z1-2 is woken");
+        record.add("front-z1-7 is woken");
     }
     // Longer than stableMs after the node woke, and than drainMs after the removal.
     sleep_ms(4_000);
@@ -394,15 +394,15 @@
         let clients = (0..count).map(|number| {
             let (record, id) = (record.clone(), format!("{name}-{number}"));
             thread::spawn(move || {
-                sleep_ms(50 * number as u64);
+                sleep_ms(25 * number as u64);
                 (id.clone(), ask(&record, front, &id, ""))
             })
         });
         clients.collect::<Vec<_>>()
     };
-    let mut clients = send("late", 20);
+    let mut clients = send("late", 60);
     sleep_ms(2_200);
-    clients.extend(send("last", 20));
+    clients.extend(send("last", 30));
     thread::sleep(Duration::from_millis(8_000).saturating_sub(removed_at.elapsed()));
     record.add("i-4 exits");
     fresh.stop();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -22,6 +22,12 @@
     record.add(&format!("case {case}, with the disruption: {trouble}"));
     let setting =
         cases::Setting { record: record.clone(), folder: temporary.display().to_string(), trouble };
+    // A case that takes too long could not run; the script ends what it has started.
+    std::thread::spawn(|| {
+        std::thread::sleep(std::time::Duration::from_secs(100));
+        println!("the case could not run: it took too long");
+        exit(2);
+    });
     let case = case.clone();
     // A case that could not run panics; the nodes that it started end with it.
     let result = std::panic::catch_unwind(move || match case.as_str() {
