Check the head of each response before anything is done with it

Cause: Attempt::send made a stream of any 2xx whose request id matched; only read_response looked at the signature. Load, weights, leaving and limits were recorded before the id was compared, and the answer of another node to a request that was passed on was not checked.

Change: checked_response.rs decides right after the head has been read. Streams, fail-overs, whole responses and answers of other nodes are made from a CheckedHead only. An unusable head leaves the outcome unknown, so a request that may not run again ends with 502.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -9,7 +9,7 @@
     suspects::ServerBuild,
     traffic::{AttemptOutcome, LinkFailure, PlacementChoice, RunEnd, ServerLoad, cache_salt},
 };
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -18,11 +18,12 @@
     adapter::{PlatformAdapter, ResponseInfo, ServerRequest},
     body::ResponseBody,
     cache_salt::format_salt,
+    checked_response::{CheckedHead, ServerStream},
     clock,
     connection::ConnectionError,
     crashes::RunGuard,
     flight::FlightGuard,
-    headers::{client_response, has_explicit_end, keep_alive_timeout, origin_form},
+    headers::origin_form,
     links,
     node::Node,
     pool::PooledConnection,
@@ -70,8 +71,8 @@
 pub enum AttemptResult {
     /// The whole response, ready for the client.
     Complete(Response<ResponseBody>),
-    /// A streamed response whose head has arrived; the body is still to be forwarded.
-    Stream(Response<Incoming>, Box<Attempt>),
+    /// A streamed response whose head has arrived.
+    Stream(ServerStream),
     /// An error response from the server; returned to the client if no further attempt is made.
     Failed(Response<ResponseBody>),
     /// The attempt brought no response that a client may see.
@@ -146,33 +147,34 @@
             Ok(response) => response,
             Err(cause) => return self.on_connection_error(node, context, &cause),
         };
-        let head = A::decode_response(response.status(), response.headers());
-        self.record_response_info(node, context, &head);
-        if head.request_id.as_deref() != Some(context.info.request_id.as_str()) {
-            // The response belongs to an earlier request, so nothing on this connection can be
-            // trusted.
-            let cause = ConnectionError::Invalid("response to another request".to_string());
-            return self.on_connection_error(node, context, &cause);
-        }
-        self.record_limits(node, context, &head);
-        if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
-            return self.on_rejected(node, context, response, head.load).await;
+        links::record_heard(node, &mut node.state.borrow_mut(), self.choice.server);
+        let (head, body) = match CheckedHead::of_server::<A>(response, &context.info.request_id) {
+            Ok(checked) => checked,
+            // Nothing on this connection can be trusted.
+            Err(error) => {
+                let cause = ConnectionError::Invalid(error.to_string());
+                return self.on_connection_error(node, context, &cause);
+            }
+        };
+        self.record_response_info(node, context, head.info());
+        self.record_limits(node, context, head.info());
+        if head.is_rejection() {
+            return self.on_rejected(node, context, &head, body).await;
         }
-        if context.is_stream() && response.status().is_success() {
-            self.on_stream_started(node, context, head.load);
-            return AttemptResult::Stream(response, Box::new(self));
+        if context.is_stream() && head.is_success() {
+            self.on_stream_started(node, context, head.info().load);
+            return AttemptResult::Stream(ServerStream { head, body, attempt: Box::new(self) });
         }
-        self.read_response(node, context, response, &head).await
+        self.read_response(node, context, &head, body).await
     }
 
     async fn read_response(
         mut self,
         node: &Rc<Node>,
         context: &RequestContext,
-        response: Response<Incoming>,
-        head: &ResponseInfo,
+        head: &CheckedHead,
+        body: Incoming,
     ) -> AttemptResult {
-        let (parts, body) = response.into_parts();
         let left = context.time_left(clock::now());
         let memory = Some(node.response_memory.share());
         let reading = self.connection.connection.read_body(body, MAX_RESPONSE_BYTES, memory);
@@ -181,27 +183,21 @@
             Ok(Err(cause)) => return self.on_connection_error(node, context, &cause),
             Err(_) => return self.on_connection_error(node, context, &ConnectionError::TimedOut),
         };
-        let status = parts.status;
-        if status.is_success() && !head.signed {
-            let cause =
-                ConnectionError::Invalid("successful response without a signature".to_string());
-            return self.on_connection_error(node, context, &cause);
-        }
-        let response = client_response(status, &parts.headers, ResponseBody::whole(body));
-        let failed = status.is_server_error();
+        let response = head.client_response(ResponseBody::whole(body));
+        let failed = head.status().is_server_error();
         if failed {
-            log_failure(context, &self.instance, &self.choice, status.as_str());
+            log_failure(context, &self.instance, &self.choice, head.status().as_str());
         }
-        let end = match status.is_success() {
-            true if has_explicit_end(&parts.headers) => RunEnd::Completed,
+        let end = match head.is_success() {
+            true if head.has_explicit_end() => RunEnd::Completed,
             // The end of the response may be the end of the server.
             true => RunEnd::Unanswered,
             false => RunEnd::Refused,
         };
         self.finish_run(end, "response without a length");
-        self.flight.report(head.load, 0, &[], false);
+        self.flight.report(head.info().load, 0, &[], false);
         record_response(node, context, &self, failed);
-        self.connection.return_to_pool(keep_alive_timeout(&parts.headers));
+        self.connection.return_to_pool(head.keep_alive());
         if failed { AttemptResult::Failed(response) } else { AttemptResult::Complete(response) }
     }
 
@@ -209,9 +205,10 @@
         mut self,
         node: &Rc<Node>,
         context: &RequestContext,
-        response: Response<Incoming>,
-        load: Option<ServerLoad>,
+        head: &CheckedHead,
+        body: Incoming,
     ) -> AttemptResult {
+        let load = head.info().load;
         self.finish_run(RunEnd::Refused, "");
         self.flight.report(load, 0, &[], false);
         log_failure(context, &self.instance, &self.choice, "rejected without running");
@@ -222,13 +219,11 @@
             }
             record_rejection(node, state, self.choice.server, load);
         }
-        let keep_alive = keep_alive_timeout(response.headers());
         // The rest of a rejection is short. If it does not arrive in time, the connection is
         // closed.
-        let body = response.into_body();
         let reading = self.connection.connection.read_body(body, MAX_REJECTION_BYTES, None);
         if timeout(REJECTION_TIMEOUT, reading).await.is_ok_and(|read| read.is_ok()) {
-            self.connection.return_to_pool(keep_alive);
+            self.connection.return_to_pool(head.keep_alive());
         }
         AttemptResult::Ended(AttemptOutcome::Rejected)
     }
@@ -296,7 +291,6 @@
     fn record_response_info(&self, node: &Rc<Node>, context: &RequestContext, head: &ResponseInfo) {
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
-        links::record_heard(node, state, self.choice.server);
         record_signals(node, state, self.choice.server, &context.info.request_id, head);
         state.crashes.on_server_alive(self.choice.server, self.sent_at);
         if let Some(load) = head.load
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -19,10 +19,12 @@
 };
 
 use crate::{
+    adapter::PlatformAdapter,
     body::{ResponseBody, StreamChunk},
+    checked_response::CheckedHead,
     clock,
     connection::ConnectionError,
-    headers::{client_response, is_hop_by_hop, origin_form},
+    headers::{is_hop_by_hop, origin_form},
     node::Node,
     pool::PooledConnection,
     request_context::RequestContext,
@@ -87,7 +89,10 @@
 }
 
 /// Passes a request on to one other node.
-pub async fn forward(node: &Rc<Node>, context: &mut RequestContext) -> ForwardResult {
+pub async fn forward<A: PlatformAdapter>(
+    node: &Rc<Node>,
+    context: &mut RequestContext,
+) -> ForwardResult {
     let Some((name, address)) = choose_node(node, context) else { return ForwardResult::NoNode };
     context.tried_nodes.push(name.clone());
     log::info!(
@@ -95,7 +100,7 @@
         left_ms = context.time_left(clock::now()).as_millis() as u64;
         "passing a request on to another node"
     );
-    let result = exchange(node, context, address).await;
+    let result = exchange::<A>(node, context, address).await;
     let outcome = match &result {
         Ok(_) => "response",
         Err(AttemptOutcome::NotSent) => "not handled",
@@ -153,7 +158,7 @@
     others.map(|member| (member.name.clone(), member.peer_address)).choose(&mut state.rng)
 }
 
-async fn exchange(
+async fn exchange<A: PlatformAdapter>(
     node: &Rc<Node>,
     context: &RequestContext,
     address: SocketAddr,
@@ -178,16 +183,18 @@
         }
         return Err(AttemptOutcome::NotSent);
     }
-    if context.is_stream() && response.status().is_success() {
-        return Ok(pass_stream(context, response, connection));
+    let checked = CheckedHead::of_node::<A>(response, &context.info.request_id);
+    let (head, body) =
+        checked.map_err(|error| failed(ConnectionError::Invalid(error.to_string())))?;
+    if context.is_stream() && head.is_success() {
+        return Ok(pass_stream(context, &head, body, connection));
     }
-    let (parts, body) = response.into_parts();
     let memory = Some(node.response_memory.share());
     let reading = connection.connection.read_body(body, MAX_RESPONSE_BYTES, memory);
     let read = timeout(context.time_left(clock::now()), reading).await;
     let body = read.unwrap_or(Err(ConnectionError::TimedOut)).map_err(failed)?;
     connection.return_to_pool(None);
-    Ok(client_response(parts.status, &parts.headers, ResponseBody::whole(body)))
+    Ok(head.client_response(ResponseBody::whole(body)))
 }
 
 fn build_request(node: &Node, context: &RequestContext) -> Request<Full<Bytes>> {
@@ -222,12 +229,12 @@
 /// Forwards a streamed response in a separate task.
 fn pass_stream(
     context: &RequestContext,
-    response: Response<Incoming>,
+    head: &CheckedHead,
+    mut body: Incoming,
     connection: PooledConnection<SocketAddr>,
 ) -> Response<ResponseBody> {
     let (chunk_sender, queue) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let (head, mut body) = response.into_parts();
-    let response = client_response(head.status, &head.headers, ResponseBody::Stream(queue));
+    let response = head.client_response(ResponseBody::Stream(queue));
     let deadline = Instant::now() + context.time_left(clock::now());
     let id = context.info.request_id.clone();
     actix_rt::spawn(async move {
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -1,25 +1,18 @@
-//! Hop-by-hop headers, and how responses and targets are rewritten for the next hop.
+//! Hop-by-hop headers, and how headers and targets are rewritten for the next hop.
 
 use std::time::Duration;
 
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, header};
 
-use crate::body::ResponseBody;
-
-/// Builds the client's response from the status, headers and body of a server's response.
-pub fn client_response(
-    status: StatusCode,
-    headers: &HeaderMap,
-    body: ResponseBody,
-) -> Response<ResponseBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
+/// Returns the headers of a server's response that the client gets.
+pub fn client_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         if !is_hop_by_hop(name) && *name != header::CONTENT_LENGTH {
-            response.headers_mut().append(name, value.clone());
+            kept.append(name, value.clone());
         }
     }
-    response
+    kept
 }
 
 /// Whether a header is hop-by-hop, so it concerns one connection only.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod cache_events;
 mod cache_salt;
 mod cache_store;
+mod checked_response;
 pub mod clock;
 pub mod connection;
 mod crash_store;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -11,7 +11,7 @@
     clock::ClockTime,
     traffic::{AttemptOutcome, EventSplitter, LinkFailure, NextStep, RunEnd},
 };
-use http::{HeaderMap, Response};
+use http::Response;
 use hyper::body::Incoming;
 use tokio::{
     sync::mpsc,
@@ -22,9 +22,9 @@
     adapter::PlatformAdapter,
     attempt::{Attempt, AttemptResult},
     body::{ResponseBody, StreamChunk},
+    checked_response::ServerStream,
     clock,
     connection::ConnectionError,
-    headers::{client_response, has_explicit_end, keep_alive_timeout},
     links,
     node::Node,
     request_context::RequestContext,
@@ -60,43 +60,23 @@
 pub fn start<A: PlatformAdapter>(
     node: Rc<Node>,
     context: RequestContext,
-    response: Response<Incoming>,
-    attempt: Attempt,
+    stream: ServerStream,
 ) -> Response<ResponseBody> {
     let (chunk_sender, queue) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let (head, body) = response.into_parts();
-    let response = client_response(head.status, &head.headers, ResponseBody::Stream(queue));
-    let status = head.status.as_u16();
+    let response = stream.head.client_response(ResponseBody::Stream(queue));
+    let status = stream.head.status().as_u16();
     let splitter = EventSplitter::resume_after(context.info.last_event);
     let relay =
         StreamRelay { node, context, splitter, chunk_sender, timing: StreamTiming::default() };
-    let framing = StreamFraming::of(&head.headers);
     actix_rt::spawn(async move {
         let mut relay = relay;
-        let outcome = relay.run::<A>(body, attempt, framing).await;
+        let outcome = relay.run::<A>(stream).await;
         relay.log_timing();
         log_end(&relay.context, status, outcome);
     });
     response
 }
 
-/// What the head of a streamed response says about its connection.
-#[derive(Debug, Clone, Copy)]
-struct StreamFraming {
-    keep_alive: Option<Duration>,
-    /// Whether the end of the stream can be told from the end of its connection.
-    has_explicit_end: bool,
-}
-
-impl StreamFraming {
-    fn of(headers: &HeaderMap) -> StreamFraming {
-        StreamFraming {
-            keep_alive: keep_alive_timeout(headers),
-            has_explicit_end: has_explicit_end(headers),
-        }
-    }
-}
-
 struct StreamRelay {
     node: Rc<Node>,
     context: RequestContext,
@@ -126,22 +106,18 @@
 }
 
 impl StreamRelay {
-    async fn run<A: PlatformAdapter>(
-        &mut self,
-        mut body: Incoming,
-        mut attempt: Attempt,
-        mut framing: StreamFraming,
-    ) -> &'static str {
+    async fn run<A: PlatformAdapter>(&mut self, mut stream: ServerStream) -> &'static str {
         loop {
+            let ServerStream { head, mut body, mut attempt } = stream;
             match self.forward_events(&mut body, &attempt).await {
                 SegmentEnd::Complete => {
-                    let (end, cause) = if framing.has_explicit_end && self.timing.events > 0 {
+                    let (end, cause) = if head.has_explicit_end() && self.timing.events > 0 {
                         (RunEnd::Completed, "")
                     } else {
                         (RunEnd::Unanswered, "stream without events or explicit end")
                     };
                     attempt.finish_run(end, cause);
-                    attempt.connection.return_to_pool(framing.keep_alive);
+                    attempt.connection.return_to_pool(head.keep_alive());
                     let sent = self.chunk_sender.send(StreamChunk::End).await;
                     return if sent.is_ok() { "answered" } else { "caller left" };
                 }
@@ -174,10 +150,8 @@
             drop(attempt);
             drop(body);
             self.splitter.discard_partial();
-            let Some((response, next)) = self.fail_over::<A>().await else { return "broken off" };
-            framing = StreamFraming::of(response.headers());
-            body = response.into_body();
-            attempt = next;
+            let Some(next) = self.fail_over::<A>().await else { return "broken off" };
+            stream = next;
         }
     }
 
@@ -253,7 +227,7 @@
     }
 
     /// Continues the stream at another server, if the route and the retry budget allow it.
-    async fn fail_over<A: PlatformAdapter>(&mut self) -> Option<(Response<Incoming>, Attempt)> {
+    async fn fail_over<A: PlatformAdapter>(&mut self) -> Option<ServerStream> {
         let mut end = AttemptOutcome::Unknown;
         loop {
             let step = self.context.history.on_attempt_end(&self.context.rule, end);
@@ -284,7 +258,7 @@
                 sent = attempt.send::<A>(&self.node, &self.context, last_event) => sent,
             };
             match result {
-                AttemptResult::Stream(response, attempt) => return Some((response, *attempt)),
+                AttemptResult::Stream(stream) => return Some(stream),
                 AttemptResult::Ended(ended) => end = ended,
                 AttemptResult::Failed(_) => end = AttemptOutcome::Failed,
                 AttemptResult::Complete(_) => return None,
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -19,6 +19,7 @@
     attempt::{Attempt, AttemptResult},
     body::ResponseBody,
     cache_salt::cache_scope,
+    checked_response::ServerStream,
     clock, crashes,
     forward::{self, ForwardResult, HopInfo},
     local_response::{
@@ -105,9 +106,7 @@
             forward::log_forwarded(&context, response.status());
             response
         }
-        Ok(RunOutcome::Stream(response, attempt)) => {
-            relay::start::<A>(node, *context, response, *attempt)
-        }
+        Ok(RunOutcome::Stream(stream)) => relay::start::<A>(node, *context, stream),
         Err(local) => {
             if let Some(reason) = forward::give_back(&node, &context) {
                 log::info!(request = request_id, reason; "gave a request back to the node that passed it on");
@@ -126,7 +125,7 @@
     /// The whole response.
     Complete(Response<ResponseBody>),
     /// A stream whose head has arrived.
-    Stream(Response<Incoming>, Box<Attempt>),
+    Stream(ServerStream),
     /// The response of another node.
     Forwarded(Response<ResponseBody>),
 }
@@ -229,7 +228,7 @@
     check_software(node, context)?;
     loop {
         if forward::is_due(node, context) {
-            match forward::forward(node, context).await {
+            match forward::forward::<A>(node, context).await {
                 ForwardResult::Response(response) => {
                     let (now, bounds) = (clock::now(), &node.settings.bounds);
                     let state = &mut *node.state.borrow_mut();
@@ -259,9 +258,7 @@
         };
         let end = match attempt.send::<A>(node, context, context.info.last_event).await {
             AttemptResult::Complete(response) => return Ok(RunOutcome::Complete(response)),
-            AttemptResult::Stream(response, attempt) => {
-                return Ok(RunOutcome::Stream(response, attempt));
-            }
+            AttemptResult::Stream(stream) => return Ok(RunOutcome::Stream(stream)),
             AttemptResult::Failed(response) => {
                 match context.history.on_attempt_end(&context.rule, AttemptOutcome::Failed) {
                     NextStep::Retry if take_retry_budget(node, context) => continue,
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -2,9 +2,9 @@
 //! malformed and truncated HTTP.
 
 mod paced;
+mod script;
 
 use std::{
-    collections::VecDeque,
     io,
     net::SocketAddr,
     sync::{
@@ -21,6 +21,7 @@
     sync::watch,
 };
 
+pub use self::script::ResponseScript;
 use crate::util::{self, lock};
 use paced::send_paced;
 
@@ -95,7 +96,7 @@
 #[derive(Debug)]
 struct BackendShared {
     default: BackendResponse,
-    queued: Mutex<VecDeque<BackendResponse>>,
+    queued: ResponseScript,
     /// Response to requests with a prompt part, by the part's hexadecimal id.
     part_response: Mutex<Option<(String, BackendResponse)>>,
     /// Header lines that all responses have, each with its line end.
@@ -126,11 +127,19 @@
 /// Starts a backend server inside the caller's actix system. It sends `default` while no other
 /// response is queued. Fails if no port can be bound.
 pub async fn start_backend(default: BackendResponse) -> io::Result<BackendHandle> {
+    start_scripted_backend(default, ResponseScript::default()).await
+}
+
+/// Starts a backend server like [`start_backend`], whose queued responses are those of a script.
+pub async fn start_scripted_backend(
+    default: BackendResponse,
+    script: ResponseScript,
+) -> io::Result<BackendHandle> {
     let listener = TcpListener::from_std(util::listen(util::ephemeral_addr())?)?;
     let addr = listener.local_addr()?;
     let shared = Arc::new(BackendShared {
         default,
-        queued: Mutex::default(),
+        queued: script,
         part_response: Mutex::default(),
         extra_headers: Mutex::default(),
         resume_response: Mutex::default(),
@@ -158,14 +167,12 @@
 
     /// Queues responses for the next requests, one each.
     pub fn queue_responses(&self, responses: impl IntoIterator<Item = BackendResponse>) {
-        lock(&self.shared.queued).extend(responses);
+        self.shared.queued.extend(responses);
     }
 
     /// Discards the queued responses and queues these instead.
     pub fn replace_queued_responses(&self, responses: impl IntoIterator<Item = BackendResponse>) {
-        let mut queued = lock(&self.shared.queued);
-        queued.clear();
-        queued.extend(responses);
+        self.shared.queued.replace(responses);
     }
 
     /// Sends `response` to all requests whose prompt has this part, unless it is the last one. The
@@ -320,7 +327,7 @@
     {
         return response.clone();
     }
-    lock(&shared.queued).pop_front().unwrap_or_else(|| shared.default.clone())
+    shared.queued.take().unwrap_or_else(|| shared.default.clone())
 }
 
 /// Sends bytes until the client closes the connection.
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -7,7 +7,10 @@
 mod store;
 
 pub use self::{
-    backend::{BackendHandle, BackendResponse, RecordedRequest, start_backend},
+    backend::{
+        BackendHandle, BackendResponse, RecordedRequest, ResponseScript, start_backend,
+        start_scripted_backend,
+    },
     datagrams::{DatagramLoss, DatagramRelay, start_datagram_relay},
     link::{LinkFault, LinkHandle, start_link},
     store::{StoreCopy, StoreFault, StoreHandle, start_store},
