Write the record of ordered servers only on the revision that is known

Cause: the write of the record had one condition, the holder's key. A write that the store carried out late replaced a newer record, and the next holder did not know whom its predecessor had ordered. One lost answer to a renewal ended the tenure.

Change: the record is written on the revision that its writer knows, and the lease is acquired on the revision that the new holder has read; both cost no further call. After a write without an answer the record is read before the next one, and no order goes out. A failed condition ends the tenure only if the holder's key has changed. The record names servers by instance name, listed or not. A renewal without an answer is sent again after 200 ms. Value and key of the record are as before, so an older build reads it; an older holder's late write may still replace its own record.

--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -87,8 +87,9 @@
     settings: RolloutSettings,
     lease: LeaseState,
     loading: HashMap<ServerKey, ServerLoading>,
-    /// When each server may last have got an order, from this node or the previous holder.
-    ordered_at: HashMap<ServerKey, ClockTime>,
+    /// When each server may last have got an order, from this node or the previous holder, by its
+    /// instance name. A server whose entry comes back after it was removed has another key.
+    ordered_at: HashMap<String, ClockTime>,
     acquired_at: ClockTime,
 }
 
@@ -104,21 +105,22 @@
         }
     }
 
-    /// Servers that may have got an order from this node or the previous holder within the handover
-    /// gap. A holder stores this list before it sends orders, so that the next one can avoid them.
-    pub fn recently_ordered(&self, now: ClockTime) -> Vec<ServerKey> {
+    /// Instance names of the servers that may have got an order from this node or the previous holder
+    /// within the handover gap, listed or not. A holder stores them before it sends orders, so that the
+    /// next one can avoid them.
+    pub fn recently_ordered(&self, now: ClockTime) -> Vec<String> {
         let gap = self.settings.handover_gap;
         let recent = self.ordered_at.iter().filter(|(_, at)| now.since(**at) < gap);
-        let mut servers: Vec<ServerKey> = recent.map(|(key, _)| *key).collect();
-        servers.sort_unstable();
-        servers
+        let mut instances: Vec<String> = recent.map(|(instance, _)| instance.clone()).collect();
+        instances.sort_unstable();
+        instances
     }
 
-    /// Ends the wait for the previous holder's orders, because that holder stored which servers it
-    /// `ordered`. Only these have to wait for the handover gap.
-    pub fn take_over(&mut self, now: ClockTime, ordered: impl IntoIterator<Item = ServerKey>) {
+    /// Ends the wait for the previous holder's orders, because that holder stored the instance names of
+    /// the servers that it `ordered`. Only these have to wait for the handover gap.
+    pub fn take_over(&mut self, now: ClockTime, ordered: impl IntoIterator<Item = String>) {
         self.lease.skip_predecessor_wait(now);
-        self.ordered_at.extend(ordered.into_iter().map(|key| (key, now)));
+        self.ordered_at.extend(ordered.into_iter().map(|instance| (instance, now)));
     }
 
     /// Handles a lease that was acquired, renewed or lost.
@@ -277,7 +279,9 @@
             let Some(loading) = self.loading.get_mut(&key) else { continue };
             loading.wait(LoadStage::Ordered, now);
             loading.ordered_at = now;
-            self.ordered_at.insert(key, now);
+            if let Some(server) = registry.get(key) {
+                self.ordered_at.insert(server.listing.instance.clone(), now);
+            }
             effects.push(RolloutEffect::Order(LoadOrder {
                 server: key,
                 model: model.to_string(),
@@ -303,13 +307,13 @@
         let current = self.loading.values().filter(|loading| loading.is_out_of_service()).count();
         // An order of the previous holder may still arrive at these servers.
         let gap = self.settings.handover_gap;
-        let excluded = |key: &ServerKey| {
-            let ordered_at = self.ordered_at.get(key);
+        let excluded = |server: &BackendServer| {
+            let ordered_at = self.ordered_at.get(&server.listing.instance);
             ordered_at.is_some_and(|at| *at <= self.acquired_at && now.since(*at) < gap)
         };
         let mut behind: Vec<_> = engines
             .into_iter()
-            .filter(|(key, server)| !excluded(key) && !server.health.is_at_rest(now))
+            .filter(|(_, server)| !excluded(server) && !server.health.is_at_rest(now))
             .filter(|(key, server)| {
                 let idle =
                     self.loading.get(key).is_none_or(|loading| loading.stage == LoadStage::Idle);
--- a/crates/core/tests/traffic_rollout.rs
+++ b/crates/core/tests/traffic_rollout.rs
@@ -188,39 +188,57 @@
     assert!(later.map(|(_, _, version)| *version).all(|version| version == WeightsVersion(3)));
 }
 
-/// Guards against orders of two successive lease holders that reach a server at the same time.
+/// Guards against orders of two successive lease holders that reach a server at the same time, also if the
+/// server's entry is away for a moment and comes back.
 #[test]
 fn a_new_holder_waits_for_servers_that_its_predecessor_ordered() {
     struct Case {
         name: &'static str,
         ordered_before: &'static [usize],
+        /// Whether the entries of these servers are removed when the lease is taken over, and come back.
+        is_listed_again: bool,
     }
+    let case =
+        |name, ordered_before, is_listed_again| Case { name, ordered_before, is_listed_again };
     let cases = [
-        Case { name: "nothing ordered", ordered_before: &[] },
-        Case { name: "some ordered", ordered_before: &[0, 3] },
-        Case { name: "all ordered", ordered_before: &[0, 1, 2, 3] },
+        case("nothing ordered", &[] as &[usize], false),
+        case("some ordered", &[0, 3], false),
+        case("all ordered", &[0, 1, 2, 3], false),
+        case("some ordered and listed again", &[0, 3], true),
+        case("all ordered and listed again", &[0, 1, 2, 3], true),
     ];
     for case in cases {
         let mut fixture = RolloutFixture::new(4);
-        let keys: Vec<ServerKey> =
-            (0..4).filter_map(|i| fixture.registry.key_of(&format!("i{i}"))).collect();
-        let excluded: Vec<ServerKey> = case.ordered_before.iter().map(|i| keys[*i]).collect();
+        let excluded: Vec<String> =
+            case.ordered_before.iter().map(|index| format!("i{index}")).collect();
         let taken_at = fixture.now;
         fixture.planner = RolloutPlanner::new(settings());
         fixture
             .planner
             .on_lease_event(taken_at, LeaseEvent::Acquired { fencing: 8, sent_at: taken_at });
-        fixture.planner.take_over(taken_at, excluded.iter().copied());
+        if case.is_listed_again {
+            for instance in &excluded {
+                assert!(fixture.registry.remove(instance).is_some(), "{}", case.name);
+            }
+        }
+        fixture.planner.take_over(taken_at, excluded.iter().cloned());
+        let record = fixture.planner.recently_ordered(taken_at + Duration::from_secs(1));
+        assert_eq!(record, excluded, "{}: the next holder has to know them", case.name);
+        if case.is_listed_again {
+            case.ordered_before.iter().for_each(|index| {
+                fixture.registry.apply_listing(listing(*index, 1));
+            });
+        }
         fixture.weights.announce(taken_at, MODEL, WeightsVersion(2));
         fixture.run(Duration::from_secs(7));
         assert_eq!(fixture.behind(2), 0, "{}", case.name);
         for (at, server, _) in &fixture.ordered {
             let waited = at.since(taken_at);
             let early = waited < settings().handover_gap;
-            assert!(!early || !excluded.contains(server), "{}: after {waited:?}", case.name);
+            let server = fixture.registry.get(*server).expect("the server is listed");
+            let is_excluded = excluded.contains(&server.listing.instance);
+            assert!(!early || !is_excluded, "{}: after {waited:?}", case.name);
         }
-        let record = fixture.planner.recently_ordered(taken_at + Duration::from_secs(1));
-        assert!(excluded.iter().all(|key| record.contains(key)), "{}", case.name);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod node_notice;
 mod notice_transport;
 mod notices;
+mod order_record;
 mod peer_knowledge;
 mod peer_server;
 mod peers;
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -131,7 +131,7 @@
             store.clone(),
             rollout_lease.clone(),
         ));
-        actix_rt::spawn(rollout::run_rollout(node.clone(), store.clone()));
+        actix_rt::spawn(rollout::run_rollout(node.clone(), store.clone(), rollout_lease.clone()));
         actix_rt::spawn(notice_transport::send_batches(node.clone()));
         actix_rt::spawn(notice_transport::send_heartbeats(node.clone()));
         actix_rt::spawn(links::watch(node.clone()));
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -16,7 +16,8 @@
     links,
     node::{Node, NodeState},
     node_notice::NodeNotice,
-    notices, rollout_lease,
+    notices,
+    rollout_lease::RolloutLease,
     server_limits::{ServerCall, record_call},
     server_signals::record_signals,
     store::{StoreClient, build_request},
@@ -34,7 +35,11 @@
 const MAX_STATE_BYTES: usize = 1024 * 1024;
 
 /// Sends the orders that the rollout planner decides on, until the process ends.
-pub async fn run_rollout<A: PlatformAdapter>(node: Rc<Node>, store: Rc<StoreClient<A>>) {
+pub async fn run_rollout<A: PlatformAdapter>(
+    node: Rc<Node>,
+    store: Rc<StoreClient<A>>,
+    lease: Rc<RolloutLease>,
+) {
     loop {
         let is_holder = node.state.borrow().rollout.fencing_token(clock::now()).is_some();
         let wait = if is_holder { TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
@@ -61,7 +66,7 @@
             }
         }
         if !orders.is_empty() {
-            actix_rt::spawn(send_orders(node.clone(), store.clone(), orders));
+            actix_rt::spawn(send_orders(node.clone(), store.clone(), lease.clone(), orders));
         }
     }
 }
@@ -70,10 +75,11 @@
 async fn send_orders<A: PlatformAdapter>(
     node: Rc<Node>,
     store: Rc<StoreClient<A>>,
+    lease: Rc<RolloutLease>,
     orders: Vec<LoadOrder>,
 ) {
     let Some(fencing) = orders.first().map(|order| order.fencing) else { return };
-    if !rollout_lease::record_orders(&node, &store, fencing).await {
+    if !lease.record.write(&node, &store, fencing).await {
         orders.iter().for_each(|order| on_reply(&node, order.server, &OrderReply::Refused));
         return;
     }
--- a/crates/node/src/rollout_lease.rs
+++ b/crates/node/src/rollout_lease.rs
@@ -5,22 +5,27 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use carobvane_core::{clock::ClockTime, ids::ServerKey, orders::LeaseEvent, traffic::LinkState};
+use carobvane_core::{clock::ClockTime, orders::LeaseEvent, traffic::LinkState};
+use futures::{StreamExt, stream::FuturesUnordered};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::{
     adapter::{PlatformAdapter, StoreAdapter, StoreCall, StoreReply, StoreRevision, StoreWrite},
     clock,
     members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY, ROLLOUT_LEASE_LIFETIME},
-    node::{Node, NodeState},
+    node::Node,
+    order_record::{EarlierOrders, OrderRecord},
     store::{StoreCallError, StoreClient},
     store_sync,
 };
 
-/// Time between two renewals. Two may fail before the lease expires.
+/// Time between an answered renewal and the next one.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// A renewal is sent again if it has no answer after this time.
+const RENEW_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of times that a renewal is sent, all before the lease expires.
+const MAX_RENEWALS: u32 = 4;
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest random pause before a vacant lease is acquired, so that nodes do not all try at once.
@@ -37,10 +42,10 @@
 #[derive(Debug, Default)]
 pub struct RolloutLease {
     lease: Cell<Option<u64>>,
-    /// When the last successful grant or renewal was sent; the lease is counted from then.
-    sent_at: Cell<ClockTime>,
     /// Era of the store that granted the lease.
     era: Cell<u64>,
+    /// The record of ordered servers that belongs to the lease.
+    pub record: OrderRecord,
 }
 
 /// Returns the fencing token of a lease. It grows although revisions are given out again after the
@@ -50,22 +55,11 @@
 }
 
 /// Returns when the lease with a fencing token was acquired.
-fn acquired_revision(fencing: u64) -> StoreRevision {
+pub fn acquired_revision(fencing: u64) -> StoreRevision {
     let era = fencing >> FENCING_REVISION_BITS;
     StoreRevision { era, number: fencing & ((1 << FENCING_REVISION_BITS) - 1) }
 }
 
-/// Servers that were ordered to load weights lately. The holder writes this record before it sends
-/// orders, on the condition that it still holds the lease.
-#[derive(Debug, Default)]
-#[derive(Serialize, Deserialize)]
-struct RecentOrders {
-    instances: Vec<String>,
-    /// Era of the store in which the record was written.
-    #[serde(default)]
-    era: u64,
-}
-
 /// Acquires the rollout lease when it is vacant and renews it, until the node drains.
 pub async fn maintain_lease<A: PlatformAdapter>(
     node: Rc<Node>,
@@ -132,38 +126,6 @@
     }
 }
 
-/// Records which servers were ordered lately and which are to be ordered now. Returns whether the
-/// orders may be sent.
-pub async fn record_orders<A: PlatformAdapter>(
-    node: &Rc<Node>,
-    store: &StoreClient<A>,
-    fencing: u64,
-) -> bool {
-    let record = {
-        let state = node.state.borrow();
-        let recent = state.rollout.recently_ordered(clock::now());
-        let instances = recent.into_iter().filter_map(|key| state.instance_name(key)).collect();
-        RecentOrders { instances, era: acquired_revision(fencing).era }
-    };
-    let value = serde_json::to_vec(&record).unwrap_or_default();
-    let write = StoreWrite { key: RECENT_ORDERS_KEY.to_string(), value, lease: None };
-    let acquired = acquired_revision(fencing);
-    let expected = vec![(LEASE_HOLDER_KEY.to_string(), acquired.number)];
-    match store.call(&StoreCall::Transact { expected, writes: vec![write] }, CALL_TIMEOUT).await {
-        // In another era the same revision is not that of this lease.
-        Ok(StoreReply::Written { .. }) if store.era() == acquired.era => true,
-        Ok(reply) => {
-            log::warn!(fencing, reply:? = reply; "another node holds the rollout lease");
-            node.state.borrow_mut().rollout.on_lease_event(clock::now(), LeaseEvent::Lost);
-            false
-        }
-        Err(cause) => {
-            log::warn!(fencing, cause:% = cause; "failed to record orders");
-            false
-        }
-    }
-}
-
 fn is_vacant<A: StoreAdapter>(node: &Node, store: &StoreClient<A>) -> bool {
     let state = node.state.borrow();
     let revision = state.mirror.revision;
@@ -196,7 +158,10 @@
     }
     let value = format!("{} {}", node.settings.name, node.incarnation).into_bytes();
     let write = StoreWrite { key: LEASE_HOLDER_KEY.to_string(), value, lease: Some(id) };
-    let expected = vec![(LEASE_HOLDER_KEY.to_string(), 0)];
+    // The earlier orders that this node knows of have to be the last ones.
+    let earlier = EarlierOrders::read(&node.state.borrow().mirror, era);
+    let expected =
+        vec![(LEASE_HOLDER_KEY.to_string(), 0), (RECENT_ORDERS_KEY.to_string(), earlier.revision)];
     let call = StoreCall::Transact { expected, writes: vec![write] };
     // If the response to this write is lost, the key stays with a lease that nobody renews, so it
     // vanishes soon.
@@ -206,23 +171,23 @@
     if store.era() == era {
         lease.lease.set(Some(id));
         lease.era.set(era);
-        lease.sent_at.set(sent_at);
-        on_acquired(node, StoreRevision { era, number: revision }, sent_at);
+        let fencing = fencing_token(StoreRevision { era, number: revision });
+        lease.record.on_acquired(fencing, earlier.revision);
+        on_acquired(node, fencing, sent_at, earlier);
     }
     Ok(Acquisition::Ended)
 }
 
-fn on_acquired(node: &Rc<Node>, acquired: StoreRevision, sent_at: ClockTime) {
+fn on_acquired(node: &Rc<Node>, fencing: u64, sent_at: ClockTime, earlier: EarlierOrders) {
     let now = clock::now();
-    let fencing = fencing_token(acquired);
     let state = &mut *node.state.borrow_mut();
     state.rollout.on_lease_event(now, LeaseEvent::Acquired { fencing, sent_at });
-    match state.recently_ordered(acquired.era) {
+    match earlier.instances {
         Ok(None) => {
             log::info!(fencing; "acquired the rollout lease; earlier orders may be missing from the restored store");
         }
         Ok(Some(ordered)) => {
-            log::info!(fencing, left_alone = ordered.len(); "acquired the rollout lease");
+            log::info!(fencing, left_alone = ordered.len(), record = earlier.revision; "acquired the rollout lease");
             state.rollout.take_over(now, ordered);
         }
         Err(cause) => {
@@ -232,44 +197,42 @@
     node.rollout_wake.notify_one();
 }
 
+/// Renews the lease. While a renewal has no answer, it is sent again beside the earlier ones.
 async fn renew<A: PlatformAdapter>(
     node: &Rc<Node>,
     store: &StoreClient<A>,
     lease: &RolloutLease,
     id: u64,
 ) {
-    let sent_at = clock::now();
-    let event = match store.call(&StoreCall::Renew { lease: id }, CALL_TIMEOUT).await {
-        Ok(StoreReply::NoLease) => {
-            log::warn!(lease = id; "the rollout lease has expired");
-            lease.lease.set(None);
-            LeaseEvent::Lost
-        }
-        Ok(_) => {
-            lease.sent_at.set(sent_at);
-            LeaseEvent::Renewed { sent_at }
+    let mut renewals = FuturesUnordered::new();
+    for _ in 0..MAX_RENEWALS {
+        if node.state.borrow().rollout.has_lease_expired(clock::now()) {
+            return;
         }
-        Err(cause) => {
-            log::debug!(cause:% = cause; "failed to renew the rollout lease");
+        renewals.push(send_renewal(store, id));
+        let retry_at = Instant::now() + RENEW_RETRY_INTERVAL;
+        while let Ok(Some(answer)) = timeout_at(retry_at, renewals.next()).await {
+            let Some(event) = answer else { continue };
+            if event == LeaseEvent::Lost {
+                log::warn!(lease = id; "the rollout lease has expired");
+                lease.lease.set(None);
+            }
+            node.state.borrow_mut().rollout.on_lease_event(clock::now(), event);
             return;
         }
-    };
-    node.state.borrow_mut().rollout.on_lease_event(clock::now(), event);
+        sleep_until(retry_at).await;
+    }
 }
 
-impl NodeState {
-    /// Returns the servers that the previous holder may have ordered lately; `None` if that is not
-    /// known, since the record was written before the store was restored from an older copy, or may
-    /// be missing for this reason.
-    fn recently_ordered(&self, era: u64) -> Result<Option<Vec<ServerKey>>, serde_json::Error> {
-        let Some(item) = self.mirror.items.get(RECENT_ORDERS_KEY) else {
-            return Ok((era == 0).then(Vec::new));
-        };
-        let record: RecentOrders = serde_json::from_slice(&item.value)?;
-        if record.era != era {
-            return Ok(None);
+/// Sends a renewal. Returns `None` if it got no answer.
+async fn send_renewal<A: PlatformAdapter>(store: &StoreClient<A>, id: u64) -> Option<LeaseEvent> {
+    let sent_at = clock::now();
+    match store.call(&StoreCall::Renew { lease: id }, CALL_TIMEOUT).await {
+        Ok(StoreReply::NoLease) => Some(LeaseEvent::Lost),
+        Ok(_) => Some(LeaseEvent::Renewed { sent_at }),
+        Err(cause) => {
+            log::debug!(cause:% = cause; "failed to renew the rollout lease");
+            None
         }
-        let servers = record.instances.iter().filter_map(|instance| self.registry.key_of(instance));
-        Ok(Some(servers.collect()))
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -2,6 +2,7 @@
 //! watches.
 
 mod handlers;
+mod lost_calls;
 
 use std::{
     collections::BTreeMap,
@@ -15,8 +16,11 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
-use self::handlers::{
-    grant_lease, list_range, name_era, renew_lease, revoke_lease, transact, watch_prefix,
+use self::{
+    handlers::{
+        grant_lease, list_range, name_era, renew_lease, revoke_lease, transact, watch_prefix,
+    },
+    lost_calls::LostCalls,
 };
 use crate::util::{self, RunningServer, lock};
 
@@ -67,6 +71,8 @@
     calls: BTreeMap<&'static str, u64>,
     /// Number of renewals of each lease.
     renewals: BTreeMap<u64, u64>,
+    /// Calls that get no answer.
+    lost_calls: LostCalls,
 }
 
 impl StoreCore {
@@ -254,6 +260,13 @@
         core.items.get(key).map(|item| item.lease)
     }
 
+    /// Returns the revision at which a key was last written; 0 if it does not exist.
+    pub fn revision_of(&self, key: &str) -> u64 {
+        let mut core = lock(&self.shared.core);
+        core.expire_leases();
+        core.items.get(key).map_or(0, |item| item.revision)
+    }
+
     /// Returns whether a key begins with this prefix.
     pub fn has_prefix(&self, prefix: &str) -> bool {
         lock(&self.shared.core).items.keys().any(|key| key.starts_with(prefix))
--- a/crates/standin/src/platform/store/handlers.rs
+++ b/crates/standin/src/platform/store/handlers.rs
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use tokio::time::timeout_at;
 
-use super::{StoreFault, StoreOverrides, StoreShared, StoredItem};
+use super::{StoreCore, StoreFault, StoreOverrides, StoreShared, StoredItem};
 use crate::util::{self, lock};
 
 pub(super) type Shared = web::Data<StoreShared>;
@@ -62,6 +62,32 @@
     remove: Vec<String>,
 }
 
+impl TransactBody {
+    /// Whether the transaction writes a key.
+    pub(super) fn writes_key(&self, key: &str) -> bool {
+        self.writes.iter().any(|row| row.key == key)
+    }
+}
+
+impl StoreCore {
+    /// Carries out a transaction and returns its revision. The error is the status of the refusal.
+    pub(super) fn carry_out(&mut self, body: TransactBody) -> Result<u64, StatusCode> {
+        let held = |key: &str| self.items.get(key).map_or(0, |item| item.revision);
+        if body.expected.iter().any(|row| held(&row.key) != row.revision) {
+            return Err(StatusCode::PRECONDITION_FAILED);
+        }
+        let unknown = |row: &&WriteRow| row.lease != 0 && !self.leases.contains_key(&row.lease);
+        if body.writes.iter().any(|row| unknown(&row)) {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        let decode = |row: WriteRow| Ok((row.key, STANDARD.decode(row.value)?, row.lease));
+        let writes: Result<Vec<_>, base64::DecodeError> =
+            body.writes.into_iter().map(decode).collect();
+        let writes = writes.map_err(|_| StatusCode::BAD_REQUEST)?;
+        Ok(self.write(writes, &body.remove))
+    }
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -162,24 +188,9 @@
     if let Some(refusal) = fault_response(fault).await {
         return refusal;
     }
-    let body = body.into_inner();
-    let outcome = shared.change(|core| {
-        let held = |key: &str| core.items.get(key).map_or(0, |item| item.revision);
-        if body.expected.iter().any(|row| held(&row.key) != row.revision) {
-            return Err(StatusCode::PRECONDITION_FAILED);
-        }
-        let unknown = |row: &&WriteRow| row.lease != 0 && !core.leases.contains_key(&row.lease);
-        if body.writes.iter().any(|row| unknown(&row)) {
-            return Err(StatusCode::NOT_FOUND);
-        }
-        let decode = |row: WriteRow| Ok((row.key, STANDARD.decode(row.value)?, row.lease));
-        let writes: Result<Vec<_>, base64::DecodeError> =
-            body.writes.into_iter().map(decode).collect();
-        match writes {
-            Ok(writes) => Ok(core.write(writes, &body.remove)),
-            Err(_) => Err(StatusCode::BAD_REQUEST),
-        }
-    });
+    let body = shared.change(|core| core.hold_back(body.into_inner()));
+    let Some(body) = body else { return std::future::pending().await };
+    let outcome = shared.change(|core| core.carry_out(body));
     if fault == StoreFault::LoseAcknowledgements {
         return util::aborted_response();
     }
@@ -207,6 +218,9 @@
     if let Some(refusal) = fault_response(fault).await {
         return refusal;
     }
+    if lock(&shared.core).loses_renewal() {
+        return std::future::pending().await;
+    }
     let mut core = lock(&shared.core);
     *core.renewals.entry(*lease).or_default() += 1;
     match core.leases.get_mut(&lease) {
