Derive the salt of shared prompt parts from the set of isolated workspaces

Cause: all workspaces that are not isolated shared one salt, the version of the weights, which stays the same when one of them leaves the group. The scope was also taken once, when a request was admitted.

Change: the salt of the others holds a hash over the names of the isolated workspaces, so under it none of these has ever made a part, whatever the order of configurations. It needs no word between nodes. The scope follows the configuration in force at each attempt. With nobody isolated the salt is as before. Older builds read the new text as no salt of theirs and record nothing under it.

--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{CacheScope, IsolatedSet};
 use crate::rendezvous::rendezvous_score;
 
 /// Whether a route's requests may run more than once.
@@ -209,6 +210,8 @@
     by_key: HashMap<String, usize>,
     /// Invariant: position in `config.services` by name.
     by_service: HashMap<String, usize>,
+    /// Invariant: the isolated ones of `config.workspaces`.
+    isolated: IsolatedSet,
 }
 
 impl RouteTable {
@@ -233,6 +236,7 @@
         let services = config.services.iter().enumerate();
         self.by_service = services.map(|(index, spec)| (spec.name.clone(), index)).collect();
         self.by_host = by_host;
+        self.isolated = IsolatedSet::of(config.workspaces.iter().flatten());
         self.config = Some(config);
         true
     }
@@ -253,6 +257,11 @@
         self.config.as_ref()?.services.get(index)
     }
 
+    /// Returns which other requests may share KV cache with one of a workspace.
+    pub fn cache_scope(&self, workspace: Option<&WorkspaceSpec>) -> CacheScope {
+        self.isolated.scope_of(workspace)
+    }
+
     /// Address of the first store of KV cache, if there is one.
     pub fn cache_store(&self) -> Option<SocketAddr> {
         self.services().find_map(|spec| match &spec.role {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod attempt_history;
 mod brittle_server;
 mod cache_map;
+mod cache_scope;
 mod config;
 mod crash_messages;
 mod crash_sharing;
@@ -41,6 +42,7 @@
     attempt_history::{AttemptHistory, AttemptOutcome, NextStep, RequestFailure},
     brittle_server::{BrittleServer, ServerOccupancy},
     cache_map::{CacheChanges, CacheConfidence, CacheMap},
+    cache_scope::{CacheScope, IsolatedSet},
     config::{
         CacheStoreSpec, ClientLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -84,6 +84,8 @@
     /// for anything else, since crashes may become known at any time.
     pub async fn open(node: &Rc<Node>, context: &mut RequestContext) -> Result<Attempt, OpenError> {
         check_suspect(node, context)?;
+        // The configuration may have changed since the request was admitted or last sent.
+        context.cache_scope = node.state.borrow().routes.cache_scope(context.workspace.as_ref());
         let (choice, instance) = choose_server(node, context).map_err(OpenError::Refused)?;
         context.tried_servers.push(choice.server);
         let flight = FlightGuard::start(node, context, &choice, &instance);
@@ -275,7 +277,7 @@
     ) {
         record_response(node, context, self, false);
         let Some(weights) = self.choice.weights else { return };
-        let salt = cache_salt(context.cache_scope, weights);
+        let salt = cache_salt(context.cache_scope.number(), weights);
         self.flight.report(load, salt, context.info.prompt.shared_parts(), self.save_to.is_some());
     }
 
@@ -324,8 +326,8 @@
         context: &RequestContext,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
-        let workspace = context.workspace.as_ref();
-        let salt = self.choice.weights.map(|version| format_salt(version, workspace));
+        let scope = &context.cache_scope;
+        let salt = self.choice.weights.map(|version| format_salt(version, scope));
         let headers = A::encode_request_headers(&ServerRequest {
             headers: &context.head.headers,
             request_id: &context.info.request_id,
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/flight.rs
@@ -45,7 +45,7 @@
                 instance: instance.clone(),
                 request: number,
                 tokens,
-                salt: cache_salt(context.cache_scope, version),
+                salt: cache_salt(context.cache_scope.number(), version),
                 parts: prompt.shared_parts().to_vec(),
             };
             notices::apply(node, notice.clone());
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -18,7 +18,6 @@
     adapter::{PlatformAdapter, RequestInfo},
     attempt::{Attempt, AttemptResult},
     body::ResponseBody,
-    cache_salt::cache_scope,
     checked_response::ServerStream,
     clock, crashes,
     forward::{self, ForwardResult, HopInfo},
@@ -154,9 +153,9 @@
     let body = read_body(&id, body, limits.max_body_bytes, left).await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let suspects = request_suspects(name, &head.uri, &body, &info.prompt);
-    let cache_scope = cache_scope(workspace.as_ref());
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
+    let cache_scope = state.routes.cache_scope(workspace.as_ref());
     state.on_request(now, &service, &node.settings.bounds);
     state.planner.on_prompt(now, &info.prompt);
     let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
--- a/crates/node/src/request_context.rs
+++ b/crates/node/src/request_context.rs
@@ -7,7 +7,7 @@
     clock::ClockTime,
     ids::ServerKey,
     suspects::RequestSuspects,
-    traffic::{AttemptHistory, RouteKind, RouteRule, SoftwareRule, WorkspaceSpec},
+    traffic::{AttemptHistory, CacheScope, RouteKind, RouteRule, SoftwareRule, WorkspaceSpec},
 };
 use http::request::Parts;
 
@@ -39,8 +39,8 @@
     pub suspects: RequestSuspects,
     /// Software versions of servers at which it may run, since it continues a stream or has begun one.
     pub software: SoftwareRule,
-    /// Group of requests that may share KV cache; see [`cache_scope`].
-    pub cache_scope: u64,
+    /// Group of requests that may share KV cache, by the configuration in force at the last attempt.
+    pub cache_scope: CacheScope,
     /// Servers to which this request has been sent or was about to be sent.
     pub tried_servers: Vec<ServerKey>,
     /// What the attempts so far have shown, which decides whether another one is allowed.
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server_choice.rs
@@ -53,7 +53,7 @@
         service: &context.service,
         model: context.info.model.as_deref(),
         prompt: &context.info.prompt,
-        cache_scope: context.cache_scope,
+        cache_scope: context.cache_scope.number(),
         software: &context.software,
         bytes: context.body.len(),
         has_cache_store: state.cache_store().is_some(),
