Admit only changes of the store that are newer than the copy

Cause: apply_event compared an item with a known item of the same key only. A removed key has none, so the older answer of a watch, read after the notice of the removal, put the server back.

Change: watch, notices and whole copies enter through one gate in store_mirror.rs, with the revision that they are complete to. Within an era, what is at or below the revision of the copy is dropped; a gap or another era is read again. A copy of another node is compared when it is applied, no longer only before it was asked for, and can no longer lower the revision. Notices and copies have the same form as before.

--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -172,6 +172,11 @@
         state.registry.iter().filter(|(_, server)| server.health.is_suspected(now)).count()
     }
 
+    /// Returns the number of the revision up to which this node's copy of the store is complete.
+    pub fn store_revision(&self) -> u64 {
+        self.node.state.borrow().mirror.revision.number
+    }
+
     /// Returns the number of servers that get no requests because they leave.
     pub fn leaving_servers(&self) -> usize {
         let state = self.node.state.borrow();
--- a/crates/node/src/store_changes.rs
+++ b/crates/node/src/store_changes.rs
@@ -1,6 +1,6 @@
 //! Applies the items of the platform's store, and their changes, to the node.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use carobvane_core::{
     clock::ClockTime,
@@ -12,7 +12,7 @@
     clock, crash_store, crashes,
     members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
     node::{Node, NodeState},
-    store_mirror::StoreMirror,
+    store_mirror::{BatchError, ChangeBatch, StoreMirror},
 };
 
 /// Items of a snapshot count as this much older, since requests wait before they begin.
@@ -22,32 +22,48 @@
 /// some seconds old.
 const REMOVED_ENTRY_LIFETIME: Duration = Duration::from_secs(120);
 
-/// Applies a snapshot; keys that it lacks were removed. In a snapshot of a later era, revisions are no
-/// measure of age, so everything that differs is applied.
-pub fn apply_snapshot<A: PlatformAdapter>(node: &Rc<Node>, mut mirror: StoreMirror) {
-    let known = node.state.borrow().mirror.revision;
-    if mirror.revision.era != known.era && known.number > 0 {
-        begin_era(node, known, &mut mirror);
-        keep_lost_entries::<A>(node, &mirror);
+/// Applies those changes of a batch that this node does not know yet.
+pub fn apply_changes<A: PlatformAdapter>(
+    node: &Rc<Node>,
+    batch: ChangeBatch,
+) -> Result<(), BatchError> {
+    let complete_to = StoreRevision { number: batch.complete_to, ..batch.after };
+    let brought = batch.events.len();
+    let events = node.state.borrow().mirror.admit(batch)?;
+    if events.len() < brought {
+        log::debug!(known = brought - events.len(), complete_to:? = complete_to; "changes of the store are known already");
     }
-    let known: Vec<String> = node.state.borrow().mirror.items.keys().cloned().collect();
-    let present: HashSet<&String> = mirror.items.keys().collect();
-    let gone: Vec<String> = known.into_iter().filter(|key| !present.contains(key)).collect();
-    for key in gone {
-        apply_event::<A>(
-            node,
-            StoreEvent::Removed { key, revision: mirror.revision.number },
-            Duration::ZERO,
-        );
+    for event in events {
+        apply_event::<A>(node, event, Duration::ZERO);
     }
+    let mirror = &mut node.state.borrow_mut().mirror;
+    mirror.revision = mirror.revision.max(complete_to);
+    Ok(())
+}
+
+/// Applies a snapshot unless this node's copy of the store is newer; keys that the snapshot lacks were
+/// removed. Returns whether it was applied.
+pub fn apply_snapshot<A: PlatformAdapter>(node: &Rc<Node>, mut snapshot: StoreMirror) -> bool {
+    let known = node.state.borrow().mirror.revision;
+    if snapshot.revision.era > known.era && known.number > 0 {
+        begin_era(node, known, &mut snapshot);
+        keep_lost_entries::<A>(node, &snapshot);
+    }
+    let changes = node.state.borrow().mirror.changes_to(&snapshot);
+    let Some(changes) = changes else {
+        log::info!(revision:? = snapshot.revision, known:? = known; "ignored an older copy of the store");
+        return false;
+    };
     // An item may have been written long before the snapshot is read. It binds this node from the
     // time at which the deployment regards the node as connected.
     let age = node.settings.bounds.stable_time + SNAPSHOT_AGE;
-    for item in mirror.items.into_values() {
-        apply_event::<A>(node, StoreEvent::Put(item), age);
+    for event in changes {
+        let age = if matches!(event, StoreEvent::Put(_)) { age } else { Duration::ZERO };
+        apply_event::<A>(node, event, age);
     }
-    node.state.borrow_mut().mirror.revision = mirror.revision;
+    node.state.borrow_mut().mirror.revision = snapshot.revision;
     node.rollout_wake.notify_one();
+    true
 }
 
 /// Keeps the entries in force that a restored store lacks, for nodes that start before the operator has
@@ -102,7 +118,7 @@
 }
 
 /// Applies a change that may be as old as `age`, or older if this node was suspended.
-pub fn apply_event<A: PlatformAdapter>(node: &Rc<Node>, event: StoreEvent, age: Duration) {
+fn apply_event<A: PlatformAdapter>(node: &Rc<Node>, event: StoreEvent, age: Duration) {
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     state.on_active(now);
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -23,8 +23,8 @@
     node_notice::NodeNotice,
     notice_transport, peers,
     store::{CALL_TIMEOUT, StoreCallError, StoreClient},
-    store_changes::{apply_event, apply_snapshot},
-    store_mirror::StoreMirror,
+    store_changes::{apply_changes, apply_snapshot},
+    store_mirror::{ChangeBatch, StoreMirror},
 };
 
 /// Longest wait of a watch. A connection that has gone silent is noticed after this time.
@@ -171,20 +171,11 @@
     after: StoreRevision,
     events: Vec<StoreEvent>,
 ) {
-    let known = node.state.borrow().mirror.revision;
     let Some(number) = events.first().map(StoreEvent::revision) else { return };
-    let revision = StoreRevision { era: after.era, number };
-    if revision <= known {
-        return;
-    }
-    if known < after {
-        schedule_catch_up(node, revision);
-        return;
+    let batch = ChangeBatch { after, events, complete_to: number };
+    if apply_changes::<A>(node, batch).is_err() {
+        schedule_catch_up(node, StoreRevision { number, ..after });
     }
-    for event in events {
-        apply_event::<A>(node, event, Duration::ZERO);
-    }
-    node.state.borrow_mut().mirror.revision = revision;
 }
 
 /// Wakes the synchronisation with the store if a change up to `revision` is missing.
@@ -224,9 +215,10 @@
         }
         match read {
             Ok(Some(mirror)) if mirror.revision > known => {
-                let (revision, known) = (mirror.revision, known);
-                log::info!(revision:? = revision, known:? = known; "applied another node's copy of the store");
-                apply_snapshot::<A>(&node, mirror);
+                let revision = mirror.revision;
+                if apply_snapshot::<A>(&node, mirror) {
+                    log::info!(revision:? = revision, known:? = known; "applied another node's copy of the store");
+                }
             }
             Ok(_) => {}
             Err(cause) => {
@@ -263,12 +255,11 @@
             break;
         }
     }
-    if mirror.revision >= node.state.borrow().mirror.revision {
-        apply_snapshot::<A>(node, mirror);
-    }
+    // This node's copy may have become newer through notices meanwhile.
+    apply_snapshot::<A>(node, mirror);
     let state = &mut *node.state.borrow_mut();
     state.on_members_read(clock::now());
-    state.store_checked_at = sent_at;
+    state.store_checked_at = state.store_checked_at.max(sent_at);
     Ok(true)
 }
 
@@ -295,16 +286,17 @@
     match store.call(&call, wait + WATCH_SLACK).await? {
         // The revisions of another era say nothing about what is missing here.
         StoreReply::Events { .. } if store.era() != after.era => Ok(INCOMPLETE),
-        StoreReply::Events { events, revision } => {
+        StoreReply::Events { events, revision: complete_to } => {
             // The end of an outage must be recorded before the events that follow it are applied.
             node.set_store_reachable(true);
-            for event in &events {
-                apply_event::<A>(node, event.clone(), Duration::ZERO);
+            // Notices may have brought later changes while the answer was under way.
+            let batch = ChangeBatch { after, events: events.clone(), complete_to };
+            if let Err(cause) = apply_changes::<A>(node, batch) {
+                log::info!(after:? = after, cause:% = cause; "failed to apply what a watch has brought");
+                return Ok(INCOMPLETE);
             }
             let state = &mut *node.state.borrow_mut();
-            let revision = StoreRevision { number: revision, ..after };
-            state.mirror.revision = state.mirror.revision.max(revision);
-            state.store_checked_at = sent_at;
+            state.store_checked_at = state.store_checked_at.max(sent_at);
             Ok(WatchResult { events, is_complete: true })
         }
         StoreReply::HistoryLost => {
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! A simulated key-value store of the users' platform, with revisions, leases and long-polling
 //! watches.
 
+mod address;
 mod handlers;
 mod lost_calls;
 
@@ -17,6 +18,7 @@
 use tokio::sync::watch;
 
 use self::{
+    address::StoreAddress,
     handlers::{
         grant_lease, list_range, name_era, renew_lease, revoke_lease, transact, watch_prefix,
     },
@@ -144,28 +146,26 @@
 pub struct StoreHandle {
     shared: Arc<StoreShared>,
     server: RunningServer,
+    address: Arc<StoreAddress>,
 }
 
-/// Values that one address of the store returns in place of those that it holds, by their keys.
-#[derive(Debug, Default)]
-pub struct StoreOverrides(BTreeMap<String, Vec<u8>>);
-
 /// Starts an empty store inside the caller's actix system. Fails if no port can be bound.
 pub async fn start_store() -> io::Result<StoreHandle> {
     let core = StoreCore { revision: 1, ..StoreCore::default() };
     let shared = Arc::new(StoreShared { core: Mutex::new(core), changed: watch::channel(1).0 });
-    let server = serve(&shared, StoreOverrides::default())?;
-    Ok(StoreHandle { shared, server })
+    serve(shared, BTreeMap::new())
 }
 
-fn serve(shared: &Arc<StoreShared>, overrides: StoreOverrides) -> io::Result<RunningServer> {
+/// Serves a store at a new address.
+fn serve(shared: Arc<StoreShared>, values: BTreeMap<String, Vec<u8>>) -> io::Result<StoreHandle> {
+    let address = Arc::new(StoreAddress::new(values));
     let listener = util::listen(util::ephemeral_addr())?;
     let data = web::Data::from(shared.clone());
-    let overrides = web::Data::new(overrides);
+    let address_data = web::Data::from(address.clone());
     let app = move || {
         App::new()
             .app_data(data.clone())
-            .app_data(overrides.clone())
+            .app_data(address_data.clone())
             .app_data(web::JsonConfig::default().limit(util::MAX_BODY_BYTES))
             .route("/kv-range", web::get().to(list_range))
             .route("/kv-watch", web::get().to(watch_prefix))
@@ -175,7 +175,8 @@
             .route("/kv-lease-end/{lease}", web::delete().to(revoke_lease))
             .wrap(from_fn(name_era))
     };
-    Ok(crate::serve!(listener, app))
+    let server = crate::serve!(listener, app);
+    Ok(StoreHandle { shared, server, address })
 }
 
 impl StoreHandle {
@@ -188,8 +189,7 @@
     /// keys. Fails if no port can be bound.
     pub fn with_overrides(&self, values: BTreeMap<String, Value>) -> io::Result<StoreHandle> {
         let values = values.into_iter().map(|(key, value)| (key, value.to_string().into_bytes()));
-        let server = serve(&self.shared, StoreOverrides(values.collect()))?;
-        Ok(StoreHandle { shared: self.shared.clone(), server })
+        serve(self.shared.clone(), values.collect())
     }
 
     /// Writes a key as JSON without a lease, as the operator or a backend server does.
@@ -260,6 +260,11 @@
         core.items.get(key).map(|item| item.lease)
     }
 
+    /// Returns the latest revision.
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.core).revision
+    }
+
     /// Returns the revision at which a key was last written; 0 if it does not exist.
     pub fn revision_of(&self, key: &str) -> u64 {
         let mut core = lock(&self.shared.core);
--- a/crates/standin/src/platform/store/handlers.rs
+++ b/crates/standin/src/platform/store/handlers.rs
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use tokio::time::timeout_at;
 
-use super::{StoreCore, StoreFault, StoreOverrides, StoreShared, StoredItem};
+use super::{StoreCore, StoreFault, StoreShared, StoredItem, address::StoreAddress};
 use crate::util::{self, lock};
 
 pub(super) type Shared = web::Data<StoreShared>;
@@ -95,8 +95,8 @@
     ttl_ms: u64,
 }
 
-fn item_json(key: &str, item: &StoredItem, overrides: &StoreOverrides) -> Value {
-    let value = overrides.0.get(key).unwrap_or(&item.value);
+fn item_json(key: &str, item: &StoredItem, address: &StoreAddress) -> Value {
+    let value = address.value(key).unwrap_or(&item.value);
     json!({
         "key": key, "value": STANDARD.encode(value), "revision": item.revision,
         "created": item.created, "lease": item.lease,
@@ -127,7 +127,7 @@
 
 pub(super) async fn list_range(
     shared: Shared,
-    overrides: web::Data<StoreOverrides>,
+    address: web::Data<StoreAddress>,
     query: web::Query<RangeQuery>,
 ) -> HttpResponse {
     let fault = lock(&shared.core).record_call("range");
@@ -137,15 +137,16 @@
     let core = lock(&shared.core);
     let items = core.items.iter().filter(|(key, _)| key.starts_with(&query.prefix));
     let items = items.filter(|(key, _)| query.after.as_ref().is_none_or(|after| *key > after));
-    let items: Vec<Value> = items.map(|(key, item)| item_json(key, item, &overrides)).collect();
+    let items: Vec<Value> = items.map(|(key, item)| item_json(key, item, &address)).collect();
     HttpResponse::Ok().json(json!({"items": items, "hasMore": false, "asOf": core.revision}))
 }
 
 pub(super) async fn watch_prefix(
     shared: Shared,
-    overrides: web::Data<StoreOverrides>,
+    address: web::Data<StoreAddress>,
     query: web::Query<WatchQuery>,
 ) -> HttpResponse {
+    address.record_watch();
     let fault = lock(&shared.core).record_call("watch");
     if let Some(refusal) = fault_response(fault).await {
         return refusal;
@@ -154,23 +155,13 @@
     let mut changed = shared.changed.subscribe();
     loop {
         changed.borrow_and_update();
-        {
-            let core = lock(&shared.core);
-            if query.after < core.compacted_revision || query.after > core.revision {
-                return HttpResponse::Gone().finish();
-            }
-            let events = core.history.iter().filter(|(revision, key, _)| {
-                *revision > query.after && key.starts_with(&query.prefix)
-            });
-            let events: Vec<Value> = events
-                .map(|(revision, key, item)| match item {
-                    Some(item) => item_json(key, item, &overrides),
-                    None => json!({"key": key, "revision": revision, "tombstone": true}),
-                })
-                .collect();
-            if !events.is_empty() {
-                return HttpResponse::Ok().json(json!({"events": events, "asOf": core.revision}));
-            }
+        let answer = match watch_events(&lock(&shared.core), &query, &address) {
+            Ok(answer) => answer,
+            Err(status) => return HttpResponse::build(status).finish(),
+        };
+        if let Some(answer) = answer {
+            address.wait_until_released().await;
+            return HttpResponse::Ok().json(answer);
         }
         if timeout_at(end, changed.changed()).await.is_err() {
             let revision = lock(&shared.core).revision;
@@ -183,6 +174,27 @@
     }
 }
 
+/// Returns the answer to a watch; `None` while there are no changes. The error is the status of a refusal.
+fn watch_events(
+    core: &StoreCore,
+    query: &WatchQuery,
+    address: &StoreAddress,
+) -> Result<Option<Value>, StatusCode> {
+    if query.after < core.compacted_revision || query.after > core.revision {
+        return Err(StatusCode::GONE);
+    }
+    let events = core
+        .history
+        .iter()
+        .filter(|(revision, key, _)| *revision > query.after && key.starts_with(&query.prefix));
+    let events = events.map(|(revision, key, item)| match item {
+        Some(item) => item_json(key, item, address),
+        None => json!({"key": key, "revision": revision, "tombstone": true}),
+    });
+    let events: Vec<Value> = events.collect();
+    Ok((!events.is_empty()).then(|| json!({"events": events, "asOf": core.revision})))
+}
+
 pub(super) async fn transact(shared: Shared, body: web::Json<TransactBody>) -> HttpResponse {
     let fault = lock(&shared.core).record_call("transact");
     if let Some(refusal) = fault_response(fault).await {
