Forward only events of a stream, and all that came before other bytes

An error of the next server never reached a stream. Two related faults were found by the tests: - Without chunks, nothing tells the head of another response from events. Each block of lines counted as an event, so clients got the head in the stream. - If such a block, or an event out of order, came in the same read as events before it, these were counted and never sent: the stream went on at another server after them, so pieces were missing.

Change: an event has a numeric id, as on all streams; a block without one is a comment or an error. The splitter returns the events before an error together with it, and they are forwarded. Comments are forwarded and are no progress. The cases of only_complete_events_in_order_are_forwarded have the bytes and the error side by side in place of one of them, which checks more than before.

--- a/crates/core/tests/traffic_limits.rs
+++ b/crates/core/tests/traffic_limits.rs
@@ -179,14 +179,15 @@
     }
 }
 
-/// Guards against a stream from two servers that is joined within an event, or that repeats or
-/// reorders events.
+/// Guards against a stream from two servers that is joined within an event, that repeats or reorders
+/// events, holds bytes which are no event, or lacks the events that came with such bytes.
 #[test]
 fn only_complete_events_in_order_are_forwarded() {
     struct Case {
         after: Option<u64>,
         chunks: &'static [&'static str],
-        forwarded: Result<&'static str, EventError>,
+        forwarded: &'static str,
+        error: Option<EventError>,
         last_event_id: Option<u64>,
         at_boundary: bool,
     }
@@ -194,52 +195,88 @@
         Case {
             after: None,
             chunks: &["id: 1\nda", "ta: a\n", "\nid: 2\ndata: b\n\n"],
-            forwarded: Ok("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+            forwarded: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            error: None,
             last_event_id: Some(2),
             at_boundary: true,
         },
         Case {
             after: None,
             chunks: &["id: 1\ndata: a\n\nid: 2\nda"],
-            forwarded: Ok("id: 1\ndata: a\n\n"),
+            forwarded: "id: 1\ndata: a\n\n",
+            error: None,
             last_event_id: Some(1),
             at_boundary: false,
         },
         Case {
             after: None,
             chunks: &["id: 1\r\ndata: a\r\n\r\n"],
-            forwarded: Ok("id: 1\r\ndata: a\r\n\r\n"),
+            forwarded: "id: 1\r\ndata: a\r\n\r\n",
+            error: None,
             last_event_id: Some(1),
             at_boundary: true,
         },
         Case {
             after: Some(4),
             chunks: &["note: 3\nid: 5\ndata: e\n\n"],
-            forwarded: Ok("note: 3\nid: 5\ndata: e\n\n"),
+            forwarded: "note: 3\nid: 5\ndata: e\n\n",
+            error: None,
             last_event_id: Some(5),
             at_boundary: true,
         },
         Case {
             after: Some(4),
             chunks: &["id: 4\ndata: again\n\n"],
-            forwarded: Err(EventError::OutOfOrder),
+            forwarded: "",
+            error: Some(EventError::OutOfOrder),
             last_event_id: Some(4),
             at_boundary: false,
         },
+        Case {
+            after: None,
+            chunks: &["id: 1\ndata: a\n\n: alive\n\n\nid: 2\ndata: b\n\n"],
+            forwarded: "id: 1\ndata: a\n\n: alive\n\n\nid: 2\ndata: b\n\n",
+            error: None,
+            last_event_id: Some(2),
+            at_boundary: true,
+        },
+        Case {
+            after: Some(1),
+            chunks: &["HTTP/1.1 503 Busy\r\nRequest-Id: r\r\nRetry-After: 1\r\n\r\n"],
+            forwarded: "",
+            error: Some(EventError::NoId),
+            last_event_id: Some(1),
+            at_boundary: false,
+        },
+        Case {
+            after: Some(1),
+            chunks: &["data: a\n\n"],
+            forwarded: "",
+            error: Some(EventError::NoId),
+            last_event_id: Some(1),
+            at_boundary: false,
+        },
+        Case {
+            after: None,
+            chunks: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\n"],
+            forwarded: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            error: Some(EventError::OutOfOrder),
+            last_event_id: Some(2),
+            at_boundary: false,
+        },
     ];
     for case in cases {
         let mut splitter = EventSplitter::resume_after(case.after);
-        let forwarded: Result<Vec<u8>, EventError> =
-            case.chunks.iter().try_fold(Vec::new(), |mut all, chunk| {
-                all.extend(splitter.push(chunk.as_bytes())?.bytes);
-                Ok(all)
-            });
-        assert_eq!(
-            forwarded,
-            case.forwarded.map(|text| text.as_bytes().to_vec()),
-            "{:?}",
-            case.chunks
-        );
+        let mut forwarded = Vec::new();
+        let mut error = None;
+        for chunk in case.chunks {
+            assert_eq!(error, None, "{:?}: bytes after an error", case.chunks);
+            let complete = splitter.push(chunk.as_bytes());
+            forwarded.extend(complete.bytes);
+            error = complete.error;
+        }
+        assert_eq!(forwarded, case.forwarded.as_bytes(), "{:?}", case.chunks);
+        assert_eq!(error, case.error, "{:?}", case.chunks);
         assert_eq!(splitter.last_event_id(), case.last_event_id, "{:?}", case.chunks);
         assert_eq!(splitter.is_at_boundary(), case.at_boundary, "{:?}", case.chunks);
     }
@@ -252,9 +289,10 @@
     for piece in ["x", "x\n", "data: x\r\n"] {
         let mut splitter = EventSplitter::default();
         let error = loop {
-            match splitter.push(piece.as_bytes()) {
-                Ok(complete) => assert_eq!(complete.event_count, 0, "{piece:?}"),
-                Err(error) => break error,
+            let complete = splitter.push(piece.as_bytes());
+            assert_eq!(complete.event_count, 0, "{piece:?}");
+            if let Some(error) = complete.error {
+                break error;
             }
         };
         assert_eq!(error, EventError::TooLong, "{piece:?}");
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -185,38 +185,41 @@
                 &mut self.node.state.borrow_mut(),
                 attempt.choice.server,
             );
-            let complete = match self.splitter.push(&data) {
-                Ok(complete) => complete,
-                Err(cause) => {
-                    return SegmentEnd::Invalid(format!(
-                        "failed to continue the stream: {cause:?}"
-                    ));
+            let complete = self.splitter.push(&data);
+            if complete.event_count > 0 {
+                self.record_events(complete.event_count, attempt);
+            }
+            if !complete.bytes.is_empty() {
+                let chunk = StreamChunk::Data(Bytes::from(complete.bytes));
+                tokio::select! {
+                    sent = self.chunk_sender.send(chunk) => {
+                        if sent.is_err() {
+                            return SegmentEnd::ClientLeft;
+                        }
+                    }
+                    () = sleep_until(deadline) => return SegmentEnd::TimedOut,
                 }
-            };
-            if !memory.resize(self.splitter.pending_bytes()) {
-                return SegmentEnd::Invalid("no memory for the rest of an event".to_string());
             }
-            if complete.bytes.is_empty() {
-                continue;
+            if let Some(error) = complete.error {
+                return SegmentEnd::Invalid(format!("failed to continue the stream: {error:?}"));
             }
-            if self.timing.events == 0 {
-                stream_origin::record(&self.node, &mut self.context, attempt.software.as_deref());
+            if !memory.resize(self.splitter.pending_bytes()) {
+                return SegmentEnd::Invalid("no memory for the rest of an event".to_string());
             }
-            self.timing.on_events(clock::now(), self.context.arrived_at, complete.event_count);
-            let chunk = StreamChunk::Data(Bytes::from(complete.bytes));
-            tokio::select! {
-                sent = self.chunk_sender.send(chunk) => {
-                    if sent.is_err() {
-                        return SegmentEnd::ClientLeft;
-                    }
-                }
-                () = sleep_until(deadline) => return SegmentEnd::TimedOut,
+            if complete.event_count > 0 {
+                // The time that a slow client takes is not the server's.
+                progressed_at = Instant::now();
             }
-            // The time that a slow client takes is not the server's.
-            progressed_at = Instant::now();
         }
     }
 
+    fn record_events(&mut self, count: u32, attempt: &Attempt) {
+        if self.timing.events == 0 {
+            stream_origin::record(&self.node, &mut self.context, attempt.software.as_deref());
+        }
+        self.timing.on_events(clock::now(), self.context.arrived_at, count);
+    }
+
     /// Returns the time without events after which the stream fails over. A stream that may not be
     /// repeated waits for its server until the deadline.
     fn stall_timeout(&self) -> Option<Duration> {
