Take no stream without a length for complete before its first event

A related fault was found: where the head is whole but has neither a length nor chunks, and the connection ends at once, the client got an empty stream that looks complete.

Change: such a stream is broken off before its first event. It goes on at another server where the route allows it.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -22,7 +22,7 @@
     adapter::PlatformAdapter,
     attempt::{Attempt, AttemptResult},
     body::{ResponseBody, StreamChunk},
-    checked_response::ServerStream,
+    checked_response::{CheckedHead, ServerStream},
     clock,
     connection::ConnectionError,
     links,
@@ -109,7 +109,7 @@
     async fn run<A: PlatformAdapter>(&mut self, mut stream: ServerStream) -> &'static str {
         loop {
             let ServerStream { head, mut body, mut attempt } = stream;
-            match self.forward_events(&mut body, &attempt).await {
+            match self.forward_events(&head, &mut body, &attempt).await {
                 SegmentEnd::Complete => {
                     let (end, cause) = if head.has_explicit_end() && self.timing.events > 0 {
                         (RunEnd::Completed, "")
@@ -156,7 +156,12 @@
     }
 
     /// Forwards whole events until this server's part of the stream ends.
-    async fn forward_events(&mut self, body: &mut Incoming, attempt: &Attempt) -> SegmentEnd {
+    async fn forward_events(
+        &mut self,
+        head: &CheckedHead,
+        body: &mut Incoming,
+        attempt: &Attempt,
+    ) -> SegmentEnd {
         let connection = &attempt.connection.connection;
         let mut memory = self.node.response_memory.share();
         let deadline = Instant::now() + self.context.time_left(clock::now());
@@ -177,8 +182,7 @@
                 Ok(Some(data)) => data,
                 Err(ConnectionError::Invalid(cause)) => return SegmentEnd::Invalid(cause),
                 Err(cause) => return SegmentEnd::Broken(cause.to_string()),
-                Ok(None) if self.splitter.is_at_boundary() => return SegmentEnd::Complete,
-                Ok(None) => return SegmentEnd::Broken("stream ended within an event".to_string()),
+                Ok(None) => return self.end_of_body(head),
             };
             links::record_heard(
                 &self.node,
@@ -220,6 +224,17 @@
         self.timing.on_events(clock::now(), self.context.arrived_at, count);
     }
 
+    /// Returns how the part of a stream ended whose body has ended.
+    fn end_of_body(&self, head: &CheckedHead) -> SegmentEnd {
+        if !self.splitter.is_at_boundary() {
+            return SegmentEnd::Broken("stream ended within an event".to_string());
+        }
+        if !head.has_explicit_end() && self.splitter.last_event_id().is_none() {
+            return SegmentEnd::Broken("connection ended before the first event".to_string());
+        }
+        SegmentEnd::Complete
+    }
+
     /// Returns the time without events after which the stream fails over. A stream that may not be
     /// repeated waits for its server until the deadline.
     fn stall_timeout(&self) -> Option<Duration> {
