Bound what a holder keeps of its orders, and the wait for their record

Change: orders older than the handover gap are dropped with each tick; the write has the timeout of the calls for the lease. Salts are read with their version parsed once.

--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -207,8 +207,11 @@
         effects
     }
 
-    /// Stops tracking servers that are gone, are up to date or have exceeded [`MAX_LOAD_TIME`].
+    /// Stops tracking servers that are gone, are up to date or have exceeded [`MAX_LOAD_TIME`], and orders
+    /// that are older than the handover gap.
     fn prune_loads(&mut self, now: ClockTime, registry: &ServerRegistry, history: &WeightsHistory) {
+        let gap = self.settings.handover_gap;
+        self.ordered_at.retain(|_, at| now.since(*at) < gap);
         self.loading.retain(|key, loading| {
             let Some(server) = registry.get(*key) else { return false };
             let behind = server
--- a/crates/node/src/cache_salt.rs
+++ b/crates/node/src/cache_salt.rs
@@ -34,9 +34,9 @@
     } else {
         (text, CacheScope::Shared(0))
     };
-    let salt = cache_salt(scope.number(), WeightsVersion(version.parse().ok()?));
-    // Other spellings of the same number are not written by nodes.
-    (format_salt(WeightsVersion(version.parse().ok()?), &scope) == text).then_some(salt)
+    let version = WeightsVersion(version.parse().ok()?);
+    // Nodes write each number in one way only.
+    (format_salt(version, &scope) == text).then(|| cache_salt(scope.number(), version))
 }
 
 #[cfg(test)]
--- a/crates/node/src/order_record.rs
+++ b/crates/node/src/order_record.rs
@@ -16,8 +16,8 @@
     clock,
     members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY},
     node::Node,
-    rollout_lease::acquired_revision,
-    store::{CALL_TIMEOUT, StoreCallError, StoreClient},
+    rollout_lease::{CALL_TIMEOUT, acquired_revision},
+    store::{StoreCallError, StoreClient},
     store_mirror::StoreMirror,
 };
 
--- a/crates/node/src/rollout_lease.rs
+++ b/crates/node/src/rollout_lease.rs
@@ -27,7 +27,7 @@
 /// Number of times that a renewal is sent, all before the lease expires.
 const MAX_RENEWALS: u32 = 4;
 /// Timeout of a call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest random pause before a vacant lease is acquired, so that nodes do not all try at once.
 const ACQUIRE_JITTER: Duration = Duration::from_millis(120);
 /// Nodes that do not watch the store try to acquire the lease only after it has been vacant for
