--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -32,6 +32,7 @@
 mod rollout_messages;
 mod server_limit;
 mod server_links;
+mod server_loading;
 mod stream_origins;
 mod suspension;
 mod unresolved_runs;
--- a/crates/core/src/traffic/rollout.rs
+++ b/crates/core/src/traffic/rollout.rs
@@ -10,6 +10,7 @@
 use super::{
     BackendServer, LoadOrder, OrderReply, RolloutEffect, RolloutSettings, ServerAvailability,
     ServerRegistry, WeightsHistory,
+    server_loading::{LoadStage, ServerLoading},
 };
 use crate::{
     clock::ClockTime,
@@ -36,8 +37,6 @@
 const DRAIN_QUERY_INTERVAL: Duration = Duration::from_millis(200);
 /// A server that still runs requests after this time gets its order anyway.
 const MAX_DRAIN_TIME: Duration = Duration::from_millis(1_200);
-/// Usual time that an engine without requests takes to load weights.
-const LOAD_TIME: Duration = Duration::from_millis(420);
 /// Delay between an accepted order and the first state query.
 const FIRST_QUERY_DELAY: Duration = Duration::from_millis(450);
 /// Delay between state queries of a server that loads.
@@ -49,38 +48,6 @@
 /// A server that is not up to date this long after its drain began starts over.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(8);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LoadStage {
-    /// Gets no new requests; its state is queried at `due`.
-    Draining,
-    /// Gets no new requests; a state query is in progress.
-    QueriedDraining,
-    /// Runs no requests, or has drained for [`MAX_DRAIN_TIME`]; gets an order next.
-    Drained,
-    /// An order was sent and has no reply yet.
-    Ordered,
-    /// A state query is in progress.
-    Queried,
-    /// Has accepted an order; its state is queried at `due`.
-    Loading,
-    /// An order or query failed; the state is queried at `due` before any further order.
-    Unconfirmed,
-    /// Known not to load; may be drained again.
-    Idle,
-}
-
-#[derive(Debug, Clone)]
-struct ServerLoading {
-    stage: LoadStage,
-    /// When the drain began.
-    since: ClockTime,
-    /// When the next state query is due.
-    due: ClockTime,
-    ordered_at: ClockTime,
-    /// Number of orders that the server had accepted when its state was last queried.
-    sequence: Option<u64>,
-}
-
 /// Decides which engines drain and load. Does nothing unless this node holds the lease.
 #[derive(Debug, Clone)]
 pub struct RolloutPlanner {
@@ -380,29 +347,3 @@
     let unresponsive = engines.len() - responsive;
     (responsive / share).saturating_sub(unresponsive).max(1)
 }
-
-impl ServerLoading {
-    fn wait(&mut self, stage: LoadStage, due: ClockTime) {
-        self.stage = stage;
-        self.due = due;
-    }
-
-    /// Whether the server is probably loading. Servers that load at the same time slow each other.
-    fn is_loading(&self, now: ClockTime) -> bool {
-        self.is_ordered() && now.since(self.ordered_at) < LOAD_TIME
-    }
-
-    /// Whether the server may be loading because of an order of this node.
-    fn is_ordered(&self) -> bool {
-        matches!(self.stage, LoadStage::Ordered | LoadStage::Queried | LoadStage::Loading)
-    }
-
-    /// Whether the server gets no requests because it drains or loads.
-    fn is_out_of_service(&self) -> bool {
-        let draining = matches!(
-            self.stage,
-            LoadStage::Draining | LoadStage::QueriedDraining | LoadStage::Drained
-        );
-        draining || self.is_ordered()
-    }
-}
