--- a/crates/core/src/traffic/cache_scope.rs
+++ b/crates/core/src/traffic/cache_scope.rs
@@ -5,7 +5,7 @@
 use super::WorkspaceSpec;
 use crate::rendezvous::rendezvous_score;
 
-/// Distinguishes the numbers of workspaces from other scores.
+/// Node for which the names of workspaces are scored; other scores of names use other ones.
 const WORKSPACE_NODE: u64 = 1;
 
 /// A group of requests that share KV cache.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -217,6 +217,7 @@
         }
     }
 
+    /// Records that events have arrived; the first one shows at which software version the stream began.
     fn record_events(&mut self, count: u32, attempt: &Attempt) {
         if self.timing.events == 0 {
             stream_origin::record(&self.node, &mut self.context, attempt.software.as_deref());
