Put the node's files into folders by what flows through them

Cause: crates/node/src had 57 files in one folder, and placement.rs held the search for a server, its cost and the place of prefixes together, so that several people could not change them side by side. Change: the files move to client/, server/, fleet/, store/ and rollout/; store.rs becomes store/client.rs and rollout.rs rollout/run.rs. The cost of a server moves to placement_score.rs, the place of prefixes to prefix_placement.rs, the reading of bodies to request_body.rs. Paths in the docs follow. Ruled out: untangling the imports through Node in the same commit; it would hide the moves. Formatter and linter clean; the tests of core and node pass.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -23,7 +23,9 @@
 mod placement;
 mod placement_limits;
 mod placement_request;
+mod placement_score;
 mod prefill_backlog;
+mod prefix_placement;
 mod prompt;
 mod recent_runs;
 mod registry;
@@ -60,9 +62,10 @@
         DuplicateFilter, HEARTBEAT_INTERVAL, MIN_RELAYED_NODES, RelayPeer, RelayPlan, RelayTable,
         RelayTarget,
     },
-    placement::{PlacementPlanner, cache_salt},
+    placement::PlacementPlanner,
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     prefill_backlog::PrefillBacklog,
+    prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
     registry::{
         BackendServer, ListingState, ModelWeights, RegistryChange, ServerAvailability,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/client/forward.rs
@@ -20,16 +20,16 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    body::{ResponseBody, StreamChunk},
-    checked_response::CheckedHead,
+    client::{
+        body::{ResponseBody, StreamChunk},
+        headers::{is_hop_by_hop, origin_form},
+        request_context::RequestContext,
+        request_log::log_end,
+        responses,
+    },
     clock,
-    connection::ConnectionError,
-    headers::{is_hop_by_hop, origin_form},
     node::Node,
-    pool::PooledConnection,
-    request_context::RequestContext,
-    request_log::log_end,
-    responses,
+    server::{checked_response::CheckedHead, connection::ConnectionError, pool::PooledConnection},
 };
 
 /// Header with the [`HopInfo`] of a request that a node passes on.
--- a/crates/node/src/handlers.rs
+++ b/crates/node/src/client/handlers.rs
@@ -9,11 +9,9 @@
 
 use crate::{
     adapter::{ClientAdapter, PlatformAdapter},
-    body::ResponseBody,
+    client::{body::ResponseBody, ingress::RequestHandler, request, responses},
     clock,
-    ingress::RequestHandler,
     node::Node,
-    request, responses,
 };
 
 /// Path of the metrics page.
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/client/ingress.rs
@@ -23,7 +23,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{body::ResponseBody, node::Node, tcp};
+use crate::{client::body::ResponseBody, node::Node, tcp};
 
 /// File descriptors kept free for files and for connections to backend servers, the stores and
 /// other nodes.
@@ -217,7 +217,7 @@
 
 impl http_body::Body for CountedBody {
     type Data = bytes::Bytes;
-    type Error = crate::body::BrokenStream;
+    type Error = crate::client::body::BrokenStream;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
--- a/crates/node/src/local_response.rs
+++ b/crates/node/src/client/local_response.rs
@@ -9,7 +9,7 @@
 };
 use http::{Response, StatusCode};
 
-use crate::{body::ResponseBody, responses};
+use crate::client::{body::ResponseBody, responses};
 
 /// Retry hint for a request that found no usable server.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(400);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/client/relay.rs
@@ -20,18 +20,22 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    attempt::{Attempt, AttemptResult},
-    body::{ResponseBody, StreamChunk},
-    checked_response::{CheckedHead, ServerStream},
+    client::{
+        body::{ResponseBody, StreamChunk},
+        request_context::RequestContext,
+        request_log::log_end,
+        stream_origin,
+    },
     clock,
-    connection::ConnectionError,
-    links,
     node::Node,
-    request_context::RequestContext,
-    request_log::log_end,
-    server_choice::OpenError,
-    server_outcomes::{record_lost, record_timeout, record_unusable},
-    stream_origin,
+    server::{
+        attempt::{Attempt, AttemptResult},
+        checked_response::{CheckedHead, ServerStream},
+        connection::ConnectionError,
+        links,
+        server_choice::OpenError,
+        server_outcomes::{record_lost, record_timeout, record_unusable},
+    },
 };
 
 /// Chunks queued for a client that reads slowly.
--- a/crates/node/src/request.rs
+++ b/crates/node/src/client/request.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use carobvane_core::{
     clock::ClockTime,
     rendezvous::rendezvous_score,
@@ -10,28 +9,32 @@
     traffic::{AttemptHistory, AttemptOutcome, CrashVerdict, NextStep, PromptShape, SoftwareRule},
 };
 use http::{Request, Response, StatusCode, Uri, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::{
     adapter::{PlatformAdapter, RequestInfo},
-    attempt::{Attempt, AttemptResult},
-    body::ResponseBody,
-    checked_response::ServerStream,
-    clock, crashes,
-    forward::{self, ForwardResult, HopInfo},
-    local_response::{
-        LOST_STREAM_RETRY, LocalResponse, STOPPING_RETRY, UNKNOWN_STREAM_RETRY, give_up_response,
-        local_response, refusal_response, route_error_response, suspect_response, timeout_response,
+    client::{
+        body::ResponseBody,
+        forward::{self, ForwardResult, HopInfo},
+        local_response::{
+            LOST_STREAM_RETRY, LocalResponse, STOPPING_RETRY, UNKNOWN_STREAM_RETRY,
+            give_up_response, local_response, refusal_response, route_error_response,
+            suspect_response, timeout_response,
+        },
+        relay,
+        request_body::read_body,
+        request_context::RequestContext,
+        request_log::log_end,
+        responses, stream_origin,
     },
+    clock,
     node::Node,
-    relay,
-    request_context::RequestContext,
-    request_log::log_end,
-    responses,
-    server_choice::OpenError,
-    stream_origin,
+    server::{
+        attempt::{Attempt, AttemptResult},
+        checked_response::ServerStream,
+        crashes,
+        server_choice::OpenError,
+    },
 };
 
 /// A client is answered this much before its own deadline.
@@ -182,26 +185,6 @@
     })
 }
 
-/// Reads the client's request body. A request whose body did not arrive in full has not run.
-async fn read_body(
-    id: &str,
-    body: Incoming,
-    max_bytes: usize,
-    within: Duration,
-) -> Result<Bytes, LocalResponse> {
-    match timeout(within, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
-            Err(LocalResponse::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
-        Ok(Err(cause)) => {
-            log::info!(request = id, cause:% = cause; "failed to read a request's body");
-            Err(LocalResponse::Refused(StatusCode::BAD_REQUEST, "body_unreadable"))
-        }
-        Err(_) => Err(LocalResponse::Refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
 fn request_suspects(
     workspace: &str,
     uri: &Uri,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/client/request_log.rs
@@ -1,6 +1,6 @@
 //! The last log line of a request.
 
-use crate::{clock, request_context::RequestContext};
+use crate::{client::request_context::RequestContext, clock};
 
 /// Logs how a request ended, and counts it.
 pub fn log_end(context: &RequestContext, status: u16, outcome: &'static str) {
--- a/crates/node/src/responses.rs
+++ b/crates/node/src/client/responses.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::body::ResponseBody;
+use crate::client::body::ResponseBody;
 
 /// Returns a response without a body.
 pub fn empty(status: StatusCode) -> Response<ResponseBody> {
--- a/crates/node/src/stream_origin.rs
+++ b/crates/node/src/client/stream_origin.rs
@@ -13,12 +13,14 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    client::request_context::RequestContext,
     clock,
+    fleet::{
+        node_notice::NodeNotice,
+        notice_transport::{self, NoticeSender},
+        notices,
+    },
     node::{Node, NodeState},
-    node_notice::NodeNotice,
-    notice_transport::{self, NoticeSender},
-    notices,
-    request_context::RequestContext,
 };
 
 /// Time between two queries for the same stream, as datagrams get lost.
--- a/crates/node/src/legacy_nodes.rs
+++ b/crates/node/src/fleet/legacy_nodes.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use crate::{node::Node, peers};
+use crate::{fleet::peers, node::Node};
 
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/node/src/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{clock::ClockTime, traffic::EntryNode};
 use serde::{Deserialize, Serialize};
 
-use crate::wire::WireFormat;
+use crate::fleet::wire::WireFormat;
 
 /// Prefix of all keys that the nodes write.
 pub const KEY_PREFIX: &str = "carobvane/";
--- a/crates/node/src/notice_transport.rs
+++ b/crates/node/src/fleet/notice_transport.rs
@@ -18,16 +18,18 @@
 use crate::{
     adapter::PlatformAdapter,
     clock,
-    members::MemberRecord,
+    fleet::{
+        members::MemberRecord,
+        node_notice::NodeNotice,
+        notices::receive_notice,
+        wire::{
+            WireFormat,
+            batch::{self, BatchRoute, MAX_DATAGRAM_BYTES, SpreadScope},
+            legacy,
+        },
+    },
     node::Node,
-    node_notice::NodeNotice,
-    notices::receive_notice,
     settings::NodeSettings,
-    wire::{
-        WireFormat,
-        batch::{self, BatchRoute, MAX_DATAGRAM_BYTES, SpreadScope},
-        legacy,
-    },
 };
 
 /// Notices that arise within this time are sent together.
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -5,9 +5,13 @@
 use carobvane_core::traffic::{CacheConfidence, WatchReport};
 
 use crate::{
-    adapter::PlatformAdapter, cache_events, clock, crashes, links, node::Node,
-    node_notice::NodeNotice, notice_transport::NoticeSender, server_limits, server_signals,
-    store_sync, stream_origin,
+    adapter::PlatformAdapter,
+    client::stream_origin,
+    clock,
+    fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
+    node::Node,
+    server::{cache_events, crashes, links, server_limits, server_signals},
+    store::store_sync,
 };
 
 /// A server was alive this long before a notice that it responded, at the latest. Longer than any
--- a/crates/node/src/peer_knowledge.rs
+++ b/crates/node/src/fleet/peer_knowledge.rs
@@ -10,9 +10,11 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreItem},
-    clock, crashes,
+    clock,
+    fleet::peers,
     node::{Node, NodeState},
-    peers, server_signals, store_changes,
+    server::{crashes, server_signals},
+    store::store_changes,
 };
 
 /// Time between two reads of other nodes while some are wanted.
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/fleet/peer_server.rs
@@ -9,14 +9,13 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreRevision},
-    body::ResponseBody,
-    forward,
-    ingress::RequestHandler,
+    client::{body::ResponseBody, forward, ingress::RequestHandler, request, responses},
+    fleet::{
+        peer_knowledge::PeerKnowledge,
+        peers::{JSON, KNOWLEDGE_PATH, MIRROR_PATH},
+        wire::legacy,
+    },
     node::Node,
-    peer_knowledge::PeerKnowledge,
-    peers::{JSON, KNOWLEDGE_PATH, MIRROR_PATH},
-    request, responses,
-    wire::legacy,
 };
 
 /// Handles requests from other nodes.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -10,12 +10,13 @@
 
 use crate::{
     adapter::{OutboundRequest, StoreRevision},
-    connection::{ConnectionError, HttpConnection},
+    fleet::{
+        peer_knowledge::PeerKnowledge,
+        wire::{WireFormat, legacy},
+    },
     node::Node,
-    peer_knowledge::PeerKnowledge,
-    store::build_request,
-    store_mirror::StoreMirror,
-    wire::{WireFormat, legacy},
+    server::connection::{ConnectionError, HttpConnection},
+    store::{client::build_request, store_mirror::StoreMirror},
 };
 
 /// Path under which a node serves its copy; the query is the revision that the reader already has.
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -7,10 +7,12 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreCall, StoreReply, StoreRevision, StoreWrite},
-    members::{LEASE_LIFETIME, MemberRecord},
+    fleet::{
+        members::{LEASE_LIFETIME, MemberRecord},
+        wire::READABLE_FORMATS,
+    },
     node::Node,
-    store::{CALL_TIMEOUT, StoreCallError, StoreClient},
-    wire::READABLE_FORMATS,
+    store::client::{CALL_TIMEOUT, StoreCallError, StoreClient},
 };
 
 /// Time between two renewals. One may fail before the lease expires.
--- a/crates/node/src/wire/batch.rs
+++ b/crates/node/src/fleet/wire/batch.rs
@@ -9,7 +9,7 @@
 
 use minicbor::{Decoder, Encoder, decode::Error, encode};
 
-use crate::node_notice::NodeNotice;
+use crate::fleet::node_notice::NodeNotice;
 
 /// Maximum size of a datagram, below the usual packet size.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
--- a/crates/node/src/wire/legacy.rs
+++ b/crates/node/src/fleet/wire/legacy.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{WireFormat, batch::MAX_DATAGRAM_BYTES};
-use crate::{adapter::StoreItem, node_notice::NodeNotice, peer_knowledge::PeerKnowledge};
+use crate::{
+    adapter::StoreItem,
+    fleet::{node_notice::NodeNotice, peer_knowledge::PeerKnowledge},
+};
 
 /// Largest first byte of a datagram in these formats: the number of its notices.
 pub const MAX_NOTICES: u8 = 16;
--- a/crates/node/src/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -15,8 +15,9 @@
     legacy,
 };
 use crate::{
-    forward::HopInfo, members::MemberRecord, node_notice::NodeNotice,
-    peer_knowledge::PeerKnowledge, store_mirror::StoreMirror,
+    client::forward::HopInfo,
+    fleet::{members::MemberRecord, node_notice::NodeNotice, peer_knowledge::PeerKnowledge},
+    store::store_mirror::StoreMirror,
 };
 
 /// Messages and records of an earlier build, as `fixtures/make.sh` has written them.
@@ -178,7 +179,8 @@
 
         let crashes = build.bytes("crashes");
         let key = "carobvane/crashes/part-1234";
-        let report = crate::crash_store::decode_record(key, &crashes).expect("crash records");
+        let report =
+            crate::server::crash_store::decode_record(key, &crashes).expect("crash records");
         assert_eq!(report.crashes[0].build.is_known(), build.has_builds());
         let hop: HopInfo =
             serde_json::from_slice(&build.bytes("hop")).expect("a request passed on");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,15 +24,16 @@
 
 use crate::{
     adapter::{StoreItem, StoreRevision},
+    client::stream_query::StreamQuery,
     clock,
-    members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
-    node_notice::NodeNotice,
-    notice_transport::NoticeRelay,
-    pool::ConnectionPool,
-    response_memory::ResponseMemory,
+    fleet::{
+        members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
+        node_notice::NodeNotice,
+        notice_transport::NoticeRelay,
+    },
+    server::{pool::ConnectionPool, response_memory::ResponseMemory},
     settings::{NodeBounds, NodeSettings},
-    store_mirror::StoreMirror,
-    stream_query::StreamQuery,
+    store::store_mirror::StoreMirror,
 };
 
 /// The holder regards the lease as ended this much earlier than the store does.
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -11,20 +11,25 @@
 
 use crate::{
     adapter::{PlatformAdapter, SettingsAdapter},
-    cache_events, cache_store, clock, crash_store, crashes,
+    client::stream_origin,
+    clock,
     flags::CarobvaneNode,
-    legacy_nodes, links, logging,
+    fleet::{
+        legacy_nodes, notice_transport, peer_knowledge,
+        registration::{self, RegistrationLease},
+    },
+    logging,
     node::Node,
-    notice_transport, peer_knowledge,
-    registration::{self, RegistrationLease},
-    rollout,
-    rollout_lease::{self, RolloutLease},
-    server_limits, server_signals,
+    rollout::{
+        rollout_lease::{self, RolloutLease},
+        run as rollout,
+    },
+    server::{
+        cache_events, cache_store, crash_store, crashes, links, server_limits, server_signals,
+    },
     settings::NodeSettings,
     sockets::NodeSockets,
-    store::StoreClient,
-    store_changes::drop_server_state,
-    store_sync, stream_origin,
+    store::{client::StoreClient, store_changes::drop_server_state, store_sync},
 };
 use carobvane_core::{
     rendezvous::rendezvous_score,
--- a/crates/node/src/order_record.rs
+++ b/crates/node/src/rollout/order_record.rs
@@ -14,11 +14,13 @@
 use crate::{
     adapter::{PlatformAdapter, StoreAdapter, StoreCall, StoreReply, StoreWrite},
     clock,
-    members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY},
+    fleet::members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY},
     node::Node,
-    rollout_lease::{CALL_TIMEOUT, acquired_revision},
-    store::{StoreCallError, StoreClient},
-    store_mirror::StoreMirror,
+    rollout::rollout_lease::{CALL_TIMEOUT, acquired_revision},
+    store::{
+        client::{StoreCallError, StoreClient},
+        store_mirror::StoreMirror,
+    },
 };
 
 /// Number of writes before the orders are given up, as a late write of this node may come between.
--- a/crates/node/src/rollout_lease.rs
+++ b/crates/node/src/rollout/rollout_lease.rs
@@ -13,11 +13,13 @@
 use crate::{
     adapter::{PlatformAdapter, StoreAdapter, StoreCall, StoreReply, StoreRevision, StoreWrite},
     clock,
-    members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY, ROLLOUT_LEASE_LIFETIME},
+    fleet::members::{LEASE_HOLDER_KEY, RECENT_ORDERS_KEY, ROLLOUT_LEASE_LIFETIME},
     node::Node,
-    order_record::{EarlierOrders, OrderRecord},
-    store::{StoreCallError, StoreClient},
-    store_sync,
+    rollout::order_record::{EarlierOrders, OrderRecord},
+    store::{
+        client::{StoreCallError, StoreClient},
+        store_sync,
+    },
 };
 
 /// Time between an answered renewal and the next one.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout/run.rs
@@ -12,15 +12,16 @@
 use crate::{
     adapter::{OutboundRequest, PlatformAdapter, WeightsOrder},
     clock,
-    connection::{ConnectionError, HttpConnection},
-    links,
+    fleet::{node_notice::NodeNotice, notices},
     node::{Node, NodeState},
-    node_notice::NodeNotice,
-    notices,
-    rollout_lease::RolloutLease,
-    server_limits::{ServerCall, record_call},
-    server_signals::record_signals,
-    store::{StoreClient, build_request},
+    rollout::rollout_lease::RolloutLease,
+    server::{
+        connection::{ConnectionError, HttpConnection},
+        links,
+        server_limits::{ServerCall, record_call},
+        server_signals::record_signals,
+    },
+    store::client::{StoreClient, build_request},
 };
 
 /// Longest time between two rounds of the rollout planner on the lease holder.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -16,22 +16,24 @@
 
 use crate::{
     adapter::{PlatformAdapter, ResponseInfo, ServerRequest},
-    body::ResponseBody,
-    cache_salt::format_salt,
-    checked_response::{CheckedHead, ServerStream},
+    client::{body::ResponseBody, headers::origin_form, request_context::RequestContext},
     clock,
-    connection::ConnectionError,
-    crashes::RunGuard,
-    flight::FlightGuard,
-    headers::origin_form,
-    links,
     node::Node,
-    pool::PooledConnection,
-    request_context::RequestContext,
-    server_choice::{OpenError, cache_transfer_addresses, check_suspect, choose_server, is_open},
-    server_limits::{record_max_rejections, record_named_limit, record_rejection},
-    server_outcomes::{record_lost, record_timeout, record_unusable},
-    server_signals::record_signals,
+    server::{
+        cache_salt::format_salt,
+        checked_response::{CheckedHead, ServerStream},
+        connection::ConnectionError,
+        crashes::RunGuard,
+        flight::FlightGuard,
+        links,
+        pool::PooledConnection,
+        server_choice::{
+            OpenError, cache_transfer_addresses, check_suspect, choose_server, is_open,
+        },
+        server_limits::{record_max_rejections, record_named_limit, record_rejection},
+        server_outcomes::{record_lost, record_timeout, record_unusable},
+        server_signals::record_signals,
+    },
 };
 
 /// Maximum size of a response that is not streamed.
--- a/crates/node/src/cache_events.rs
+++ b/crates/node/src/server/cache_events.rs
@@ -16,14 +16,16 @@
 
 use crate::{
     adapter::{CacheEventBatch, PlatformAdapter},
-    cache_salt::parse_salt,
     clock,
-    connection::HttpConnection,
+    fleet::node_notice::NodeNotice,
     node::Node,
-    node_notice::NodeNotice,
-    server_limits::{self, ServerCall, record_call},
-    server_signals::record_signals,
-    store::build_request,
+    server::{
+        cache_salt::parse_salt,
+        connection::HttpConnection,
+        server_limits::{self, ServerCall, record_call},
+        server_signals::record_signals,
+    },
+    store::client::build_request,
 };
 
 /// Time between two checks which engines this node follows.
--- a/crates/node/src/cache_store.rs
+++ b/crates/node/src/server/cache_store.rs
@@ -9,12 +9,10 @@
 
 use crate::{
     adapter::{CacheEventBatch, PlatformAdapter},
-    connection::HttpConnection,
+    fleet::{node_notice::NodeNotice, notices},
     node::Node,
-    node_notice::NodeNotice,
-    notices,
-    store::build_request,
-    store_sync,
+    server::connection::HttpConnection,
+    store::{client::build_request, store_sync},
 };
 
 /// Time between two queries.
--- a/crates/node/src/checked_response.rs
+++ b/crates/node/src/server/checked_response.rs
@@ -10,9 +10,11 @@
 
 use crate::{
     adapter::{ResponseInfo, ServerAdapter},
-    attempt::Attempt,
-    body::ResponseBody,
-    headers::{client_headers, has_explicit_end, keep_alive_timeout},
+    client::{
+        body::ResponseBody,
+        headers::{client_headers, has_explicit_end, keep_alive_timeout},
+    },
+    server::attempt::Attempt,
 };
 
 /// Why a response does not answer the request. The request may have run.
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/server/connection.rs
@@ -16,8 +16,10 @@
 use tokio::{task::AbortHandle, time::timeout};
 
 use crate::{
-    metered_stream::{MeteredStream, ReadAllowance},
-    response_memory::MemoryShare,
+    server::{
+        metered_stream::{MeteredStream, ReadAllowance},
+        response_memory::MemoryShare,
+    },
     tcp,
 };
 
--- a/crates/node/src/crash_store.rs
+++ b/crates/node/src/server/crash_store.rs
@@ -17,10 +17,13 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreCall, StoreReply, StoreWrite},
-    clock, crashes,
+    clock,
     node::{Node, NodeState},
-    store::{CALL_TIMEOUT, StoreCallError, StoreClient},
-    store_sync,
+    server::crashes,
+    store::{
+        client::{CALL_TIMEOUT, StoreCallError, StoreClient},
+        store_sync,
+    },
 };
 
 /// Prefix of the keys of crash records.
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/server/crashes.rs
@@ -15,11 +15,11 @@
 use tokio::time::timeout;
 
 use crate::{
-    clock, links,
+    client::request_context::RequestContext,
+    clock,
+    fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
-    node_notice::NodeNotice,
-    pool::CONNECT_TIMEOUT,
-    request_context::RequestContext,
+    server::{links, pool::CONNECT_TIMEOUT},
     tcp,
 };
 
--- a/crates/node/src/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -8,7 +8,12 @@
     traffic::{PlacementChoice, PromptPart, ServerLoad, cache_salt},
 };
 
-use crate::{clock, node::Node, node_notice::NodeNotice, notices, request_context::RequestContext};
+use crate::{
+    client::request_context::RequestContext,
+    clock,
+    fleet::{node_notice::NodeNotice, notices},
+    node::Node,
+};
 
 /// Counts one attempt at a server while it is in flight, and informs the other nodes.
 pub struct FlightGuard {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/server/links.rs
@@ -11,12 +11,14 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    clock, crashes,
+    clock,
+    fleet::{
+        node_notice::NodeNotice,
+        notice_transport::{self, NoticeSender},
+    },
     node::{Node, NodeState},
-    node_notice::NodeNotice,
-    notice_transport::{self, NoticeSender},
-    pool::CONNECT_TIMEOUT,
-    server_outcomes, tcp,
+    server::{crashes, pool::CONNECT_TIMEOUT, server_outcomes},
+    tcp,
 };
 
 /// Longest time between two looks at whether a check is due.
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    connection::{ConnectionError, HttpConnection},
+    server::connection::{ConnectionError, HttpConnection},
 };
 
 /// How long an idle connection is kept if its server does not say how long it keeps it.
--- a/crates/node/src/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -11,10 +11,13 @@
 };
 
 use crate::{
-    clock, crashes,
+    client::request_context::RequestContext,
+    clock,
     node::Node,
-    request_context::RequestContext,
-    server_limits::{ServerCall, record_call},
+    server::{
+        crashes,
+        server_limits::{ServerCall, record_call},
+    },
 };
 
 /// A request is sent only if its expected wait is at most this fraction of the target latency:
--- a/crates/node/src/server_limits.rs
+++ b/crates/node/src/server/server_limits.rs
@@ -12,8 +12,8 @@
 use crate::{
     adapter::NamedLimit,
     clock,
+    fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
-    node_notice::NodeNotice,
 };
 
 /// The cache events of a server with a lower limit are not read, in requests a second: reading them
--- a/crates/node/src/server_outcomes.rs
+++ b/crates/node/src/server/server_outcomes.rs
@@ -5,9 +5,10 @@
 use carobvane_core::{clock::ClockTime, ids::ServerKey, traffic::LinkFailure};
 
 use crate::{
-    clock, links,
+    clock,
+    fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
-    node_notice::NodeNotice,
+    server::links,
 };
 
 /// Records that a server did not respond in time, unless it was heard from since `since`.
--- a/crates/node/src/server_signals.rs
+++ b/crates/node/src/server/server_signals.rs
@@ -7,8 +7,8 @@
 use crate::{
     adapter::{RequestedRest, ResponseInfo},
     clock,
+    fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
-    node_notice::NodeNotice,
 };
 
 /// The other nodes are told of a server that leaves for this long, as datagrams get lost.
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -8,10 +8,12 @@
 
 use crate::{
     adapter::PlatformAdapter,
-    handlers::{ClientHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
-    ingress,
+    client::{
+        handlers::{ClientHandler, DirectoryHandler, MetricsHandler, ReadyHandler},
+        ingress,
+    },
+    fleet::peer_server::PeerHandler,
     node::Node,
-    peer_server::PeerHandler,
     settings::NodeSettings,
     tcp,
 };
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store/client.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     adapter::{NamedEra, OutboundRequest, StoreAdapter, StoreCall, StoreError, StoreReply},
-    connection::{ConnectionError, HttpConnection},
+    server::connection::{ConnectionError, HttpConnection},
 };
 
 /// Timeout of opening a connection to the store.
--- /dev/null
+++ b/crates/node/src/store/mod.rs
@@ -0,0 +1,6 @@
+//! The platform's store: calls, and the copy that this node keeps of it.
+
+pub mod client;
+pub mod store_changes;
+pub mod store_mirror;
+pub mod store_sync;
--- a/crates/node/src/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -9,10 +9,11 @@
 
 use crate::{
     adapter::{FleetEntry, PlatformAdapter, StoreEvent, StoreItem, StoreRevision},
-    clock, crash_store, crashes,
-    members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
+    clock,
+    fleet::members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
     node::{Node, NodeState},
-    store_mirror::{BatchError, ChangeBatch, StoreMirror},
+    server::{crash_store, crashes},
+    store::store_mirror::{BatchError, ChangeBatch, StoreMirror},
 };
 
 /// Items of a snapshot count as this much older, since requests wait before they begin.
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store/store_sync.rs
@@ -1,4 +1,4 @@
-//! Keeps a copy of the platform's store; [`store_changes`](crate::store_changes) applies its changes.
+//! Keeps a copy of the platform's store; [`store_changes`](crate::store::store_changes) applies its changes.
 //!
 //! A few nodes, the watchers, watch all keys and broadcast each change, since every open watch
 //! costs the store one call per change. The first of them also broadcasts at short intervals up to
@@ -18,13 +18,13 @@
 use crate::{
     adapter::{PlatformAdapter, StoreCall, StoreEvent, StoreReply, StoreRevision},
     clock,
-    members::MemberRecord,
+    fleet::{members::MemberRecord, node_notice::NodeNotice, notice_transport, peers},
     node::Node,
-    node_notice::NodeNotice,
-    notice_transport, peers,
-    store::{CALL_TIMEOUT, StoreCallError, StoreClient},
-    store_changes::{apply_changes, apply_snapshot},
-    store_mirror::{ChangeBatch, StoreMirror},
+    store::{
+        client::{CALL_TIMEOUT, StoreCallError, StoreClient},
+        store_changes::{apply_changes, apply_snapshot},
+        store_mirror::{ChangeBatch, StoreMirror},
+    },
 };
 
 /// Longest wait of a watch. A connection that has gone silent is noticed after this time.
