Read missed changes from watchers, and large responses to their end

Cause: a node that misses a change, or is told that it is too large for a notice, read it from the store. Change: nodes serve the changes after a revision (GET /changes between nodes; older builds answer 404, and the store is asked as before). A node that misses changes asks a watcher, then the first watcher, then the store. The time limit of a call bounds the head and each further part of a response instead of the whole. Ruled out: a longer time limit, which only moves the size at which reads fail; notices in several datagrams, which are lost more often than one. The new tests fail without the change.

--- a/crates/node/src/fleet/peer_server.rs
+++ b/crates/node/src/fleet/peer_server.rs
@@ -12,7 +12,7 @@
     client::{body::ResponseBody, forward, ingress::RequestHandler, request, responses},
     fleet::{
         peer_knowledge::PeerKnowledge,
-        peers::{JSON, KNOWLEDGE_PATH, MIRROR_PATH},
+        peers::{CHANGES_PATH, JSON, KNOWLEDGE_PATH, MIRROR_PATH},
         wire::legacy,
     },
     node::Node,
@@ -31,6 +31,7 @@
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, MIRROR_PATH) => self.send_mirror(&request),
+            (&Method::GET, CHANGES_PATH) => self.send_changes(&request),
             (&Method::GET, KNOWLEDGE_PATH) => self.send_knowledge(&request),
             _ => responses::empty(StatusCode::NOT_FOUND),
         }
@@ -50,6 +51,15 @@
         postcard_response(postcard::to_stdvec(&state.mirror))
     }
 
+    fn send_changes(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let known = request.uri().query().and_then(parse_revision).unwrap_or_default();
+        let state = self.node.state.borrow();
+        match state.removals.changes_after(known, &state.mirror) {
+            Some(batch) => json_response(&batch),
+            None => responses::empty(StatusCode::NO_CONTENT),
+        }
+    }
+
     fn send_knowledge(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
         let knowledge = PeerKnowledge::of_node(&self.node.state.borrow());
         if wants_json(request) {
--- a/crates/node/src/fleet/peers.rs
+++ b/crates/node/src/fleet/peers.rs
@@ -16,16 +16,21 @@
     },
     node::Node,
     server::connection::{ConnectionError, HttpConnection},
-    store::{client::build_request, store_mirror::StoreMirror},
+    store::{
+        client::build_request,
+        store_mirror::{ChangeBatch, StoreMirror},
+    },
 };
 
 /// Path under which a node serves its copy; the query is the revision that the reader already has.
 pub const MIRROR_PATH: &str = "/mirror";
+/// Path under which a node serves the changes after the revision in the query.
+pub const CHANGES_PATH: &str = "/changes";
 /// Path under which a node serves what it knows beyond the platform's store.
 pub const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Type of the answers that this build reads; those of earlier builds name none.
 pub const JSON: HeaderValue = HeaderValue::from_static("application/json");
-/// Timeout of connecting to a node, and of the exchange with it.
+/// Timeout of connecting to a node, and of each part of its answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a copy.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
@@ -45,6 +50,17 @@
     postcard::from_bytes(response.body()).map(Some).map_err(broken)
 }
 
+/// Reads the changes after the revision `known` from another node. Returns `None` if it has none, or is of
+/// a build that does not serve them.
+pub async fn read_changes(
+    address: SocketAddr,
+    known: StoreRevision,
+) -> Result<Option<ChangeBatch>, ConnectionError> {
+    let response = ask(address, format!("{CHANGES_PATH}?{}-{}", known.era, known.number)).await?;
+    let has_changes = response.status() == StatusCode::OK && is_json(&response);
+    has_changes.then(|| decode_json(response.body())).transpose()
+}
+
 /// Reads what a randomly chosen node, or a seed node if no other node is known, knows beyond the
 /// platform's store. Returns `None` if there is none to ask.
 pub async fn read_knowledge(node: &Rc<Node>) -> Result<Option<PeerKnowledge>, ConnectionError> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,7 +33,7 @@
     },
     server::{pool::ConnectionPool, response_memory::ResponseMemory},
     settings::{NodeBounds, NodeSettings},
-    store::store_mirror::StoreMirror,
+    store::{removal_log::RemovalLog, store_mirror::StoreMirror},
 };
 
 /// The holder regards the lease as ended this much earlier than the store does.
@@ -70,6 +70,8 @@
     pub members: MemberTable,
     /// Copy of the platform's store.
     pub mirror: StoreMirror,
+    /// Keys that were removed from it lately.
+    pub removals: RemovalLog,
     /// Entries of the operator that were in force when the store was restored without them, by their
     /// keys.
     pub lost_entries: BTreeMap<String, StoreItem>,
@@ -186,6 +188,7 @@
             logged_blame: Vec::new(),
             members: MemberTable::default(),
             mirror: StoreMirror::default(),
+            removals: RemovalLog::default(),
             lost_entries: BTreeMap::new(),
             removed_entries: BTreeMap::new(),
             cache_store_epoch: Some(0),
--- a/crates/node/src/server/connection.rs
+++ b/crates/node/src/server/connection.rs
@@ -26,6 +26,10 @@
 /// Size of the buffer in which a response head is read.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Longest time for the body of a response to a call of the node's own. A response of 4 MB takes this long
+/// over a link of 4 Mbit/s.
+const MAX_BODY_TIME: Duration = Duration::from_secs(8);
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum ConnectionError {
@@ -170,6 +174,26 @@
         Ok(read.freeze())
     }
 
+    /// Reads a body whose parts follow each other within `part_limit`.
+    async fn read_steady_body(
+        &self,
+        mut body: Incoming,
+        part_limit: Duration,
+        max_bytes: usize,
+    ) -> Result<Bytes, ConnectionError> {
+        let mut read = BytesMut::new();
+        loop {
+            let part = timeout(part_limit, self.read_part(&mut body)).await;
+            let Some(data) = part.unwrap_or(Err(ConnectionError::TimedOut))? else { break };
+            if read.len() + data.len() > max_bytes {
+                let size = read.len() + data.len();
+                return Err(ConnectionError::Invalid(format!("body has {size} bytes or more")));
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+
     fn response_error(&self, error: &hyper::Error) -> ConnectionError {
         let cause = error_chain(error);
         if error.is_parse() || self.allowance.is_spent() {
@@ -179,18 +203,18 @@
         }
     }
 
-    /// Sends a request and reads the whole response. `time_limit` covers both.
+    /// Sends a request and reads the whole response. `time_limit` bounds the wait for the head and for
+    /// each further part of the response, so that a large one over a slow link is read to its end.
     pub async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, ConnectionError> {
-        let exchange = async {
-            let (head, body) = self.send(request, time_limit).await?.into_parts();
-            Ok(Response::from_parts(head, self.read_body(body, max_bytes, None).await?))
-        };
-        timeout(time_limit, exchange).await.unwrap_or(Err(ConnectionError::TimedOut))
+        let (head, body) = self.send(request, time_limit).await?.into_parts();
+        let reading = self.read_steady_body(body, time_limit, max_bytes);
+        let body = timeout(MAX_BODY_TIME, reading).await;
+        Ok(Response::from_parts(head, body.unwrap_or(Err(ConnectionError::TimedOut))?))
     }
 }
 
@@ -206,3 +230,6 @@
         None => error.to_string(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -62,7 +62,9 @@
         let age = if matches!(event, StoreEvent::Put(_)) { age } else { Duration::ZERO };
         apply_event::<A>(node, event, age);
     }
-    node.state.borrow_mut().mirror.revision = snapshot.revision;
+    let state = &mut *node.state.borrow_mut();
+    state.mirror.revision = snapshot.revision;
+    state.removals.reset(snapshot.revision);
     node.rollout_wake.notify_one();
     true
 }
@@ -151,6 +153,7 @@
                 return;
             }
             state.mirror.items.remove(&key);
+            state.removals.on_removed(&key, revision);
             if MemberTable::is_member_key(&key) {
                 log::info!(key = key; "node no longer registered");
                 state.members.mark_removed(now, &key);
--- a/crates/node/src/store/store_mirror.rs
+++ b/crates/node/src/store/store_mirror.rs
@@ -21,7 +21,8 @@
 }
 
 /// Changes that follow a revision of the store, none of them missing.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChangeBatch {
     /// Revision that the changes follow.
     pub after: StoreRevision,
--- a/crates/node/src/store/store_sync.rs
+++ b/crates/node/src/store/store_sync.rs
@@ -6,13 +6,13 @@
 //! the store does not respond, a node asks other nodes for their copies, since the store may turn
 //! away one node and serve the rest.
 
-use std::{rc::Rc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
 use carobvane_core::{
     rendezvous::rendezvous_score,
     traffic::{LinkState, WatchReport},
 };
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -61,7 +61,8 @@
         let result = match complete {
             true if is_watcher(&node) => watch_for_all(&node, &store).await,
             true => {
-                if !wait_until_check_is_due(&node).await {
+                if !wait_until_check_is_due(&node).await || catch_up_from_watchers::<A>(&node).await
+                {
                     continue;
                 }
                 watch(&node, &store, CATCH_UP_WAIT).await.map(|result| result.is_complete)
@@ -98,6 +99,48 @@
     node.state.borrow().mirror.revision < node.announced_revision.get()
 }
 
+/// Reads the changes that this node has missed from watchers, since all nodes that miss the same change
+/// would read the store at once. Returns whether some were missing and none is any more.
+async fn catch_up_from_watchers<A: PlatformAdapter>(node: &Rc<Node>) -> bool {
+    let is_behind = || node.state.borrow().mirror.revision < node.announced_revision.get();
+    if !is_behind() {
+        return false;
+    }
+    for address in watchers_to_ask(node) {
+        if !is_behind() {
+            break;
+        }
+        let known = node.state.borrow().mirror.revision;
+        let outcome = match peers::read_changes(address, known).await {
+            Ok(Some(batch)) => match apply_changes::<A>(node, batch) {
+                Ok(()) => "answered",
+                Err(_) => "outdated",
+            },
+            Ok(None) => "not known",
+            Err(cause) => {
+                log::debug!(cause:% = cause; "failed to read missed changes from a watcher");
+                "failed"
+            }
+        };
+        metrics::counter!("carobvane_watcher_reads_total", "outcome" => outcome).increment(1);
+    }
+    !is_behind()
+}
+
+/// Returns the peer addresses of the watchers to ask: one in this node's data centre if there is one, to
+/// share the load, and the first one, which learns of changes before the others.
+fn watchers_to_ask(node: &Node) -> Vec<SocketAddr> {
+    let state = &mut *node.state.borrow_mut();
+    let mut watchers: Vec<&MemberRecord> = state.members.live().collect();
+    watchers.sort_by_key(|member| Reverse(watcher_priority(member.link_mbps, &member.name)));
+    watchers.truncate(WATCHER_COUNT);
+    watchers.retain(|member| member.name != node.settings.name);
+    let near = watchers.iter().filter(|member| member.data_centre == node.settings.data_centre);
+    let near = near.choose(&mut state.rng).copied();
+    let first = watchers.first().copied().filter(|first| near.is_none_or(|near| near != *first));
+    near.into_iter().chain(first).map(|member| member.peer_address).collect()
+}
+
 /// Watches the store on behalf of all nodes, and tells them what has changed.
 async fn watch_for_all<A: PlatformAdapter>(
     node: &Rc<Node>,
@@ -158,11 +201,15 @@
     rank_among(node, node.state.borrow().members.live())
 }
 
-/// Rank of this node among some; high bandwidth comes first, as a watcher sends to all.
+/// Rank of this node among some.
 fn rank_among<'a>(node: &Node, members: impl Iterator<Item = &'a MemberRecord>) -> usize {
-    let priority = |link_mbps: u32, name: &str| (link_mbps, rendezvous_score(name.as_bytes(), 0));
-    let own = priority(node.settings.link_mbps, &node.settings.name);
-    members.filter(|member| priority(member.link_mbps, &member.name) > own).count()
+    let own = watcher_priority(node.settings.link_mbps, &node.settings.name);
+    members.filter(|member| watcher_priority(member.link_mbps, &member.name) > own).count()
+}
+
+/// Orders the nodes; high bandwidth comes first, as a watcher sends to all.
+fn watcher_priority(link_mbps: u32, name: &str) -> (u32, u64) {
+    (link_mbps, rendezvous_score(name.as_bytes(), 0))
 }
 
 /// Applies the changes announced for one revision, unless an earlier change is missing.
