Use all stores of KV cache

Cause: only the first store of the configuration was used, so that two thirds of the room for saved prefixes of a site with three stores were idle, and the records of all prefixes were dropped when that one store was down. Change: a prefix belongs to the store with the highest rendezvous score among those that respond; each store has its own epoch and availability, and its own records in the cache map. A store that starts again empty is known by its epoch; one that was only out of reach keeps its records. The stand-in of a server no longer holds back a response with cache events that was asked for without a wait. Ruled out: a copy in each data centre; it would be saved three times and divide the room by three.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -6,20 +6,20 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{PromptPart, PromptShape};
+use super::{CacheSource, PromptPart, PromptShape, StoreId};
 use crate::{clock::ClockTime, ids::ServerKey};
 
 /// Time without use after which a part counts as evicted from an engine.
 const PART_LIFETIME: Duration = Duration::from_secs(20);
-/// Like [`PART_LIFETIME`], in the store of KV cache. It is larger, and new weights evict nothing.
+/// Like [`PART_LIFETIME`], in a store of KV cache. It is larger, and new weights evict nothing.
 const STORE_PART_LIFETIME: Duration = Duration::from_secs(60);
 /// Maximum number of entries. When full, those unused for half of [`PART_LIFETIME`] are dropped.
 const MAX_ENTRIES: usize = 65_536;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PartKey {
-    /// Engine that holds the part; `None` for the store of KV cache.
-    server: Option<ServerKey>,
+    /// Engine or store of KV cache that holds the part.
+    site: CacheSource,
     /// Id of the part, XORed with its salt.
     part: u64,
 }
@@ -48,26 +48,39 @@
     pub removed: Vec<u64>,
 }
 
-/// Parts that the engines and the store of KV cache probably hold.
+/// Parts that the engines and the stores of KV cache probably hold.
 #[derive(Debug, Clone, Default)]
 pub struct CacheMap {
     uses: HashMap<PartKey, PartUse>,
 }
 
 impl CacheMap {
-    /// Records that a server saves the shared parts of a prompt to the store of KV cache.
-    pub fn record_stored(&mut self, now: ClockTime, salt: u64, shared: &[PromptPart]) {
-        self.insert(now, None, salt, shared, CacheConfidence::Confirmed);
+    /// Records that a server saves the shared parts of a prompt to a store of KV cache.
+    pub fn record_stored(
+        &mut self,
+        now: ClockTime,
+        store: StoreId,
+        salt: u64,
+        shared: &[PromptPart],
+    ) {
+        self.insert(now, CacheSource::Store(store), salt, shared, CacheConfidence::Confirmed);
     }
 
-    /// Number of tokens at the start of a prompt that the store of KV cache probably holds.
-    pub fn stored_tokens(&self, now: ClockTime, salt: u64, prompt: &PromptShape) -> u32 {
-        self.prefix_tokens(now, None, salt, prompt, CacheConfidence::Confirmed)
+    /// Number of tokens at the start of a prompt that a store of KV cache probably holds.
+    pub fn stored_tokens(
+        &self,
+        now: ClockTime,
+        store: StoreId,
+        salt: u64,
+        prompt: &PromptShape,
+    ) -> u32 {
+        let site = CacheSource::Store(store);
+        self.prefix_tokens(now, site, salt, prompt, CacheConfidence::Confirmed)
     }
 
-    /// Drops all entries of the store of KV cache.
-    pub fn clear_store(&mut self) {
-        self.uses.retain(|key, _| key.server.is_some());
+    /// Drops all entries of a store of KV cache.
+    pub fn clear_store(&mut self, store: StoreId) {
+        self.uses.retain(|key, _| key.site != CacheSource::Store(store));
     }
 
     /// Records that a server has cached, or will cache, the shared parts of a prompt.
@@ -79,13 +92,13 @@
         shared: &[PromptPart],
         confidence: CacheConfidence,
     ) {
-        self.insert(now, Some(server), salt, shared, confidence);
+        self.insert(now, CacheSource::Server(server), salt, shared, confidence);
     }
 
     fn insert(
         &mut self,
         now: ClockTime,
-        server: Option<ServerKey>,
+        site: CacheSource,
         salt: u64,
         shared: &[PromptPart],
         confidence: CacheConfidence,
@@ -97,7 +110,7 @@
             return;
         }
         for part in shared {
-            let key = PartKey { server, part: part.id ^ salt };
+            let key = PartKey { site, part: part.id ^ salt };
             let known = self.uses.entry(key).or_insert(PartUse { used_at: now, confidence });
             known.used_at = now;
             known.confidence = known.confidence.max(confidence);
@@ -116,7 +129,7 @@
         last.extend(events);
         let mut changes = CacheChanges::default();
         for (part, held) in last {
-            let key = PartKey { server: Some(server), part };
+            let key = PartKey { site: CacheSource::Server(server), part };
             let confidence = self.uses.get(&key).map(|known| known.confidence);
             if held && confidence != Some(CacheConfidence::Confirmed) {
                 self.uses
@@ -142,20 +155,23 @@
         prompt: &PromptShape,
         confidence: CacheConfidence,
     ) -> u32 {
-        self.prefix_tokens(now, Some(server), salt, prompt, confidence)
+        self.prefix_tokens(now, CacheSource::Server(server), salt, prompt, confidence)
     }
 
     fn prefix_tokens(
         &self,
         now: ClockTime,
-        server: Option<ServerKey>,
+        site: CacheSource,
         salt: u64,
         prompt: &PromptShape,
         confidence: CacheConfidence,
     ) -> u32 {
-        let lifetime = if server.is_some() { PART_LIFETIME } else { STORE_PART_LIFETIME };
+        let lifetime = match site {
+            CacheSource::Server(_) => PART_LIFETIME,
+            CacheSource::Store(_) => STORE_PART_LIFETIME,
+        };
         let is_cached = |part: u64| {
-            let known = self.uses.get(&PartKey { server, part: part ^ salt });
+            let known = self.uses.get(&PartKey { site, part: part ^ salt });
             known.is_some_and(|known| {
                 known.confidence >= confidence && now.since(known.used_at) < lifetime
             })
@@ -166,6 +182,6 @@
 
     /// Drops all entries of a server, for example after it loaded other weights.
     pub fn remove_server(&mut self, server: ServerKey) {
-        self.uses.retain(|key, _| key.server != Some(server));
+        self.uses.retain(|key, _| key.site != CacheSource::Server(server));
     }
 }
--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CacheScope, IsolatedSet};
+use super::{CacheScope, IsolatedSet, StoreSite};
 use crate::rendezvous::rendezvous_score;
 
 /// Whether a route's requests may run more than once.
@@ -104,6 +104,8 @@
     pub address: SocketAddr,
     /// Capacity of the store in tokens.
     pub kv_capacity: u64,
+    /// Data centre that the store is in; empty if the configuration names none.
+    pub data_centre: String,
 }
 
 /// What the servers of a service do.
@@ -262,12 +264,15 @@
         self.isolated.scope_of(workspace)
     }
 
-    /// Address of the first store of KV cache, if there is one.
-    pub fn cache_store(&self) -> Option<SocketAddr> {
-        self.services().find_map(|spec| match &spec.role {
-            ServiceRole::CacheStore(store) => Some(store.address),
+    /// The stores of KV cache, in the order of the configuration.
+    pub fn cache_stores(&self) -> Vec<StoreSite> {
+        let stores = self.services().filter_map(|spec| match &spec.role {
+            ServiceRole::CacheStore(store) => {
+                Some(StoreSite::new(&spec.name, store.address, &store.data_centre))
+            }
             _ => None,
-        })
+        });
+        stores.collect()
     }
 
     /// All services of the current configuration.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod brittle_server;
 mod cache_map;
 mod cache_scope;
+mod cache_stores;
 mod config;
 mod crash_messages;
 mod crash_sharing;
@@ -46,6 +47,7 @@
     brittle_server::{BrittleServer, ServerOccupancy},
     cache_map::{CacheChanges, CacheConfidence, CacheMap},
     cache_scope::{CacheScope, IsolatedSet},
+    cache_stores::{CacheStores, StoreChange, StoreId, StoreSite},
     config::{
         CacheStoreSpec, ClientLimits, EngineSpec, RouteError, RouteKind, RouteMatch, RouteRule,
         RouteTable, RouteTarget, ServiceRole, ServiceSpec, TrafficConfig, WorkspaceSpec,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -10,8 +10,8 @@
 use rand::Rng;
 
 use super::{
-    BackendServer, CacheMap, LONG_PROMPT_TOKENS, LongPromptPool, PlacementChoice, PlacementRefusal,
-    PlacementRequest, PromptShape, ServerRegistry, WeightsHistory,
+    BackendServer, CacheMap, CacheStores, LONG_PROMPT_TOKENS, LongPromptPool, PlacementChoice,
+    PlacementRefusal, PlacementRequest, PromptShape, ServerRegistry, WeightsHistory,
     latency::{expected_latency, prefill_ms},
     placement_limits::{self, MIN_RETRY_AFTER},
     prefix_placement::PrefixContext,
@@ -49,8 +49,10 @@
     pub(super) data_centre: String,
     /// How long after new weights are announced requests may still start on the old ones.
     pub(super) old_version_lifetime: Duration,
-    /// Prompt parts that the engines and the store of KV cache probably hold.
+    /// Prompt parts that the engines and the stores of KV cache probably hold.
     pub cache: CacheMap,
+    /// The stores of KV cache.
+    pub stores: CacheStores,
     pub(super) long_prompt_pool: LongPromptPool,
     /// Announced weights versions.
     pub weights: WeightsHistory,
@@ -65,6 +67,7 @@
             data_centre,
             old_version_lifetime,
             cache: CacheMap::default(),
+            stores: CacheStores::default(),
             long_prompt_pool: LongPromptPool::default(),
             weights: WeightsHistory::default(),
             plain_service_ms: HashMap::new(),
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{PromptShape, SoftwareRule};
+use super::{PromptShape, SoftwareRule, StoreId};
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
@@ -23,8 +23,6 @@
     pub software: &'a SoftwareRule,
     /// Size of the request body in bytes.
     pub bytes: usize,
-    /// Whether a store of KV cache is reachable.
-    pub has_cache_store: bool,
     /// Number of live nodes that share the clients' requests.
     pub nodes: usize,
     /// Longest expected wait with which it is still sent, unless its own prompt takes longer.
@@ -50,8 +48,8 @@
     pub shared_tokens: u32,
     /// Where the server may fetch KV cache that it lacks.
     pub fetch_from: Option<CacheSource>,
-    /// Whether the server should save the shared parts, because the store of KV cache lacks some.
-    pub save_to_store: bool,
+    /// Store of KV cache to which the server should save the shared parts, because it lacks some.
+    pub save_to_store: Option<StoreId>,
     /// Weights version of the model at the server; `None` on a plain service.
     pub weights: Option<WeightsVersion>,
     /// Latest start of the request; `None` unless the server's weights have been replaced.
@@ -74,10 +72,10 @@
 }
 
 /// Where a server may fetch KV cache.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CacheSource {
     /// Another engine.
     Server(ServerKey),
-    /// The store of KV cache.
-    Store,
+    /// A store of KV cache.
+    Store(StoreId),
 }
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -62,7 +62,7 @@
             cached_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
-            save_to_store: false,
+            save_to_store: None,
             start_by: None,
             weights,
             candidate_count: 0,
@@ -104,7 +104,7 @@
     ) {
         let prompt = request.prompt;
         let shared = prompt.shared_tokens();
-        let prefix = self.prefix_source(now, choice.server, request, context, version);
+        let prefix = self.prefix_source(now, (choice.server, server), request, context, version);
         let PrefixSource { fetched_tokens: fetched, .. } = prefix;
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
--- a/crates/core/src/traffic/prefix_placement.rs
+++ b/crates/core/src/traffic/prefix_placement.rs
@@ -1,8 +1,8 @@
 //! Where the KV cache of a prompt's shared parts is, or should be.
 
 use super::{
-    CacheConfidence, CacheSource, LONG_PROMPT_TOKENS, PlacementPlanner, PlacementRequest,
-    ServerAvailability, ServerRegistry,
+    BackendServer, CacheConfidence, CacheSource, LONG_PROMPT_TOKENS, PlacementPlanner,
+    PlacementRequest, ServerAvailability, ServerRegistry, StoreId,
 };
 use crate::{
     clock::ClockTime,
@@ -31,6 +31,39 @@
     /// Members of the long-prompt pool.
     pub long_prompt_servers: Vec<ServerKey>,
     pub is_long_prompt: bool,
+    /// Stores of KV cache that hold some of the prompt, for each weights version that a server has.
+    pub stored: Vec<StoredPrefix>,
+    /// The store that the prefix belongs to, for each of these versions.
+    pub store_homes: Vec<(WeightsVersion, StoreId)>,
+}
+
+/// A store of KV cache that is known to hold the first `tokens` of a prompt.
+#[derive(Debug, Clone)]
+pub(super) struct StoredPrefix {
+    pub store: StoreId,
+    pub data_centre: String,
+    pub version: WeightsVersion,
+    pub tokens: u32,
+}
+
+impl PrefixContext {
+    fn store_home(&self, version: WeightsVersion) -> Option<StoreId> {
+        let home = self.store_homes.iter().find(|(known, _)| *known == version);
+        home.map(|(_, store)| *store)
+    }
+
+    /// Returns the store that holds most of the prompt, of several that hold as much the one in the
+    /// same data centre.
+    fn best_store(&self, version: WeightsVersion, data_centre: &str) -> Option<&StoredPrefix> {
+        let known = self.stored.iter().filter(|stored| stored.version == version);
+        known.max_by_key(|stored| (stored.tokens, stored.data_centre == data_centre))
+    }
+
+    fn stored_at(&self, version: WeightsVersion, store: StoreId) -> u32 {
+        let mut known = self.stored.iter();
+        let known = known.find(|stored| stored.version == version && stored.store == store);
+        known.map_or(0, |stored| stored.tokens)
+    }
 }
 
 /// Where a server gets the shared parts of a prompt from.
@@ -42,8 +75,8 @@
     pub fetched_tokens: u32,
     /// Where it may fetch what it lacks.
     pub fetch_from: Option<CacheSource>,
-    /// Whether it should save the shared parts to the store.
-    pub save_to_store: bool,
+    /// Store to which it should save the shared parts.
+    pub save_to_store: Option<StoreId>,
 }
 
 impl PlacementPlanner {
@@ -58,8 +91,12 @@
         let Some(model) = request.model else { return context };
         let is_long_prompt = request.prompt.prompt_tokens >= LONG_PROMPT_TOKENS;
         let mut ranked: Vec<(u64, ServerKey, WeightsVersion)> = Vec::new();
+        let mut versions: Vec<WeightsVersion> = Vec::new();
         for (key, server) in registry.usable(request.service) {
             let Some(version) = server.weights_version(model) else { continue };
+            if !versions.contains(&version) {
+                versions.push(version);
+            }
             let salt = cache_salt(request.cache_scope, version);
             let confidence = CacheConfidence::Confirmed;
             let held = self.cache.cached_tokens(now, key, salt, request.prompt, confidence);
@@ -71,6 +108,7 @@
                 ranked.push((rendezvous_score(POOL_RANKING_KEY, number), key, version));
             }
         }
+        self.add_stores(now, request, &versions, &mut context);
         ranked.sort_unstable_by_key(|(score, key, _)| (std::cmp::Reverse(*score), *key));
         let size = self.long_prompt_pool.size(now, ranked.len(), request.nodes).min(ranked.len());
         context.long_prompt_servers = ranked[..size].iter().map(|(_, key, _)| *key).collect();
@@ -85,11 +123,33 @@
         context
     }
 
+    fn add_stores(
+        &self,
+        now: ClockTime,
+        request: &PlacementRequest<'_>,
+        versions: &[WeightsVersion],
+        context: &mut PrefixContext,
+    ) {
+        let Some(prefix_id) = request.prompt.prefix_id() else { return };
+        for version in versions.iter().copied() {
+            let salt = cache_salt(request.cache_scope, version);
+            let home = self.stores.home(now, prefix_id ^ salt);
+            context.store_homes.extend(home.map(|site| (version, site.id)));
+            for site in self.stores.usable(now) {
+                let tokens = self.cache.stored_tokens(now, site.id, salt, request.prompt);
+                if tokens > 0 {
+                    let (store, data_centre) = (site.id, site.data_centre.clone());
+                    context.stored.push(StoredPrefix { store, data_centre, version, tokens });
+                }
+            }
+        }
+    }
+
     /// Returns where a server gets the shared parts of a prompt from.
     pub(super) fn prefix_source(
         &self,
         now: ClockTime,
-        server: ServerKey,
+        (server, known): (ServerKey, &BackendServer),
         request: &PlacementRequest<'_>,
         context: &PrefixContext,
         version: WeightsVersion,
@@ -98,17 +158,18 @@
         let salt = cache_salt(request.cache_scope, version);
         let confidence = CacheConfidence::Expected;
         let held = self.cache.cached_tokens(now, server, salt, prompt, confidence);
-        let stored =
-            if request.has_cache_store { self.cache.stored_tokens(now, salt, prompt) } else { 0 };
+        let store = context.best_store(version, &known.listing.data_centre);
+        let stored = store.map_or(0, |stored| stored.tokens);
+        let home = context.store_home(version);
         let shared = prompt.shared_tokens();
         let holder = context.holder.filter(|known| known.version == version && known.tokens > held);
         let (source, source_tokens) = match holder {
             Some(holder) if holder.tokens >= stored => {
                 (Some(CacheSource::Server(holder.server)), holder.tokens)
             }
-            _ if stored > held => (Some(CacheSource::Store), stored),
+            _ if stored > held => (store.map(|stored| CacheSource::Store(stored.store)), stored),
             // The store may hold more than this node knows, as after a restart; asking is cheap.
-            _ if held < shared && request.has_cache_store => (Some(CacheSource::Store), held),
+            _ if held < shared => (home.map(CacheSource::Store), held),
             _ => (None, held),
         };
         let cached_tokens = held.max(source_tokens);
@@ -116,7 +177,7 @@
             cached_tokens,
             fetched_tokens: cached_tokens - held,
             fetch_from: source,
-            save_to_store: request.has_cache_store && stored < shared,
+            save_to_store: home.filter(|home| context.stored_at(version, *home) < shared),
         }
     }
 }
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -83,9 +83,13 @@
         /// Parts of the prompt that other requests may share; empty if the request failed.
         #[n(4)]
         parts: Vec<PromptPart>,
-        /// Whether the server saves the parts to the KV cache store.
+        /// Whether the server saves the parts to the first KV cache store.
         #[n(5)]
         saves: bool,
+        /// Number of another KV cache store to which the server saves the parts.
+        #[n(6)]
+        #[serde(skip)]
+        saved_to: Option<u64>,
     },
     /// An engine has cached parts, or has dropped them.
     #[n(5)]
@@ -100,7 +104,7 @@
         #[n(2)]
         held: bool,
     },
-    /// Whether the KV cache store can be used.
+    /// Whether the first KV cache store can be used.
     #[n(6)]
     CacheStore {
         /// Whether the store responds.
@@ -251,6 +255,20 @@
         #[n(3)]
         told_at: ClockTime,
     },
+    /// Whether a KV cache store other than the first can be used.
+    #[n(27)]
+    #[serde(skip)]
+    FurtherStore {
+        /// Number of the store.
+        #[n(0)]
+        store: u64,
+        /// Whether it responds.
+        #[n(1)]
+        up: bool,
+        /// Epoch of the store; changes when it restarts empty.
+        #[n(2)]
+        epoch: u64,
+    },
 }
 
 impl NodeNotice {
@@ -277,6 +295,7 @@
             | NodeNotice::Answered { .. }
             | NodeNotice::Cached { .. }
             | NodeNotice::CacheStore { .. }
+            | NodeNotice::FurtherStore { .. }
             | NodeNotice::Silent { .. }
             | NodeNotice::InFlight { .. } => false,
         }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use carobvane_core::traffic::{CacheConfidence, WatchReport};
+use carobvane_core::traffic::{CacheConfidence, StoreId, WatchReport};
 
 use crate::{
     adapter::PlatformAdapter,
@@ -10,7 +10,7 @@
     clock,
     fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
     node::Node,
-    server::{cache_events, crashes, links, server_limits, server_signals},
+    server::{cache_events, cache_store, crashes, links, server_limits, server_signals},
     store::store_sync,
 };
 
@@ -48,8 +48,15 @@
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
         }
-        NodeNotice::CacheStore { up, epoch } => state.update_cache_store(up, epoch),
-        NodeNotice::Answered { instance, request, load, salt, parts, saves } => {
+        NodeNotice::CacheStore { up, epoch } => {
+            if let Some(store) = state.planner.stores.first() {
+                cache_store::apply_report(state, store, up, epoch);
+            }
+        }
+        NodeNotice::FurtherStore { store, up, epoch } => {
+            cache_store::apply_report(state, StoreId(store), up, epoch);
+        }
+        NodeNotice::Answered { instance, request, load, salt, parts, saves, saved_to } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             let Some(server) = state.registry.get_mut(key) else { return };
             server.prefill_backlog.remove(request);
@@ -58,8 +65,9 @@
                 state.crashes.on_server_alive(key, now - NOTICE_AGE);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Confirmed);
-            if saves {
-                state.planner.cache.record_stored(now, salt, &parts);
+            let first = state.planner.stores.first().filter(|_| saves);
+            if let Some(store) = saved_to.map(StoreId).or(first) {
+                state.planner.cache.record_stored(now, store, salt, &parts);
             }
         }
         NodeNotice::Leaving { instance, started_at_ms } => {
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -242,6 +242,7 @@
             salt: 6,
             parts: Vec::new(),
             saves: true,
+            saved_to: None,
         },
     ];
     let segments = batch::encode_segments(7, &mut || 3, &notices);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -75,9 +75,6 @@
     pub lost_entries: BTreeMap<String, StoreItem>,
     /// Keys of the servers' entries that were removed lately, and when.
     pub removed_entries: BTreeMap<String, ClockTime>,
-    /// Epoch of the KV cache store; 0 until one is learned, `None` while the store does not
-    /// respond.
-    cache_store_epoch: Option<u64>,
     /// Notices that this node was suspended.
     pub suspension: SuspensionDetector,
     /// Source of randomness for all decisions.
@@ -188,7 +185,6 @@
             mirror: StoreMirror::default(),
             lost_entries: BTreeMap::new(),
             removed_entries: BTreeMap::new(),
-            cache_store_epoch: Some(0),
             suspension: SuspensionDetector::default(),
             rng: SmallRng::seed_from_u64(seed),
             retry_budgets: HashMap::new(),
@@ -311,28 +307,6 @@
         self.members_known_at.get_or_insert(now);
     }
 
-    /// Records whether the KV cache store responds, and its epoch. Forgets what was saved there if
-    /// it is down or has restarted.
-    pub fn update_cache_store(&mut self, up: bool, epoch: u64) {
-        let epoch_now = up.then_some(epoch);
-        if self.cache_store_epoch == epoch_now {
-            return;
-        }
-        // The first epoch that is learned does not mean that the store has restarted.
-        let restarted =
-            self.cache_store_epoch.is_some_and(|known| known != 0) && epoch_now.is_some();
-        if restarted || epoch_now.is_none() {
-            log::info!(up, epoch; "KV cache store changed");
-            self.planner.cache.clear_store();
-        }
-        self.cache_store_epoch = epoch_now;
-    }
-
-    /// Returns the address of the KV cache store while it can be used.
-    pub fn cache_store(&self) -> Option<SocketAddr> {
-        self.cache_store_epoch.and_then(|_| self.routes.cache_store())
-    }
-
     /// Counts a client request to a service, which adds to the retry budget.
     pub fn on_request(&mut self, now: ClockTime, service: &str, bounds: &NodeBounds) {
         let share = self.budget_share(bounds);
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -199,7 +199,7 @@
             false => RunEnd::Refused,
         };
         self.finish_run(end, "response without a length");
-        self.flight.report(head.info().load, 0, &[], false);
+        self.flight.report(head.info().load, 0, &[], None);
         record_response(node, context, &self, failed);
         self.connection.return_to_pool(head.keep_alive());
         if failed { AttemptResult::Failed(response) } else { AttemptResult::Complete(response) }
@@ -214,7 +214,7 @@
     ) -> AttemptResult {
         let load = head.info().load;
         self.finish_run(RunEnd::Refused, "");
-        self.flight.report(load, 0, &[], false);
+        self.flight.report(load, 0, &[], None);
         log_failure(context, &self.instance, &self.choice, "rejected without running");
         {
             let state = &mut *node.state.borrow_mut();
@@ -280,7 +280,8 @@
         record_response(node, context, self, false);
         let Some(weights) = self.choice.weights else { return };
         let salt = cache_salt(context.cache_scope.number(), weights);
-        self.flight.report(load, salt, context.info.prompt.shared_parts(), self.save_to.is_some());
+        let store = self.choice.save_to_store.filter(|_| self.save_to.is_some());
+        self.flight.report(load, salt, context.info.prompt.shared_parts(), store);
     }
 
     fn record_limits(&self, node: &Rc<Node>, context: &RequestContext, head: &ResponseInfo) {
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{
     ids::ServerKey,
     rendezvous::rendezvous_score,
-    traffic::{PlacementChoice, PromptPart, ServerLoad, cache_salt},
+    traffic::{PlacementChoice, PromptPart, ServerLoad, StoreId, cache_salt},
 };
 
 use crate::{
@@ -60,13 +60,14 @@
         FlightGuard { node: node.clone(), server: choice.server, instance, prefill_number }
     }
 
-    /// Reports that the response has begun, or that the request ended without one.
+    /// Reports that the response has begun, or that the request ended without one. `store` is the
+    /// store of KV cache to which the server saves the parts.
     pub fn report(
         &mut self,
         load: Option<ServerLoad>,
         salt: u64,
         parts: &[PromptPart],
-        saves: bool,
+        store: Option<StoreId>,
     ) {
         let prefill_number = self.prefill_number.take();
         if prefill_number.is_none() && load.is_none() {
@@ -75,7 +76,10 @@
         let instance = self.instance.clone();
         let parts = parts.to_vec();
         let request = prefill_number.unwrap_or(0);
-        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves };
+        let first = self.node.state.borrow().planner.stores.first();
+        let saves = store.is_some() && store == first;
+        let saved_to = store.filter(|_| !saves).map(|store| store.0);
+        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves, saved_to };
         notices::apply(&self.node, notice.clone());
         self.node.broadcast(notice);
     }
@@ -83,7 +87,7 @@
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.report(None, 0, &[], false);
+        self.report(None, 0, &[], None);
         change_in_flight(&self.node, self.server, -1);
     }
 }
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -59,7 +59,6 @@
         cache_scope: context.cache_scope.number(),
         software: &context.software,
         bytes: context.body.len(),
-        has_cache_store: state.cache_store().is_some(),
         nodes: state.members.live().count().max(1),
         max_wait: max_expected_wait(context),
         time_left: context.time_left(now),
@@ -76,6 +75,7 @@
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
         expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
+        saves = choice.save_to_store.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.candidate_count, config:? = state.routes.version(),
         software:? = server.listing.software, weights:? = choice.weights.map(|version| version.0),
@@ -113,10 +113,11 @@
     node: &Node,
     choice: &PlacementChoice,
 ) -> (Option<SocketAddr>, Option<SocketAddr>) {
-    let store = node.state.borrow().cache_store();
+    let now = clock::now();
+    let address_of = |store| node.state.borrow().planner.stores.address(now, store);
     let fetch_from = choice.fetch_from.and_then(|from| match from {
         CacheSource::Server(server) => node.server_endpoint(server).map(|(address, _)| address),
-        CacheSource::Store => store,
+        CacheSource::Store(store) => address_of(store),
     });
-    (fetch_from, store.filter(|_| choice.save_to_store))
+    (fetch_from, choice.save_to_store.and_then(address_of))
 }
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -207,6 +207,7 @@
             let version = config.version;
             let in_force = state.routes.version();
             let taken = state.routes.apply(*config);
+            state.planner.stores.configure(state.routes.cache_stores());
             log::info!(version, in_force:? = in_force, taken; "configuration received");
         }
         FleetEntry::BadConfig(cause) => {
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -263,7 +263,9 @@
     while let Ok(Some(request)) = read_request(&mut stream, &mut buffer).await {
         if let Some(since) = parse_events_query(&request) {
             shared.event_polls.fetch_add(1, Ordering::Relaxed);
-            let answer = with_extra_headers(&shared, &events_response(&shared, since).await);
+            let may_wait = request.header("wait-ms").is_some();
+            let events = events_response(&shared, since, may_wait).await;
+            let answer = with_extra_headers(&shared, &events);
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 break;
             }
@@ -350,13 +352,13 @@
     target.split(' ').next()?.parse().ok()
 }
 
-/// Waits without a time limit for events after `since` and returns the response with them.
-async fn events_response(shared: &BackendShared, since: usize) -> String {
+/// Returns the response with the events after `since`. If it may wait, it waits for one without limit.
+async fn events_response(shared: &BackendShared, since: usize, may_wait: bool) -> String {
     shared.events_read.send_replace(since);
     let mut events = shared.cache_events.subscribe();
     // Waiting cannot fail: `shared` keeps the sender alive.
-    let rows = match events.wait_for(|events| events.len() > since).await {
-        Ok(rows) => rows[since..].join(","),
+    let rows = match events.wait_for(|events| events.len() > since || !may_wait).await {
+        Ok(rows) => rows[since.min(rows.len())..].join(","),
         Err(_) => String::new(),
     };
     let next = shared.cache_events.borrow().len();
