Find silent servers together

Cause: when servers stop responding without closing connections, every node found out by itself, again and again for as long as it lasted, and requests that may not be repeated were lost. Change: a server counts as silent at all nodes once two of them report it and nobody has heard it since. Failures are reported by notice 28 once the node's own links are known to have worked, and only by a node that hears others; a Silent notice of an earlier build counts as a report. Overdue requests are reported before they time out. No request goes to a silent server while another one is left, and it is no source and no home of KV cache. Two nodes probe it, one call a second together, until any node hears it and tells the others. Waiting requests that may be repeated go elsewhere at once if the retry budget allows it. The stand-in of a server answers queries of its state apart from its script, since the probes are such queries; the tests of crashes count what their requests do, not these.

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -90,6 +90,14 @@
         };
     }
 
+    /// Records that the server, which was silent, responds again, to this node or another one.
+    pub fn on_back(&mut self) {
+        self.unanswered = 0;
+        self.backoff_until = ClockTime::ZERO;
+        self.suspected_until = ClockTime::ZERO;
+        self.failure_rate = 0.0;
+    }
+
     /// Records an error response that the server sent after it ran a request.
     pub fn on_error_response(&mut self, now: ClockTime) {
         self.unanswered = 0;
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -36,6 +36,7 @@
 mod server_limit;
 mod server_links;
 mod server_loading;
+mod silent_servers;
 mod stream_origins;
 mod suspension;
 mod unresolved_runs;
@@ -78,6 +79,10 @@
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
     server_limit::{LimitRank, LimitStatement, ServerLimit},
     server_links::{BLAME_DELAY, BlamedServer, LinkCheck, LinkFailure, LinkState, ServerLinks},
+    silent_servers::{
+        HEARD_NOTICE_AGE, PROBERS, ProbeSchedule, ReportRule, ServerSilence, SilenceChange,
+        overdue_after,
+    },
     stream_origins::{SoftwareReport, SoftwareRule, StreamKey, StreamOrigins},
     suspension::SuspensionDetector,
     watch_reports::{WatchReport, WatchReports},
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -176,7 +176,8 @@
         }
         let health = &server.health;
         let probed = health.is_unresponsive() && server.in_flight > 0;
-        if pass == SearchPass::Normal && (health.in_backoff(now) || probed) {
+        let unusable = health.in_backoff(now) || server.silence.is_silent() || probed;
+        if pass == SearchPass::Normal && unusable {
             return false;
         }
         request.model.is_none_or(|model| server.weights_version(model).is_some())
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -37,6 +37,8 @@
 const FAILURE_MS: f64 = 1_500.0;
 /// Cost of probing a server that is unresponsive, suspected or no longer listed, in ms.
 const PROBE_MS: f64 = 400.0;
+/// Cost of a silent server, in ms: it is chosen only if no other one is left.
+const SILENT_MS: f64 = 60_000.0;
 /// Cost of a server whose weights have been replaced, in ms.
 const OLD_WEIGHTS_MS: f64 = 250.0;
 /// How long after new weights are announced servers with old ones cost nothing extra.
@@ -77,7 +79,12 @@
         }
         choice.cost_ms *= server.health.latency_ratio() * pace_factor(now, server);
         choice.cost_ms += server.health.failure_rate(now) * FAILURE_MS;
-        let suspected = server.health.is_unresponsive() || server.health.is_suspected(now);
+        let suspected = server.health.is_unresponsive()
+            || server.health.is_suspected(now)
+            || server.silence.is_suspected();
+        if server.silence.is_silent() {
+            choice.cost_ms += SILENT_MS;
+        }
         if suspected || server.availability == ServerAvailability::Lapsed {
             choice.cost_ms += PROBE_MS;
         }
--- a/crates/core/src/traffic/prefix_placement.rs
+++ b/crates/core/src/traffic/prefix_placement.rs
@@ -100,10 +100,14 @@
             let salt = cache_salt(request.cache_scope, version);
             let confidence = CacheConfidence::Confirmed;
             let held = self.cache.cached_tokens(now, key, salt, request.prompt, confidence);
-            if held > context.holder.map_or(0, |holder| holder.tokens) {
+            // A fetch from a server that does not respond costs some hundred ms.
+            if !server.silence.is_silent()
+                && held > context.holder.map_or(0, |holder| holder.tokens)
+            {
                 context.holder = Some(CacheHolder { server: key, version, tokens: held });
             }
-            if server.availability == ServerAvailability::Ready && !server.health.in_backoff(now) {
+            let is_usable = !server.health.in_backoff(now) && !server.silence.is_silent();
+            if server.availability == ServerAvailability::Ready && is_usable {
                 let number = rendezvous_score(server.listing.instance.as_bytes(), 0);
                 ranked.push((rendezvous_score(POOL_RANKING_KEY, number), key, version));
             }
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -6,7 +6,9 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit};
+use super::{
+    BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit, ServerSilence,
+};
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
@@ -88,6 +90,8 @@
     pub limit: ServerLimit,
     /// Rejections that it bears from all nodes together.
     pub brittle: BrittleServer,
+    /// Whether it responds to anybody, as the nodes have found out together.
+    pub silence: ServerSilence,
 }
 
 impl BackendServer {
@@ -156,6 +160,7 @@
             loading_until: ClockTime::ZERO,
             limit: ServerLimit::default(),
             brittle: BrittleServer::default(),
+            silence: ServerSilence::default(),
         });
         self.by_instance.insert(instance, key);
         self.by_service.entry(service).or_default().push(key);
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -255,6 +255,19 @@
         #[n(3)]
         told_at: ClockTime,
     },
+    /// Whether a server responds, as the sender has found out. Nodes of earlier builds learn of a server
+    /// that cannot be connected to by [`NodeNotice::Silent`].
+    #[n(28)]
+    #[serde(skip)]
+    Reachability {
+        /// Instance name of the server.
+        #[n(0)]
+        instance: String,
+        /// How long ago the first request or probe without a response was sent; `None` if the server has
+        /// responded to the sender.
+        #[n(1)]
+        unheard: Option<Duration>,
+    },
     /// Whether a KV cache store other than the first can be used.
     #[n(27)]
     #[serde(skip)]
@@ -290,6 +303,7 @@
             | NodeNotice::Brittle { .. }
             | NodeNotice::Rejected { .. }
             | NodeNotice::Unlinked { .. }
+            | NodeNotice::Reachability { .. }
             | NodeNotice::UpToDate { .. } => true,
             NodeNotice::Sent { .. }
             | NodeNotice::Answered { .. }
--- a/crates/node/src/fleet/notice_transport.rs
+++ b/crates/node/src/fleet/notice_transport.rs
@@ -44,6 +44,17 @@
     pub address: SocketAddr,
     /// Format in which it writes and reads notices; `None` if that is not known.
     pub format: Option<WireFormat>,
+    /// Incarnation of the node that the notice comes from; `None` in formats that do not name it.
+    pub origin: Option<u64>,
+}
+
+impl NoticeSender {
+    /// Number that tells the nodes apart that notices come from.
+    pub fn number(&self) -> u64 {
+        self.origin.unwrap_or_else(|| {
+            carobvane_core::rendezvous::rendezvous_score(self.address.to_string().as_bytes(), 0)
+        })
+    }
 }
 
 /// What this node knows and has to do as a relay of notices.
@@ -241,7 +252,7 @@
 pub fn send_to(node: &Node, addresses: impl IntoIterator<Item = SocketAddr>, notice: &NodeNotice) {
     for address in addresses {
         let format = node.state.borrow().members.format_at(address);
-        reply(node, NoticeSender { address, format }, notice);
+        reply(node, NoticeSender { address, format, origin: None }, notice);
     }
 }
 
@@ -293,7 +304,7 @@
         let format = node.state.borrow().members.format_at(from);
         match legacy::decode_notices(format, bytes) {
             Ok(notices) => {
-                let sender = NoticeSender { address: from, format };
+                let sender = NoticeSender { address: from, format, origin: None };
                 notices.into_iter().for_each(|notice| receive_notice::<A>(node, sender, notice));
             }
             Err(cause) => drop_datagram(from, &cause),
@@ -339,7 +350,8 @@
                 metrics::counter!("carobvane_notices_skipped_total")
                     .increment(decoded.skipped as u64);
             }
-            let sender = NoticeSender { address: from, format: Some(WireFormat::Cbor) };
+            let origin = Some(segment.origin);
+            let sender = NoticeSender { address: from, format: Some(WireFormat::Cbor), origin };
             for notice in decoded.notices {
                 receive_notice::<A>(node, sender, notice);
             }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -2,7 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use carobvane_core::traffic::{CacheConfidence, StoreId, WatchReport};
+use carobvane_core::traffic::{
+    BLAME_DELAY, CacheConfidence, HEARD_NOTICE_AGE, StoreId, WatchReport,
+};
 
 use crate::{
     adapter::PlatformAdapter,
@@ -10,7 +12,9 @@
     clock,
     fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
     node::Node,
-    server::{cache_events, cache_store, crashes, links, server_limits, server_signals},
+    server::{
+        cache_events, cache_store, crashes, links, server_limits, server_signals, silent_servers,
+    },
     store::store_sync,
 };
 
@@ -62,6 +66,7 @@
             server.prefill_backlog.remove(request);
             if let Some(load) = load {
                 server.health.on_load_report(now, load);
+                silent_servers::apply_heard(node, state, key, now - HEARD_NOTICE_AGE);
                 state.crashes.on_server_alive(key, now - NOTICE_AGE);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Confirmed);
@@ -101,12 +106,14 @@
             }
         }
         NodeNotice::Unlinked { name } => state.members.on_unlinked(now, name),
-        // Store changes are applied by `store_sync`, cache events above, queries by `receive_notice`.
+        // Store changes are applied by `store_sync`, cache events above, queries and what depends on the
+        // sender by `receive_notice`.
         NodeNotice::Changed { .. }
         | NodeNotice::Behind { .. }
         | NodeNotice::UpToDate { .. }
         | NodeNotice::Cached { .. }
         | NodeNotice::StreamWanted { .. }
+        | NodeNotice::Reachability { .. }
         | NodeNotice::LinksWanted
         | NodeNotice::Links { .. }
         | NodeNotice::StreamOrigin { software: None, .. } => {}
@@ -119,7 +126,15 @@
 
 /// Applies a notice of another node, or answers it.
 pub fn receive_notice<A: PlatformAdapter>(node: &Rc<Node>, from: NoticeSender, notice: NodeNotice) {
+    silent_servers::on_peer_heard(node);
     match notice {
+        NodeNotice::Reachability { instance, unheard } => {
+            silent_servers::apply_notice(node, from, &instance, unheard);
+        }
+        NodeNotice::Silent { instance } => {
+            silent_servers::apply_notice(node, from, &instance, Some(BLAME_DELAY));
+            apply(node, NodeNotice::Silent { instance });
+        }
         NodeNotice::StreamWanted { stream, service } => {
             stream_origin::answer(node, from, stream, &service);
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
 };
@@ -14,9 +14,9 @@
     rendezvous::rendezvous_score,
     suspects::BlamedGroup,
     traffic::{
-        BudgetShare, CrashTracker, PlacementPlanner, RetryBudget, RolloutPlanner, RolloutSettings,
-        RouteTable, ServerLinks, ServerRegistry, StreamKey, StreamOrigins, SuspensionDetector,
-        WatchReports,
+        BudgetShare, CrashTracker, PlacementPlanner, ReportRule, RetryBudget, RolloutPlanner,
+        RolloutSettings, RouteTable, ServerLinks, ServerRegistry, StreamKey, StreamOrigins,
+        SuspensionDetector, WatchReports,
     },
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -64,6 +64,10 @@
     pub store_checked_at: ClockTime,
     /// Whether this node reaches the servers.
     pub links: ServerLinks,
+    /// Servers of which there are reports that they do not respond.
+    pub suspected_servers: BTreeSet<ServerKey>,
+    /// Whether this node may report servers to others.
+    pub report_rule: ReportRule,
     /// When the other nodes were told last that the servers of a service are brittle.
     pub brittle_told_at: HashMap<String, ClockTime>,
     /// Known nodes, this one included.
@@ -134,6 +138,10 @@
     pub stream_wake: Notify,
     /// Wakes the task that checks the links to the servers.
     pub links_wake: Notify,
+    /// Wakes the requests that wait for a server when one has turned silent.
+    pub silence_wake: Notify,
+    /// Wakes the task that probes servers.
+    pub probe_wake: Notify,
     /// Whether other nodes reach a server, by their addresses, as they told this check.
     pub link_answers: RefCell<HashMap<SocketAddr, bool>>,
     /// Wakes the check when another node has answered.
@@ -169,6 +177,8 @@
             streams,
             links: ServerLinks::default(),
             brittle_told_at: HashMap::new(),
+            suspected_servers: BTreeSet::new(),
+            report_rule: ReportRule::default(),
             mirror_checked_at: ClockTime::ZERO,
             store_checked_at: ClockTime::ZERO,
             routes: RouteTable::default(),
@@ -215,6 +225,8 @@
             stream_queries: RefCell::default(),
             stream_wake: Notify::new(),
             links_wake: Notify::new(),
+            silence_wake: Notify::new(),
+            probe_wake: Notify::new(),
             link_answers: RefCell::default(),
             links_answered: Notify::new(),
             relay: RefCell::default(),
@@ -325,6 +337,12 @@
         self.budget(service).try_spend(now, &share)
     }
 
+    /// Whether a retry at a service is left in the budget.
+    pub fn has_retry(&mut self, now: ClockTime, service: &str, bounds: &NodeBounds) -> bool {
+        let share = self.budget_share(bounds);
+        self.budget(service).remaining(now, &share) >= 1.0
+    }
+
     fn budget_share(&self, bounds: &NodeBounds) -> BudgetShare {
         BudgetShare {
             ratio: bounds.retry_ratio,
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -26,6 +26,7 @@
     },
     server::{
         cache_events, cache_store, crash_store, crashes, links, server_limits, server_signals,
+        silent_servers,
     },
     settings::NodeSettings,
     sockets::NodeSockets,
@@ -142,6 +143,7 @@
         actix_rt::spawn(links::watch(node.clone()));
         actix_rt::spawn(notice_transport::receive_batches::<A>(node.clone()));
         actix_rt::spawn(cache_store::monitor::<A>(node.clone()));
+        actix_rt::spawn(silent_servers::watch::<A>(node.clone()));
         actix_rt::spawn(cache_events::follow_engines::<A>(node.clone()));
         actix_rt::spawn(crash_store::write_records(node.clone(), store.clone()));
         actix_rt::spawn(peer_knowledge::read_peers::<A>(node.clone()));
@@ -177,6 +179,12 @@
         state.registry.iter().filter(|(_, server)| server.health.is_suspected(now)).count()
     }
 
+    /// Returns the number of servers that get no requests because the nodes found them silent.
+    pub fn silent_servers(&self) -> usize {
+        let state = self.node.state.borrow();
+        state.registry.iter().filter(|(_, server)| server.silence.is_silent()).count()
+    }
+
     /// Returns the number of the revision up to which this node's copy of the store is complete.
     pub fn store_revision(&self) -> u64 {
         self.node.state.borrow().mirror.revision.number
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -7,7 +7,9 @@
     clock::ClockTime,
     ids::ServerKey,
     suspects::ServerBuild,
-    traffic::{AttemptOutcome, LinkFailure, PlacementChoice, RunEnd, ServerLoad, cache_salt},
+    traffic::{
+        AttemptOutcome, LinkFailure, PlacementChoice, RunEnd, ServerLoad, cache_salt, overdue_after,
+    },
 };
 use http::{Request, Response};
 use http_body_util::Full;
@@ -29,10 +31,14 @@
         pool::PooledConnection,
         server_choice::{
             OpenError, cache_transfer_addresses, check_suspect, choose_server, is_open,
+            known_software,
         },
         server_limits::{record_max_rejections, record_named_limit, record_rejection},
-        server_outcomes::{record_lost, record_timeout, record_unusable},
+        server_outcomes::{
+            log_failure, record_lost, record_pool_full, record_timeout, record_unusable,
+        },
         server_signals::record_signals,
+        silent_servers::{self, ResponseWait},
     },
 };
 
@@ -122,7 +128,7 @@
             Err(cause) => {
                 log_failure(context, &instance, &choice, &cause.to_string());
                 match cause {
-                    ConnectionError::PoolFull => record_unusable(node, choice.server),
+                    ConnectionError::PoolFull => record_pool_full(node, choice.server),
                     ConnectionError::ConnectTimedOut => {
                         record_lost(node, choice.server, LinkFailure::ConnectTimedOut);
                     }
@@ -147,7 +153,15 @@
         self.run = Some(run);
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
-        let response = match self.connection.connection.send(request, response_timeout).await {
+        let wait = ResponseWait {
+            server: self.choice.server,
+            sent_at: self.sent_at,
+            overdue_after: self.overdue_after(context),
+            service: &context.service,
+            may_move: self.may_retry(context),
+        };
+        let sending = self.connection.connection.send(request, response_timeout);
+        let response = match silent_servers::wait_for_response(node, &wait, sending).await {
             Ok(response) => response,
             Err(cause) => return self.on_connection_error(node, context, &cause),
         };
@@ -251,9 +265,8 @@
             ConnectionError::TimedOut => record_timeout(node, self.choice.server, self.sent_at),
             // The server closed an idle connection, which says nothing about its health.
             ConnectionError::NotSent(_) if !self.connection.newly_opened => {}
-            ConnectionError::Invalid(_) | ConnectionError::PoolFull => {
-                record_unusable(node, self.choice.server);
-            }
+            ConnectionError::PoolFull => record_pool_full(node, self.choice.server),
+            ConnectionError::Invalid(_) => record_unusable(node, self.choice.server),
             ConnectionError::NotSent(_)
             | ConnectionError::ConnectTimedOut
             | ConnectionError::Broken(_) => {
@@ -308,13 +321,21 @@
         }
     }
 
+    /// Whether the request may run at another server if this one does not respond.
+    fn may_retry(&self, context: &RequestContext) -> bool {
+        context.rule.may_rerun() && context.history.runs + 1 < context.rule.max_servers
+    }
+
+    fn overdue_after(&self, context: &RequestContext) -> Duration {
+        let expected = Duration::from_secs_f64(self.choice.base_latency_ms.max(0.0) / 1_000.0);
+        overdue_after(expected, context.rule.target_latency)
+    }
+
     /// Returns how long to wait for the head of the response.
     fn response_timeout(&self, context: &RequestContext) -> Duration {
         let now = clock::now();
         let left = context.time_left(now);
-        let may_retry =
-            context.rule.may_rerun() && context.history.runs + 1 < context.rule.max_servers;
-        if !may_retry {
+        if !self.may_retry(context) {
             return left;
         }
         let expected =
@@ -352,14 +373,6 @@
     }
 }
 
-/// Returns the software version of a server, unless it may have started again as another one.
-fn known_software(node: &Node, server: ServerKey) -> Option<String> {
-    let registry = &node.state.borrow().registry;
-    let known = registry.get(server)?;
-    let may_differ = registry.may_have_restarted(clock::now(), known);
-    known.listing.software.clone().filter(|_| !may_differ)
-}
-
 fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &Attempt, failed: bool) {
     let now = clock::now();
     let took = now.since(attempt.sent_at);
@@ -383,12 +396,3 @@
         "server responded"
     );
 }
-
-fn log_failure(context: &RequestContext, instance: &str, choice: &PlacementChoice, cause: &str) {
-    log::info!(
-        request = context.info.request_id, server = instance, cause = cause,
-        attempt = context.history.attempts + 1, expected_ms = choice.base_latency_ms;
-        "attempt failed"
-    );
-    metrics::counter!("carobvane_failed_attempts_total").increment(1);
-}
--- a/crates/node/src/server/links.rs
+++ b/crates/node/src/server/links.rs
@@ -17,7 +17,7 @@
         notice_transport::{self, NoticeSender},
     },
     node::{Node, NodeState},
-    server::{crashes, pool::CONNECT_TIMEOUT, server_outcomes},
+    server::{crashes, pool::CONNECT_TIMEOUT, server_outcomes, silent_servers},
     tcp,
 };
 
@@ -47,6 +47,7 @@
 /// Records that a server responded over an open connection.
 pub fn record_heard(node: &Node, state: &mut NodeState, server: ServerKey) {
     state.links.on_heard(clock::now(), server);
+    silent_servers::on_heard(node, state, server);
     blame_servers(node, state);
 }
 
@@ -69,6 +70,7 @@
         if failure.shows_silence() {
             server_outcomes::tell_unresponsive(node, state, server);
         }
+        silent_servers::report_failure(node, state, server);
         if failure.shows_end() {
             crashes::record_server_lost(node, state, server);
         }
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -121,3 +121,11 @@
     });
     (fetch_from, choice.save_to_store.and_then(address_of))
 }
+
+/// Returns the software version of a server, unless it may have started again as another one.
+pub fn known_software(node: &Node, server: ServerKey) -> Option<String> {
+    let registry = &node.state.borrow().registry;
+    let known = registry.get(server)?;
+    let may_differ = registry.may_have_restarted(clock::now(), known);
+    known.listing.software.clone().filter(|_| !may_differ)
+}
--- a/crates/node/src/server/server_signals.rs
+++ b/crates/node/src/server/server_signals.rs
@@ -9,6 +9,7 @@
     clock,
     fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
+    server::silent_servers,
 };
 
 /// The other nodes are told of a server that leaves for this long, as datagrams get lost.
@@ -22,6 +23,7 @@
     request: &str,
     head: &ResponseInfo,
 ) {
+    silent_servers::on_heard(node, state, server);
     if head.leaving {
         record_leaving(node, state, server, request);
     }
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -2,6 +2,7 @@
 //! malformed and truncated HTTP.
 
 mod paced;
+mod recorded;
 mod script;
 
 use std::{
@@ -11,25 +12,25 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::watch,
 };
 
-pub use self::script::ResponseScript;
+pub use self::{recorded::RecordedRequest, script::ResponseScript};
 use crate::util::{self, lock};
 use paced::send_paced;
+use recorded::{READ_BYTES, read_request};
 
 /// Placeholder in a response that is replaced by the request's `request-id` header.
 const ID_PLACEHOLDER: &str = "{id}";
-/// Size of the read buffer, in bytes.
-const READ_BYTES: usize = 16 * 1024;
-
+/// Beginning of a query of the server's state.
+const STATE_QUERY: &str = "GET /report ";
 /// Size of the send buffer of an endless response, in bytes.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -66,33 +67,6 @@
     },
 }
 
-/// A request that a backend server received.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RecordedRequest {
-    /// Request line and headers, up to and including the empty line.
-    pub head: String,
-    /// Body of `content-length` bytes; empty without that header.
-    pub body: Vec<u8>,
-    /// When it was received.
-    pub received_at: Instant,
-}
-
-impl RecordedRequest {
-    /// Returns the trimmed value of the first header with this name, in any case.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
-        let mut values = lines.filter(|(known, _)| known.eq_ignore_ascii_case(name));
-        values.next().map(|(_, value)| value.trim())
-    }
-
-    /// Whether the prompt has a part with this hexadecimal id that is not the last one.
-    pub fn has_shared_part(&self, part: &str) -> bool {
-        let prompt = self.header("prompt-prefix").unwrap_or_default();
-        let (shared, _) = prompt.rsplit_once(',').unwrap_or_default();
-        shared.split(',').any(|entry| entry.split(':').next() == Some(part))
-    }
-}
-
 #[derive(Debug)]
 struct BackendShared {
     default: BackendResponse,
@@ -108,7 +82,7 @@
     /// Number of cache events that the client has read, taken from its latest request for events.
     events_read: watch::Sender<usize>,
     recorded: Mutex<Vec<RecordedRequest>>,
-    /// Number of requests received, without requests for cache events, and number of connections
+    /// Number of requests received, without those for cache events or the state, and number of connections
     /// closed by the client or by a failed write.
     counts: watch::Sender<(usize, usize)>,
     /// Number of requests for cache events received so far.
@@ -212,7 +186,7 @@
         drop(self.shared.events_read.subscribe().wait_for(|taken| *taken >= count).await);
     }
 
-    /// Returns the requests received so far, without requests for cache events.
+    /// Returns the requests received so far, without requests for cache events or the state.
     pub fn recorded_requests(&self) -> Vec<RecordedRequest> {
         lock(&self.shared.recorded).clone()
     }
@@ -271,6 +245,18 @@
             }
             continue;
         }
+        if request.head.starts_with(STATE_QUERY) {
+            // A query of the state runs no client's request, so no script and no fault is for it.
+            let answer = match &shared.default {
+                BackendResponse::Send(text) => text.replace(ID_PLACEHOLDER, ""),
+                _ => ok_response("ok"),
+            };
+            let answer = with_extra_headers(&shared, &answer);
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                break;
+            }
+            continue;
+        }
         let id = request.header("request-id").unwrap_or_default().to_string();
         let answer = choose_response(&shared, &request);
         lock(&shared.recorded).push(request);
@@ -363,37 +349,9 @@
     };
     let next = shared.cache_events.borrow().len();
     let body = format!(r#"{{"bootEpoch":1,"next":{next},"lost":false,"events":[{rows}]}}"#);
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    ok_response(&body)
 }
 
-/// Reads one request. Returns `None` when the client has closed the connection.
-async fn read_request(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> io::Result<Option<RecordedRequest>> {
-    loop {
-        if let Some(request) = split_request(buffer) {
-            return Ok(Some(request));
-        }
-        let mut chunk = vec![0; READ_BYTES];
-        let count = stream.read(&mut chunk).await?;
-        if count == 0 {
-            return Ok(None);
-        }
-        buffer.extend_from_slice(&chunk[..count]);
-    }
-}
-
-fn split_request(buffer: &mut Vec<u8>) -> Option<RecordedRequest> {
-    let head_end = buffer.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
-    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
-    let request = RecordedRequest { head, body: Vec::new(), received_at: Instant::now() };
-    let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    if buffer.len() < head_end + length {
-        return None;
-    }
-    let rest = buffer.split_off(head_end + length);
-    let body = buffer.split_off(head_end);
-    *buffer = rest;
-    Some(RecordedRequest { body, ..request })
+fn ok_response(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
