Limit workspaces over all nodes together

Cause: the configuration gives workspaces a rate and a burst that hold for the whole fleet. Nodes did not know of each other's use, so nothing enforced them.

Change: three slots for each workspace, each with a token bucket at the node that rendezvous hashing ranks first. A node asks a home for the tokens of a request between its arrival and its first attempt. Only nodes grant whose record in the store was renewed lately, or that more than half of the nodes still know; a node that starts grants after all others know it. Tokens in advance are left out: the demand is less than one request of a workspace a second at a node, within which they would expire.

--- a/crates/core/src/plans/mod.rs
+++ b/crates/core/src/plans/mod.rs
@@ -18,6 +18,7 @@
 mod tests;
 mod usage;
 mod window;
+pub mod workspace_limit;
 
 pub use homes::{MAX_HOMES, home_entries, home_share};
 pub use limiter::{PlanLimiter, PlanRejection, PlanReservation};
--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CacheScope, IsolatedSet};
-use crate::rendezvous::rendezvous_score;
+use crate::{plans::workspace_limit::LimitSetting, rendezvous::rendezvous_score};
 
 /// Whether a route's requests may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -163,6 +163,8 @@
     pub priority: Option<u8>,
     /// Whether the workspace shares no KV cache with others.
     pub isolated: bool,
+    /// Limit of the workspace over all nodes together.
+    pub limit: LimitSetting,
 }
 
 /// A configuration that the platform has accepted.
@@ -216,10 +218,15 @@
 
 impl RouteTable {
     /// Replaces the current configuration if `config` has a higher version. Returns whether it did.
-    pub fn apply(&mut self, config: TrafficConfig) -> bool {
+    pub fn apply(&mut self, mut config: TrafficConfig) -> bool {
         if self.version().is_some_and(|version| config.version <= version) {
             return false;
         }
+        for workspace in config.workspaces.iter_mut().flatten() {
+            if let LimitSetting::Invalid(_) = workspace.limit {
+                workspace.limit = self.limit_of(&workspace.name);
+            }
+        }
         let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, rule) in config.routes.iter().enumerate() {
             by_host.entry(rule.host.to_ascii_lowercase()).or_default().push(index);
@@ -251,6 +258,16 @@
         self.config.as_ref().map(|config| config.limits).unwrap_or_default()
     }
 
+    /// All workspaces of the current configuration.
+    pub fn workspaces(&self) -> impl Iterator<Item = &WorkspaceSpec> {
+        self.config.iter().flat_map(|config| config.workspaces.iter().flatten())
+    }
+
+    fn limit_of(&self, name: &str) -> LimitSetting {
+        let known = self.workspaces().find(|workspace| workspace.name == name);
+        known.map_or(LimitSetting::Unlimited, |workspace| workspace.limit)
+    }
+
     /// The service with a given name.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         let index = *self.by_service.get(name)?;
--- a/crates/core/tests/traffic_fleet.rs
+++ b/crates/core/tests/traffic_fleet.rs
@@ -51,6 +51,7 @@
             keys: keys.iter().map(|key| key.to_string()).collect(),
             priority: None,
             isolated: false,
+            limit: Default::default(),
         }]),
     }
 }
--- a/crates/node/src/client/local_response.rs
+++ b/crates/node/src/client/local_response.rs
@@ -32,6 +32,9 @@
 pub enum LocalResponse {
     /// The request was not run and may be repeated after this time.
     NotRun(&'static str, Duration),
+    /// The request was not run, since its workspace has used its limit; it may be repeated after this
+    /// time.
+    OverLimit(Duration),
     /// It is not known whether the request ran.
     Unknown(&'static str),
     /// The deadline passed, and the request may have run.
@@ -40,6 +43,13 @@
     Refused(StatusCode, &'static str),
 }
 
+impl LocalResponse {
+    /// Whether no server has run the request or will run it.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, LocalResponse::NotRun(..) | LocalResponse::OverLimit(_))
+    }
+}
+
 /// Returns the response to a request of which the last attempt ended with `end`.
 pub fn give_up_response(history: &AttemptHistory, end: AttemptOutcome) -> LocalResponse {
     match history.final_step(end) {
@@ -94,6 +104,9 @@
 pub fn local_response(local: LocalResponse) -> Response<ResponseBody> {
     let (status, code, wait) = match local {
         LocalResponse::NotRun(code, wait) => (StatusCode::SERVICE_UNAVAILABLE, code, Some(wait)),
+        LocalResponse::OverLimit(wait) => {
+            (StatusCode::TOO_MANY_REQUESTS, "workspace_over_limit", Some(wait))
+        }
         LocalResponse::Unknown(code) => (StatusCode::BAD_GATEWAY, code, None),
         LocalResponse::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "deadline_exceeded", None),
         LocalResponse::Refused(status, code) => (status, code, None),
--- a/crates/node/src/client/request.rs
+++ b/crates/node/src/client/request.rs
@@ -28,6 +28,7 @@
         responses, stream_origin,
     },
     clock,
+    fleet::workspace_limits,
     node::Node,
     server::{
         attempt::{Attempt, AttemptResult},
@@ -85,7 +86,7 @@
             return responses::failure(StatusCode::BAD_REQUEST, "malformed_request", None);
         }
     };
-    let context = match admit(&node, arrived_at, head, info, body).await {
+    let context = match admit(&node, arrived_at, head, info, body, hop.is_some()).await {
         Ok(context) => context,
         Err((id, local)) => {
             log::info!(request = id, answer:? = local; "refused a request");
@@ -105,11 +106,17 @@
             response
         }
         Ok(RunOutcome::Forwarded(response)) => {
+            if is_refusal(response.status()) {
+                workspace_limits::give_back(&node, &mut context.tokens);
+            }
             forward::log_forwarded(&context, response.status());
             response
         }
         Ok(RunOutcome::Stream(stream)) => relay::start::<A>(node, *context, stream),
         Err(local) => {
+            if local.is_not_run() {
+                workspace_limits::give_back(&node, &mut context.tokens);
+            }
             if let Some(reason) = forward::give_back(&node, &context) {
                 log::info!(request = request_id, reason; "gave a request back to the node that passed it on");
                 return forward::unserved(reason);
@@ -139,6 +146,7 @@
     head: Parts,
     info: RequestInfo,
     body: Incoming,
+    is_forwarded: bool,
 ) -> Result<RequestContext, (String, LocalResponse)> {
     let id = info.request_id.clone();
     let refused = |local| (id.clone(), local);
@@ -156,15 +164,21 @@
     let body = read_body(&id, body, limits.max_body_bytes, left).await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let suspects = request_suspects(name, &head.uri, &body, &info.prompt);
-    let now = clock::now();
-    let state = &mut *node.state.borrow_mut();
-    let cache_scope = state.routes.cache_scope(workspace.as_ref());
-    state.on_request(now, &service, &node.settings.bounds);
-    state.planner.on_prompt(now, &info.prompt);
-    let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
-    if verdict != CrashVerdict::Allow {
-        return Err(refused(suspect_response(verdict, false)));
-    }
+    let cache_scope = {
+        let now = clock::now();
+        let state = &mut *node.state.borrow_mut();
+        state.on_request(now, &service, &node.settings.bounds);
+        state.planner.on_prompt(now, &info.prompt);
+        let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
+        if verdict != CrashVerdict::Allow {
+            return Err(refused(suspect_response(verdict, false)));
+        }
+        state.routes.cache_scope(workspace.as_ref())
+    };
+    // The node that has passed a request on has obtained its tokens.
+    let limited = workspace.as_ref().filter(|_| !is_forwarded);
+    let tokens = workspace_limits::reserve(node, &info, limited, &rule, response_due);
+    let tokens = tokens.await.map_err(refused)?;
     Ok(RequestContext {
         head,
         body,
@@ -179,12 +193,18 @@
         cache_scope,
         tried_servers: Vec::new(),
         history: AttemptHistory::default(),
+        tokens,
         is_forwarded: false,
         tried_nodes: Vec::new(),
         info,
     })
 }
 
+/// Whether a response guarantees that the request has not run and never will.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 fn request_suspects(
     workspace: &str,
     uri: &Uri,
--- a/crates/node/src/client/request_context.rs
+++ b/crates/node/src/client/request_context.rs
@@ -6,6 +6,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::ServerKey,
+    plans::workspace_limit::TokenReceipt,
     suspects::RequestSuspects,
     traffic::{AttemptHistory, CacheScope, RouteKind, RouteRule, SoftwareRule, WorkspaceSpec},
 };
@@ -45,6 +46,8 @@
     pub tried_servers: Vec<ServerKey>,
     /// What the attempts so far have shown, which decides whether another one is allowed.
     pub history: AttemptHistory,
+    /// Tokens of the workspace's limit that it has taken.
+    pub tokens: TokenReceipt,
     /// Whether another node has passed it on; then it is not passed on again.
     pub is_forwarded: bool,
     /// Nodes to which this node has passed it on, or tried to.
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -54,6 +54,9 @@
     /// Formats of notices that the node reads, by their numbers; empty in records of earlier builds.
     #[serde(default)]
     pub formats: Vec<u32>,
+    /// Whether the node's build grants tokens of workspaces' limits.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub grants_tokens: bool,
 }
 
 impl MemberRecord {
@@ -183,6 +186,13 @@
         self.live_members().map(|member| &member.record)
     }
 
+    /// Returns the nodes that grant tokens of workspaces' limits, each with whether it is registered or
+    /// presumed alive.
+    pub fn granters(&self) -> impl Iterator<Item = (&MemberRecord, bool)> {
+        let granters = self.members.values().filter(|member| member.record.grants_tokens);
+        granters.map(|member| (&member.record, member.removed_at.is_none() || member.presumed_live))
+    }
+
     fn live_members(&self) -> impl Iterator<Item = &KnownMember> {
         self.members.values().filter(|member| member.removed_at.is_none() || member.presumed_live)
     }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -10,3 +10,4 @@
 pub mod peers;
 pub mod registration;
 pub mod wire;
+pub mod workspace_limits;
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -5,6 +5,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::WeightsVersion,
+    plans::workspace_limit::{HomeAnswer, HomeCheck, TokenAnswer, TokenAsk, TokenReturn},
     traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, StreamKey},
 };
 use serde::{Deserialize, Serialize};
@@ -251,6 +252,34 @@
         #[n(3)]
         told_at: ClockTime,
     },
+    /// Asks the home of a slot for tokens of a workspace's limit.
+    #[n(22)]
+    #[serde(skip)]
+    TokensWanted(#[n(0)] TokenAsk),
+    /// Answers that.
+    #[n(23)]
+    #[serde(skip)]
+    TokensAnswered(#[n(0)] TokenAnswer),
+    /// Gives tokens back that were not used.
+    #[n(24)]
+    #[serde(skip)]
+    TokensUnused(#[n(0)] TokenReturn),
+    /// Asks which nodes the receiver knows, or answers that.
+    #[n(25)]
+    #[serde(skip)]
+    HomeCheck(#[n(0)] HomeMessage),
+}
+
+/// What nodes that grant tokens tell each other of the nodes that they know.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(minicbor::Encode, minicbor::Decode)]
+pub enum HomeMessage {
+    /// A question.
+    #[n(0)]
+    Asked(#[n(0)] HomeCheck),
+    /// An answer.
+    #[n(1)]
+    Answered(#[n(0)] HomeAnswer),
 }
 
 impl NodeNotice {
@@ -272,7 +301,11 @@
             | NodeNotice::Brittle { .. }
             | NodeNotice::Rejected { .. }
             | NodeNotice::Unlinked { .. }
-            | NodeNotice::UpToDate { .. } => true,
+            | NodeNotice::UpToDate { .. }
+            | NodeNotice::TokensWanted(_)
+            | NodeNotice::TokensAnswered(_)
+            | NodeNotice::TokensUnused(_)
+            | NodeNotice::HomeCheck(_) => true,
             NodeNotice::Sent { .. }
             | NodeNotice::Answered { .. }
             | NodeNotice::Cached { .. }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -8,7 +8,7 @@
     adapter::PlatformAdapter,
     client::stream_origin,
     clock,
-    fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
+    fleet::{node_notice::NodeNotice, notice_transport::NoticeSender, workspace_limits},
     node::Node,
     server::{cache_events, crashes, links, server_limits, server_signals},
     store::store_sync,
@@ -101,7 +101,11 @@
         | NodeNotice::StreamWanted { .. }
         | NodeNotice::LinksWanted
         | NodeNotice::Links { .. }
-        | NodeNotice::StreamOrigin { software: None, .. } => {}
+        | NodeNotice::StreamOrigin { software: None, .. }
+        | NodeNotice::TokensWanted(_)
+        | NodeNotice::TokensAnswered(_)
+        | NodeNotice::TokensUnused(_)
+        | NodeNotice::HomeCheck(_) => {}
         NodeNotice::Crashes(report) => crashes::apply_notice(node, state, &report),
         NodeNotice::Limited { instance, sender, statement, sent } => {
             server_limits::apply_notice(node, state, &instance, statement, (sender, sent));
@@ -128,6 +132,10 @@
             store_sync::apply_up_to_date(node, revision, &report);
         }
         NodeNotice::Behind { revision } => store_sync::schedule_catch_up(node, revision),
+        NodeNotice::TokensWanted(_)
+        | NodeNotice::TokensAnswered(_)
+        | NodeNotice::TokensUnused(_)
+        | NodeNotice::HomeCheck(_) => workspace_limits::receive(node, from.address, notice),
         notice => apply(node, notice),
     }
 }
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -7,9 +7,11 @@
 
 use crate::{
     adapter::{PlatformAdapter, StoreCall, StoreReply, StoreRevision, StoreWrite},
+    clock,
     fleet::{
         members::{LEASE_LIFETIME, MemberRecord},
         wire::READABLE_FORMATS,
+        workspace_limits,
     },
     node::Node,
     store::client::{CALL_TIMEOUT, StoreCallError, StoreClient},
@@ -87,12 +89,15 @@
     lease: &RegistrationLease,
     id: u64,
 ) -> Result<(), StoreCallError> {
+    let sent_at = clock::now();
     let reply = store.call(&StoreCall::Renew { lease: id }, CALL_TIMEOUT).await?;
     node.set_store_reachable(true);
     if reply == StoreReply::NoLease {
         log::warn!(lease = id; "the lease of this node's record has expired");
         lease.lease.set(None);
         node.registration_wake.notify_one();
+    } else {
+        workspace_limits::on_renewed(node, sent_at);
     }
     Ok(())
 }
@@ -124,12 +129,15 @@
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
         formats: READABLE_FORMATS.to_vec(),
+        grants_tokens: true,
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let write = StoreWrite { key: MemberRecord::key(&record.name), value, lease: Some(id) };
     let call = StoreCall::Transact { expected: Vec::new(), writes: vec![write] };
+    let sent_at = clock::now();
     match store.call(&call, CALL_TIMEOUT).await? {
         StoreReply::Written { revision } => {
+            workspace_limits::on_renewed(node, sent_at);
             lease.written_at.set(StoreRevision { era: lease.era.get(), number: revision });
             log::info!(lease = id; "registered this node");
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,7 @@
         members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
         node_notice::NodeNotice,
         notice_transport::NoticeRelay,
+        workspace_limits::WorkspaceLimits,
     },
     server::{pool::ConnectionPool, response_memory::ResponseMemory},
     settings::{NodeBounds, NodeSettings},
@@ -143,6 +144,8 @@
     pub links_answered: Notify,
     /// Notices that this node relays, and what that depends on.
     pub relay: RefCell<NoticeRelay>,
+    /// Limits of workspaces over all nodes together.
+    pub limits: WorkspaceLimits,
     /// Number of the next segment of notices.
     segment_number: Cell<u64>,
     /// Notices for the other nodes, to be sent as one batch.
@@ -198,6 +201,7 @@
             store_changed_at: clock::now(),
         };
         Node {
+            limits: WorkspaceLimits::new(&settings, seed),
             settings,
             incarnation: seed,
             state: RefCell::new(state),
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -17,6 +17,7 @@
     fleet::{
         legacy_nodes, notice_transport, peer_knowledge,
         registration::{self, RegistrationLease},
+        workspace_limits,
     },
     logging,
     node::Node,
@@ -147,6 +148,7 @@
         actix_rt::spawn(peer_knowledge::read_peers::<A>(node.clone()));
         actix_rt::spawn(legacy_nodes::find_formats(node.clone()));
         actix_rt::spawn(run_housekeeping(node.clone()));
+        actix_rt::spawn(workspace_limits::run(node.clone()));
         log::info!(
             name = node.settings.name, data_centre = node.settings.data_centre,
             callers:% = node.settings.client_address, incarnation = node.incarnation;
@@ -222,6 +224,7 @@
     let started = Instant::now();
     log::info!(in_flight = node.in_flight.get(); "node is stopping");
     node.draining.set(true);
+    workspace_limits::on_stopping(node);
     registration::release(store, registration_lease).await;
     rollout_lease::release(node, store, rollout_lease).await;
     let linger = started + LINGER_PERIOD.min(node.settings.bounds.termination_grace / 2);
--- a/crates/node/src/server/cache_salt/tests.rs
+++ b/crates/node/src/server/cache_salt/tests.rs
@@ -12,7 +12,8 @@
 const VERSION: WeightsVersion = WeightsVersion(3);
 
 fn workspace(name: &str, isolated: bool) -> WorkspaceSpec {
-    WorkspaceSpec { name: name.to_string(), keys: Vec::new(), priority: None, isolated }
+    let limit = Default::default();
+    WorkspaceSpec { name: name.to_string(), keys: Vec::new(), priority: None, isolated, limit }
 }
 
 /// Salt of a workspace under a set of isolated workspaces.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -59,6 +59,8 @@
     pub stable_time: Duration,
     /// Time within which an accepted configuration must be in force.
     pub config_apply_time: Duration,
+    /// Length of the window in which the limits of workspaces hold.
+    pub limit_window: Duration,
     /// Shortest lifetime of a lease that the store grants.
     pub min_lease_lifetime: Duration,
 }
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -10,7 +10,10 @@
 use crate::{
     adapter::{FleetEntry, PlatformAdapter, StoreEvent, StoreItem, StoreRevision},
     clock,
-    fleet::members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
+    fleet::{
+        members::{KEY_PREFIX, LEASE_HOLDER_KEY, MemberRecord, MemberTable},
+        workspace_limits,
+    },
     node::{Node, NodeState},
     server::{crash_store, crashes},
     store::store_mirror::{BatchError, ChangeBatch, StoreMirror},
@@ -206,7 +209,9 @@
         FleetEntry::Config(config) => {
             let version = config.version;
             let in_force = state.routes.version();
+            workspace_limits::log_problems(&config, in_force);
             let taken = state.routes.apply(*config);
+            workspace_limits::on_config(node, state);
             log::info!(version, in_force:? = in_force, taken; "configuration received");
         }
         FleetEntry::BadConfig(cause) => {
