Learn the speed of each server from its responses

Cause: expected times rested on constants (36 prompt tokens a ms, 12 ms for a first event, 40 ms for a plain request) and on one ratio for each server and node, which mixed prefill, steps, fetches and waiting. Real engines differ from the constants by a factor of two and from each other by as much.

Change: `server_model` learns prefill rate, first decode step and plain service time of each server, and the time of fetches of each service, in bounded steps from the time to the first event. The service's median is the start value, and a server without responses returns to it. `Answered` carries what a response showed in an optional field, since a node alone gets too few responses of each server; older nodes skip it. Placement, the long-prompt pool and the response time-out use the learnt speed. `ServerHealth` loses its latency ratio, so `on_response` takes no ratio any more; its test is otherwise unchanged.

Ruled out: computing the medians at most every 500 ms. A server that was never tried then looked slower than a tried one and got no requests; four tests of `server_signals` failed.

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -69,25 +69,17 @@
     /// Share of recent requests that failed, from 0 to 1.
     failure_rate: f64,
     failure_rate_at: ClockTime,
-    /// Moving average of observed over predicted latency; 0 before the first response.
-    latency_ratio: f64,
     load_report: Option<(ServerLoad, ClockTime)>,
 }
 
 impl ServerHealth {
-    /// Records a response that took `ratio` times as long as predicted.
-    pub fn on_response(&mut self, now: ClockTime, ratio: f64) {
+    /// Records a response.
+    pub fn on_response(&mut self, now: ClockTime) {
         self.unanswered = 0;
         self.backoff_until = ClockTime::ZERO;
         self.suspected_until = ClockTime::ZERO;
         self.on_seen(now);
         self.record_outcome(now, 0.0);
-        let ratio = ratio.clamp(0.1, 50.0);
-        self.latency_ratio = if self.latency_ratio == 0.0 {
-            ratio
-        } else {
-            self.latency_ratio * (1.0 - AVERAGE_WEIGHT) + ratio * AVERAGE_WEIGHT
-        };
     }
 
     /// Records an error response that the server sent after it ran a request.
@@ -191,11 +183,6 @@
         self.failure_rate * 0.5_f64.powf(halves)
     }
 
-    /// Moving average of observed over predicted latency; 1 before the first response.
-    pub fn latency_ratio(&self) -> f64 {
-        if self.latency_ratio == 0.0 { 1.0 } else { self.latency_ratio }
-    }
-
     /// The last load report, unless it is too old.
     pub fn load_report(&self, now: ClockTime) -> Option<ServerLoad> {
         self.load_report
--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -2,22 +2,53 @@
 
 use std::time::Duration;
 
-use super::{BackendServer, PlacementChoice};
+use super::{
+    BackendServer, PlacementChoice,
+    server_model::{LatencyParts, ServerSpeed, prefill_work},
+};
 use crate::clock::ClockTime;
 
-/// Prefill rate assumed for an engine before its own latency has been observed, in tokens per ms.
-const PREFILL_TOKENS_PER_MS: f64 = 36.0;
 /// Slowdown of a plain server whose slots are all in use, as a share of the time when idle.
 const FULL_SLOTS_SLOWDOWN: f64 = 0.4;
-/// Attention time for one pair of a prefilled token and an earlier token of the prompt, in ms.
-const ATTENTION_PAIR_MS: f64 = 0.74e-6;
-
-/// Time that an engine takes to prefill a prompt whose first tokens it has cached, in ms.
-pub(super) fn prefill_ms(cached_tokens: u32, prompt_tokens: u32) -> f64 {
-    let cached = f64::from(cached_tokens.min(prompt_tokens));
-    let total = f64::from(prompt_tokens);
-    (total - cached) / PREFILL_TOKENS_PER_MS
-        + (total * total - cached * cached) / 2.0 * ATTENTION_PAIR_MS
+/// Delay of a prefill by each request that runs at the server, as a share of a decode step.
+const RUNNING_REQUEST_STEPS: f64 = 0.05;
+
+/// What an engine has to do before the first event of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PromptWork {
+    /// Prompt tokens that it holds or fetches.
+    pub cached_tokens: u32,
+    /// Tokens of these that it fetches.
+    pub fetched_tokens: u32,
+    pub prompt_tokens: u32,
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+}
+
+/// Time that an engine of this speed takes to prefill a prompt whose first tokens it has cached.
+pub(super) fn prefill_ms(speed: &ServerSpeed, cached_tokens: u32, prompt_tokens: u32) -> f64 {
+    prefill_work(cached_tokens, prompt_tokens) / speed.prefill_tokens_per_ms
+}
+
+/// Parts of the time until the first event of a request at an engine.
+pub(super) fn engine_parts(
+    now: ClockTime,
+    server: &BackendServer,
+    speed: &ServerSpeed,
+    work: &PromptWork,
+) -> LatencyParts {
+    let wait_ms = server.prefill_backlog.tokens(now) as f64 / speed.prefill_tokens_per_ms;
+    let steps = 1.0 + f64::from(work.queued) + f64::from(work.running) * RUNNING_REQUEST_STEPS;
+    let pace = pace_factor(now, server);
+    LatencyParts {
+        prefill_ms: (wait_ms + prefill_ms(speed, work.cached_tokens, work.prompt_tokens)) * pace,
+        wait_ms: wait_ms * pace,
+        fetch_ms: speed.fetch_ms(work.fetched_tokens),
+        step_ms: steps * speed.first_event_ms * pace,
+        pace,
+    }
 }
 
 /// Factor on the usual duration of work at a server, from its latest load report; 1 without one.
@@ -28,11 +59,6 @@
     (0.5 + f64::from(percent) / 200.0).clamp(0.7, 3.0)
 }
 
-/// Time that an engine takes to prefill the prompts that were sent to it before, in ms.
-pub(super) fn backlog_ms(now: ClockTime, server: &BackendServer) -> f64 {
-    server.prefill_backlog.tokens(now) as f64 / PREFILL_TOKENS_PER_MS
-}
-
 /// Expected time of a request at a plain server, in ms, if it takes `idle_ms` at an idle one.
 pub(super) fn plain_request_ms(now: ClockTime, server: &BackendServer, idle_ms: f64) -> f64 {
     let load = server.health.load_report(now).unwrap_or_default();
@@ -44,7 +70,6 @@
 }
 
 /// Expected time until the response, or the first event of a stream.
-pub(super) fn expected_latency(server: &BackendServer, choice: &PlacementChoice) -> Duration {
-    let ms = choice.base_latency_ms * server.health.latency_ratio();
-    Duration::from_secs_f64((ms / 1_000.0).clamp(0.0, 3_600.0))
+pub(super) fn expected_latency(choice: &PlacementChoice) -> Duration {
+    Duration::from_secs_f64((choice.base_latency_ms / 1_000.0).clamp(0.0, 3_600.0))
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -35,6 +35,7 @@
 mod server_limit;
 mod server_links;
 mod server_loading;
+mod server_model;
 mod stream_origins;
 mod suspension;
 mod unresolved_runs;
@@ -76,6 +77,7 @@
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
     server_limit::{LimitRank, LimitStatement, ServerLimit},
     server_links::{BLAME_DELAY, BlamedServer, LinkCheck, LinkFailure, LinkState, ServerLinks},
+    server_model::{LatencyParts, ServerModel, ServerSpeed, SpeedSample},
     stream_origins::{SoftwareReport, SoftwareRule, StreamKey, StreamOrigins},
     suspension::SuspensionDetector,
     watch_reports::{WatchReport, WatchReports},
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -5,7 +5,7 @@
 //! server is known to hold has a home: the first server in rendezvous order. Nodes that don't know
 //! each other's choices yet therefore still send the prefix to the same server.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -15,6 +15,7 @@
     latency::{expected_latency, prefill_ms},
     placement_limits::{self, MIN_RETRY_AFTER},
     prefix_placement::PrefixContext,
+    server_model::ServiceModels,
 };
 use crate::{
     clock::ClockTime,
@@ -54,8 +55,8 @@
     pub(super) long_prompt_pool: LongPromptPool,
     /// Announced weights versions.
     pub weights: WeightsHistory,
-    /// Moving average of the response time of each plain service, in ms.
-    pub(super) plain_service_ms: HashMap<String, f64>,
+    /// Typical speeds of the services' servers.
+    pub(super) services: ServiceModels,
 }
 
 impl PlacementPlanner {
@@ -67,23 +68,16 @@
             cache: CacheMap::default(),
             long_prompt_pool: LongPromptPool::default(),
             weights: WeightsHistory::default(),
-            plain_service_ms: HashMap::new(),
+            services: ServiceModels::default(),
         }
     }
 
-    /// Records how long a plain service took to respond to a request after it was sent.
-    pub fn on_plain_response(&mut self, service: &str, took: Duration) {
-        let ms = took.as_secs_f64() * 1_000.0;
-        let average = self.plain_service_ms.entry(service.to_string()).or_insert(ms);
-        // The low weight keeps one slow response from making all servers look slow.
-        *average += (ms - *average) * 0.05;
-    }
-
-    /// Records a client's prompt. The long-prompt pool is sized by these prompts.
-    pub fn on_prompt(&mut self, now: ClockTime, prompt: &PromptShape) {
+    /// Records a client's prompt to a service. The long-prompt pool is sized by these prompts.
+    pub fn on_prompt(&mut self, now: ClockTime, service: &str, prompt: &PromptShape) {
         if prompt.prompt_tokens >= LONG_PROMPT_TOKENS {
-            self.long_prompt_pool
-                .on_prompt(now, prefill_ms(prompt.shared_tokens(), prompt.prompt_tokens));
+            let speed = self.services.median(service);
+            let prefill_ms = prefill_ms(&speed, prompt.shared_tokens(), prompt.prompt_tokens);
+            self.long_prompt_pool.on_prompt(now, prefill_ms);
         }
     }
 
@@ -106,9 +100,8 @@
         let Some(choice) = best else {
             return Err(placement_limits::refusal(now, registry, request, tried, rng));
         };
-        let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
-        let expected = expected_latency(server, &choice);
-        let idle = choice.idle_latency_ms * server.health.latency_ratio() * IDLE_FACTOR / 1_000.0;
+        let expected = expected_latency(&choice);
+        let idle = choice.idle_latency_ms * IDLE_FACTOR / 1_000.0;
         let idle = Duration::from_secs_f64(idle.clamp(0.0, 3_600.0));
         let max_wait = request.max_wait.max(idle).min(request.time_left);
         if expected > max_wait {
@@ -140,7 +133,7 @@
             }
             let choice = self.score(now, key, server, request, context);
             if let (Some(model), Some(version)) = (request.model, choice.weights) {
-                let wait = expected_latency(server, &choice).mul_f64(WAIT_FACTOR) + START_MARGIN;
+                let wait = expected_latency(&choice).mul_f64(WAIT_FACTOR) + START_MARGIN;
                 if !self.is_current(now + wait, model, version) {
                     continue;
                 }
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{PromptShape, SoftwareRule};
+use super::{LatencyParts, PromptShape, SoftwareRule};
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
@@ -40,10 +40,12 @@
     pub server: ServerKey,
     /// Cost by which servers are compared.
     pub cost_ms: f64,
-    /// Expected time to the response or the first event, before the server's latency ratio applies.
+    /// Expected time to the response or the first event.
     pub base_latency_ms: f64,
     /// Part of `base_latency_ms` that the request would take at an idle server.
     pub idle_latency_ms: f64,
+    /// Parts of `base_latency_ms` at an engine; zero at a plain server.
+    pub parts: LatencyParts,
     /// Prompt tokens that the server probably holds or can fetch, and so need not prefill.
     pub cached_tokens: u32,
     /// Prompt tokens that other prompts may share.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -4,17 +4,15 @@
 
 use super::{
     BackendServer, PlacementChoice, PlacementPlanner, PlacementRequest, ServerAvailability,
-    latency::{backlog_ms, pace_factor, plain_request_ms, prefill_ms},
+    latency::{PromptWork, engine_parts, pace_factor, plain_request_ms, prefill_ms},
     prefix_placement::{PrefixContext, PrefixSource},
+    server_model::LatencyParts,
 };
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
 };
 
-/// Time to fetch KV cache from another server: a fixed part and a part for each token, in ms.
-const FETCH_MS: f64 = 4.0;
-const FETCH_TOKEN_MS: f64 = 0.006;
 /// Cost of each shared token that has to be prefilled, in ms, beyond its prefill time.
 const RECOMPUTE_TOKEN_MS: f64 = 0.04;
 /// Share of a long prompt's prefill time that counts as cost for each running request it delays.
@@ -23,12 +21,6 @@
 const WRONG_POOL_MS: f64 = 80.0;
 /// Cost advantage of the home of a prefix that no server is known to hold, in ms.
 const HOME_BONUS_MS: f64 = 30.0;
-/// Time to the first event without any prompt to prefill, in ms.
-const FIRST_EVENT_MS: f64 = 12.0;
-/// Delay of a prefill by each request that runs at the server, in ms.
-const RUNNING_REQUEST_MS: f64 = 0.6;
-/// Assumed time of a request to a plain service before any was observed, in ms.
-const PLAIN_REQUEST_MS: f64 = 40.0;
 /// Cost of a server in another data centre beyond its latency, in ms: that traffic is expensive.
 const REMOTE_REQUEST_MS: f64 = 6.0;
 /// Further cost of another data centre for each 1,000 bytes of the request, in ms.
@@ -59,6 +51,7 @@
             cost_ms: 0.0,
             base_latency_ms: 0.0,
             idle_latency_ms: 0.0,
+            parts: LatencyParts::default(),
             cached_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
@@ -70,12 +63,12 @@
         match weights {
             Some(version) => self.score_engine(now, server, request, context, version, &mut choice),
             None => {
-                choice.idle_latency_ms = self.plain_service_ms(request.service);
+                let speed = self.speed_of(now, request.service, &server.model);
+                choice.idle_latency_ms = speed.plain_ms * pace_factor(now, server);
                 choice.base_latency_ms = plain_request_ms(now, server, choice.idle_latency_ms);
                 choice.cost_ms = choice.base_latency_ms;
             }
         }
-        choice.cost_ms *= server.health.latency_ratio() * pace_factor(now, server);
         choice.cost_ms += server.health.failure_rate(now) * FAILURE_MS;
         let suspected = server.health.is_unresponsive() || server.health.is_suspected(now);
         if suspected || server.availability == ServerAvailability::Lapsed {
@@ -109,18 +102,23 @@
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
         choice.save_to_store = prefix.save_to_store;
-        let prefill_ms = prefill_ms(choice.cached_tokens, prompt.prompt_tokens);
-        let fetch_ms =
-            if fetched > 0 { FETCH_MS + f64::from(fetched) * FETCH_TOKEN_MS } else { 0.0 };
         let load = server.health.load_report(now).unwrap_or_default();
         let running = (load.running + load.waiting).max(server.in_flight);
         let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
-        let backlog_ms = backlog_ms(now, server);
-        choice.idle_latency_ms = FIRST_EVENT_MS + prefill_ms + fetch_ms;
-        choice.base_latency_ms = choice.idle_latency_ms
-            + backlog_ms
-            + f64::from(queued) * FIRST_EVENT_MS
-            + f64::from(running) * RUNNING_REQUEST_MS;
+        let work = PromptWork {
+            cached_tokens: choice.cached_tokens,
+            fetched_tokens: fetched,
+            prompt_tokens: prompt.prompt_tokens,
+            running,
+            queued,
+        };
+        let speed = self.speed_of(now, request.service, &server.model);
+        let parts = engine_parts(now, server, &speed, &work);
+        let prefill_ms = prefill_ms(&speed, choice.cached_tokens, prompt.prompt_tokens);
+        choice.parts = parts;
+        choice.base_latency_ms = parts.prefill_ms + parts.fetch_ms + parts.step_ms;
+        choice.idle_latency_ms =
+            parts.prefill_ms - parts.wait_ms + parts.fetch_ms + speed.first_event_ms;
         let recomputed = shared.saturating_sub(choice.cached_tokens);
         choice.cost_ms = choice.base_latency_ms + f64::from(recomputed) * RECOMPUTE_TOKEN_MS;
         if context.is_long_prompt {
@@ -140,8 +138,4 @@
         let old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_GRACE);
         if old { OLD_WEIGHTS_MS } else { 0.0 }
     }
-
-    fn plain_service_ms(&self, service: &str) -> f64 {
-        self.plain_service_ms.get(service).copied().unwrap_or(PLAIN_REQUEST_MS)
-    }
 }
--- a/crates/core/src/traffic/prefill_backlog.rs
+++ b/crates/core/src/traffic/prefill_backlog.rs
@@ -34,8 +34,10 @@
     }
 
     /// Removes a request whose first event has arrived or that has ended.
-    pub fn remove(&mut self, request: u64) {
-        self.entries.retain(|entry| entry.request != request);
+    /// Returns its tokens.
+    pub fn remove(&mut self, request: u64) -> Option<u32> {
+        let position = self.entries.iter().position(|entry| entry.request == request)?;
+        Some(self.entries.remove(position).tokens)
     }
 
     /// Number of requests whose response has not begun.
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -6,7 +6,9 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit};
+use super::{
+    BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit, ServerModel,
+};
 use crate::{
     arena::KeyArena,
     clock::ClockTime,
@@ -82,6 +84,8 @@
     pub in_flight: u32,
     /// Prompts that it has yet to prefill, from all nodes as far as known.
     pub prefill_backlog: PrefillBacklog,
+    /// Speed that its responses show.
+    pub model: ServerModel,
     /// Time until which it gets no requests because it loads weights or is about to.
     pub loading_until: ClockTime,
     /// Rate of requests that it takes from all nodes together.
@@ -153,6 +157,7 @@
             health: ServerHealth::default(),
             in_flight: 0,
             prefill_backlog: PrefillBacklog::default(),
+            model: ServerModel::default(),
             loading_until: ClockTime::ZERO,
             limit: ServerLimit::default(),
             brittle: BrittleServer::default(),
--- a/crates/core/tests/server_rest.rs
+++ b/crates/core/tests/server_rest.rs
@@ -18,7 +18,7 @@
         Case { name: "nothing", then: |_| {}, ends_at: 4_000 },
         Case {
             name: "an earlier run ends well",
-            then: |health| health.on_response(ClockTime::from_millis(1_500), 1.0),
+            then: |health| health.on_response(ClockTime::from_millis(1_500)),
             ends_at: 4_000,
         },
         Case {
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::WeightsVersion,
-    traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, StreamKey},
+    traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, SpeedSample, StreamKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -86,6 +86,10 @@
         /// Whether the server saves the parts to the KV cache store.
         #[n(5)]
         saves: bool,
+        /// What the response showed of the server's speed; older nodes don't tell it.
+        #[n(6)]
+        #[serde(skip)]
+        speed: Option<SpeedSample>,
     },
     /// An engine has cached parts, or has dropped them.
     #[n(5)]
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -10,7 +10,7 @@
     clock,
     fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
     node::Node,
-    server::{cache_events, crashes, links, server_limits, server_signals},
+    server::{cache_events, crashes, links, server_limits, server_signals, server_speed},
     store::store_sync,
 };
 
@@ -49,10 +49,10 @@
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
         }
         NodeNotice::CacheStore { up, epoch } => state.update_cache_store(up, epoch),
-        NodeNotice::Answered { instance, request, load, salt, parts, saves } => {
+        NodeNotice::Answered { instance, request, load, salt, parts, saves, speed } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             let Some(server) = state.registry.get_mut(key) else { return };
-            server.prefill_backlog.remove(request);
+            let own_tokens = server.prefill_backlog.remove(request);
             if let Some(load) = load {
                 server.health.on_load_report(now, load);
                 state.crashes.on_server_alive(key, now - NOTICE_AGE);
@@ -61,6 +61,9 @@
             if saves {
                 state.planner.cache.record_stored(now, salt, &parts);
             }
+            if let Some(sample) = speed {
+                server_speed::apply_sample(state, key, sample, own_tokens);
+            }
         }
         NodeNotice::Leaving { instance, started_at_ms } => {
             server_signals::apply_leaving(state, &instance, started_at_ms);
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -5,7 +5,7 @@
 
 use carobvane_core::{
     suspects::ServerBuild,
-    traffic::{CrashReport, ServerLoad},
+    traffic::{CrashReport, ServerLoad, SpeedSample},
 };
 use proptest::{collection::vec, prelude::*};
 
@@ -208,7 +208,17 @@
 /// Guards against notices that change on the way between nodes of this build.
 #[test]
 fn notices_survive_the_current_format() {
-    let notices = newest_notices();
+    let mut notices = newest_notices();
+    // Earlier builds know no speeds.
+    notices.push(NodeNotice::Answered {
+        instance: "i".to_string(),
+        request: 11,
+        load: None,
+        salt: 6,
+        parts: Vec::new(),
+        saves: false,
+        speed: Some(SpeedSample { work_tokens: 2_890, took_us: 45_800 }),
+    });
     let mut number = 0;
     let mut numbers = || {
         number += 1;
@@ -242,6 +252,7 @@
             salt: 6,
             parts: Vec::new(),
             saves: true,
+            speed: None,
         },
     ];
     let segments = batch::encode_segments(7, &mut || 3, &notices);
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -33,6 +33,7 @@
         server_limits::{record_max_rejections, record_named_limit, record_rejection},
         server_outcomes::{record_lost, record_timeout, record_unusable},
         server_signals::record_signals,
+        server_speed::record_speed,
     },
 };
 
@@ -199,8 +200,8 @@
             false => RunEnd::Refused,
         };
         self.finish_run(end, "response without a length");
+        record_response(node, context, &mut self, failed);
         self.flight.report(head.info().load, 0, &[], false);
-        record_response(node, context, &self, failed);
         self.connection.return_to_pool(head.keep_alive());
         if failed { AttemptResult::Failed(response) } else { AttemptResult::Complete(response) }
     }
@@ -359,20 +360,21 @@
     known.listing.software.clone().filter(|_| !may_differ)
 }
 
-fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &Attempt, failed: bool) {
+fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &mut Attempt, failed: bool) {
     let now = clock::now();
     let took = now.since(attempt.sent_at);
     let state = &mut *node.state.borrow_mut();
-    let ratio = took.as_secs_f64() * 1_000.0 / attempt.choice.base_latency_ms.max(1.0);
     if let Some(server) = state.registry.get_mut(attempt.choice.server) {
         if failed {
             server.health.on_error_response(now);
         } else {
-            server.health.on_response(now, ratio);
+            server.health.on_response(now);
         }
     }
-    if !failed && !context.is_stream() {
-        state.planner.on_plain_response(&context.service, took);
+    // Nothing shows when an engine would have sent the first event of a response that is no stream.
+    if !failed && context.is_stream() == attempt.choice.weights.is_some() {
+        let choice = &attempt.choice;
+        attempt.flight.speed = record_speed(state, &context.service, choice, took);
     }
     let id = &context.info.request_id;
     let choice = &attempt.choice;
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{
     ids::ServerKey,
     rendezvous::rendezvous_score,
-    traffic::{PlacementChoice, PromptPart, ServerLoad, cache_salt},
+    traffic::{PlacementChoice, PromptPart, ServerLoad, SpeedSample, cache_salt},
 };
 
 use crate::{
@@ -23,6 +23,8 @@
     /// Number of the attempt across all nodes; `None` for a request that needs no model weights, or
     /// once its prompt has been processed.
     prefill_number: Option<u64>,
+    /// What the response showed of the server's speed.
+    pub speed: Option<SpeedSample>,
 }
 
 impl std::fmt::Debug for FlightGuard {
@@ -57,7 +59,13 @@
             node.broadcast(notice);
             number
         });
-        FlightGuard { node: node.clone(), server: choice.server, instance, prefill_number }
+        FlightGuard {
+            node: node.clone(),
+            server: choice.server,
+            instance,
+            prefill_number,
+            speed: None,
+        }
     }
 
     /// Reports that the response has begun, or that the request ended without one.
@@ -75,9 +83,18 @@
         let instance = self.instance.clone();
         let parts = parts.to_vec();
         let request = prefill_number.unwrap_or(0);
-        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves };
-        notices::apply(&self.node, notice.clone());
-        self.node.broadcast(notice);
+        // This node has learnt the speed already.
+        let answered = |speed| NodeNotice::Answered {
+            instance: instance.clone(),
+            request,
+            load,
+            salt,
+            parts: parts.clone(),
+            saves,
+            speed,
+        };
+        notices::apply(&self.node, answered(None));
+        self.node.broadcast(answered(self.speed.take()));
     }
 }
 
--- a/crates/node/src/server/mod.rs
+++ b/crates/node/src/server/mod.rs
@@ -17,3 +17,4 @@
 pub mod server_limits;
 pub mod server_outcomes;
 pub mod server_signals;
+pub mod server_speed;
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -74,7 +74,8 @@
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
     log::info!(
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
-        expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
+        expected_ms = choice.base_latency_ms, wait_ms = choice.parts.wait_ms,
+        prefill_ms = choice.parts.prefill_ms, fetch_ms = choice.parts.fetch_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.candidate_count, config:? = state.routes.version(),
