Spread placement by what is not known of other nodes

Cause: all nodes take the server that is cheapest by the same knowledge, up to a random part of 0.5 ms. What the others send while notices are on the way (up to 110 ms where relays pass them on) piles up there.

Change: a node estimates how many requests of others it does not know of and draws among the servers that these would raise to a common cost, in proportion to the requests that each takes until then, at most its free slots. Requests sent since a load report count as well, and a server without a free slot costs its wait and 100 ms. `server chosen` names the estimate.

--- a/crates/core/src/traffic/health.rs
+++ b/crates/core/src/traffic/health.rs
@@ -190,6 +190,11 @@
             .map(|(load, _)| load)
     }
 
+    /// When the last load report arrived, unless it is too old.
+    pub fn load_reported_at(&self, now: ClockTime) -> Option<ClockTime> {
+        self.load_report.map(|(_, at)| at).filter(|at| now.since(*at) < LOAD_REPORT_LIFETIME)
+    }
+
     fn record_outcome(&mut self, now: ClockTime, failed: f64) {
         let rate = self.failure_rate(now);
         self.failure_rate = rate * (1.0 - AVERAGE_WEIGHT) + failed * AVERAGE_WEIGHT;
--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// Requests that run or wait at a server: what it reported, and what was sent there since.
+pub(super) fn busy_requests(now: ClockTime, server: &BackendServer) -> u32 {
+    let reported = server.health.load_report(now).zip(server.health.load_reported_at(now));
+    let known = match reported {
+        Some((load, at)) => {
+            load.running.saturating_add(load.waiting) + server.prefill_backlog.sent_since(at)
+        }
+        None => server.prefill_backlog.len(now),
+    };
+    known.max(server.in_flight)
+}
+
 /// Factor on the usual duration of work at a server, from its latest load report; 1 without one.
 pub(super) fn pace_factor(now: ClockTime, server: &BackendServer) -> f64 {
     let load = server.health.load_report(now);
@@ -61,8 +73,7 @@
 
 /// Expected time of a request at a plain server, in ms, if it takes `idle_ms` at an idle one.
 pub(super) fn plain_request_ms(now: ClockTime, server: &BackendServer, idle_ms: f64) -> f64 {
-    let load = server.health.load_report(now).unwrap_or_default();
-    let busy = (load.running + load.waiting).max(server.in_flight);
+    let busy = busy_requests(now, server);
     let slots = server.listing.slots.max(1);
     let queued = (busy + 1).saturating_sub(slots);
     let wait_ms = f64::from(queued) / f64::from(slots) * idle_ms;
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod placement_limits;
 mod placement_request;
 mod placement_score;
+mod placement_spread;
 mod prefill_backlog;
 mod prefix_placement;
 mod prompt;
@@ -65,6 +66,7 @@
     },
     placement::PlacementPlanner,
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
+    placement_spread::RequestRates,
     prefill_backlog::PrefillBacklog,
     prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -3,7 +3,8 @@
 //! Each usable server gets a cost in ms that covers the wait for a slot, the prompt tokens to
 //! prefill or fetch, its observed latency and failures, and the distance. A shared prefix that no
 //! server is known to hold has a home: the first server in rendezvous order. Nodes that don't know
-//! each other's choices yet therefore still send the prefix to the same server.
+//! each other's choices yet therefore still send the prefix to the same server. Other requests they
+//! spread over the cheapest servers (see `placement_spread`).
 
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
     PlacementRequest, PromptShape, ServerRegistry, WeightsHistory,
     latency::{expected_latency, prefill_ms},
     placement_limits::{self, MIN_RETRY_AFTER},
+    placement_spread::{RequestRates, draw_server},
     prefix_placement::PrefixContext,
     server_model::ServiceModels,
 };
@@ -22,8 +24,6 @@
     ids::{ServerKey, WeightsVersion},
 };
 
-/// Upper bound of the random cost that breaks ties, in ms. Closer costs count as equal.
-const TIE_BREAK_MS: f64 = 0.5;
 /// Old weights must stay usable for [`WAIT_FACTOR`] times the expected wait plus this margin: under
 /// load, a request waits up to twice as long as expected.
 const START_MARGIN: Duration = Duration::from_millis(1_200);
@@ -57,6 +57,8 @@
     pub weights: WeightsHistory,
     /// Typical speeds of the services' servers.
     pub(super) services: ServiceModels,
+    /// Requests of this and other nodes.
+    pub rates: RequestRates,
 }
 
 impl PlacementPlanner {
@@ -69,6 +71,7 @@
             long_prompt_pool: LongPromptPool::default(),
             weights: WeightsHistory::default(),
             services: ServiceModels::default(),
+            rates: RequestRates::default(),
         }
     }
 
@@ -122,8 +125,7 @@
         pass: SearchPass,
         rng: &mut impl Rng,
     ) -> Option<PlacementChoice> {
-        let mut best: Option<(f64, PlacementChoice)> = None;
-        let mut candidate_count = 0;
+        let mut candidates = Vec::new();
         for (key, server) in registry.usable(request.service) {
             let is_eligible = self.is_eligible(now, server, request, pass)
                 && server.is_within_limits(now, request.nodes, rng)
@@ -138,14 +140,13 @@
                     continue;
                 }
             }
-            candidate_count += 1;
-            // The random part spreads the nodes over servers of equal cost.
-            let drawn_cost = choice.cost_ms + rng.random_range(0.0..TIE_BREAK_MS);
-            if best.is_none_or(|(lowest, _)| drawn_cost < lowest) {
-                best = Some((drawn_cost, choice));
-            }
+            candidates.push(self.candidate(now, server, request, &choice));
         }
-        best.map(|(_, choice)| PlacementChoice { candidate_count, ..choice })
+        let candidate_count = candidates.len();
+        let unknown = self.rates.unknown_requests(now, request.service, request.nodes);
+        let key = draw_server(candidates, unknown, rng)?;
+        let choice = self.score(now, key, registry.get(key)?, request, context);
+        Some(PlacementChoice { candidate_count, unknown_requests: unknown, ..choice })
     }
 
     /// Whether a weights version may still be used for a request that starts at `start`.
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -60,6 +60,8 @@
     pub start_by: Option<ClockTime>,
     /// Number of servers that were compared.
     pub candidate_count: usize,
+    /// Estimated number of requests that other nodes have sent and this one does not know of.
+    pub unknown_requests: f64,
 }
 
 /// Why no server was chosen.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -4,7 +4,8 @@
 
 use super::{
     BackendServer, PlacementChoice, PlacementPlanner, PlacementRequest, ServerAvailability,
-    latency::{PromptWork, engine_parts, pace_factor, plain_request_ms, prefill_ms},
+    latency::{PromptWork, busy_requests, engine_parts, pace_factor, plain_request_ms, prefill_ms},
+    placement_spread::Candidate,
     prefix_placement::{PrefixContext, PrefixSource},
     server_model::LatencyParts,
 };
@@ -25,6 +26,9 @@
 const REMOTE_REQUEST_MS: f64 = 6.0;
 /// Further cost of another data centre for each 1,000 bytes of the request, in ms.
 const REMOTE_KB_MS: f64 = 1.2;
+/// Cost of a server without a free slot beyond the wait, in ms: it may reject the request. More than a
+/// fetch of a shared prefix takes.
+const FULL_SERVER_MS: f64 = 100.0;
 /// Cost of a server with a failure rate of 1, in ms; less in proportion to the rate.
 const FAILURE_MS: f64 = 1_500.0;
 /// Cost of probing a server that is unresponsive, suspected or no longer listed, in ms.
@@ -59,6 +63,7 @@
             start_by: None,
             weights,
             candidate_count: 0,
+            unknown_requests: 0.0,
         };
         match weights {
             Some(version) => self.score_engine(now, server, request, context, version, &mut choice),
@@ -69,6 +74,9 @@
                 choice.cost_ms = choice.base_latency_ms;
             }
         }
+        if busy_requests(now, server) >= server.listing.slots.max(1) {
+            choice.cost_ms += FULL_SERVER_MS;
+        }
         choice.cost_ms += server.health.failure_rate(now) * FAILURE_MS;
         let suspected = server.health.is_unresponsive() || server.health.is_suspected(now);
         if suspected || server.availability == ServerAvailability::Lapsed {
@@ -102,9 +110,8 @@
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
         choice.save_to_store = prefix.save_to_store;
-        let load = server.health.load_report(now).unwrap_or_default();
-        let running = (load.running + load.waiting).max(server.in_flight);
-        let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
+        let running = busy_requests(now, server);
+        let queued = (running + 1).saturating_sub(server.listing.slots.max(1));
         let work = PromptWork {
             cached_tokens: choice.cached_tokens,
             fetched_tokens: fetched,
@@ -133,6 +140,24 @@
         }
     }
 
+    /// Returns what the search needs of a server to spread requests.
+    pub(super) fn candidate(
+        &self,
+        now: ClockTime,
+        server: &BackendServer,
+        request: &PlacementRequest<'_>,
+        choice: &PlacementChoice,
+    ) -> Candidate {
+        let speed = self.speed_of(now, request.service, &server.model);
+        let slots = server.listing.slots.max(1);
+        let step_ms = match choice.weights {
+            Some(_) => self.rates.mean_tokens(request.service) / speed.prefill_tokens_per_ms,
+            None => speed.plain_ms / f64::from(slots),
+        };
+        let room = slots.saturating_sub(busy_requests(now, server));
+        Candidate { server: choice.server, cost_ms: choice.cost_ms, step_ms, room }
+    }
+
     fn old_weights_cost_ms(&self, now: ClockTime, model: &str, version: WeightsVersion) -> f64 {
         let replaced_at = self.weights.replaced_at(model, version);
         let old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_GRACE);
--- a/crates/core/src/traffic/prefill_backlog.rs
+++ b/crates/core/src/traffic/prefill_backlog.rs
@@ -46,6 +46,11 @@
         open.count() as u32
     }
 
+    /// Number of requests that were sent at `since` or later and whose response has not begun.
+    pub fn sent_since(&self, since: ClockTime) -> u32 {
+        self.entries.iter().filter(|entry| entry.sent_at >= since).count() as u32
+    }
+
     /// Number of tokens that still have to be prefilled.
     pub fn tokens(&self, now: ClockTime) -> u64 {
         let open = self.entries.iter().filter(|entry| now.since(entry.sent_at) < MAX_PREFILL_TIME);
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -131,6 +131,23 @@
             store_sync::apply_up_to_date(node, revision, &report);
         }
         NodeNotice::Behind { revision } => store_sync::schedule_catch_up(node, revision),
-        notice => apply(node, notice),
+        notice => {
+            count_request(node, &notice);
+            apply(node, notice);
+        }
     }
 }
+
+/// Counts a request of another node. Nodes tell when they send a prompt, and when a plain service has
+/// responded.
+fn count_request(node: &Node, notice: &NodeNotice) {
+    let (instance, tokens) = match notice {
+        NodeNotice::Sent { instance, tokens, .. } => (instance, *tokens),
+        NodeNotice::Answered { instance, request: 0, .. } => (instance, 0),
+        _ => return,
+    };
+    let state = &mut *node.state.borrow_mut();
+    let Some(server) = state.registry.key_of(instance) else { return };
+    let Some(server) = state.registry.get(server) else { return };
+    state.planner.rates.on_peer_request(clock::now(), &server.listing.service, tokens);
+}
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -47,6 +47,10 @@
             rendezvous_score(context.info.request_id.as_bytes(), context.history.attempts.into());
         let instance = instance.to_string();
         change_in_flight(node, choice.server, 1);
+        {
+            let rates = &mut node.state.borrow_mut().planner.rates;
+            rates.on_own_request(clock::now(), &context.service, tokens);
+        }
         let prefill_number = choice.weights.map(|version| {
             let notice = NodeNotice::Sent {
                 instance: instance.clone(),
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -78,7 +78,7 @@
         prefill_ms = choice.parts.prefill_ms, fetch_ms = choice.parts.fetch_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
-        weighed = choice.candidate_count, config:? = state.routes.version(),
+        weighed = choice.candidate_count, unknown_requests = choice.unknown_requests, config:? = state.routes.version(),
         software:? = server.listing.software, weights:? = choice.weights.map(|version| version.0),
         last_event:? = context.info.last_event,
         first_attempt:? = context.info.first_attempt;
