Count the prefill backlog by priority

Cause: a full server admits its waiting requests by priority, but a node counted all prompts sent before a request as its wait. Urgent requests were refused or sent elsewhere because of less urgent ones.

The newest requests beyond the free slots count as waiting for admission, and a request waits only for those of them that are as urgent, and for the admitted ones. With free slots the order stays that of arrival.

--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -21,6 +21,8 @@
     /// Tokens of these that it fetches.
     pub fetched_tokens: u32,
     pub prompt_tokens: u32,
+    /// Tokens of prompts that are prefilled before.
+    pub ahead_tokens: u64,
     /// Requests that run there.
     pub running: u32,
     /// Requests that wait for a slot.
@@ -39,7 +41,7 @@
     speed: &ServerSpeed,
     work: &PromptWork,
 ) -> LatencyParts {
-    let wait_ms = server.prefill_backlog.tokens(now) as f64 / speed.prefill_tokens_per_ms;
+    let wait_ms = work.ahead_tokens as f64 / speed.prefill_tokens_per_ms;
     let steps = 1.0 + f64::from(work.queued) + f64::from(work.running) * RUNNING_REQUEST_STEPS;
     let pace = pace_factor(now, server);
     LatencyParts {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -67,7 +67,7 @@
     placement::PlacementPlanner,
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     placement_spread::RequestRates,
-    prefill_backlog::PrefillBacklog,
+    prefill_backlog::{DEFAULT_PRIORITY, PrefillBacklog},
     prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
     registry::{
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -19,6 +19,8 @@
     pub prompt: &'a PromptShape,
     /// Scope of its KV cache; differs between workspaces that must not share cache entries.
     pub cache_scope: u64,
+    /// Its priority at the servers; 0 is the most urgent.
+    pub priority: u8,
     /// Software versions of servers at which it may run.
     pub software: &'a SoftwareRule,
     /// Size of the request body in bytes.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -111,11 +111,16 @@
         choice.fetch_from = prefix.fetch_from;
         choice.save_to_store = prefix.save_to_store;
         let running = busy_requests(now, server);
-        let queued = (running + 1).saturating_sub(server.listing.slots.max(1));
+        let waiting = running.saturating_sub(server.listing.slots.max(1));
+        let (ahead_tokens, waiting_ahead) =
+            server.prefill_backlog.ahead(now, request.priority, waiting);
+        let is_full = running >= server.listing.slots.max(1);
+        let queued = if is_full { 1 + waiting_ahead } else { 0 };
         let work = PromptWork {
             cached_tokens: choice.cached_tokens,
             fetched_tokens: fetched,
             prompt_tokens: prompt.prompt_tokens,
+            ahead_tokens,
             running,
             queued,
         };
--- a/crates/core/tests/placement_fleet/fleet.rs
+++ b/crates/core/tests/placement_fleet/fleet.rs
@@ -6,9 +6,9 @@
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
     traffic::{
-        ListingState, ModelWeights, PlacementChoice, PlacementPlanner, PlacementRequest,
-        PromptPart, PromptShape, ServerListing, ServerLoad, ServerRegistry, SoftwareRule,
-        SpeedSample,
+        DEFAULT_PRIORITY, ListingState, ModelWeights, PlacementChoice, PlacementPlanner,
+        PlacementRequest, PromptPart, PromptShape, ServerListing, ServerLoad, ServerRegistry,
+        SoftwareRule, SpeedSample,
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -224,7 +224,7 @@
                 let node = &mut self.nodes[node];
                 node.planner.rates.on_peer_request(now, SERVICE, tokens);
                 let known = node.registry.get_mut(node.keys[server]).expect("it is listed");
-                known.prefill_backlog.add(now, request, tokens);
+                known.prefill_backlog.add(now, request, tokens, DEFAULT_PRIORITY);
             }
             Event::Answered { node, server, request, load, speed } => {
                 let node = &mut self.nodes[node];
@@ -274,7 +274,7 @@
         let request = self.sequence;
         known.planner.rates.on_own_request(now, SERVICE, tokens);
         let listed = known.registry.get_mut(choice.server).expect("it is listed");
-        listed.prefill_backlog.add(now, request, tokens);
+        listed.prefill_backlog.add(now, request, tokens, DEFAULT_PRIORITY);
         listed.in_flight += 1;
         if node == 0 {
             *self.outcome.first_node_choices.entry(server).or_default() += 1;
@@ -414,6 +414,7 @@
             model: Some(MODEL),
             prompt: &prompt,
             cache_scope: 0,
+            priority: DEFAULT_PRIORITY,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             has_cache_store: false,
--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -6,9 +6,9 @@
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
     traffic::{
-        CacheConfidence, CacheSource, ListingState, ModelWeights, PlacementChoice,
-        PlacementPlanner, PlacementRefusal, PlacementRequest, PromptPart, PromptShape,
-        ServerListing, ServerLoad, ServerRegistry, SoftwareRule, cache_salt,
+        CacheConfidence, CacheSource, DEFAULT_PRIORITY, ListingState, ModelWeights,
+        PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest, PromptPart,
+        PromptShape, ServerListing, ServerLoad, ServerRegistry, SoftwareRule, cache_salt,
     },
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -114,6 +114,7 @@
 
 struct PlacementFixture {
     max_wait: Duration,
+    priority: u8,
     registry: ServerRegistry,
     planner: PlacementPlanner,
     keys: Vec<ServerKey>,
@@ -128,7 +129,13 @@
         let key = |index: usize| registry.key_of(&format!("i{index}"));
         let keys = (0..versions.len()).filter_map(key).collect();
         let planner = PlacementPlanner::new("a".to_string(), OLD_VERSION_LIFETIME);
-        PlacementFixture { max_wait: Duration::from_secs(5), registry, planner, keys }
+        PlacementFixture {
+            max_wait: Duration::from_secs(5),
+            priority: DEFAULT_PRIORITY,
+            registry,
+            planner,
+            keys,
+        }
     }
 
     fn choose(
@@ -142,6 +149,7 @@
             model: Some(MODEL),
             prompt,
             cache_scope: 0,
+            priority: self.priority,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             has_cache_store: false,
@@ -212,7 +220,7 @@
         let confidence = CacheConfidence::Confirmed;
         fixture.planner.cache.record(now, holder, salt, request.shared_parts(), confidence);
         let server = fixture.registry.get_mut(holder).expect("the holder is listed");
-        server.prefill_backlog.add(now, 5, case.holder_backlog);
+        server.prefill_backlog.add(now, 5, case.holder_backlog, DEFAULT_PRIORITY);
         let load = ServerLoad { running: case.holder_running, slots: 64, ..ServerLoad::default() };
         server.health.on_load_report(now, load);
         let choice = fixture.choose(now, &request, &[]).expect("twelve servers are free");
@@ -244,6 +252,7 @@
                 model: Some(MODEL),
                 prompt: request,
                 cache_scope: 0,
+                priority: DEFAULT_PRIORITY,
                 software: &SoftwareRule::Any,
                 bytes: 1_000,
                 has_cache_store: false,
@@ -283,7 +292,7 @@
         let mut fixture = PlacementFixture::new(&[1, 1]);
         let now = millis(50_000);
         let other = fixture.registry.get_mut(fixture.keys[1]).expect("the server is listed");
-        other.prefill_backlog.add(now + Duration::from_secs(2), 1, 200_000);
+        other.prefill_backlog.add(now + Duration::from_secs(2), 1, 200_000, DEFAULT_PRIORITY);
         let server = fixture.registry.get_mut(fixture.keys[0]).expect("the server is listed");
         server.in_flight = case.in_flight;
         for _ in 0..case.failures {
@@ -320,9 +329,45 @@
         fixture.max_wait = Duration::from_millis(560);
         let now = millis(50_000);
         let server = fixture.registry.get_mut(fixture.keys[0]).expect("the server is listed");
-        server.prefill_backlog.add(now, 1, case.backlog_tokens);
+        server.prefill_backlog.add(now, 1, case.backlog_tokens, DEFAULT_PRIORITY);
         let choice = fixture.choose(now, &prompt(&[], case.prompt_tokens), &[]);
         let setup = format!("{} behind {}", case.prompt_tokens, case.backlog_tokens);
         assert_eq!(choice.is_ok(), case.accepted, "{setup}: {choice:?}");
     }
 }
+
+/// Guards against urgent requests that are refused or sent elsewhere because of less urgent ones, which
+/// a full server admits after them, and against expecting that of a server with free slots.
+#[test]
+fn backlog_counts_what_is_admitted_before_a_request() {
+    struct Case {
+        name: &'static str,
+        priority: u8,
+        running: u32,
+        wait_tokens: u64,
+    }
+    let cases = [
+        Case { name: "free slots", priority: 0, running: 20, wait_tokens: 6_000 },
+        Case { name: "full, urgent", priority: 0, running: 66, wait_tokens: 3_000 },
+        Case { name: "full, as urgent as one", priority: 2, running: 66, wait_tokens: 5_000 },
+        Case { name: "full, least urgent", priority: 9, running: 66, wait_tokens: 6_000 },
+    ];
+    for case in cases {
+        let mut fixture = PlacementFixture::new(&[1]);
+        let now = millis(50_000);
+        let server = fixture.registry.get_mut(fixture.keys[0]).expect("the server is listed");
+        // The last two wait at a server with 64 slots if 66 requests are there.
+        for (request, tokens, priority) in [(1, 3_000, 9), (2, 1_000, 7), (3, 2_000, 2)] {
+            server.prefill_backlog.add(now, request, tokens, priority);
+        }
+        let load = ServerLoad { running: case.running, slots: 64, ..ServerLoad::default() };
+        server.health.on_load_report(now + Duration::from_millis(1), load);
+        fixture.priority = case.priority;
+        let now = now + Duration::from_millis(2);
+        let choice = fixture.choose(now, &prompt(&[], 100), &[]).expect("the wait is short");
+        let server = fixture.registry.get(choice.server).expect("the server is listed");
+        let speed = fixture.planner.speed_of(now, SERVICE, &server.model);
+        let tokens = choice.parts.wait_ms / choice.parts.pace * speed.prefill_tokens_per_ms;
+        assert_eq!(tokens.round() as u64, case.wait_tokens, "{}", case.name);
+    }
+}
--- a/crates/core/tests/traffic_server_model.rs
+++ b/crates/core/tests/traffic_server_model.rs
@@ -6,8 +6,8 @@
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
     traffic::{
-        ListingState, ModelWeights, PlacementPlanner, PlacementRequest, PromptPart, PromptShape,
-        ServerListing, ServerRegistry, SoftwareRule,
+        DEFAULT_PRIORITY, ListingState, ModelWeights, PlacementPlanner, PlacementRequest,
+        PromptPart, PromptShape, ServerListing, ServerRegistry, SoftwareRule,
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -76,6 +76,7 @@
             model: (service == SERVICE).then_some(MODEL),
             prompt: &prompt,
             cache_scope: 0,
+            priority: DEFAULT_PRIORITY,
             software: &SoftwareRule::Any,
             bytes: 0,
             has_cache_store: false,
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -64,6 +64,10 @@
         /// Parts of the prompt that other requests may share.
         #[n(4)]
         parts: Vec<PromptPart>,
+        /// Priority of the request, 0 first; older nodes don't tell it.
+        #[n(5)]
+        #[serde(skip)]
+        priority: Option<u8>,
     },
     /// A server responded to a request, or the request ended without a response.
     #[n(4)]
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use carobvane_core::traffic::{CacheConfidence, WatchReport};
+use carobvane_core::traffic::{CacheConfidence, DEFAULT_PRIORITY, WatchReport};
 
 use crate::{
     adapter::PlatformAdapter,
@@ -41,10 +41,11 @@
                 state.update_weights(key, &model, version);
             }
         }
-        NodeNotice::Sent { instance, request, tokens, salt, parts } => {
+        NodeNotice::Sent { instance, request, tokens, salt, parts, priority } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             if let Some(server) = state.registry.get_mut(key) {
-                server.prefill_backlog.add(now, request, tokens);
+                let priority = priority.unwrap_or(DEFAULT_PRIORITY);
+                server.prefill_backlog.add(now, request, tokens, priority);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
         }
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -58,6 +58,7 @@
                 tokens,
                 salt: cache_salt(context.cache_scope.number(), version),
                 parts: prompt.shared_parts().to_vec(),
+                priority: Some(context.priority()),
             };
             notices::apply(node, notice.clone());
             node.broadcast(notice);
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -57,6 +57,7 @@
         model: context.info.model.as_deref(),
         prompt: &context.info.prompt,
         cache_scope: context.cache_scope.number(),
+        priority: context.priority(),
         software: &context.software,
         bytes: context.body.len(),
         has_cache_store: state.cache_store().is_some(),
