--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -25,6 +25,7 @@
 mod placement_limits;
 mod placement_request;
 mod placement_score;
+mod placement_spread;
 mod prefill_backlog;
 mod prefix_placement;
 mod prompt;
@@ -36,6 +37,7 @@
 mod server_limit;
 mod server_links;
 mod server_loading;
+mod server_model;
 mod silent_servers;
 mod stream_origins;
 mod suspension;
@@ -67,7 +69,8 @@
     },
     placement::PlacementPlanner,
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
-    prefill_backlog::PrefillBacklog,
+    placement_spread::RequestRates,
+    prefill_backlog::{DEFAULT_PRIORITY, PrefillBacklog},
     prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
     registry::{
@@ -79,6 +82,7 @@
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
     server_limit::{LimitRank, LimitStatement, ServerLimit},
     server_links::{BLAME_DELAY, BlamedServer, LinkCheck, LinkFailure, LinkState, ServerLinks},
+    server_model::{LatencyParts, ServerModel, ServerSpeed, SpeedSample},
     silent_servers::{
         HEARD_NOTICE_AGE, PROBERS, ProbeSchedule, ReportRule, ServerSilence, SilenceChange,
         overdue_after,
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -3,9 +3,10 @@
 //! Each usable server gets a cost in ms that covers the wait for a slot, the prompt tokens to
 //! prefill or fetch, its observed latency and failures, and the distance. A shared prefix that no
 //! server is known to hold has a home: the first server in rendezvous order. Nodes that don't know
-//! each other's choices yet therefore still send the prefix to the same server.
+//! each other's choices yet therefore still send the prefix to the same server. Other requests they
+//! spread over the cheapest servers (see `placement_spread`).
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use rand::Rng;
 
@@ -14,15 +15,15 @@
     PlacementRefusal, PlacementRequest, PromptShape, ServerRegistry, WeightsHistory,
     latency::{expected_latency, prefill_ms},
     placement_limits::{self, MIN_RETRY_AFTER},
+    placement_spread::{RequestRates, draw_server},
     prefix_placement::PrefixContext,
+    server_model::ServiceModels,
 };
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
 };
 
-/// Upper bound of the random cost that breaks ties, in ms. Closer costs count as equal.
-const TIE_BREAK_MS: f64 = 0.5;
 /// Old weights must stay usable for [`WAIT_FACTOR`] times the expected wait plus this margin: under
 /// load, a request waits up to twice as long as expected.
 const START_MARGIN: Duration = Duration::from_millis(1_200);
@@ -56,8 +57,10 @@
     pub(super) long_prompt_pool: LongPromptPool,
     /// Announced weights versions.
     pub weights: WeightsHistory,
-    /// Moving average of the response time of each plain service, in ms.
-    pub(super) plain_service_ms: HashMap<String, f64>,
+    /// Typical speeds of the services' servers.
+    pub(super) services: ServiceModels,
+    /// Requests of this and other nodes.
+    pub rates: RequestRates,
 }
 
 impl PlacementPlanner {
@@ -70,23 +73,17 @@
             stores: CacheStores::default(),
             long_prompt_pool: LongPromptPool::default(),
             weights: WeightsHistory::default(),
-            plain_service_ms: HashMap::new(),
+            services: ServiceModels::default(),
+            rates: RequestRates::default(),
         }
     }
 
-    /// Records how long a plain service took to respond to a request after it was sent.
-    pub fn on_plain_response(&mut self, service: &str, took: Duration) {
-        let ms = took.as_secs_f64() * 1_000.0;
-        let average = self.plain_service_ms.entry(service.to_string()).or_insert(ms);
-        // The low weight keeps one slow response from making all servers look slow.
-        *average += (ms - *average) * 0.05;
-    }
-
-    /// Records a client's prompt. The long-prompt pool is sized by these prompts.
-    pub fn on_prompt(&mut self, now: ClockTime, prompt: &PromptShape) {
+    /// Records a client's prompt to a service. The long-prompt pool is sized by these prompts.
+    pub fn on_prompt(&mut self, now: ClockTime, service: &str, prompt: &PromptShape) {
         if prompt.prompt_tokens >= LONG_PROMPT_TOKENS {
-            self.long_prompt_pool
-                .on_prompt(now, prefill_ms(prompt.shared_tokens(), prompt.prompt_tokens));
+            let speed = self.services.median(service);
+            let prefill_ms = prefill_ms(&speed, prompt.shared_tokens(), prompt.prompt_tokens);
+            self.long_prompt_pool.on_prompt(now, prefill_ms);
         }
     }
 
@@ -109,9 +106,8 @@
         let Some(choice) = best else {
             return Err(placement_limits::refusal(now, registry, request, tried, rng));
         };
-        let server = registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
-        let expected = expected_latency(server, &choice);
-        let idle = choice.idle_latency_ms * server.health.latency_ratio() * IDLE_FACTOR / 1_000.0;
+        let expected = expected_latency(&choice);
+        let idle = choice.idle_latency_ms * IDLE_FACTOR / 1_000.0;
         let idle = Duration::from_secs_f64(idle.clamp(0.0, 3_600.0));
         let max_wait = request.max_wait.max(idle).min(request.time_left);
         if expected > max_wait {
@@ -132,8 +128,7 @@
         pass: SearchPass,
         rng: &mut impl Rng,
     ) -> Option<PlacementChoice> {
-        let mut best: Option<(f64, PlacementChoice)> = None;
-        let mut candidate_count = 0;
+        let mut candidates = Vec::new();
         for (key, server) in registry.usable(request.service) {
             let is_eligible = self.is_eligible(now, server, request, pass)
                 && server.is_within_limits(now, request.nodes, rng)
@@ -143,19 +138,18 @@
             }
             let choice = self.score(now, key, server, request, context);
             if let (Some(model), Some(version)) = (request.model, choice.weights) {
-                let wait = expected_latency(server, &choice).mul_f64(WAIT_FACTOR) + START_MARGIN;
+                let wait = expected_latency(&choice).mul_f64(WAIT_FACTOR) + START_MARGIN;
                 if !self.is_current(now + wait, model, version) {
                     continue;
                 }
             }
-            candidate_count += 1;
-            // The random part spreads the nodes over servers of equal cost.
-            let drawn_cost = choice.cost_ms + rng.random_range(0.0..TIE_BREAK_MS);
-            if best.is_none_or(|(lowest, _)| drawn_cost < lowest) {
-                best = Some((drawn_cost, choice));
-            }
+            candidates.push(self.candidate(now, server, request, &choice));
         }
-        best.map(|(_, choice)| PlacementChoice { candidate_count, ..choice })
+        let candidate_count = candidates.len();
+        let unknown = self.rates.unknown_requests(now, request.service, request.nodes);
+        let key = draw_server(candidates, unknown, rng)?;
+        let choice = self.score(now, key, registry.get(key)?, request, context);
+        Some(PlacementChoice { candidate_count, unknown_requests: unknown, ..choice })
     }
 
     /// Whether a weights version may still be used for a request that starts at `start`.
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{PromptShape, SoftwareRule, StoreId};
+use super::{LatencyParts, PromptShape, SoftwareRule, StoreId};
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
@@ -19,6 +19,8 @@
     pub prompt: &'a PromptShape,
     /// Scope of its KV cache; differs between workspaces that must not share cache entries.
     pub cache_scope: u64,
+    /// Its priority at the servers; 0 is the most urgent.
+    pub priority: u8,
     /// Software versions of servers at which it may run.
     pub software: &'a SoftwareRule,
     /// Size of the request body in bytes.
@@ -38,10 +40,12 @@
     pub server: ServerKey,
     /// Cost by which servers are compared.
     pub cost_ms: f64,
-    /// Expected time to the response or the first event, before the server's latency ratio applies.
+    /// Expected time to the response or the first event.
     pub base_latency_ms: f64,
     /// Part of `base_latency_ms` that the request would take at an idle server.
     pub idle_latency_ms: f64,
+    /// Parts of `base_latency_ms` at an engine; zero at a plain server.
+    pub parts: LatencyParts,
     /// Prompt tokens that the server probably holds or can fetch, and so need not prefill.
     pub cached_tokens: u32,
     /// Prompt tokens that other prompts may share.
@@ -56,6 +60,8 @@
     pub start_by: Option<ClockTime>,
     /// Number of servers that were compared.
     pub candidate_count: usize,
+    /// Estimated number of requests that other nodes have sent and this one does not know of.
+    pub unknown_requests: f64,
 }
 
 /// Why no server was chosen.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -4,17 +4,16 @@
 
 use super::{
     BackendServer, PlacementChoice, PlacementPlanner, PlacementRequest, ServerAvailability,
-    latency::{backlog_ms, pace_factor, plain_request_ms, prefill_ms},
+    latency::{PromptWork, busy_requests, engine_parts, pace_factor, plain_request_ms, prefill_ms},
+    placement_spread::Candidate,
     prefix_placement::{PrefixContext, PrefixSource},
+    server_model::LatencyParts,
 };
 use crate::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
 };
 
-/// Time to fetch KV cache from another server: a fixed part and a part for each token, in ms.
-const FETCH_MS: f64 = 4.0;
-const FETCH_TOKEN_MS: f64 = 0.006;
 /// Cost of each shared token that has to be prefilled, in ms, beyond its prefill time.
 const RECOMPUTE_TOKEN_MS: f64 = 0.04;
 /// Share of a long prompt's prefill time that counts as cost for each running request it delays.
@@ -23,16 +22,13 @@
 const WRONG_POOL_MS: f64 = 80.0;
 /// Cost advantage of the home of a prefix that no server is known to hold, in ms.
 const HOME_BONUS_MS: f64 = 30.0;
-/// Time to the first event without any prompt to prefill, in ms.
-const FIRST_EVENT_MS: f64 = 12.0;
-/// Delay of a prefill by each request that runs at the server, in ms.
-const RUNNING_REQUEST_MS: f64 = 0.6;
-/// Assumed time of a request to a plain service before any was observed, in ms.
-const PLAIN_REQUEST_MS: f64 = 40.0;
 /// Cost of a server in another data centre beyond its latency, in ms: that traffic is expensive.
 const REMOTE_REQUEST_MS: f64 = 6.0;
 /// Further cost of another data centre for each 1,000 bytes of the request, in ms.
 const REMOTE_KB_MS: f64 = 1.2;
+/// Cost of a server without a free slot beyond the wait, in ms: it may reject the request. More than a
+/// fetch of a shared prefix takes.
+const FULL_SERVER_MS: f64 = 100.0;
 /// Cost of a server with a failure rate of 1, in ms; less in proportion to the rate.
 const FAILURE_MS: f64 = 1_500.0;
 /// Cost of probing a server that is unresponsive, suspected or no longer listed, in ms.
@@ -61,6 +57,7 @@
             cost_ms: 0.0,
             base_latency_ms: 0.0,
             idle_latency_ms: 0.0,
+            parts: LatencyParts::default(),
             cached_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
@@ -68,16 +65,20 @@
             start_by: None,
             weights,
             candidate_count: 0,
+            unknown_requests: 0.0,
         };
         match weights {
             Some(version) => self.score_engine(now, server, request, context, version, &mut choice),
             None => {
-                choice.idle_latency_ms = self.plain_service_ms(request.service);
+                let speed = self.speed_of(now, request.service, &server.model);
+                choice.idle_latency_ms = speed.plain_ms * pace_factor(now, server);
                 choice.base_latency_ms = plain_request_ms(now, server, choice.idle_latency_ms);
                 choice.cost_ms = choice.base_latency_ms;
             }
         }
-        choice.cost_ms *= server.health.latency_ratio() * pace_factor(now, server);
+        if busy_requests(now, server) >= server.listing.slots.max(1) {
+            choice.cost_ms += FULL_SERVER_MS;
+        }
         choice.cost_ms += server.health.failure_rate(now) * FAILURE_MS;
         let suspected = server.health.is_unresponsive()
             || server.health.is_suspected(now)
@@ -116,18 +117,27 @@
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
         choice.save_to_store = prefix.save_to_store;
-        let prefill_ms = prefill_ms(choice.cached_tokens, prompt.prompt_tokens);
-        let fetch_ms =
-            if fetched > 0 { FETCH_MS + f64::from(fetched) * FETCH_TOKEN_MS } else { 0.0 };
-        let load = server.health.load_report(now).unwrap_or_default();
-        let running = (load.running + load.waiting).max(server.in_flight);
-        let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
-        let backlog_ms = backlog_ms(now, server);
-        choice.idle_latency_ms = FIRST_EVENT_MS + prefill_ms + fetch_ms;
-        choice.base_latency_ms = choice.idle_latency_ms
-            + backlog_ms
-            + f64::from(queued) * FIRST_EVENT_MS
-            + f64::from(running) * RUNNING_REQUEST_MS;
+        let running = busy_requests(now, server);
+        let waiting = running.saturating_sub(server.listing.slots.max(1));
+        let (ahead_tokens, waiting_ahead) =
+            server.prefill_backlog.ahead(now, request.priority, waiting);
+        let is_full = running >= server.listing.slots.max(1);
+        let queued = if is_full { 1 + waiting_ahead } else { 0 };
+        let work = PromptWork {
+            cached_tokens: choice.cached_tokens,
+            fetched_tokens: fetched,
+            prompt_tokens: prompt.prompt_tokens,
+            ahead_tokens,
+            running,
+            queued,
+        };
+        let speed = self.speed_of(now, request.service, &server.model);
+        let parts = engine_parts(now, server, &speed, &work);
+        let prefill_ms = prefill_ms(&speed, choice.cached_tokens, prompt.prompt_tokens);
+        choice.parts = parts;
+        choice.base_latency_ms = parts.prefill_ms + parts.fetch_ms + parts.step_ms;
+        choice.idle_latency_ms =
+            parts.prefill_ms - parts.wait_ms + parts.fetch_ms + speed.first_event_ms;
         let recomputed = shared.saturating_sub(choice.cached_tokens);
         choice.cost_ms = choice.base_latency_ms + f64::from(recomputed) * RECOMPUTE_TOKEN_MS;
         if context.is_long_prompt {
@@ -142,13 +152,27 @@
         }
     }
 
+    /// Returns what the search needs of a server to spread requests.
+    pub(super) fn candidate(
+        &self,
+        now: ClockTime,
+        server: &BackendServer,
+        request: &PlacementRequest<'_>,
+        choice: &PlacementChoice,
+    ) -> Candidate {
+        let speed = self.speed_of(now, request.service, &server.model);
+        let slots = server.listing.slots.max(1);
+        let step_ms = match choice.weights {
+            Some(_) => self.rates.mean_tokens(request.service) / speed.prefill_tokens_per_ms,
+            None => speed.plain_ms / f64::from(slots),
+        };
+        let room = slots.saturating_sub(busy_requests(now, server));
+        Candidate { server: choice.server, cost_ms: choice.cost_ms, step_ms, room }
+    }
+
     fn old_weights_cost_ms(&self, now: ClockTime, model: &str, version: WeightsVersion) -> f64 {
         let replaced_at = self.weights.replaced_at(model, version);
         let old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_GRACE);
         if old { OLD_WEIGHTS_MS } else { 0.0 }
     }
-
-    fn plain_service_ms(&self, service: &str) -> f64 {
-        self.plain_service_ms.get(service).copied().unwrap_or(PLAIN_REQUEST_MS)
-    }
 }
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -6,7 +6,7 @@
     clock::ClockTime,
     ids::WeightsVersion,
     plans::workspace_limit::{HomeAnswer, HomeCheck, TokenAnswer, TokenAsk, TokenReturn},
-    traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, StreamKey},
+    traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, SpeedSample, StreamKey},
 };
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +65,10 @@
         /// Parts of the prompt that other requests may share.
         #[n(4)]
         parts: Vec<PromptPart>,
+        /// Priority of the request, 0 first; older nodes don't tell it.
+        #[n(5)]
+        #[serde(skip)]
+        priority: Option<u8>,
     },
     /// A server responded to a request, or the request ended without a response.
     #[n(4)]
@@ -91,6 +95,10 @@
         #[n(6)]
         #[serde(skip)]
         saved_to: Option<u64>,
+        /// What the response showed of the server's speed; older nodes don't tell it.
+        #[n(7)]
+        #[serde(skip)]
+        speed: Option<SpeedSample>,
     },
     /// An engine has cached parts, or has dropped them.
     #[n(5)]
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use carobvane_core::traffic::{
-    BLAME_DELAY, CacheConfidence, HEARD_NOTICE_AGE, StoreId, WatchReport,
+    BLAME_DELAY, CacheConfidence, DEFAULT_PRIORITY, HEARD_NOTICE_AGE, StoreId, WatchReport,
 };
 
 use crate::{
@@ -13,7 +13,8 @@
     fleet::{node_notice::NodeNotice, notice_transport::NoticeSender, workspace_limits},
     node::Node,
     server::{
-        cache_events, cache_store, crashes, links, server_limits, server_signals, silent_servers,
+        cache_events, cache_store, crashes, links, server_limits, server_signals, server_speed,
+        silent_servers,
     },
     store::store_sync,
 };
@@ -45,10 +46,11 @@
                 state.update_weights(key, &model, version);
             }
         }
-        NodeNotice::Sent { instance, request, tokens, salt, parts } => {
+        NodeNotice::Sent { instance, request, tokens, salt, parts, priority } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             if let Some(server) = state.registry.get_mut(key) {
-                server.prefill_backlog.add(now, request, tokens);
+                let priority = priority.unwrap_or(DEFAULT_PRIORITY);
+                server.prefill_backlog.add(now, request, tokens, priority);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
         }
@@ -60,10 +62,10 @@
         NodeNotice::FurtherStore { store, up, epoch } => {
             cache_store::apply_report(state, StoreId(store), up, epoch);
         }
-        NodeNotice::Answered { instance, request, load, salt, parts, saves, saved_to } => {
+        NodeNotice::Answered { instance, request, load, salt, parts, saves, saved_to, speed } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             let Some(server) = state.registry.get_mut(key) else { return };
-            server.prefill_backlog.remove(request);
+            let own_tokens = server.prefill_backlog.remove(request);
             if let Some(load) = load {
                 server.health.on_load_report(now, load);
                 silent_servers::apply_heard(node, state, key, now - HEARD_NOTICE_AGE);
@@ -74,6 +76,9 @@
             if let Some(store) = saved_to.map(StoreId).or(first) {
                 state.planner.cache.record_stored(now, store, salt, &parts);
             }
+            if let Some(sample) = speed {
+                server_speed::apply_sample(state, key, sample, own_tokens);
+            }
         }
         NodeNotice::Leaving { instance, started_at_ms } => {
             server_signals::apply_leaving(state, &instance, started_at_ms);
@@ -159,6 +164,23 @@
         | NodeNotice::TokensAnswered(_)
         | NodeNotice::TokensUnused(_)
         | NodeNotice::HomeCheck(_) => workspace_limits::receive(node, from.address, notice),
-        notice => apply(node, notice),
+        notice => {
+            count_request(node, &notice);
+            apply(node, notice);
+        }
     }
 }
+
+/// Counts a request of another node. Nodes tell when they send a prompt, and when a plain service has
+/// responded.
+fn count_request(node: &Node, notice: &NodeNotice) {
+    let (instance, tokens) = match notice {
+        NodeNotice::Sent { instance, tokens, .. } => (instance, *tokens),
+        NodeNotice::Answered { instance, request: 0, .. } => (instance, 0),
+        _ => return,
+    };
+    let state = &mut *node.state.borrow_mut();
+    let Some(server) = state.registry.key_of(instance) else { return };
+    let Some(server) = state.registry.get(server) else { return };
+    state.planner.rates.on_peer_request(clock::now(), &server.listing.service, tokens);
+}
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -38,6 +38,7 @@
             log_failure, record_lost, record_pool_full, record_timeout, record_unusable,
         },
         server_signals::record_signals,
+        server_speed::record_speed,
         silent_servers::{self, ResponseWait},
     },
 };
@@ -213,8 +214,8 @@
             false => RunEnd::Refused,
         };
         self.finish_run(end, "response without a length");
+        record_response(node, context, &mut self, failed);
         self.flight.report(head.info().load, 0, &[], None);
-        record_response(node, context, &self, failed);
         self.connection.return_to_pool(head.keep_alive());
         if failed { AttemptResult::Failed(response) } else { AttemptResult::Complete(response) }
     }
@@ -373,20 +374,21 @@
     }
 }
 
-fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &Attempt, failed: bool) {
+fn record_response(node: &Rc<Node>, context: &RequestContext, attempt: &mut Attempt, failed: bool) {
     let now = clock::now();
     let took = now.since(attempt.sent_at);
     let state = &mut *node.state.borrow_mut();
-    let ratio = took.as_secs_f64() * 1_000.0 / attempt.choice.base_latency_ms.max(1.0);
     if let Some(server) = state.registry.get_mut(attempt.choice.server) {
         if failed {
             server.health.on_error_response(now);
         } else {
-            server.health.on_response(now, ratio);
+            server.health.on_response(now);
         }
     }
-    if !failed && !context.is_stream() {
-        state.planner.on_plain_response(&context.service, took);
+    // Nothing shows when an engine would have sent the first event of a response that is no stream.
+    if !failed && context.is_stream() == attempt.choice.weights.is_some() {
+        let choice = &attempt.choice;
+        attempt.flight.speed = record_speed(state, &context.service, choice, took);
     }
     let id = &context.info.request_id;
     let choice = &attempt.choice;
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -5,7 +5,7 @@
 use carobvane_core::{
     ids::ServerKey,
     rendezvous::rendezvous_score,
-    traffic::{PlacementChoice, PromptPart, ServerLoad, StoreId, cache_salt},
+    traffic::{PlacementChoice, PromptPart, ServerLoad, SpeedSample, StoreId, cache_salt},
 };
 
 use crate::{
@@ -23,6 +23,8 @@
     /// Number of the attempt across all nodes; `None` for a request that needs no model weights, or
     /// once its prompt has been processed.
     prefill_number: Option<u64>,
+    /// What the response showed of the server's speed.
+    pub speed: Option<SpeedSample>,
 }
 
 impl std::fmt::Debug for FlightGuard {
@@ -45,6 +47,10 @@
             rendezvous_score(context.info.request_id.as_bytes(), context.history.attempts.into());
         let instance = instance.to_string();
         change_in_flight(node, choice.server, 1);
+        {
+            let rates = &mut node.state.borrow_mut().planner.rates;
+            rates.on_own_request(clock::now(), &context.service, tokens);
+        }
         let prefill_number = choice.weights.map(|version| {
             let notice = NodeNotice::Sent {
                 instance: instance.clone(),
@@ -52,12 +58,19 @@
                 tokens,
                 salt: cache_salt(context.cache_scope.number(), version),
                 parts: prompt.shared_parts().to_vec(),
+                priority: Some(context.priority()),
             };
             notices::apply(node, notice.clone());
             node.broadcast(notice);
             number
         });
-        FlightGuard { node: node.clone(), server: choice.server, instance, prefill_number }
+        FlightGuard {
+            node: node.clone(),
+            server: choice.server,
+            instance,
+            prefill_number,
+            speed: None,
+        }
     }
 
     /// Reports that the response has begun, or that the request ended without one. `store` is the
@@ -79,9 +92,19 @@
         let first = self.node.state.borrow().planner.stores.first();
         let saves = store.is_some() && store == first;
         let saved_to = store.filter(|_| !saves).map(|store| store.0);
-        let notice = NodeNotice::Answered { instance, request, load, salt, parts, saves, saved_to };
-        notices::apply(&self.node, notice.clone());
-        self.node.broadcast(notice);
+        // This node has learnt the speed already.
+        let answered = |speed| NodeNotice::Answered {
+            instance: instance.clone(),
+            request,
+            load,
+            salt,
+            parts: parts.clone(),
+            saves,
+            saved_to,
+            speed,
+        };
+        notices::apply(&self.node, answered(None));
+        self.node.broadcast(answered(self.speed.take()));
     }
 }
 
--- a/crates/node/src/server/mod.rs
+++ b/crates/node/src/server/mod.rs
@@ -17,4 +17,5 @@
 pub mod server_limits;
 pub mod server_outcomes;
 pub mod server_signals;
+pub mod server_speed;
 pub mod silent_servers;
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -57,6 +57,7 @@
         model: context.info.model.as_deref(),
         prompt: &context.info.prompt,
         cache_scope: context.cache_scope.number(),
+        priority: context.priority(),
         software: &context.software,
         bytes: context.body.len(),
         nodes: state.members.live().count().max(1),
@@ -73,11 +74,12 @@
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
     log::info!(
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
-        expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
+        expected_ms = choice.base_latency_ms, wait_ms = choice.parts.wait_ms,
+        prefill_ms = choice.parts.prefill_ms, fetch_ms = choice.parts.fetch_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
         saves = choice.save_to_store.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
-        weighed = choice.candidate_count, config:? = state.routes.version(),
+        weighed = choice.candidate_count, unknown_requests = choice.unknown_requests, config:? = state.routes.version(),
         software:? = server.listing.software, weights:? = choice.weights.map(|version| version.0),
         last_event:? = context.info.last_event,
         first_attempt:? = context.info.first_attempt;
