Let nodes agree on the pressure of a service

Cause: each node decided by the waits that it saw itself. A node that gets a few requests a second sees too few of them, so the nodes cut between ranks at different places.

Change: while there is pressure, eight nodes for each service send the notice `Pressure` (number 26): the pressure and, for the four ranks with the most work, the shares of work and of refused requests. A node decides by a quarter of its own pressure and three quarters of the mean of all, without the quarters of the highest and the lowest. Without two reports within 2.5 s it uses its own. A rank loses room with the refused share of more urgent ones. Ruled out: reports of all nodes, which at 780 nodes are some 40 KB a second at each of them.

A notice has at most 80 bytes.

--- a/crates/core/src/overload/admission_gate.rs
+++ b/crates/core/src/overload/admission_gate.rs
@@ -5,8 +5,9 @@
 use rand::Rng;
 
 use super::{
-    AdmissionDecision, AdmissionRequest, AdmissionVerdict, FairShares, ReturnSchedule,
-    ReturnWindow, ServicePressure, rank_demand::RankDemand,
+    AdmissionDecision, AdmissionRequest, AdmissionVerdict, FairShares, FleetPressure,
+    PressureReport, ReturnSchedule, ReturnWindow, pressure_report::MAX_RANKS,
+    rank_demand::RankDemand,
 };
 use crate::clock::ClockTime;
 
@@ -29,6 +30,8 @@
 const LATE_FACTOR: f64 = 1.5;
 /// Such a request must be expected within this fraction of the time until it is due.
 const LATE_TIME_FRACTION: f64 = 0.5;
+/// Time between two updates of what other nodes tell of the ranks.
+const TOLD_RANKS_INTERVAL: Duration = Duration::from_millis(250);
 /// Clients wait at most this part of the time until they give up.
 const CLIENT_WAIT_PART: u32 = 3;
 /// Retry delay relative to the time in which the backlog falls, for the least urgent requests.
@@ -37,7 +40,8 @@
 /// State of the decisions on one service.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionGate {
-    pressure: ServicePressure,
+    pressure: FleetPressure,
+    told_ranks_at: ClockTime,
     demand: RankDemand,
     returns: ReturnSchedule,
     shares: FairShares,
@@ -56,10 +60,11 @@
         }
         let wait = request.expected.saturating_sub(request.idle);
         let room = room(request);
+        self.update_told_ranks(now);
         self.demand.record(now, request.rank, request.server_ms, room);
         let tightest = self.demand.tightest_room(request.rank, room);
         if request.idle < request.time_left {
-            self.pressure.on_wait(now, wait, tightest);
+            self.pressure.own.on_wait(now, wait, tightest);
         }
         self.shares.on_request(now, &request.groups, request.server_ms);
         let pressure = self.pressure.pressure(now);
@@ -69,6 +74,7 @@
         let behind = tightest.saturating_sub(if tightest < room { request.idle } else { ZERO });
         let room = room.mul_f64(1.0 - pressure) + behind.mul_f64(pressure);
         let mut max_wait = room.mul_f64(1.0 - PRESSURE_CUT * pressure * position);
+        max_wait = max_wait.mul_f64(1.0 - pressure * self.demand.refused_before(request.rank));
         if request.elapsed + request.idle > request.target {
             max_wait = max_wait.mul_f64(1.0 - LATE_CUT * pressure);
         }
@@ -87,7 +93,8 @@
             self.shares.on_admitted(now, &request.groups, request.server_ms);
             AdmissionDecision::Admit
         } else {
-            let fall = self.pressure.time_to_fall(wait.saturating_sub(max_wait));
+            self.demand.on_refused(request.rank);
+            let fall = self.pressure.own.time_to_fall(wait.saturating_sub(max_wait));
             let earliest = fall.mul_f64(1.0 + (LAST_RANK_DELAY - 1.0) * position);
             let latest = request.client_time_left / CLIENT_WAIT_PART;
             AdmissionDecision::Refuse(self.returns.promise(
@@ -102,7 +109,32 @@
 
     /// Records that a server rejected a request because it was full.
     pub fn on_rejected(&mut self, now: ClockTime) {
-        self.pressure.on_rejected(now);
+        self.pressure.own.on_rejected(now);
+    }
+
+    /// Records what another node sees of the pressure of the service.
+    pub fn on_report(&mut self, now: ClockTime, report: PressureReport) {
+        self.pressure.on_report(now, report);
+    }
+
+    /// Returns the report of this node for the others, if one is due.
+    pub fn take_report(
+        &mut self,
+        now: ClockTime,
+        service: &str,
+        sender: u64,
+    ) -> Option<PressureReport> {
+        let pressure = self.pressure.take_report(now)?;
+        let ranks = self.demand.report(MAX_RANKS);
+        Some(PressureReport { service: service.to_string(), sender, pressure, ranks })
+    }
+
+    fn update_told_ranks(&mut self, now: ClockTime) {
+        if now.since(self.told_ranks_at) >= TOLD_RANKS_INTERVAL {
+            self.told_ranks_at = now;
+            self.pressure.expire(now);
+            self.demand.set_told(&self.pressure.told_ranks(now));
+        }
     }
 
     /// Returns the pressure of the service, from 0 to 1.
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -9,6 +9,7 @@
 mod admission_gate;
 mod admission_request;
 mod fair_shares;
+mod pressure_report;
 mod rank_demand;
 mod request_rank;
 mod return_schedule;
@@ -19,6 +20,7 @@
     admission_gate::AdmissionGate,
     admission_request::{AdmissionDecision, AdmissionRequest, AdmissionVerdict},
     fair_shares::{FairShares, RequestGroups},
+    pressure_report::{FleetPressure, PressureReport, RankReport, is_reporter},
     request_rank::RequestRank,
     return_schedule::{ReturnSchedule, ReturnWindow},
     service_pressure::ServicePressure,
--- a/crates/core/tests/overload/main.rs
+++ b/crates/core/tests/overload/main.rs
@@ -1,5 +1,6 @@
 //! Admission under overload: loads replayed against several nodes.
 
+mod reports;
 mod returns;
 mod shares;
 mod simulation;
@@ -20,6 +21,7 @@
     workspace_burst: 1.0,
     silent_servers: 0,
     ignores_delay: false,
+    is_isolated: false,
 };
 const LONG_BURST: LoadCase =
     LoadCase { name: "burst of long prompts", burst: [1.0, 2.4], ..STEADY };
@@ -110,3 +112,17 @@
         assert!(other > busy + 0.02, "{busy} and {other}: {}", setup(&ONE_WORKSPACE, &run));
     }
 }
+
+/// Guards against nodes that cut at different ranks, and against nodes that need the others to decide.
+#[test]
+fn nodes_agree_on_the_pressure_and_decide_alone_without_news() {
+    for case in [LONG_BURST, SILENT_SERVERS, ONE_WORKSPACE] {
+        let told = Simulation::run(case, SEEDS);
+        let isolated = LoadCase { is_isolated: true, ..case };
+        let alone = Simulation::run(isolated, SEEDS);
+        assert!(told.disagreement < alone.disagreement * 0.6, "{}", setup(&case, &told));
+        let [short, long] = alone.kinds;
+        assert!(short.on_time_share() > long.on_time_share(), "{}", setup(&isolated, &alone));
+        assert!(short.on_time_share() > 0.88, "{}", setup(&isolated, &alone));
+    }
+}
--- a/crates/core/tests/overload/simulation.rs
+++ b/crates/core/tests/overload/simulation.rs
@@ -3,13 +3,17 @@
 //! A server is a queue of work. A node sees at once what it sent itself and, after a delay, what the
 //! others sent.
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
 
 use carobvane_core::{
     clock::ClockTime,
     overload::{
-        AdmissionDecision, AdmissionGate, AdmissionRequest, RequestGroups, RequestRank,
-        UsualDeadlines,
+        AdmissionDecision, AdmissionGate, AdmissionRequest, PressureReport, RequestGroups,
+        RequestRank, UsualDeadlines,
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -44,6 +48,8 @@
     pub silent_servers: usize,
     /// Whether refused clients come back at once, instead of when they were told.
     pub ignores_delay: bool,
+    /// Whether nodes hear nothing from each other.
+    pub is_isolated: bool,
 }
 
 /// Counts of the requests of a group that arrived in the disturbance.
@@ -73,6 +79,8 @@
     pub kinds: [GroupTally; 2],
     pub longest: [GroupTally; 2],
     pub workspaces: [GroupTally; WORKSPACES],
+    /// Sum of the differences between the highest and the lowest pressure at the nodes, sampled.
+    pub disagreement: f64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -98,6 +106,8 @@
     servers: Vec<SimServer>,
     nodes: Vec<(AdmissionGate, UsualDeadlines)>,
     arrivals: BinaryHeap<Reverse<(u64, ClientRequest)>>,
+    /// Reports under way, and when they arrive.
+    reports: VecDeque<(u64, PressureReport)>,
     tally: RunTally,
 }
 
@@ -115,10 +125,15 @@
             servers: (0..SERVERS).map(|_| idle_server()).collect(),
             nodes: (0..NODES).map(|_| Default::default()).collect(),
             arrivals: BinaryHeap::new(),
+            reports: VecDeque::new(),
             tally,
         };
         for now in 0..25_000 {
             simulation.create_arrivals(now);
+            simulation.deliver_reports(now);
+            if now % 100 == 0 && Self::is_disturbed(now) {
+                simulation.sample_pressure(now);
+            }
             while let Some(Reverse((at, request))) = simulation.arrivals.peek().copied() {
                 if at > now {
                     break;
@@ -130,6 +145,27 @@
         simulation.tally
     }
 
+    fn sample_pressure(&mut self, now: u64) {
+        let pressure = |(gate, _): &(AdmissionGate, UsualDeadlines)| {
+            gate.pressure(ClockTime::from_millis(now))
+        };
+        let highest = self.nodes.iter().map(pressure).fold(0.0, f64::max);
+        let lowest = self.nodes.iter().map(pressure).fold(1.0, f64::min);
+        self.tally.disagreement += highest - lowest;
+    }
+
+    /// Delivers the reports of the nodes to all others.
+    fn deliver_reports(&mut self, now: u64) {
+        while self.reports.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, report)) = self.reports.pop_front() else { return };
+            for (index, (gate, _)) in self.nodes.iter_mut().enumerate() {
+                if index as u64 != report.sender && !self.case.is_isolated {
+                    gate.on_report(ClockTime::from_millis(now), report.clone());
+                }
+            }
+        }
+    }
+
     fn is_disturbed(now: u64) -> bool {
         (5_000..15_000).contains(&now)
     }
@@ -221,6 +257,9 @@
             is_return: deadlines.is_return(clock, request.kind as u64, deadline),
         };
         let verdict = gate.decide(clock, &admission, &mut self.rng);
+        if let Some(report) = gate.take_report(clock, "service", request.node as u64) {
+            self.reports.push_back((now + NEWS_DELAY_MS, report));
+        }
         match verdict.decision {
             AdmissionDecision::Admit if is_silent(usable[best]) => {}
             AdmissionDecision::Admit => self.send(now, &request, usable[best], work),
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -5,6 +5,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::WeightsVersion,
+    overload::PressureReport,
     traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, StreamKey},
 };
 use serde::{Deserialize, Serialize};
@@ -251,6 +252,10 @@
         #[n(3)]
         told_at: ClockTime,
     },
+    /// What the sender sees of the pressure of a service.
+    #[n(26)]
+    #[serde(skip)]
+    Pressure(#[n(0)] PressureReport),
 }
 
 impl NodeNotice {
@@ -278,7 +283,8 @@
             | NodeNotice::Cached { .. }
             | NodeNotice::CacheStore { .. }
             | NodeNotice::Silent { .. }
-            | NodeNotice::InFlight { .. } => false,
+            | NodeNotice::InFlight { .. }
+            | NodeNotice::Pressure(_) => false,
         }
     }
 }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -102,6 +102,7 @@
         | NodeNotice::LinksWanted
         | NodeNotice::Links { .. }
         | NodeNotice::StreamOrigin { software: None, .. } => {}
+        NodeNotice::Pressure(report) => state.admission.on_report(now, report),
         NodeNotice::Crashes(report) => crashes::apply_notice(node, state, &report),
         NodeNotice::Limited { instance, sender, statement, sent } => {
             server_limits::apply_notice(node, state, &instance, statement, (sender, sent));
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use carobvane_core::{
+    overload::{PressureReport, RankReport},
     suspects::ServerBuild,
     traffic::{CrashReport, ServerLoad},
 };
@@ -317,6 +318,26 @@
     }
 }
 
+/// Guards against reports of pressure that change on the way, take more bytes than a node may spend, or
+/// reach nodes of an earlier build as another notice.
+#[test]
+fn pressure_reports_reach_only_builds_that_know_them() {
+    let told = RankReport { rank: 399, work: 1_000, refused: 1_000 };
+    let notice = NodeNotice::Pressure(PressureReport {
+        service: "twelve-bytes".to_string(),
+        sender: u64::MAX,
+        pressure: 1_000,
+        ranks: vec![told; 4],
+    });
+    let bytes = minicbor::to_vec(&notice).unwrap();
+    assert_eq!(minicbor::decode::<NodeNotice>(&bytes).unwrap(), notice);
+    assert!(bytes.len() <= 80, "{} bytes", bytes.len());
+    for format in [None, Some(WireFormat::Postcard), Some(WireFormat::PostcardWithoutLeaving)] {
+        let datagrams = legacy::pack_datagrams(format, std::slice::from_ref(&notice));
+        assert!(datagrams.is_empty(), "{format:?}: {datagrams:?}");
+    }
+}
+
 /// Guards against a nested value in a datagram that exhausts the stack.
 #[test]
 fn nested_values_are_skipped() {
--- a/crates/node/src/server/admission/mod.rs
+++ b/crates/node/src/server/admission/mod.rs
@@ -5,16 +5,17 @@
 use carobvane_core::{
     clock::ClockTime,
     overload::{
-        AdmissionDecision, AdmissionGate, AdmissionRequest, AdmissionVerdict, RequestGroups,
-        RequestRank, UsualDeadlines,
+        AdmissionDecision, AdmissionGate, AdmissionRequest, AdmissionVerdict, PressureReport,
+        RequestGroups, RequestRank, UsualDeadlines, is_reporter,
     },
-    rendezvous::rendezvous_score,
+    rendezvous::{node_rank, rendezvous_score},
     traffic::{PlacementChoice, PlacementRefusal, SoftwareRule},
 };
 
 use crate::{
     client::request_context::RequestContext,
     clock,
+    fleet::node_notice::NodeNotice,
     node::{Node, NodeState},
 };
 
@@ -37,6 +38,13 @@
         self.gate(service).on_rejected(now);
     }
 
+    /// Records what another node sees of the pressure of a service.
+    pub fn on_report(&mut self, now: ClockTime, report: PressureReport) {
+        if let Some(gate) = self.gates.get_mut(&report.service) {
+            gate.on_report(now, report);
+        }
+    }
+
     fn gate(&mut self, service: &str) -> &mut AdmissionGate {
         let is_known = self.gates.contains_key(service) || self.gates.len() < MAX_SERVICES;
         self.gates.entry(if is_known { service.to_string() } else { String::new() }).or_default()
@@ -45,7 +53,7 @@
 
 /// Decides whether a request is sent to the server chosen for it. Fails with the retry delay if not.
 pub fn decide(
-    _node: &Node,
+    node: &Node,
     state: &mut NodeState,
     context: &RequestContext,
     choice: &PlacementChoice,
@@ -54,6 +62,7 @@
     let request = admission_request(state, context, choice, now);
     let gate = state.admission.gate(&context.service);
     let verdict = gate.decide(now, &request, &mut state.rng);
+    report_pressure(node, state, &context.service, now);
     let outcome = match verdict.decision {
         AdmissionDecision::Admit => "admitted",
         AdmissionDecision::Refuse(_) => "refused",
@@ -72,6 +81,18 @@
     }
 }
 
+/// Tells the other nodes of the pressure of a service, if this node is one of those that do.
+fn report_pressure(node: &Node, state: &mut NodeState, service: &str, now: ClockTime) {
+    let gate = state.admission.gate(service);
+    let Some(report) = gate.take_report(now, service, node.incarnation) else { return };
+    metrics::gauge!("carobvane_service_pressure", "service" => service.to_string())
+        .set(gate.pressure(now));
+    let names = state.members.live().map(|member| member.name.as_str());
+    if is_reporter(node_rank(service.as_bytes(), &node.settings.name, names)) {
+        node.broadcast(NodeNotice::Pressure(report));
+    }
+}
+
 fn admission_request(
     state: &mut NodeState,
     context: &RequestContext,
