Let requests wait at the node until a server has room

Cause: a request for which a server would have had room some ms later was refused, and its client came back much later.

Change: a request that will probably have room soon waits in a bounded queue (16 for a service and node), ordered by rank, returns before new ones, then by arrival. It waits at most a quarter of its target, and only as long as it is expected within 0.75 of the target afterwards. It looks for a server again every 15 to 60 ms, and its place is free when its client leaves. Ruled out: 0.85 of the target after the wait, with which more of the short prompts were late.

--- a/crates/core/src/overload/admission_gate.rs
+++ b/crates/core/src/overload/admission_gate.rs
@@ -6,8 +6,8 @@
 
 use super::{
     AdmissionDecision, AdmissionRequest, AdmissionVerdict, FairShares, FleetPressure,
-    PressureReport, ReturnSchedule, ReturnWindow, pressure_report::MAX_RANKS,
-    rank_demand::RankDemand,
+    PressureReport, ReturnSchedule, ReturnWindow, WaitQueue, WaitTicket,
+    pressure_report::MAX_RANKS, rank_demand::RankDemand,
 };
 use crate::clock::ClockTime;
 
@@ -30,6 +30,10 @@
 const LATE_FACTOR: f64 = 1.5;
 /// Such a request must be expected within this fraction of the time until it is due.
 const LATE_TIME_FRACTION: f64 = 0.5;
+/// A request that has waited at the node may fill this part of its target, by its expected latency.
+const WAITED_FRACTION: f64 = 0.75;
+/// Part of its target that a request waits at the node at most.
+const QUEUE_FRACTION: f64 = 0.25;
 /// Time between two updates of what other nodes tell of the ranks.
 const TOLD_RANKS_INTERVAL: Duration = Duration::from_millis(250);
 /// Clients wait at most this part of the time until they give up.
@@ -45,6 +49,7 @@
     demand: RankDemand,
     returns: ReturnSchedule,
     shares: FairShares,
+    queue: WaitQueue,
 }
 
 impl AdmissionGate {
@@ -58,53 +63,131 @@
         if request.continues {
             return decide_continued(request);
         }
+        self.update_told_ranks(now);
+        if request.ticket.is_none() {
+            self.record(now, request);
+        }
+        let pressure = self.pressure.pressure(now);
+        let excess = self.shares.excess(now, &request.groups);
+        let position = self.demand.position(request.rank, excess);
+        let is_starved = pressure > 0.0 && self.shares.is_starved(now, &request.groups);
+        let mut verdict = AdmissionVerdict {
+            decision: AdmissionDecision::Admit,
+            pressure,
+            position,
+            is_starved,
+            wait: request.expected.saturating_sub(request.idle),
+            max_wait: self.max_wait(now, request, pressure, position, is_starved),
+        };
+        let ticket = request.ticket;
+        let ticket = ticket.unwrap_or_else(|| self.queue.ticket(request.rank, request.is_return));
+        let has_room = verdict.wait <= verdict.max_wait && request.idle <= request.time_left;
+        let is_next = is_starved || pressure == 0.0 || self.queue.place(ticket) == 0;
+        if has_room && is_next {
+            self.queue.leave(ticket);
+            self.returns.on_admitted(now, position, request.is_return);
+            self.shares.on_admitted(now, &request.groups, request.server_ms);
+        } else if let Some(interval) = self.wait(now, request, &verdict, ticket) {
+            verdict.decision = AdmissionDecision::Wait(interval, ticket);
+        } else {
+            self.queue.leave(ticket);
+            self.demand.on_refused(request.rank);
+            let delay = self.retry_delay(now, request, &verdict, rng);
+            verdict.decision = AdmissionDecision::Refuse(delay);
+        }
+        verdict
+    }
+
+    fn record(&mut self, now: ClockTime, request: &AdmissionRequest) {
         let wait = request.expected.saturating_sub(request.idle);
         let room = room(request);
-        self.update_told_ranks(now);
         self.demand.record(now, request.rank, request.server_ms, room);
-        let tightest = self.demand.tightest_room(request.rank, room);
         if request.idle < request.time_left {
+            let tightest = self.demand.tightest_room(request.rank, room);
             self.pressure.own.on_wait(now, wait, tightest);
         }
         self.shares.on_request(now, &request.groups, request.server_ms);
-        let pressure = self.pressure.pressure(now);
-        let excess = self.shares.excess(now, &request.groups);
-        let position = self.demand.position(request.rank, excess);
+    }
+
+    /// Returns the longest expected wait with which a request is admitted.
+    fn max_wait(
+        &mut self,
+        now: ClockTime,
+        request: &AdmissionRequest,
+        pressure: f64,
+        position: f64,
+        is_starved: bool,
+    ) -> Duration {
+        let room = room(request);
+        let tightest = self.demand.tightest_room(request.rank, room);
         // More urgent requests must still be on time behind this one.
         let behind = tightest.saturating_sub(if tightest < room { request.idle } else { ZERO });
         let room = room.mul_f64(1.0 - pressure) + behind.mul_f64(pressure);
-        let mut max_wait = room.mul_f64(1.0 - PRESSURE_CUT * pressure * position);
-        max_wait = max_wait.mul_f64(1.0 - pressure * self.demand.refused_before(request.rank));
+        let mut share = 1.0 - PRESSURE_CUT * pressure * position;
+        share *= 1.0 - pressure * self.demand.refused_before(request.rank);
         if request.elapsed + request.idle > request.target {
-            max_wait = max_wait.mul_f64(1.0 - LATE_CUT * pressure);
+            share *= 1.0 - LATE_CUT * pressure;
         }
         if !request.is_return {
-            max_wait = max_wait.mul_f64(1.0 - self.returns.reserved_share(now, position));
-        }
-        if pressure == 0.0 {
-            max_wait = max_wait.max(late_room(request));
+            share *= 1.0 - self.returns.reserved_share(now, position);
         }
-        let is_starved = pressure > 0.0 && self.shares.is_starved(now, &request.groups);
+        let max_wait = room.mul_f64(share);
         if is_starved {
-            max_wait = max_wait.max(starved_room(request));
-        }
-        let decision = if wait <= max_wait && request.idle <= request.time_left {
-            self.returns.on_admitted(now, position, request.is_return);
-            self.shares.on_admitted(now, &request.groups, request.server_ms);
-            AdmissionDecision::Admit
+            max_wait.max(starved_room(request))
+        } else if pressure == 0.0 {
+            max_wait.max(late_room(request))
         } else {
-            self.demand.on_refused(request.rank);
-            let fall = self.pressure.own.time_to_fall(wait.saturating_sub(max_wait));
-            let earliest = fall.mul_f64(1.0 + (LAST_RANK_DELAY - 1.0) * position);
-            let latest = request.client_time_left / CLIENT_WAIT_PART;
-            AdmissionDecision::Refuse(self.returns.promise(
-                now,
-                ReturnWindow { earliest, latest },
-                position,
-                rng,
-            ))
-        };
-        AdmissionVerdict { decision, pressure, position, is_starved, wait, max_wait }
+            max_wait
+        }
+    }
+
+    /// Lets a request wait if it will probably be sent while it can be on time. Returns when it looks
+    /// for a server again.
+    fn wait(
+        &mut self,
+        now: ClockTime,
+        request: &AdmissionRequest,
+        verdict: &AdmissionVerdict,
+        ticket: WaitTicket,
+    ) -> Option<Duration> {
+        let known = self.queue.waits_until(ticket);
+        if request.ticket.is_some() && known.is_none() {
+            return None;
+        }
+        let until = known.unwrap_or(now + patience(request, verdict.max_wait));
+        let fall = self.pressure.own.time_to_fall(verdict.wait.saturating_sub(verdict.max_wait));
+        let gap = Duration::from_secs_f64(1.0 / self.returns.rate(now).max(1.0));
+        let place = self.queue.place(ticket);
+        let needed = fall.max(gap * place as u32);
+        if needed.is_zero() && place == 0 || now + needed >= until {
+            return None;
+        }
+        let has_entered = known.is_some() || self.queue.enter(now, ticket, until);
+        has_entered.then(|| WaitQueue::interval(place, gap).min(until.since(now)))
+    }
+
+    fn retry_delay(
+        &mut self,
+        now: ClockTime,
+        request: &AdmissionRequest,
+        verdict: &AdmissionVerdict,
+        rng: &mut impl Rng,
+    ) -> Duration {
+        let excess = verdict.wait.saturating_sub(verdict.max_wait);
+        let fall = self.pressure.own.time_to_fall(excess);
+        let earliest = fall.mul_f64(1.0 + (LAST_RANK_DELAY - 1.0) * verdict.position);
+        let latest = request.client_time_left / CLIENT_WAIT_PART;
+        self.returns.promise(now, ReturnWindow { earliest, latest }, verdict.position, rng)
+    }
+
+    /// Removes a request from the queue whose client has left.
+    pub fn on_left(&mut self, ticket: WaitTicket) {
+        self.queue.leave(ticket);
+    }
+
+    /// Number of requests that wait at this node.
+    pub fn waiting_count(&self) -> usize {
+        self.queue.len()
     }
 
     /// Records that a server rejected a request because it was full.
@@ -176,6 +259,14 @@
     bound.min(request.time_left.mul_f64(LATE_TIME_FRACTION)).saturating_sub(request.idle)
 }
 
+/// Longest wait at the node of a request that is sent when it is expected to wait for `max_wait` at
+/// the server: a short one, after which it is still well within its target.
+fn patience(request: &AdmissionRequest, max_wait: Duration) -> Duration {
+    let bound = request.target.mul_f64(WAITED_FRACTION).min(request.time_left);
+    let left = bound.saturating_sub(request.elapsed + request.idle + max_wait);
+    left.min(request.target.mul_f64(QUEUE_FRACTION))
+}
+
 /// Longest expected wait of a request of a group below its minimum share.
 fn starved_room(request: &AdmissionRequest) -> Duration {
     let bound = request.target.mul_f64(STARVED_FRACTION).min(request.time_left);
--- a/crates/core/src/overload/admission_request.rs
+++ b/crates/core/src/overload/admission_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{RequestGroups, RequestRank};
+use super::{RequestGroups, RequestRank, WaitTicket};
 
 /// A request for which a server has been chosen.
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +29,8 @@
     pub continues: bool,
     /// Whether its client was probably refused before.
     pub is_return: bool,
+    /// Its place in the queue if it has waited at this node; `None` at its first decision.
+    pub ticket: Option<WaitTicket>,
 }
 
 /// What to do with a request.
@@ -36,6 +38,8 @@
 pub enum AdmissionDecision {
     /// Send it.
     Admit,
+    /// Look for a server again after this time, and then decide with this ticket.
+    Wait(Duration, WaitTicket),
     /// Refuse it; the client may retry after this time.
     Refuse(Duration),
 }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -1,4 +1,5 @@
-//! Decides whether a request is sent to the server chosen for it, or refused with a retry delay.
+//! Decides whether a request is sent to the server chosen for it, waits at the node for a short time,
+//! or is refused with a retry delay.
 //!
 //! Load pattern: more work than the servers of a service finish, for seconds at a time, because of a
 //! burst of long or of short prompts, one workspace at several times its usual load, or servers that
@@ -15,6 +16,7 @@
 mod return_schedule;
 mod service_pressure;
 mod usual_deadlines;
+mod wait_queue;
 
 pub use self::{
     admission_gate::AdmissionGate,
@@ -25,4 +27,5 @@
     return_schedule::{ReturnSchedule, ReturnWindow},
     service_pressure::ServicePressure,
     usual_deadlines::UsualDeadlines,
+    wait_queue::{WaitQueue, WaitTicket},
 };
--- a/crates/core/src/overload/return_schedule.rs
+++ b/crates/core/src/overload/return_schedule.rs
@@ -44,7 +44,7 @@
     promised: VecDeque<[u32; BANDS]>,
     /// Number of the interval of the first entry since the origin of the clock.
     first: u64,
-    /// Admitted requests a second, averaged.
+    /// Value of the average rate of admitted requests at `rate_at`.
     admit_rate: f64,
     rate_at: ClockTime,
 }
@@ -109,7 +109,8 @@
         (f64::from(due) / admitted).min(MAX_RESERVED_SHARE)
     }
 
-    fn rate(&self, now: ClockTime) -> f64 {
+    /// Admitted requests a second, averaged.
+    pub fn rate(&self, now: ClockTime) -> f64 {
         self.admit_rate * (-now.since(self.rate_at).as_secs_f64() / RATE_TIME_CONSTANT_S).exp()
     }
 
--- a/crates/core/tests/overload/main.rs
+++ b/crates/core/tests/overload/main.rs
@@ -1,5 +1,6 @@
 //! Admission under overload: loads replayed against several nodes.
 
+mod queue;
 mod reports;
 mod returns;
 mod shares;
--- a/crates/core/tests/overload/simulation.rs
+++ b/crates/core/tests/overload/simulation.rs
@@ -13,7 +13,7 @@
     clock::ClockTime,
     overload::{
         AdmissionDecision, AdmissionGate, AdmissionRequest, PressureReport, RequestGroups,
-        RequestRank, UsualDeadlines,
+        RequestRank, UsualDeadlines, WaitTicket,
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -92,6 +92,7 @@
     arrived_ms: u64,
     node_arrived_ms: u64,
     node: usize,
+    ticket: Option<WaitTicket>,
 }
 
 struct SimServer {
@@ -190,6 +191,7 @@
                         arrived_ms: now,
                         node_arrived_ms: now,
                         node,
+                        ticket: None,
                     };
                     self.count(&request, |tally| tally.asked += 1.0);
                     self.arrivals.push(Reverse((now, request)));
@@ -255,6 +257,7 @@
             client_time_left: Duration::from_millis(left),
             continues: false,
             is_return: deadlines.is_return(clock, request.kind as u64, deadline),
+            ticket: request.ticket,
         };
         let verdict = gate.decide(clock, &admission, &mut self.rng);
         if let Some(report) = gate.take_report(clock, "service", request.node as u64) {
@@ -263,6 +266,11 @@
         match verdict.decision {
             AdmissionDecision::Admit if is_silent(usable[best]) => {}
             AdmissionDecision::Admit => self.send(now, &request, usable[best], work),
+            AdmissionDecision::Wait(delay, ticket) => {
+                let request = ClientRequest { ticket: Some(ticket), ..request };
+                let at = now + (delay.as_millis() as u64).max(1);
+                self.arrivals.push(Reverse((at, request)));
+            }
             AdmissionDecision::Refuse(delay) => self.refuse(now, request, delay),
         }
     }
@@ -294,7 +302,8 @@
         let delay = if self.case.ignores_delay { 1 } else { delay.as_millis() as u64 };
         let at = now + delay.min(left / 3);
         let node = self.rng.random_range(0..NODES);
-        let request = ClientRequest { is_return: true, node, node_arrived_ms: at, ..request };
+        let request =
+            ClientRequest { is_return: true, node, node_arrived_ms: at, ticket: None, ..request };
         self.arrivals.push(Reverse((at, request)));
     }
 }
--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -330,6 +330,7 @@
             client_time_left: Duration::from_secs(5),
             continues: false,
             is_return: false,
+            ticket: None,
         };
         let mut rng = SmallRng::seed_from_u64(7);
         let verdict = AdmissionGate::default().decide(now, &request, &mut rng);
--- a/crates/node/src/server/admission/mod.rs
+++ b/crates/node/src/server/admission/mod.rs
@@ -1,12 +1,12 @@
 //! Applies the decisions on admission under overload to the requests of this node.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use carobvane_core::{
     clock::ClockTime,
     overload::{
         AdmissionDecision, AdmissionGate, AdmissionRequest, AdmissionVerdict, PressureReport,
-        RequestGroups, RequestRank, UsualDeadlines, is_reporter,
+        RequestGroups, RequestRank, UsualDeadlines, WaitTicket, is_reporter,
     },
     rendezvous::{node_rank, rendezvous_score},
     traffic::{PlacementChoice, PlacementRefusal, SoftwareRule},
@@ -51,36 +51,84 @@
     }
 }
 
-/// Decides whether a request is sent to the server chosen for it. Fails with the retry delay if not.
+/// A request that has no room at the servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AdmissionError {
+    /// It is refused.
+    Refused(PlacementRefusal),
+    /// A server is to be chosen again after this time.
+    Waits(Duration, WaitTicket),
+}
+
+impl From<PlacementRefusal> for AdmissionError {
+    fn from(refusal: PlacementRefusal) -> AdmissionError {
+        AdmissionError::Refused(refusal)
+    }
+}
+
+/// A request that waits at this node. Its place in the queue is free when this is dropped, also when
+/// its client has left.
+pub struct WaitingRequest {
+    node: Rc<Node>,
+    service: String,
+    /// Its ticket.
+    pub ticket: WaitTicket,
+}
+
+impl WaitingRequest {
+    /// Creates the guard of a request that got a ticket.
+    pub fn new(node: &Rc<Node>, service: &str, ticket: WaitTicket) -> WaitingRequest {
+        WaitingRequest { node: node.clone(), service: service.to_string(), ticket }
+    }
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().admission.gate(&self.service).on_left(self.ticket);
+    }
+}
+
+/// Decides whether a request is sent to the server chosen for it. `ticket` is the one that it got at
+/// its last decision.
 pub fn decide(
     node: &Node,
     state: &mut NodeState,
     context: &RequestContext,
     choice: &PlacementChoice,
-) -> Result<(), PlacementRefusal> {
+    ticket: Option<WaitTicket>,
+) -> Result<(), AdmissionError> {
     let now = clock::now();
-    let request = admission_request(state, context, choice, now);
+    let request = AdmissionRequest { ticket, ..admission_request(state, context, choice, now) };
     let gate = state.admission.gate(&context.service);
     let verdict = gate.decide(now, &request, &mut state.rng);
     report_pressure(node, state, &context.service, now);
-    let outcome = match verdict.decision {
-        AdmissionDecision::Admit => "admitted",
-        AdmissionDecision::Refuse(_) => "refused",
-    };
-    let label = context.priority().min(9).to_string();
-    metrics::counter!(
-        "carobvane_admission_decisions_total", "priority" => label, "outcome" => outcome
-    )
-    .increment(1);
     match verdict.decision {
-        AdmissionDecision::Admit => Ok(()),
+        AdmissionDecision::Admit => {
+            count(context, "admitted");
+            Ok(())
+        }
+        AdmissionDecision::Wait(interval, next) => {
+            if ticket.is_none() {
+                count(context, "waited");
+            }
+            Err(AdmissionError::Waits(interval, next))
+        }
         AdmissionDecision::Refuse(delay) => {
+            count(context, "refused");
             log_refusal(context, &request, &verdict);
-            Err(PlacementRefusal::Busy(delay))
+            Err(AdmissionError::Refused(PlacementRefusal::Busy(delay)))
         }
     }
 }
 
+fn count(context: &RequestContext, outcome: &'static str) {
+    let priority = context.priority().min(9).to_string();
+    metrics::counter!(
+        "carobvane_admission_decisions_total", "priority" => priority, "outcome" => outcome
+    )
+    .increment(1);
+}
+
 /// Tells the other nodes of the pressure of a service, if this node is one of those that do.
 fn report_pressure(node: &Node, state: &mut NodeState, service: &str, now: ClockTime) {
     let gate = state.admission.gate(service);
@@ -127,6 +175,7 @@
         client_time_left: context.deadline.since(now),
         continues: context.software != SoftwareRule::Any || is_resumed,
         is_return,
+        ticket: None,
     }
 }
 
@@ -136,7 +185,7 @@
         pressure = verdict.pressure, position = verdict.position,
         wait_ms = verdict.wait.as_millis() as u64, max_wait_ms = verdict.max_wait.as_millis() as u64,
         idle_ms = request.idle.as_millis() as u64, decision:? = verdict.decision,
-        is_return = request.is_return, is_starved = verdict.is_starved;
+        waited = request.ticket.is_some(), is_return = request.is_return, is_starved = verdict.is_starved;
         "no room for a request"
     );
 }
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -85,10 +85,7 @@
     /// Chooses a server and takes a connection to it. The caller sends the request without waiting
     /// for anything else, since crashes may become known at any time.
     pub async fn open(node: &Rc<Node>, context: &mut RequestContext) -> Result<Attempt, OpenError> {
-        check_suspect(node, context)?;
-        // The configuration may have changed since the request was admitted or last sent.
-        context.cache_scope = node.state.borrow().routes.cache_scope(context.workspace.as_ref());
-        let (choice, instance) = choose_server(node, context).map_err(OpenError::Refused)?;
+        let (choice, instance) = choose_server(node, context).await?;
         context.tried_servers.push(choice.server);
         let flight = FlightGuard::start(node, context, &choice, &instance);
         let Some((address, max_open)) = node.server_endpoint(choice.server) else {
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -4,18 +4,22 @@
 
 use carobvane_core::{
     ids::ServerKey,
+    overload::WaitTicket,
     traffic::{
         AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
         PlacementRequest, ServerAvailability,
     },
 };
 
+use tokio::time::sleep;
+
 use crate::{
     client::request_context::RequestContext,
     clock,
     node::Node,
     server::{
-        admission, crashes,
+        admission::{self, AdmissionError, WaitingRequest},
+        crashes,
         server_limits::{ServerCall, record_call},
     },
 };
@@ -41,11 +45,33 @@
     }
 }
 
-/// Chooses a server, and returns the instance name with it.
-pub fn choose_server(
+/// Chooses a server, and returns the instance name with it. Waits if a server will soon have room.
+pub async fn choose_server(
     node: &Rc<Node>,
+    context: &mut RequestContext,
+) -> Result<(PlacementChoice, String), OpenError> {
+    let mut waiting: Option<WaitingRequest> = None;
+    loop {
+        check_suspect(node, context)?;
+        // The configuration may have changed since the request was admitted or last sent.
+        context.cache_scope = node.state.borrow().routes.cache_scope(context.workspace.as_ref());
+        let ticket = waiting.as_ref().map(|waiting| waiting.ticket);
+        match try_choose(node, context, ticket) {
+            Ok(chosen) => return Ok(chosen),
+            Err(AdmissionError::Refused(refusal)) => return Err(OpenError::Refused(refusal)),
+            Err(AdmissionError::Waits(interval, ticket)) => {
+                waiting.get_or_insert_with(|| WaitingRequest::new(node, &context.service, ticket));
+                sleep(interval).await;
+            }
+        }
+    }
+}
+
+fn try_choose(
+    node: &Node,
     context: &RequestContext,
-) -> Result<(PlacementChoice, String), PlacementRefusal> {
+    ticket: Option<WaitTicket>,
+) -> Result<(PlacementChoice, String), AdmissionError> {
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     let request = PlacementRequest {
@@ -65,7 +91,7 @@
         &context.tried_servers,
         &mut state.rng,
     )?;
-    admission::decide(node, state, context, &choice)?;
+    admission::decide(node, state, context, &choice, ticket)?;
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
     log::info!(
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
