--- a/crates/core/tests/cache_stores.rs
+++ b/crates/core/tests/cache_stores.rs
@@ -6,9 +6,9 @@
     clock::ClockTime,
     ids::WeightsVersion,
     traffic::{
-        CacheSource, ListingState, ModelWeights, PlacementChoice, PlacementPlanner,
-        PlacementRequest, PromptPart, PromptShape, ServerListing, ServerRegistry, SoftwareRule,
-        StoreId, StoreSite, cache_salt,
+        CacheSource, DEFAULT_PRIORITY, ListingState, ModelWeights, PlacementChoice,
+        PlacementPlanner, PlacementRequest, PromptPart, PromptShape, ServerListing, ServerRegistry,
+        SoftwareRule, StoreId, StoreSite, cache_salt,
     },
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -78,11 +78,10 @@
             model: Some("model"),
             prompt,
             cache_scope: 0,
+            priority: DEFAULT_PRIORITY,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             nodes: 9,
-            max_wait: Duration::from_secs(5),
-            time_left: Duration::from_secs(5),
         };
         let mut rng = SmallRng::seed_from_u64(7);
         self.planner.choose(now, &self.registry, &request, &[], &mut rng).expect("it is free")
--- a/crates/core/tests/placement_fleet/fleet.rs
+++ b/crates/core/tests/placement_fleet/fleet.rs
@@ -417,16 +417,20 @@
             priority: DEFAULT_PRIORITY,
             software: &SoftwareRule::Any,
             bytes: 1_000,
-            has_cache_store: false,
             nodes,
-            max_wait: Duration::from_millis(if is_long { 840 } else { 350 }),
-            time_left: Duration::from_secs(5),
         };
+        let max_wait = Duration::from_millis(if is_long { 840 } else { 350 });
         let tried: Vec<ServerKey> = tried.iter().map(|index| self.keys[*index]).collect();
-        self.planner.choose(now, &self.registry, &request, &tried, &mut self.rng).ok()
+        let choice = self.planner.choose(now, &self.registry, &request, &tried, &mut self.rng);
+        choice.ok().filter(|choice| {
+            choice.expected_latency <= max_wait.max(choice.idle_latency.mul_f64(IDLE_FACTOR))
+        })
     }
 }
 
+/// A prompt that takes this multiple of its time at an idle server is sent although that is long.
+const IDLE_FACTOR: f64 = 1.3;
+
 impl ModelServer {
     /// Returns when the first event and the last one come, or none if the server rejects the request.
     fn start(&mut self, now_us: u64, tokens: u32, output: f64, slots: usize) -> Option<(u64, u64)> {
--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -5,6 +5,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::{ServerKey, WeightsVersion},
+    overload::{AdmissionDecision, AdmissionGate, AdmissionRequest, RequestGroups, RequestRank},
     traffic::{
         CacheConfidence, CacheSource, DEFAULT_PRIORITY, ListingState, ModelWeights,
         PlacementChoice, PlacementPlanner, PlacementRefusal, PlacementRequest, PromptPart,
@@ -113,7 +114,6 @@
 }
 
 struct PlacementFixture {
-    max_wait: Duration,
     priority: u8,
     registry: ServerRegistry,
     planner: PlacementPlanner,
@@ -129,13 +129,7 @@
         let key = |index: usize| registry.key_of(&format!("i{index}"));
         let keys = (0..versions.len()).filter_map(key).collect();
         let planner = PlacementPlanner::new("a".to_string(), OLD_VERSION_LIFETIME);
-        PlacementFixture {
-            max_wait: Duration::from_secs(5),
-            priority: DEFAULT_PRIORITY,
-            registry,
-            planner,
-            keys,
-        }
+        PlacementFixture { priority: DEFAULT_PRIORITY, registry, planner, keys }
     }
 
     fn choose(
@@ -153,8 +147,6 @@
             software: &SoftwareRule::Any,
             bytes: 1_000,
             nodes: 9,
-            max_wait: self.max_wait,
-            time_left: Duration::from_secs(5),
         };
         self.planner.choose(now, &self.registry, &request, tried, &mut SmallRng::seed_from_u64(7))
     }
@@ -255,8 +247,6 @@
                 software: &SoftwareRule::Any,
                 bytes: 1_000,
                 nodes: 9,
-                max_wait: Duration::from_secs(5),
-                time_left: Duration::from_secs(5),
             };
             let choice = fixture.planner.choose(now, &fixture.registry, &request, &[], &mut rng);
             chosen.insert(choice.expect("twelve servers are free").server);
@@ -324,13 +314,30 @@
     ];
     for case in cases {
         let mut fixture = PlacementFixture::new(&[1]);
-        fixture.max_wait = Duration::from_millis(560);
         let now = millis(50_000);
         let server = fixture.registry.get_mut(fixture.keys[0]).expect("the server is listed");
         server.prefill_backlog.add(now, 1, case.backlog_tokens, DEFAULT_PRIORITY);
         let choice = fixture.choose(now, &prompt(&[], case.prompt_tokens), &[]);
+        let choice = choice.expect("a server is listed");
+        let request = AdmissionRequest {
+            rank: RequestRank::new(0, 0, choice.idle_latency_ms),
+            groups: RequestGroups::default(),
+            server_ms: choice.idle_latency_ms,
+            expected: choice.expected_latency,
+            idle: choice.idle_latency,
+            target: Duration::from_millis(800),
+            elapsed: Duration::ZERO,
+            time_left: Duration::from_secs(5),
+            client_time_left: Duration::from_secs(5),
+            continues: false,
+            is_return: false,
+            ticket: None,
+        };
+        let mut rng = SmallRng::seed_from_u64(7);
+        let verdict = AdmissionGate::default().decide(now, &request, &mut rng);
         let setup = format!("{} behind {}", case.prompt_tokens, case.backlog_tokens);
-        assert_eq!(choice.is_ok(), case.accepted, "{setup}: {choice:?}");
+        let accepted = verdict.decision == AdmissionDecision::Admit;
+        assert_eq!(accepted, case.accepted, "{setup}: {verdict:?}");
     }
 }
 
--- a/crates/core/tests/traffic_server_model.rs
+++ b/crates/core/tests/traffic_server_model.rs
@@ -80,8 +80,6 @@
             software: &SoftwareRule::Any,
             bytes: 0,
             nodes: 9,
-            max_wait: Duration::from_secs(5),
-            time_left: Duration::from_secs(5),
         };
         let choice =
             self.planner.choose(self.now, &self.registry, &request, &others, &mut self.rng);
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -5,6 +5,7 @@
 use carobvane_core::{
     clock::ClockTime,
     ids::WeightsVersion,
+    overload::PressureReport,
     plans::workspace_limit::{HomeAnswer, HomeCheck, TokenAnswer, TokenAsk, TokenReturn},
     traffic::{CrashReport, LimitStatement, PromptPart, ServerLoad, SpeedSample, StreamKey},
 };
@@ -307,6 +308,10 @@
     #[n(25)]
     #[serde(skip)]
     HomeCheck(#[n(0)] HomeMessage),
+    /// What the sender sees of the pressure of a service.
+    #[n(26)]
+    #[serde(skip)]
+    Pressure(#[n(0)] PressureReport),
 }
 
 /// What nodes that grant tokens tell each other of the nodes that they know.
@@ -352,7 +357,8 @@
             | NodeNotice::CacheStore { .. }
             | NodeNotice::FurtherStore { .. }
             | NodeNotice::Silent { .. }
-            | NodeNotice::InFlight { .. } => false,
+            | NodeNotice::InFlight { .. }
+            | NodeNotice::Pressure(_) => false,
         }
     }
 }
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -1,29 +1,29 @@
 //! Chooses a server for an attempt.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use carobvane_core::{
     ids::ServerKey,
+    overload::WaitTicket,
     traffic::{
         AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
-        PlacementRequest, ServerAvailability, SoftwareRule,
+        PlacementRequest, ServerAvailability,
     },
 };
 
+use tokio::time::sleep;
+
 use crate::{
     client::request_context::RequestContext,
     clock,
     node::Node,
     server::{
+        admission::{self, AdmissionError, WaitingRequest},
         crashes,
         server_limits::{ServerCall, record_call},
     },
 };
 
-/// A request is sent only if its expected wait is at most this fraction of the target latency:
-/// under overload the actual wait is about a third longer than the expected one.
-const MAX_WAIT_FRACTION: f64 = 0.7;
-
 /// Why no attempt could be opened.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum OpenError {
@@ -45,11 +45,33 @@
     }
 }
 
-/// Chooses a server, and returns the instance name with it.
-pub fn choose_server(
+/// Chooses a server, and returns the instance name with it. Waits if a server will soon have room.
+pub async fn choose_server(
     node: &Rc<Node>,
+    context: &mut RequestContext,
+) -> Result<(PlacementChoice, String), OpenError> {
+    let mut waiting: Option<WaitingRequest> = None;
+    loop {
+        check_suspect(node, context)?;
+        // The configuration may have changed since the request was admitted or last sent.
+        context.cache_scope = node.state.borrow().routes.cache_scope(context.workspace.as_ref());
+        let ticket = waiting.as_ref().map(|waiting| waiting.ticket);
+        match try_choose(node, context, ticket) {
+            Ok(chosen) => return Ok(chosen),
+            Err(AdmissionError::Refused(refusal)) => return Err(OpenError::Refused(refusal)),
+            Err(AdmissionError::Waits(interval, ticket)) => {
+                waiting.get_or_insert_with(|| WaitingRequest::new(node, &context.service, ticket));
+                sleep(interval).await;
+            }
+        }
+    }
+}
+
+fn try_choose(
+    node: &Node,
     context: &RequestContext,
-) -> Result<(PlacementChoice, String), PlacementRefusal> {
+    ticket: Option<WaitTicket>,
+) -> Result<(PlacementChoice, String), AdmissionError> {
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     let request = PlacementRequest {
@@ -61,8 +83,6 @@
         software: &context.software,
         bytes: context.body.len(),
         nodes: state.members.live().count().max(1),
-        max_wait: max_expected_wait(context),
-        time_left: context.time_left(now),
     };
     let choice = state.planner.choose(
         now,
@@ -71,6 +91,7 @@
         &context.tried_servers,
         &mut state.rng,
     )?;
+    admission::decide(node, state, context, &choice, ticket)?;
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
     log::info!(
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
@@ -100,16 +121,6 @@
     })
 }
 
-/// Returns the longest expected wait at which a request is still sent. One that would be late only
-/// delays those that can still be on time; its client is told when to retry instead. A stream that
-/// continues has no other servers to go to.
-fn max_expected_wait(context: &RequestContext) -> Duration {
-    if context.software != SoftwareRule::Any {
-        return context.time_left(clock::now()).mul_f64(MAX_WAIT_FRACTION);
-    }
-    context.rule.target_latency.mul_f64(MAX_WAIT_FRACTION)
-}
-
 /// Returns where KV cache is fetched from and saved to.
 pub fn cache_transfer_addresses(
     node: &Node,
