Keep the records of cached parts as long as they are true

Cause: shared parts that some server held were computed again, since entries ended after 20 s without use although cached, entries of requests that a server had rejected made it count as a holder for 20 s, so that the next request there fetched nothing, a full map refused the entries of new prefixes, events added entries without limit, and an engine that had started again with an empty cache kept its entries. Change: the parts of a request that ended without a response are dropped, unless another request or an event stands for them; a confirmed part lasts 90 s, in a store 180 s; a full map drops the least recently used eighth; a new epoch of an engine's events drops its records at all nodes. Not changed: salts that change with the isolated workspaces, and KV memory that is full, since its evictions are told by events. The drop of records at a new epoch has no test over sockets.

--- a/crates/core/src/traffic/cache_map.rs
+++ b/crates/core/src/traffic/cache_map.rs
@@ -6,15 +6,26 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use smallvec::SmallVec;
+
 use super::{CacheSource, PromptPart, PromptShape, StoreId};
 use crate::{clock::ClockTime, ids::ServerKey};
 
-/// Time without use after which a part counts as evicted from an engine.
-const PART_LIFETIME: Duration = Duration::from_secs(20);
+/// Time without use after which a confirmed part counts as evicted from an engine, if no event has said
+/// so. A shorter time, such as 20 s, ends the entries of prefixes that are still cached and only used
+/// seldom; an entry that stays too long costs a miss.
+const PART_LIFETIME: Duration = Duration::from_secs(90);
+/// Time after which a part is no longer expected of a request that has not responded.
+const EXPECTED_LIFETIME: Duration = Duration::from_secs(20);
 /// Like [`PART_LIFETIME`], in a store of KV cache. It is larger, and new weights evict nothing.
-const STORE_PART_LIFETIME: Duration = Duration::from_secs(60);
-/// Maximum number of entries. When full, those unused for half of [`PART_LIFETIME`] are dropped.
+const STORE_PART_LIFETIME: Duration = Duration::from_secs(180);
+/// Maximum number of entries: 140 engines with some 470 parts of 200 tokens each. When full, the least
+/// recently used ones are dropped.
 const MAX_ENTRIES: usize = 65_536;
+/// One in so many entries is dropped at a time, so that a search is worth its time.
+const DROPPED_PART: usize = 8;
+/// Maximum number of requests whose parts are expected. A further one expects nothing.
+const MAX_PENDING: usize = 8_192;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PartKey {
@@ -37,6 +48,16 @@
 struct PartUse {
     used_at: ClockTime,
     confidence: CacheConfidence,
+    /// Number of requests that were sent with the part and have not responded.
+    pending: u16,
+}
+
+/// Parts that a request was sent with.
+#[derive(Debug, Clone)]
+struct PendingRequest {
+    sent_at: ClockTime,
+    /// Ids of the parts, XORed with their salt.
+    parts: SmallVec<[u64; 4]>,
 }
 
 /// Changes that cache events made to the entries of an engine. Part ids are XORed with the salt.
@@ -52,6 +73,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct CacheMap {
     uses: HashMap<PartKey, PartUse>,
+    /// Requests that have not responded, by their server and number. Invariant: at most [`MAX_PENDING`].
+    pending: HashMap<(ServerKey, u64), PendingRequest>,
 }
 
 impl CacheMap {
@@ -95,28 +118,95 @@
         self.insert(now, CacheSource::Server(server), salt, shared, confidence);
     }
 
-    fn insert(
+    /// Records that a request with shared parts was sent to a server, which will cache them.
+    pub fn on_sent(
         &mut self,
         now: ClockTime,
-        site: CacheSource,
+        server: ServerKey,
+        request: u64,
         salt: u64,
         shared: &[PromptPart],
-        confidence: CacheConfidence,
     ) {
-        if self.uses.len() >= MAX_ENTRIES {
-            self.uses.retain(|_, part| now.since(part.used_at) < PART_LIFETIME / 2);
+        if shared.is_empty() {
+            return;
+        }
+        if self.pending.len() >= MAX_PENDING {
+            self.pending.retain(|_, known| now.since(known.sent_at) < EXPECTED_LIFETIME);
         }
-        if self.uses.len() >= MAX_ENTRIES {
+        if self.pending.len() >= MAX_PENDING || self.pending.contains_key(&(server, request)) {
             return;
         }
+        self.record(now, server, salt, shared, CacheConfidence::Expected);
+        let parts: SmallVec<[u64; 4]> = shared.iter().map(|part| part.id ^ salt).collect();
+        for part in &parts {
+            let key = PartKey { site: CacheSource::Server(server), part: *part };
+            if let Some(known) = self.uses.get_mut(&key) {
+                known.pending = known.pending.saturating_add(1);
+            }
+        }
+        self.pending.insert((server, request), PendingRequest { sent_at: now, parts });
+    }
+
+    /// Records that a request has ended, with or without a response. Parts that no other request with them
+    /// confirms or may confirm are dropped: one that was rejected has left nothing in the cache.
+    pub fn on_ended(&mut self, server: ServerKey, request: u64) {
+        let Some(ended) = self.pending.remove(&(server, request)) else { return };
+        for part in ended.parts {
+            let key = PartKey { site: CacheSource::Server(server), part };
+            let Some(known) = self.uses.get_mut(&key) else { continue };
+            known.pending = known.pending.saturating_sub(1);
+            if known.pending == 0 && known.confidence == CacheConfidence::Expected {
+                self.uses.remove(&key);
+            }
+        }
+    }
+
+    fn insert(
+        &mut self,
+        now: ClockTime,
+        site: CacheSource,
+        salt: u64,
+        shared: &[PromptPart],
+        confidence: CacheConfidence,
+    ) {
+        self.make_room();
         for part in shared {
             let key = PartKey { site, part: part.id ^ salt };
-            let known = self.uses.entry(key).or_insert(PartUse { used_at: now, confidence });
+            let new = PartUse { used_at: now, confidence, pending: 0 };
+            let known = self.uses.entry(key).or_insert(new);
             known.used_at = now;
             known.confidence = known.confidence.max(confidence);
         }
     }
 
+    /// Drops the least recently used entries if there is no room for another one.
+    fn make_room(&mut self) {
+        if self.uses.len() < MAX_ENTRIES {
+            return;
+        }
+        let mut times: Vec<ClockTime> = self.uses.values().map(|part| part.used_at).collect();
+        let dropped = times.len() / DROPPED_PART;
+        let (_, oldest_kept, _) = times.select_nth_unstable(dropped);
+        let oldest_kept = *oldest_kept;
+        let mut excess = dropped;
+        self.uses.retain(|_, part| {
+            // Of several with the same time, no more than needed are dropped.
+            let is_dropped = excess > 0 && part.used_at <= oldest_kept;
+            excess -= usize::from(is_dropped);
+            !is_dropped
+        });
+    }
+
+    /// Parts that a server was known to hold, each combined with its salt, for example to drop them after
+    /// it started again.
+    pub fn confirmed_parts(&self, server: ServerKey) -> Vec<u64> {
+        let site = CacheSource::Server(server);
+        let known = self.uses.iter().filter(|(key, part)| {
+            key.site == site && part.confidence == CacheConfidence::Confirmed
+        });
+        known.map(|(key, _)| key.part).collect()
+    }
+
     /// Applies cache events of an engine in order. Each has the part's id, XORed with its salt, and
     /// whether the part is cached now.
     pub fn apply_events(
@@ -132,8 +222,10 @@
             let key = PartKey { site: CacheSource::Server(server), part };
             let confidence = self.uses.get(&key).map(|known| known.confidence);
             if held && confidence != Some(CacheConfidence::Confirmed) {
-                self.uses
-                    .insert(key, PartUse { used_at: now, confidence: CacheConfidence::Confirmed });
+                self.make_room();
+                let pending = self.uses.get(&key).map_or(0, |known| known.pending);
+                let confidence = CacheConfidence::Confirmed;
+                self.uses.insert(key, PartUse { used_at: now, confidence, pending });
                 changes.added.push(part);
             } else if !held && confidence == Some(CacheConfidence::Confirmed) {
                 // Only a confirmed part is dropped. An expected one will be prefilled
@@ -166,14 +258,15 @@
         prompt: &PromptShape,
         confidence: CacheConfidence,
     ) -> u32 {
-        let lifetime = match site {
-            CacheSource::Server(_) => PART_LIFETIME,
-            CacheSource::Store(_) => STORE_PART_LIFETIME,
+        let lifetime = |known: &PartUse| match (site, known.confidence) {
+            (CacheSource::Store(_), _) => STORE_PART_LIFETIME,
+            (CacheSource::Server(_), CacheConfidence::Confirmed) => PART_LIFETIME,
+            (CacheSource::Server(_), CacheConfidence::Expected) => EXPECTED_LIFETIME,
         };
         let is_cached = |part: u64| {
             let known = self.uses.get(&PartKey { site, part: part ^ salt });
             known.is_some_and(|known| {
-                known.confidence >= confidence && now.since(known.used_at) < lifetime
+                known.confidence >= confidence && now.since(known.used_at) < lifetime(known)
             })
         };
         let parts = prompt.shared_parts().iter();
@@ -183,5 +276,6 @@
     /// Drops all entries of a server, for example after it loaded other weights.
     pub fn remove_server(&mut self, server: ServerKey) {
         self.uses.retain(|key, _| key.site != CacheSource::Server(server));
+        self.pending.retain(|(known, _), _| *known != server);
     }
 }
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -50,7 +50,7 @@
             if let Some(server) = state.registry.get_mut(key) {
                 server.prefill_backlog.add(now, request, tokens);
             }
-            state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
+            state.planner.cache.on_sent(now, key, request, salt, &parts);
         }
         NodeNotice::CacheStore { up, epoch } => {
             if let Some(store) = state.planner.stores.first() {
@@ -70,6 +70,7 @@
                 state.crashes.on_server_alive(key, now - NOTICE_AGE);
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Confirmed);
+            state.planner.cache.on_ended(key, request);
             let first = state.planner.stores.first().filter(|_| saves);
             if let Some(store) = saved_to.map(StoreId).or(first) {
                 state.planner.cache.record_stored(now, store, salt, &parts);
--- a/crates/node/src/server/cache_events.rs
+++ b/crates/node/src/server/cache_events.rs
@@ -102,6 +102,7 @@
         epoch = Some(batch.epoch);
         if restarted {
             since = 0;
+            drop_parts(node, key, instance);
             continue;
         }
         since = batch.next;
@@ -148,6 +149,16 @@
     A::decode_cache_events(response.status(), response.body())
 }
 
+/// Drops what an engine held before it started again, and tells the other nodes.
+fn drop_parts(node: &Node, server: ServerKey, instance: &str) {
+    let cache = &mut node.state.borrow_mut().planner.cache;
+    let held = cache.confirmed_parts(server);
+    let events = held.into_iter().map(|part| (part, false));
+    let changes = cache.apply_events(clock::now(), server, events);
+    log::info!(server = instance, parts = changes.removed.len(); "an engine has started again with an empty cache");
+    broadcast_changes(node, instance, &changes);
+}
+
 /// Broadcasts the changes that other nodes cannot infer from requests.
 fn broadcast_changes(node: &Node, instance: &str, changes: &CacheChanges) {
     for (parts, held) in [(&changes.added, true), (&changes.removed, false)] {
