Fetch KV cache by the time that it takes, and copy hot prefixes

Cause: a fetch counted 4 ms and 0.006 ms a token whatever the links, all nodes fetched from the first holder that they found, a store was asked whatever the way to it, and a prefix whose home was loaded went to any server. Change: the time of a fetch follows from kvTokenBytes, linkMbps of engines and stores (decoded now), the data centres and the transfers that this node has started on the link of the source; a fetch is made if it is shorter than the prefill that it spares, from the source with the largest gain, and not from a silent engine. A prefix has a first and a second home in rendezvous order. In placement_score.rs, FETCH_MS, FETCH_TOKEN_MS and HOME_BONUS_MS are gone, and the bonus of a home comes from prefix_placement.rs. Not covered: transfers that other nodes have started, and servers whose speed differs from the assumed prefill rate. No load was run.

--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CacheScope, IsolatedSet, StoreSite};
+use super::{CacheScope, EngineLinks, IsolatedSet, StoreId, StoreSite};
 use crate::rendezvous::rendezvous_score;
 
 /// Whether a route's requests may run more than once.
@@ -90,7 +90,9 @@
     /// Capacity of an engine's KV cache in tokens.
     pub kv_capacity: u64,
     /// Size of one token in the KV cache in bytes.
-    pub kv_token_bytes: u64,
+    pub kv_token_bytes: f64,
+    /// Speed of an engine's link in Mbit/s; `None` if the configuration does not tell it.
+    pub link_mbps: Option<f64>,
     /// Maximum number of subscribers to an engine's cache events.
     pub max_event_subscribers: u32,
     /// Names of the models that the engines serve.
@@ -106,6 +108,8 @@
     pub kv_capacity: u64,
     /// Data centre that the store is in; empty if the configuration names none.
     pub data_centre: String,
+    /// Speed of its link in Mbit/s; `None` if the configuration does not tell it.
+    pub link_mbps: Option<f64>,
 }
 
 /// What the servers of a service do.
@@ -275,6 +279,30 @@
         stores.collect()
     }
 
+    /// Links of the engines, by the names of their services.
+    pub fn engine_links(&self) -> HashMap<String, EngineLinks> {
+        let engines = self.services().filter_map(|spec| match &spec.role {
+            ServiceRole::Engine(engine) => {
+                let (token_bytes, mbps) = (engine.kv_token_bytes, engine.link_mbps);
+                Some((spec.name.clone(), EngineLinks { token_bytes, mbps }))
+            }
+            _ => None,
+        });
+        engines.collect()
+    }
+
+    /// Speeds of the links of the stores of KV cache, in Mbit/s.
+    pub fn store_links(&self) -> HashMap<StoreId, f64> {
+        let stores = self.services().filter_map(|spec| match &spec.role {
+            ServiceRole::CacheStore(store) => {
+                let site = StoreSite::new(&spec.name, store.address, &store.data_centre);
+                Some((site.id, store.link_mbps?))
+            }
+            _ => None,
+        });
+        stores.collect()
+    }
+
     /// All services of the current configuration.
     pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
         self.config.iter().flat_map(|config| config.services.iter())
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod entry_directory;
 mod event_stream;
 mod health;
+mod kv_transfers;
 mod latency;
 mod leaving_notices;
 mod long_prompt_pool;
@@ -26,6 +27,7 @@
 mod placement_request;
 mod placement_score;
 mod prefill_backlog;
+mod prefix_heat;
 mod prefix_placement;
 mod prompt;
 mod recent_runs;
@@ -59,6 +61,7 @@
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
+    kv_transfers::{EngineLinks, KvTransfers},
     leaving_notices::LeavingNotices,
     long_prompt_pool::{LONG_PROMPT_TOKENS, LongPromptPool},
     notice_relays::{
@@ -68,6 +71,7 @@
     placement::PlacementPlanner,
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     prefill_backlog::PrefillBacklog,
+    prefix_heat::PrefixHeat,
     prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
     registry::{
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -10,8 +10,9 @@
 use rand::Rng;
 
 use super::{
-    BackendServer, CacheMap, CacheStores, LONG_PROMPT_TOKENS, LongPromptPool, PlacementChoice,
-    PlacementRefusal, PlacementRequest, PromptShape, ServerRegistry, WeightsHistory,
+    BackendServer, CacheMap, CacheStores, KvTransfers, LONG_PROMPT_TOKENS, LongPromptPool,
+    PlacementChoice, PlacementRefusal, PlacementRequest, PrefixHeat, PromptShape, ServerRegistry,
+    WeightsHistory,
     latency::{expected_latency, prefill_ms},
     placement_limits::{self, MIN_RETRY_AFTER},
     prefix_placement::PrefixContext,
@@ -53,6 +54,10 @@
     pub cache: CacheMap,
     /// The stores of KV cache.
     pub stores: CacheStores,
+    /// How often prefixes are asked for.
+    pub heat: PrefixHeat,
+    /// How long KV cache takes from one server or store to another.
+    pub transfers: KvTransfers,
     pub(super) long_prompt_pool: LongPromptPool,
     /// Announced weights versions.
     pub weights: WeightsHistory,
@@ -68,6 +73,8 @@
             old_version_lifetime,
             cache: CacheMap::default(),
             stores: CacheStores::default(),
+            heat: PrefixHeat::default(),
+            transfers: KvTransfers::default(),
             long_prompt_pool: LongPromptPool::default(),
             weights: WeightsHistory::default(),
             plain_service_ms: HashMap::new(),
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -48,6 +48,8 @@
     pub shared_tokens: u32,
     /// Where the server may fetch KV cache that it lacks.
     pub fetch_from: Option<CacheSource>,
+    /// Tokens that it is expected to fetch from there.
+    pub fetched_tokens: u32,
     /// Store of KV cache to which the server should save the shared parts, because it lacks some.
     pub save_to_store: Option<StoreId>,
     /// Weights version of the model at the server; `None` on a plain service.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -12,17 +12,12 @@
     ids::{ServerKey, WeightsVersion},
 };
 
-/// Time to fetch KV cache from another server: a fixed part and a part for each token, in ms.
-const FETCH_MS: f64 = 4.0;
-const FETCH_TOKEN_MS: f64 = 0.006;
 /// Cost of each shared token that has to be prefilled, in ms, beyond its prefill time.
-const RECOMPUTE_TOKEN_MS: f64 = 0.04;
+pub(super) const RECOMPUTE_TOKEN_MS: f64 = 0.04;
 /// Share of a long prompt's prefill time that counts as cost for each running request it delays.
 const STALL_COST_SHARE: f64 = 0.1;
 /// Cost of a long prompt outside the long-prompt pool, or of a short one inside it, in ms.
 const WRONG_POOL_MS: f64 = 80.0;
-/// Cost advantage of the home of a prefix that no server is known to hold, in ms.
-const HOME_BONUS_MS: f64 = 30.0;
 /// Time to the first event without any prompt to prefill, in ms.
 const FIRST_EVENT_MS: f64 = 12.0;
 /// Delay of a prefill by each request that runs at the server, in ms.
@@ -64,6 +59,7 @@
             cached_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
+            fetched_tokens: 0,
             save_to_store: None,
             start_by: None,
             weights,
@@ -112,13 +108,12 @@
         let prompt = request.prompt;
         let shared = prompt.shared_tokens();
         let prefix = self.prefix_source(now, (choice.server, server), request, context, version);
-        let PrefixSource { fetched_tokens: fetched, .. } = prefix;
+        let PrefixSource { fetch_ms, .. } = prefix;
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
+        choice.fetched_tokens = prefix.fetched_tokens;
         choice.save_to_store = prefix.save_to_store;
         let prefill_ms = prefill_ms(choice.cached_tokens, prompt.prompt_tokens);
-        let fetch_ms =
-            if fetched > 0 { FETCH_MS + f64::from(fetched) * FETCH_TOKEN_MS } else { 0.0 };
         let load = server.health.load_report(now).unwrap_or_default();
         let running = (load.running + load.waiting).max(server.in_flight);
         let queued = running.saturating_sub(server.listing.slots.max(1)) + load.waiting;
@@ -137,9 +132,7 @@
         if context.long_prompt_servers.contains(&choice.server) != context.is_long_prompt {
             choice.cost_ms += WRONG_POOL_MS;
         }
-        if context.holder.is_none() && context.home == Some(choice.server) {
-            choice.cost_ms -= HOME_BONUS_MS;
-        }
+        choice.cost_ms -= context.home_bonus_ms(choice.server, fetch_ms);
     }
 
     fn old_weights_cost_ms(&self, now: ClockTime, model: &str, version: WeightsVersion) -> f64 {
--- a/crates/core/src/traffic/prefix_placement.rs
+++ b/crates/core/src/traffic/prefix_placement.rs
@@ -1,8 +1,9 @@
 //! Where the KV cache of a prompt's shared parts is, or should be.
 
 use super::{
-    BackendServer, CacheConfidence, CacheSource, LONG_PROMPT_TOKENS, PlacementPlanner,
-    PlacementRequest, ServerAvailability, ServerRegistry, StoreId,
+    BackendServer, CacheConfidence, CacheSource, LONG_PROMPT_TOKENS, PlacementChoice,
+    PlacementPlanner, PlacementRequest, ServerAvailability, ServerRegistry, StoreId,
+    latency::prefill_ms, placement_score::RECOMPUTE_TOKEN_MS, prefix_heat::MAX_COPIES,
 };
 use crate::{
     clock::ClockTime,
@@ -12,58 +13,87 @@
 
 /// Rendezvous key that ranks the servers for the long-prompt pool.
 const POOL_RANKING_KEY: &[u8] = b"prefill lane";
-
-/// A server that is known to hold the first `tokens` of a prompt in its KV cache.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct CacheHolder {
-    pub server: ServerKey,
-    pub version: WeightsVersion,
-    pub tokens: u32,
-}
+/// Cost advantage of the home of a prefix that no server is known to hold, in ms.
+const HOME_BONUS_MS: f64 = 30.0;
+/// Cost advantage of the server next in order, if the first one is too loaded, in ms.
+const SECOND_HOME_BONUS_MS: f64 = 15.0;
+/// Number of engines among which the source of a fetch is chosen.
+const MAX_SOURCES: usize = 8;
+/// Largest cost advantage of a server that should get a copy of a hot prefix, in ms. A fetch that takes longer
+/// costs the request more than the copy is worth.
+const MAX_COPY_BONUS_MS: f64 = 100.0;
 
 /// Facts about a request that are the same for all its candidate servers.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PrefixContext {
-    /// The server that holds most of the prompt; `None` if none is known to hold any of it.
-    pub holder: Option<CacheHolder>,
-    /// Server that all nodes prefer for the shared prefix while none is known to hold any of it.
-    pub home: Option<ServerKey>,
+    /// Whether a responding server is known to hold some of the prompt.
+    pub is_held: bool,
+    /// Servers that all nodes prefer for the shared prefix, the first and second one first. Invariant: at
+    /// most [`MAX_COPIES`].
+    pub homes: Vec<ServerKey>,
+    /// Number of these that should hold the prefix, by the rate of its requests.
+    pub copies: usize,
     /// Members of the long-prompt pool.
     pub long_prompt_servers: Vec<ServerKey>,
     pub is_long_prompt: bool,
-    /// Stores of KV cache that hold some of the prompt, for each weights version that a server has.
-    pub stored: Vec<StoredPrefix>,
-    /// The store that the prefix belongs to, for each of these versions.
-    pub store_homes: Vec<(WeightsVersion, StoreId)>,
+    /// Responding engines and stores that hold some of the prompt. Invariant: at most [`MAX_SOURCES`] engines.
+    pub sources: Vec<KnownSource>,
+    /// The store that the prefix belongs to and its data centre, for each version that a server has.
+    pub store_homes: Vec<(WeightsVersion, StoreId, u64)>,
 }
 
-/// A store of KV cache that is known to hold the first `tokens` of a prompt.
-#[derive(Debug, Clone)]
-pub(super) struct StoredPrefix {
-    pub store: StoreId,
-    pub data_centre: String,
+/// An engine or store that is known to hold the first `tokens` of a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownSource {
+    pub source: CacheSource,
+    /// Number of its data centre.
+    pub centre: u64,
     pub version: WeightsVersion,
     pub tokens: u32,
 }
 
 impl PrefixContext {
-    fn store_home(&self, version: WeightsVersion) -> Option<StoreId> {
-        let home = self.store_homes.iter().find(|(known, _)| *known == version);
-        home.map(|(_, store)| *store)
+    /// Adds an engine; if there are too many, those that hold least are left out.
+    fn add_engine(&mut self, engine: KnownSource) {
+        if self.sources.len() < MAX_SOURCES {
+            self.sources.push(engine);
+        } else if let Some(least) = self.sources.iter_mut().min_by_key(|known| known.tokens)
+            && least.tokens < engine.tokens
+        {
+            *least = engine;
+        }
     }
 
-    /// Returns the store that holds most of the prompt, of several that hold as much the one in the
-    /// same data centre.
-    fn best_store(&self, version: WeightsVersion, data_centre: &str) -> Option<&StoredPrefix> {
-        let known = self.stored.iter().filter(|stored| stored.version == version);
-        known.max_by_key(|stored| (stored.tokens, stored.data_centre == data_centre))
+    fn store_home(&self, version: WeightsVersion) -> Option<(StoreId, u64)> {
+        let home = self.store_homes.iter().find(|(known, ..)| *known == version);
+        home.map(|(_, store, centre)| (*store, *centre))
     }
 
-    fn stored_at(&self, version: WeightsVersion, store: StoreId) -> u32 {
-        let mut known = self.stored.iter();
-        let known = known.find(|stored| stored.version == version && stored.store == store);
-        known.map_or(0, |stored| stored.tokens)
+    fn tokens_at(&self, version: WeightsVersion, source: CacheSource) -> u32 {
+        let mut known = self.sources.iter();
+        let known = known.find(|known| known.version == version && known.source == source);
+        known.map_or(0, |known| known.tokens)
     }
+
+    /// Cost advantage of a server that all nodes prefer for the prefix, in ms, if a fetch by it takes
+    /// `fetch_ms`.
+    pub(super) fn home_bonus_ms(&self, server: ServerKey, fetch_ms: f64) -> f64 {
+        let Some(position) = self.homes.iter().position(|home| *home == server) else { return 0.0 };
+        if !self.is_held {
+            return [HOME_BONUS_MS, SECOND_HOME_BONUS_MS].get(position).copied().unwrap_or(0.0);
+        }
+        // Without the fetch, a server that is to hold a copy costs as much as one that does.
+        match position {
+            position if position < self.copies => fetch_ms.min(MAX_COPY_BONUS_MS),
+            0 | 1 => fetch_ms.min(SECOND_HOME_BONUS_MS),
+            _ => 0.0,
+        }
+    }
+}
+
+/// Number of a data centre, for comparisons.
+fn centre_number(data_centre: &str) -> u64 {
+    rendezvous_score(data_centre.as_bytes(), 0)
 }
 
 /// Where a server gets the shared parts of a prompt from.
@@ -75,6 +105,8 @@
     pub fetched_tokens: u32,
     /// Where it may fetch what it lacks.
     pub fetch_from: Option<CacheSource>,
+    /// Time of the fetch in ms.
+    pub fetch_ms: f64,
     /// Store to which it should save the shared parts.
     pub save_to_store: Option<StoreId>,
 }
@@ -101,10 +133,11 @@
             let confidence = CacheConfidence::Confirmed;
             let held = self.cache.cached_tokens(now, key, salt, request.prompt, confidence);
             // A fetch from a server that does not respond costs some hundred ms.
-            if !server.silence.is_silent()
-                && held > context.holder.map_or(0, |holder| holder.tokens)
-            {
-                context.holder = Some(CacheHolder { server: key, version, tokens: held });
+            if !server.silence.is_silent() && held > 0 {
+                context.is_held = true;
+                let source = CacheSource::Server(key);
+                let centre = centre_number(&server.listing.data_centre);
+                context.add_engine(KnownSource { source, centre, version, tokens: held });
             }
             let is_usable = !server.health.in_backoff(now) && !server.silence.is_silent();
             if server.availability == ServerAvailability::Ready && is_usable {
@@ -123,7 +156,19 @@
         let prefix = (prefix_id ^ request.cache_scope).to_le_bytes();
         let candidates = preferred.iter().filter(|(_, _, version)| Some(*version) == newest);
         let scored = candidates.map(|(number, key, _)| (rendezvous_score(&prefix, *number), *key));
-        context.home = scored.max().map(|(_, key)| key);
+        let mut scored: Vec<(u64, ServerKey)> = scored.collect();
+        if scored.len() > MAX_COPIES {
+            scored.select_nth_unstable_by_key(MAX_COPIES, |home| std::cmp::Reverse(*home));
+            scored.truncate(MAX_COPIES);
+        }
+        scored.sort_unstable_by_key(|home| std::cmp::Reverse(*home));
+        context.homes = scored.into_iter().map(|(_, key)| key).collect();
+        if let Some(version) = newest {
+            let heat_key = prefix_id ^ cache_salt(request.cache_scope, version);
+            let prompt = request.prompt;
+            let prompt_ms = prefill_ms(prompt.shared_tokens(), prompt.prompt_tokens);
+            context.copies = self.heat.copies(now, heat_key, prompt_ms);
+        }
         context
     }
 
@@ -138,12 +183,14 @@
         for version in versions.iter().copied() {
             let salt = cache_salt(request.cache_scope, version);
             let home = self.stores.home(now, prefix_id ^ salt);
-            context.store_homes.extend(home.map(|site| (version, site.id)));
+            let home = home.map(|site| (version, site.id, centre_number(&site.data_centre)));
+            context.store_homes.extend(home);
             for site in self.stores.usable(now) {
                 let tokens = self.cache.stored_tokens(now, site.id, salt, request.prompt);
                 if tokens > 0 {
-                    let (store, data_centre) = (site.id, site.data_centre.clone());
-                    context.stored.push(StoredPrefix { store, data_centre, version, tokens });
+                    let source = CacheSource::Store(site.id);
+                    let centre = centre_number(&site.data_centre);
+                    context.sources.push(KnownSource { source, centre, version, tokens });
                 }
             }
         }
@@ -162,30 +209,85 @@
         let salt = cache_salt(request.cache_scope, version);
         let confidence = CacheConfidence::Expected;
         let held = self.cache.cached_tokens(now, server, salt, prompt, confidence);
-        let store = context.best_store(version, &known.listing.data_centre);
-        let stored = store.map_or(0, |stored| stored.tokens);
-        let home = context.store_home(version);
         let shared = prompt.shared_tokens();
-        let holder = context.holder.filter(|known| known.version == version && known.tokens > held);
-        let (source, source_tokens) = match holder {
-            Some(holder) if holder.tokens >= stored => {
-                (Some(CacheSource::Server(holder.server)), holder.tokens)
-            }
-            _ if stored > held => (store.map(|stored| CacheSource::Store(stored.store)), stored),
-            // The store may hold more than this node knows, as after a restart; asking is cheap.
-            _ if held < shared => (home.map(CacheSource::Store), held),
-            _ => (None, held),
+        let centre = centre_number(&known.listing.data_centre);
+        let home = context.store_home(version);
+        let save_to_store = home
+            .map(|(store, _)| store)
+            .filter(|store| context.tokens_at(version, CacheSource::Store(*store)) < shared);
+        let local = PrefixSource {
+            cached_tokens: held,
+            fetched_tokens: 0,
+            fetch_from: None,
+            fetch_ms: 0.0,
+            save_to_store,
+        };
+        // The gain of a fetch: the prefill that it spares, less its own time.
+        let fetch = |source: CacheSource, tokens: u32, is_remote: bool| {
+            let fetched = tokens.saturating_sub(held);
+            let took = self.transfers.fetch_ms(now, request.service, source, fetched, is_remote)?;
+            let gain_ms = spared_ms(held, tokens, prompt.prompt_tokens) - took;
+            (fetched > 0 && gain_ms > 0.0).then_some((gain_ms, took, source, tokens))
         };
-        let cached_tokens = held.max(source_tokens);
-        PrefixSource {
-            cached_tokens,
-            fetched_tokens: cached_tokens - held,
-            fetch_from: source,
-            save_to_store: home.filter(|home| context.stored_at(version, *home) < shared),
+        let sources = context.sources.iter().filter(|known| known.version == version);
+        let mut sources = sources.filter(|known| known.tokens > held).peekable();
+        if sources.peek().is_none() {
+            // The store may hold more than this node knows, as after a restart; asking is cheap.
+            let asked = home.filter(|(store, place)| {
+                fetch(CacheSource::Store(*store), shared, *place != centre).is_some()
+            });
+            return PrefixSource {
+                fetch_from: asked.map(|(store, _)| CacheSource::Store(store)),
+                ..local
+            };
+        }
+        let fetches =
+            sources.filter_map(|known| fetch(known.source, known.tokens, known.centre != centre));
+        match fetches.max_by(|one, other| one.0.total_cmp(&other.0)) {
+            Some((_, fetch_ms, source, tokens)) => PrefixSource {
+                cached_tokens: tokens,
+                fetched_tokens: tokens - held,
+                fetch_from: Some(source),
+                fetch_ms,
+                save_to_store,
+            },
+            None => local,
         }
     }
 }
 
+impl PlacementPlanner {
+    /// Records that a chosen server is told to fetch, so that later fetches from the same source count the
+    /// wait for its link.
+    pub fn on_fetch_started(
+        &mut self,
+        now: ClockTime,
+        registry: &ServerRegistry,
+        service: &str,
+        choice: &PlacementChoice,
+    ) {
+        let Some(source) = choice.fetch_from.filter(|_| choice.fetched_tokens > 0) else { return };
+        let centre_of = |server| {
+            registry.get(server).map(|known: &BackendServer| known.listing.data_centre.as_str())
+        };
+        let of_source = match source {
+            CacheSource::Server(server) => centre_of(server),
+            CacheSource::Store(store) => {
+                let mut sites = self.stores.configured();
+                sites.find(|site| site.id == store).map(|site| site.data_centre.as_str())
+            }
+        };
+        let is_remote = of_source != centre_of(choice.server);
+        self.transfers.on_started(now, service, source, choice.fetched_tokens, is_remote);
+    }
+}
+
+/// Time that a server spares if it holds `tokens` rather than `held` tokens of a prompt, in ms.
+fn spared_ms(held: u32, tokens: u32, prompt_tokens: u32) -> f64 {
+    let computed = prefill_ms(held, prompt_tokens) - prefill_ms(tokens, prompt_tokens);
+    computed + f64::from(tokens.saturating_sub(held)) * RECOMPUTE_TOKEN_MS
+}
+
 /// Salt that separates the KV cache of different scopes and weights versions.
 pub fn cache_salt(cache_scope: u64, version: WeightsVersion) -> u64 {
     rendezvous_score(&version.0.to_le_bytes(), cache_scope)
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -51,6 +51,9 @@
                 server.prefill_backlog.add(now, request, tokens);
             }
             state.planner.cache.on_sent(now, key, request, salt, &parts);
+            if let Some(last) = parts.last() {
+                state.planner.heat.on_request(now, last.id ^ salt);
+            }
         }
         NodeNotice::CacheStore { up, epoch } => {
             if let Some(store) = state.planner.stores.first() {
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -75,6 +75,7 @@
         request = context.info.request_id, server = server.listing.instance, cost_ms = choice.cost_ms,
         expected_ms = choice.base_latency_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
+        fetched_tokens = choice.fetched_tokens,
         saves = choice.save_to_store.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.candidate_count, config:? = state.routes.version(),
@@ -83,7 +84,15 @@
         first_attempt:? = context.info.first_attempt;
         "server chosen"
     );
+    let source = match choice.fetch_from {
+        _ if choice.shared_tokens == 0 => "not shared",
+        Some(CacheSource::Server(_)) => "server",
+        Some(CacheSource::Store(_)) => "store",
+        None => "none",
+    };
+    metrics::counter!("carobvane_kv_sources_total", "source" => source).increment(1);
     let instance = server.listing.instance.clone();
+    state.planner.on_fetch_started(now, &state.registry, &context.service, &choice);
     // The request may be sent only later, but no other one must take its place under the limit.
     record_call(node, state, choice.server, ServerCall::Request);
     Ok((choice, instance))
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -208,6 +208,8 @@
             let in_force = state.routes.version();
             let taken = state.routes.apply(*config);
             state.planner.stores.configure(state.routes.cache_stores());
+            let (engines, stores) = (state.routes.engine_links(), state.routes.store_links());
+            state.planner.transfers.configure(engines, stores);
             log::info!(version, in_force:? = in_force, taken; "configuration received");
         }
         FleetEntry::BadConfig(cause) => {
