--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -20,6 +20,8 @@
     pub cached_tokens: u32,
     /// Tokens of these that it fetches.
     pub fetched_tokens: u32,
+    /// Time of the fetch by what is known of the links, in ms.
+    pub link_ms: f64,
     pub prompt_tokens: u32,
     /// Tokens of prompts that are prefilled before.
     pub ahead_tokens: u64,
@@ -47,7 +49,8 @@
     LatencyParts {
         prefill_ms: (wait_ms + prefill_ms(speed, work.cached_tokens, work.prompt_tokens)) * pace,
         wait_ms: wait_ms * pace,
-        fetch_ms: speed.fetch_ms(work.fetched_tokens),
+        // Transfers that other nodes have started show in what was learnt only.
+        fetch_ms: speed.fetch_ms(work.fetched_tokens).max(work.link_ms),
         step_ms: steps * speed.first_event_ms * pace,
         pace,
     }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod entry_directory;
 mod event_stream;
 mod health;
+mod kv_transfers;
 mod latency;
 mod leaving_notices;
 mod long_prompt_pool;
@@ -27,6 +28,7 @@
 mod placement_score;
 mod placement_spread;
 mod prefill_backlog;
+mod prefix_heat;
 mod prefix_placement;
 mod prompt;
 mod recent_runs;
@@ -61,6 +63,7 @@
     entry_directory::{DirectoryResponse, EntryNode, EntrySelector},
     event_stream::{CompleteEvents, EventError, EventSplitter},
     health::{ServerHealth, ServerLoad},
+    kv_transfers::{EngineLinks, KvTransfers},
     leaving_notices::LeavingNotices,
     long_prompt_pool::{LONG_PROMPT_TOKENS, LongPromptPool},
     notice_relays::{
@@ -71,6 +74,7 @@
     placement_request::{CacheSource, PlacementChoice, PlacementRefusal, PlacementRequest},
     placement_spread::RequestRates,
     prefill_backlog::{DEFAULT_PRIORITY, PrefillBacklog},
+    prefix_heat::PrefixHeat,
     prefix_placement::cache_salt,
     prompt::{PromptPart, PromptShape},
     registry::{
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -15,13 +15,11 @@
 };
 
 /// Cost of each shared token that has to be prefilled, in ms, beyond its prefill time.
-const RECOMPUTE_TOKEN_MS: f64 = 0.04;
+pub(super) const RECOMPUTE_TOKEN_MS: f64 = 0.04;
 /// Share of a long prompt's prefill time that counts as cost for each running request it delays.
 const STALL_COST_SHARE: f64 = 0.1;
 /// Cost of a long prompt outside the long-prompt pool, or of a short one inside it, in ms.
 const WRONG_POOL_MS: f64 = 80.0;
-/// Cost advantage of the home of a prefix that no server is known to hold, in ms.
-const HOME_BONUS_MS: f64 = 30.0;
 /// Cost of a server in another data centre beyond its latency, in ms: that traffic is expensive.
 const REMOTE_REQUEST_MS: f64 = 6.0;
 /// Further cost of another data centre for each 1,000 bytes of the request, in ms.
@@ -63,6 +61,7 @@
             cached_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
+            fetched_tokens: 0,
             save_to_store: None,
             start_by: None,
             weights,
@@ -115,9 +114,10 @@
         let prompt = request.prompt;
         let shared = prompt.shared_tokens();
         let prefix = self.prefix_source(now, (choice.server, server), request, context, version);
-        let PrefixSource { fetched_tokens: fetched, .. } = prefix;
+        let PrefixSource { fetch_ms, .. } = prefix;
         choice.cached_tokens = prefix.cached_tokens;
         choice.fetch_from = prefix.fetch_from;
+        choice.fetched_tokens = prefix.fetched_tokens;
         choice.save_to_store = prefix.save_to_store;
         let running = busy_requests(now, server);
         let waiting = running.saturating_sub(server.listing.slots.max(1));
@@ -127,7 +127,8 @@
         let queued = if is_full { 1 + waiting_ahead } else { 0 };
         let work = PromptWork {
             cached_tokens: choice.cached_tokens,
-            fetched_tokens: fetched,
+            fetched_tokens: prefix.fetched_tokens,
+            link_ms: fetch_ms,
             prompt_tokens: prompt.prompt_tokens,
             ahead_tokens,
             running,
@@ -149,9 +150,7 @@
         if context.long_prompt_servers.contains(&choice.server) != context.is_long_prompt {
             choice.cost_ms += WRONG_POOL_MS;
         }
-        if context.holder.is_none() && context.home == Some(choice.server) {
-            choice.cost_ms -= HOME_BONUS_MS;
-        }
+        choice.cost_ms -= context.home_bonus_ms(choice.server, fetch_ms);
     }
 
     /// Returns what the search needs of a server to spread requests.
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -98,6 +98,7 @@
         expected_ms = choice.base_latency_ms, wait_ms = choice.parts.wait_ms,
         prefill_ms = choice.parts.prefill_ms, fetch_ms = choice.parts.fetch_ms, held_tokens = choice.cached_tokens,
         shared_tokens = choice.shared_tokens, fetches = choice.fetch_from.is_some(),
+        fetched_tokens = choice.fetched_tokens,
         saves = choice.save_to_store.is_some(),
         prompt_tokens = context.info.prompt.prompt_tokens, in_flight = server.in_flight,
         weighed = choice.candidate_count, unknown_requests = choice.unknown_requests, config:? = state.routes.version(),
@@ -106,7 +107,15 @@
         first_attempt:? = context.info.first_attempt;
         "server chosen"
     );
+    let source = match choice.fetch_from {
+        _ if choice.shared_tokens == 0 => "not shared",
+        Some(CacheSource::Server(_)) => "server",
+        Some(CacheSource::Store(_)) => "store",
+        None => "none",
+    };
+    metrics::counter!("carobvane_kv_sources_total", "source" => source).increment(1);
     let instance = server.listing.instance.clone();
+    state.planner.on_fetch_started(now, &state.registry, &context.service, &choice);
     // The request may be sent only later, but no other one must take its place under the limit.
     record_call(node, state, choice.server, ServerCall::Request);
     Ok((choice, instance))
