Place requests where their KV memory fits

Nodes looked at slots only, so servers rejected or preempted requests, and one that held more than its memory would end.

Change: a node counts the tokens of its own requests at each server until 200 ms after their end, and those of others from an optional field of `Sent`. It never sends a request with which its own ones would exceed `kvCapacity`. A server without the memory as far as known counts as full.

If no server has the memory, the refusal is still that of no server.

--- a/crates/core/src/traffic/config.rs
+++ b/crates/core/src/traffic/config.rs
@@ -270,6 +270,14 @@
         })
     }
 
+    /// KV memory of each engine of a service in tokens; 0 if it is not known.
+    pub fn kv_capacity(&self, service: &str) -> u64 {
+        match self.service(service).map(|spec| &spec.role) {
+            Some(ServiceRole::Engine(engine)) => engine.kv_capacity,
+            _ => 0,
+        }
+    }
+
     /// All services of the current configuration.
     pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
         self.config.iter().flat_map(|config| config.services.iter())
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -79,7 +79,7 @@
     rollout_messages::{LoadOrder, OrderReply, RolloutEffect, RolloutSettings},
     server_limit::{LimitRank, LimitStatement, ServerLimit},
     server_links::{BLAME_DELAY, BlamedServer, LinkCheck, LinkFailure, LinkState, ServerLinks},
-    server_model::{LatencyParts, ServerModel, ServerSpeed, SpeedSample},
+    server_model::{KvMemory, LatencyParts, ServerModel, ServerSpeed, SpeedSample},
     stream_origins::{SoftwareReport, SoftwareRule, StreamKey, StreamOrigins},
     suspension::SuspensionDetector,
     watch_reports::{WatchReport, WatchReports},
--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -165,6 +165,10 @@
         if now < server.loading_until || server.health.is_at_rest(now) {
             return false;
         }
+        // The server would end if the requests of this node alone exceed its memory.
+        if request.kv_room(server.kv_memory.own_tokens(now)) == 0 {
+            return false;
+        }
         let health = &server.health;
         let probed = health.is_unresponsive() && server.in_flight > 0;
         if pass == SearchPass::Normal && (health.in_backoff(now) || probed) {
--- a/crates/core/src/traffic/placement_request.rs
+++ b/crates/core/src/traffic/placement_request.rs
@@ -21,6 +21,8 @@
     pub cache_scope: u64,
     /// Its priority at the servers; 0 is the most urgent.
     pub priority: u8,
+    /// KV memory of each server of the service in tokens; 0 if unknown.
+    pub kv_capacity: u64,
     /// Software versions of servers at which it may run.
     pub software: &'a SoftwareRule,
     /// Size of the request body in bytes.
@@ -35,6 +37,22 @@
     pub time_left: Duration,
 }
 
+impl PlacementRequest<'_> {
+    /// Tokens that the request holds at a server at most.
+    pub fn kv_tokens(&self) -> u64 {
+        u64::from(self.prompt.prompt_tokens) + u64::from(self.prompt.max_output_tokens)
+    }
+
+    /// Number of such requests that fit into a server's memory beside `held` tokens.
+    pub(super) fn kv_room(&self, held: u64) -> u32 {
+        if self.kv_capacity == 0 {
+            return u32::MAX;
+        }
+        let room = self.kv_capacity.saturating_sub(held) / self.kv_tokens().max(1);
+        u32::try_from(room).unwrap_or(u32::MAX)
+    }
+}
+
 /// The chosen server, with the estimates behind the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementChoice {
@@ -50,6 +68,8 @@
     pub parts: LatencyParts,
     /// Prompt tokens that the server probably holds or can fetch, and so need not prefill.
     pub cached_tokens: u32,
+    /// Tokens that requests hold at the server, as far as known.
+    pub kv_held_tokens: u64,
     /// Prompt tokens that other prompts may share.
     pub shared_tokens: u32,
     /// Where the server may fetch KV cache that it lacks.
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -26,7 +26,7 @@
 const REMOTE_REQUEST_MS: f64 = 6.0;
 /// Further cost of another data centre for each 1,000 bytes of the request, in ms.
 const REMOTE_KB_MS: f64 = 1.2;
-/// Cost of a server without a free slot beyond the wait, in ms: it may reject the request. More than a
+/// Cost of a server without a free slot or memory beyond the wait, in ms: it may reject the request. More than a
 /// fetch of a shared prefix takes.
 const FULL_SERVER_MS: f64 = 100.0;
 /// Cost of a server with a failure rate of 1, in ms; less in proportion to the rate.
@@ -57,6 +57,7 @@
             idle_latency_ms: 0.0,
             parts: LatencyParts::default(),
             cached_tokens: 0,
+            kv_held_tokens: 0,
             shared_tokens: request.prompt.shared_tokens(),
             fetch_from: None,
             save_to_store: false,
@@ -74,7 +75,7 @@
                 choice.cost_ms = choice.base_latency_ms;
             }
         }
-        if busy_requests(now, server) >= server.listing.slots.max(1) {
+        if is_full(now, server, request) {
             choice.cost_ms += FULL_SERVER_MS;
         }
         choice.cost_ms += server.health.failure_rate(now) * FAILURE_MS;
@@ -114,7 +115,8 @@
         let waiting = running.saturating_sub(server.listing.slots.max(1));
         let (ahead_tokens, waiting_ahead) =
             server.prefill_backlog.ahead(now, request.priority, waiting);
-        let is_full = running >= server.listing.slots.max(1);
+        choice.kv_held_tokens = server.kv_memory.held_tokens(now, running);
+        let is_full = is_full(now, server, request);
         let queued = if is_full { 1 + waiting_ahead } else { 0 };
         let work = PromptWork {
             cached_tokens: choice.cached_tokens,
@@ -159,7 +161,8 @@
             Some(_) => self.rates.mean_tokens(request.service) / speed.prefill_tokens_per_ms,
             None => speed.plain_ms / f64::from(slots),
         };
-        let room = slots.saturating_sub(busy_requests(now, server));
+        let busy = busy_requests(now, server);
+        let room = slots.saturating_sub(busy).min(request.kv_room(choice.kv_held_tokens));
         Candidate { server: choice.server, cost_ms: choice.cost_ms, step_ms, room }
     }
 
@@ -169,3 +172,10 @@
         if old { OLD_WEIGHTS_MS } else { 0.0 }
     }
 }
+
+/// Whether a server has no free slot, or not the memory for a request.
+fn is_full(now: ClockTime, server: &BackendServer, request: &PlacementRequest<'_>) -> bool {
+    let busy = busy_requests(now, server);
+    let held = server.kv_memory.held_tokens(now, busy);
+    busy >= server.listing.slots.max(1) || request.kv_room(held) == 0
+}
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use super::{
-    BrittleServer, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit, ServerModel,
+    BrittleServer, KvMemory, LeavingNotices, PrefillBacklog, ServerHealth, ServerLimit, ServerModel,
 };
 use crate::{
     arena::KeyArena,
@@ -84,6 +84,8 @@
     pub in_flight: u32,
     /// Prompts that it has yet to prefill, from all nodes as far as known.
     pub prefill_backlog: PrefillBacklog,
+    /// KV memory that requests hold there.
+    pub kv_memory: KvMemory,
     /// Speed that its responses show.
     pub model: ServerModel,
     /// Time until which it gets no requests because it loads weights or is about to.
@@ -157,6 +159,7 @@
             health: ServerHealth::default(),
             in_flight: 0,
             prefill_backlog: PrefillBacklog::default(),
+            kv_memory: KvMemory::default(),
             model: ServerModel::default(),
             loading_until: ClockTime::ZERO,
             limit: ServerLimit::default(),
--- a/crates/core/src/traffic/server_model/mod.rs
+++ b/crates/core/src/traffic/server_model/mod.rs
@@ -8,6 +8,7 @@
 //! proportion to its part of the expected time. It counts less if most of that was waiting, since the
 //! node knows the prompts of other nodes only in part.
 
+mod kv_memory;
 mod learnt_value;
 mod service_model;
 
@@ -16,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
+    kv_memory::KvMemory,
     learnt_value::LearntValue,
     service_model::{ServerSpeed, ServiceModels},
 };
--- a/crates/core/tests/placement_fleet/fleet.rs
+++ b/crates/core/tests/placement_fleet/fleet.rs
@@ -4,21 +4,16 @@
 
 use carobvane_core::{
     clock::ClockTime,
-    ids::{ServerKey, WeightsVersion},
-    traffic::{
-        DEFAULT_PRIORITY, ListingState, ModelWeights, PlacementChoice, PlacementPlanner,
-        PlacementRequest, PromptPart, PromptShape, ServerListing, ServerLoad, ServerRegistry,
-        SoftwareRule, SpeedSample,
-    },
+    traffic::{DEFAULT_PRIORITY, PlacementChoice, ServerLoad, SpeedSample},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-const SERVICE: &str = "engines";
-const MODEL: &str = "model";
-const PREFILL_TOKENS_PER_MS: f64 = 69.8;
-const STEP_MS: f64 = 4.39;
-/// Requests that wait at a server before it rejects further ones.
-const WAITING: usize = 4;
+use crate::{
+    node::{FleetNode, prompt},
+    server::ModelServer,
+};
+
+pub const SERVICE: &str = "engines";
 /// A node gives up a server that has not responded for this long.
 const TIMEOUT_US: u64 = 500_000;
 
@@ -91,26 +86,6 @@
     },
 }
 
-struct FleetNode {
-    registry: ServerRegistry,
-    planner: PlacementPlanner,
-    keys: Vec<ServerKey>,
-    rng: SmallRng,
-}
-
-#[derive(Default)]
-struct ModelServer {
-    speed: f64,
-    is_silent: bool,
-    prefill_free_us: u64,
-    /// Ends of running and waiting requests.
-    ends_us: Vec<u64>,
-    /// Earlier loads, by time.
-    loads: BTreeMap<u64, ServerLoad>,
-    /// Time of prefills and first steps at a server of speed 1, in ms.
-    work_ms: f64,
-}
-
 #[derive(Clone, Copy)]
 struct OpenRequest {
     choice: PlacementChoice,
@@ -373,97 +348,3 @@
         }
     }
 }
-
-impl FleetNode {
-    fn new(case: &FleetCase, seed: u64) -> FleetNode {
-        let mut registry = ServerRegistry::default();
-        for index in 0..case.servers {
-            let weights = ModelWeights { model: MODEL.to_string(), version: WeightsVersion(1) };
-            registry.apply_listing(ServerListing {
-                instance: format!("i{index}"),
-                started_at_ms: 1,
-                software: None,
-                service: SERVICE.to_string(),
-                address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-                data_centre: "a".to_string(),
-                slots: case.slots as u32,
-                state: ListingState::Ready,
-                weights: vec![weights],
-            });
-        }
-        let keys = (0..case.servers).filter_map(|index| registry.key_of(&format!("i{index}")));
-        FleetNode {
-            keys: keys.collect(),
-            registry,
-            planner: PlacementPlanner::new("a".to_string(), Duration::from_secs(8)),
-            rng: SmallRng::seed_from_u64(seed),
-        }
-    }
-
-    fn choose(
-        &mut self,
-        now: ClockTime,
-        nodes: usize,
-        is_long: bool,
-        tried: &[usize],
-    ) -> Option<PlacementChoice> {
-        let prompt = prompt(is_long);
-        self.planner.on_prompt(now, SERVICE, &prompt);
-        let request = PlacementRequest {
-            service: SERVICE,
-            model: Some(MODEL),
-            prompt: &prompt,
-            cache_scope: 0,
-            priority: DEFAULT_PRIORITY,
-            software: &SoftwareRule::Any,
-            bytes: 1_000,
-            has_cache_store: false,
-            nodes,
-            max_wait: Duration::from_millis(if is_long { 840 } else { 350 }),
-            time_left: Duration::from_secs(5),
-        };
-        let tried: Vec<ServerKey> = tried.iter().map(|index| self.keys[*index]).collect();
-        self.planner.choose(now, &self.registry, &request, &tried, &mut self.rng).ok()
-    }
-}
-
-impl ModelServer {
-    /// Returns when the first event and the last one come, or none if the server rejects the request.
-    fn start(&mut self, now_us: u64, tokens: u32, output: f64, slots: usize) -> Option<(u64, u64)> {
-        self.ends_us.retain(|end| *end > now_us);
-        self.ends_us.sort_unstable();
-        if self.ends_us.len() >= slots + WAITING {
-            return None;
-        }
-        self.work_ms += STEP_MS + f64::from(tokens) / PREFILL_TOKENS_PER_MS;
-        let queued = (self.ends_us.len() + 1).checked_sub(slots).filter(|queued| *queued > 0);
-        let slot_us = queued.map_or(now_us, |queued| self.ends_us[queued - 1]);
-        let start_us = slot_us.max(self.prefill_free_us);
-        let step_ms = STEP_MS / self.speed * (1.0 + self.ends_us.len() as f64 * 0.02);
-        let prefill_ms = f64::from(tokens) / PREFILL_TOKENS_PER_MS / self.speed;
-        self.prefill_free_us = start_us + ((prefill_ms + step_ms) * 1_000.0) as u64;
-        let end_us = self.prefill_free_us + (output * step_ms * 1_000.0) as u64;
-        self.ends_us.push(end_us);
-        Some((self.prefill_free_us, end_us))
-    }
-
-    fn load(&self, now_us: u64, slots: usize) -> ServerLoad {
-        let busy = self.ends_us.iter().filter(|end| **end > now_us).count();
-        ServerLoad {
-            running: busy.min(slots) as u32,
-            waiting: busy.saturating_sub(slots) as u32,
-            slots: slots as u32,
-            pace_percent: 100,
-        }
-    }
-}
-
-/// A prompt whose shared part every server holds, so that only its own part counts.
-fn prompt(is_long: bool) -> PromptShape {
-    let tokens = if is_long { 2_000 } else { 628 };
-    PromptShape {
-        parts: [PromptPart { id: 1, tokens }].into_iter().collect(),
-        prompt_tokens: tokens,
-        max_output_tokens: if is_long { 9 } else { 49 },
-    }
-}
--- a/crates/core/tests/placement_fleet/main.rs
+++ b/crates/core/tests/placement_fleet/main.rs
@@ -1,6 +1,8 @@
 //! Many nodes that place requests at the same servers, played with a model of servers and links.
 
 mod fleet;
+mod node;
+mod server;
 
 use fleet::{Fleet, FleetCase, FleetOutcome, Reports};
 
--- a/crates/core/tests/traffic_server_model.rs
+++ b/crates/core/tests/traffic_server_model.rs
@@ -77,6 +77,7 @@
             prompt: &prompt,
             cache_scope: 0,
             priority: DEFAULT_PRIORITY,
+            kv_capacity: 0,
             software: &SoftwareRule::Any,
             bytes: 0,
             has_cache_store: false,
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -68,6 +68,10 @@
         #[n(5)]
         #[serde(skip)]
         priority: Option<u8>,
+        /// Tokens that the request holds at the server at most; older nodes don't tell it.
+        #[n(6)]
+        #[serde(skip)]
+        kv_tokens: Option<u64>,
     },
     /// A server responded to a request, or the request ended without a response.
     #[n(4)]
--- a/crates/node/src/fleet/notices.rs
+++ b/crates/node/src/fleet/notices.rs
@@ -41,11 +41,12 @@
                 state.update_weights(key, &model, version);
             }
         }
-        NodeNotice::Sent { instance, request, tokens, salt, parts, priority } => {
+        NodeNotice::Sent { instance, request, tokens, salt, parts, priority, kv_tokens } => {
             let Some(key) = state.registry.key_of(&instance) else { return };
             if let Some(server) = state.registry.get_mut(key) {
                 let priority = priority.unwrap_or(DEFAULT_PRIORITY);
                 server.prefill_backlog.add(now, request, tokens, priority);
+                server.kv_memory.add_peer(now, request, kv_tokens.unwrap_or(tokens.into()));
             }
             state.planner.cache.record(now, key, salt, &parts, CacheConfidence::Expected);
         }
@@ -54,6 +55,9 @@
             let Some(key) = state.registry.key_of(&instance) else { return };
             let Some(server) = state.registry.get_mut(key) else { return };
             let own_tokens = server.prefill_backlog.remove(request);
+            if parts.is_empty() && speed.is_none() {
+                server.kv_memory.remove_peer(request);
+            }
             if let Some(load) = load {
                 server.health.on_load_report(now, load);
                 state.crashes.on_server_alive(key, now - NOTICE_AGE);
--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -23,6 +23,8 @@
     /// Number of the attempt across all nodes; `None` for a request that needs no model weights, or
     /// once its prompt has been processed.
     prefill_number: Option<u64>,
+    /// Number of the attempt at an engine.
+    kv_number: Option<u64>,
     /// What the response showed of the server's speed.
     pub speed: Option<SpeedSample>,
 }
@@ -51,7 +53,11 @@
             let rates = &mut node.state.borrow_mut().planner.rates;
             rates.on_own_request(clock::now(), &context.service, tokens);
         }
+        let kv_tokens = u64::from(prompt.prompt_tokens) + u64::from(prompt.max_output_tokens);
         let prefill_number = choice.weights.map(|version| {
+            if let Some(server) = node.state.borrow_mut().registry.get_mut(choice.server) {
+                server.kv_memory.add_own(number, kv_tokens);
+            }
             let notice = NodeNotice::Sent {
                 instance: instance.clone(),
                 request: number,
@@ -59,6 +65,7 @@
                 salt: cache_salt(context.cache_scope.number(), version),
                 parts: prompt.shared_parts().to_vec(),
                 priority: Some(context.priority()),
+                kv_tokens: Some(kv_tokens),
             };
             notices::apply(node, notice.clone());
             node.broadcast(notice);
@@ -69,6 +76,7 @@
             server: choice.server,
             instance,
             prefill_number,
+            kv_number: prefill_number,
             speed: None,
         }
     }
@@ -106,6 +114,11 @@
 impl Drop for FlightGuard {
     fn drop(&mut self) {
         self.report(None, 0, &[], false);
+        if let Some(number) = self.kv_number
+            && let Some(server) = self.node.state.borrow_mut().registry.get_mut(self.server)
+        {
+            server.kv_memory.release_own(clock::now(), number);
+        }
         change_in_flight(&self.node, self.server, -1);
     }
 }
