Separate long prompts only where streams would be late

Cause: long prompts always preferred a pool of servers. A chunk of 2,048 tokens takes 29 ms at 69.8 tokens a ms, so no stream with gaps of 300 ms is late beside them, while the pool unbalanced the servers.

Change: long and short prompts share all servers if 2.5 times a decode step with a chunk is within the shortest gap target of recent streams.

Gaps between events were not played.

--- a/crates/core/src/traffic/placement.rs
+++ b/crates/core/src/traffic/placement.rs
@@ -76,7 +76,17 @@
     }
 
     /// Records a client's prompt to a service. The long-prompt pool is sized by these prompts.
-    pub fn on_prompt(&mut self, now: ClockTime, service: &str, prompt: &PromptShape) {
+    /// `gap` is the longest gap between events with which its stream is on time.
+    pub fn on_prompt(
+        &mut self,
+        now: ClockTime,
+        service: &str,
+        prompt: &PromptShape,
+        gap: Option<Duration>,
+    ) {
+        if let Some(gap) = gap {
+            self.long_prompt_pool.on_gap_target(now, gap);
+        }
         if prompt.prompt_tokens >= LONG_PROMPT_TOKENS {
             let speed = self.services.median(service);
             let prefill_ms = prefill_ms(&speed, prompt.shared_tokens(), prompt.prompt_tokens);
--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -135,11 +135,13 @@
             parts.prefill_ms - parts.wait_ms + parts.fetch_ms + speed.first_event_ms;
         let recomputed = shared.saturating_sub(choice.cached_tokens);
         choice.cost_ms = choice.base_latency_ms + f64::from(recomputed) * RECOMPUTE_TOKEN_MS;
-        if context.is_long_prompt {
+        let is_separated = !context.long_prompt_servers.is_empty();
+        if context.is_long_prompt && is_separated {
             // Every stream at the server waits during the prefill.
             choice.cost_ms += f64::from(running) * prefill_ms * STALL_COST_SHARE;
         }
-        if context.long_prompt_servers.contains(&choice.server) != context.is_long_prompt {
+        let in_pool = context.long_prompt_servers.contains(&choice.server);
+        if is_separated && in_pool != context.is_long_prompt {
             choice.cost_ms += WRONG_POOL_MS;
         }
         if context.holder.is_none() && context.home == Some(choice.server) {
--- a/crates/core/src/traffic/prefix_placement.rs
+++ b/crates/core/src/traffic/prefix_placement.rs
@@ -28,7 +28,7 @@
     pub holder: Option<CacheHolder>,
     /// Server that all nodes prefer for the shared prefix while none is known to hold any of it.
     pub home: Option<ServerKey>,
-    /// Members of the long-prompt pool.
+    /// Members of the long-prompt pool; empty if none is needed.
     pub long_prompt_servers: Vec<ServerKey>,
     pub is_long_prompt: bool,
 }
@@ -72,10 +72,14 @@
             }
         }
         ranked.sort_unstable_by_key(|(score, key, _)| (std::cmp::Reverse(*score), *key));
-        let size = self.long_prompt_pool.size(now, ranked.len(), request.nodes).min(ranked.len());
+        let size = match self.long_prompt_pool.is_needed(now, &self.typical_speed(request.service))
+        {
+            true => self.long_prompt_pool.size(now, ranked.len(), request.nodes).min(ranked.len()),
+            false => 0,
+        };
         context.long_prompt_servers = ranked[..size].iter().map(|(_, key, _)| *key).collect();
         context.is_long_prompt = is_long_prompt;
-        let preferred = if is_long_prompt { &ranked[..size] } else { &ranked[size..] };
+        let preferred = if is_long_prompt && size > 0 { &ranked[..size] } else { &ranked[size..] };
         let newest = preferred.iter().map(|(_, _, version)| *version).max();
         let Some(prefix_id) = request.prompt.prefix_id() else { return context };
         let prefix = (prefix_id ^ request.cache_scope).to_le_bytes();
--- a/crates/node/src/client/request.rs
+++ b/crates/node/src/client/request.rs
@@ -160,7 +160,7 @@
     let state = &mut *node.state.borrow_mut();
     let cache_scope = state.routes.cache_scope(workspace.as_ref());
     state.on_request(now, &service, &node.settings.bounds);
-    state.planner.on_prompt(now, &service, &info.prompt);
+    state.planner.on_prompt(now, &service, &info.prompt, rule.target_event_gap);
     let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
     if verdict != CrashVerdict::Allow {
         return Err(refused(suspect_response(verdict, false)));
