--- a/crates/core/src/traffic/prefix_placement.rs
+++ b/crates/core/src/traffic/prefix_placement.rs
@@ -34,7 +34,7 @@
     pub homes: Vec<ServerKey>,
     /// Number of these that should hold the prefix, by the rate of its requests.
     pub copies: usize,
-    /// Members of the long-prompt pool.
+    /// Members of the long-prompt pool; empty if none is needed.
     pub long_prompt_servers: Vec<ServerKey>,
     pub is_long_prompt: bool,
     /// Responding engines and stores that hold some of the prompt. Invariant: at most [`MAX_SOURCES`] engines.
@@ -148,10 +148,14 @@
         }
         self.add_stores(now, request, &versions, &mut context);
         ranked.sort_unstable_by_key(|(score, key, _)| (std::cmp::Reverse(*score), *key));
-        let size = self.long_prompt_pool.size(now, ranked.len(), request.nodes).min(ranked.len());
+        let size = match self.long_prompt_pool.is_needed(now, &self.typical_speed(request.service))
+        {
+            true => self.long_prompt_pool.size(now, ranked.len(), request.nodes).min(ranked.len()),
+            false => 0,
+        };
         context.long_prompt_servers = ranked[..size].iter().map(|(_, key, _)| *key).collect();
         context.is_long_prompt = is_long_prompt;
-        let preferred = if is_long_prompt { &ranked[..size] } else { &ranked[size..] };
+        let preferred = if is_long_prompt && size > 0 { &ranked[..size] } else { &ranked[size..] };
         let newest = preferred.iter().map(|(_, _, version)| *version).max();
         let Some(prefix_id) = request.prompt.prefix_id() else { return context };
         let prefix = (prefix_id ^ request.cache_scope).to_le_bytes();
--- a/crates/core/tests/cache_stores.rs
+++ b/crates/core/tests/cache_stores.rs
@@ -79,6 +79,7 @@
             prompt,
             cache_scope: 0,
             priority: DEFAULT_PRIORITY,
+            kv_capacity: 0,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             nodes: 9,
--- a/crates/core/tests/kv_transfers.rs
+++ b/crates/core/tests/kv_transfers.rs
@@ -123,6 +123,7 @@
             prompt: &prompt,
             cache_scope: 0,
             priority: DEFAULT_PRIORITY,
+            kv_capacity: 0,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             nodes: 9,
--- a/crates/core/tests/prefix_heat.rs
+++ b/crates/core/tests/prefix_heat.rs
@@ -92,7 +92,7 @@
 /// A planner whose pool of servers for long prompts is as large as the service, and stays so.
 fn planner() -> PlacementPlanner {
     let mut planner = PlacementPlanner::new("a".to_string(), Duration::from_secs(8));
-    (0..200).for_each(|_| planner.on_prompt(at(20_000), "engines", &prompt()));
+    (0..200).for_each(|_| planner.on_prompt(at(20_000), "engines", &prompt(), None));
     planner
 }
 
@@ -109,6 +109,7 @@
         prompt: &prompt,
         cache_scope: 0,
         priority: DEFAULT_PRIORITY,
+        kv_capacity: 0,
         software: &SoftwareRule::Any,
         bytes: 1_000,
         nodes: 9,
--- a/crates/core/tests/traffic_placement.rs
+++ b/crates/core/tests/traffic_placement.rs
@@ -144,6 +144,7 @@
             prompt,
             cache_scope: 0,
             priority: self.priority,
+            kv_capacity: 0,
             software: &SoftwareRule::Any,
             bytes: 1_000,
             nodes: 9,
@@ -231,7 +232,7 @@
     let long = prompt(&[], 9_000);
     let short = prompt(&[], 400);
     for _ in 0..4 {
-        fixture.planner.on_prompt(now, SERVICE, &long);
+        fixture.planner.on_prompt(now, SERVICE, &long, None);
     }
     let rounds = 40;
     let servers = |fixture: &PlacementFixture, request: &PromptShape| {
@@ -244,6 +245,7 @@
                 prompt: request,
                 cache_scope: 0,
                 priority: DEFAULT_PRIORITY,
+                kv_capacity: 0,
                 software: &SoftwareRule::Any,
                 bytes: 1_000,
                 nodes: 9,
--- a/crates/node/src/client/request.rs
+++ b/crates/node/src/client/request.rs
@@ -168,7 +168,7 @@
         let now = clock::now();
         let state = &mut *node.state.borrow_mut();
         state.on_request(now, &service, &node.settings.bounds);
-        state.planner.on_prompt(now, &service, &info.prompt);
+        state.planner.on_prompt(now, &service, &info.prompt, rule.target_event_gap);
         let verdict = crashes::check_verdict(node, state, &id, &service, &suspects);
         if verdict != CrashVerdict::Allow {
             return Err(refused(suspect_response(verdict, false)));
