Replay overload of plain services, and learn nothing from requests out of time

Cause: what a node learnt of a rank depended on the time that its requests had left. One urgent request that was nearly out of time made the queues look full and took the room of all less urgent ones. Plain services with several slots were not replayed.

Change: pressure and the room of a rank follow from the target alone; the time left bounds only the request itself. The simulation has servers with several slots.

--- a/crates/core/src/overload/admission_gate.rs
+++ b/crates/core/src/overload/admission_gate.rs
@@ -100,12 +100,10 @@
 
     fn record(&mut self, now: ClockTime, request: &AdmissionRequest) {
         let wait = request.expected.saturating_sub(request.idle);
-        let room = room(request);
+        let room = target_room(request);
         self.demand.record(now, request.rank, request.server_ms, room);
-        if request.idle < request.time_left {
-            let tightest = self.demand.tightest_room(request.rank, room);
-            self.pressure.own.on_wait(now, wait, tightest);
-        }
+        let tightest = self.demand.tightest_room(request.rank, room);
+        self.pressure.own.on_wait(now, wait, tightest);
         self.shares.on_request(now, &request.groups, request.server_ms);
     }
 
@@ -118,7 +116,7 @@
         position: f64,
         is_starved: bool,
     ) -> Duration {
-        let room = room(request);
+        let room = target_room(request);
         let tightest = self.demand.tightest_room(request.rank, room);
         // More urgent requests must still be on time behind this one.
         let behind = tightest.saturating_sub(if tightest < room { request.idle } else { ZERO });
@@ -131,7 +129,7 @@
         if !request.is_return {
             share *= 1.0 - self.returns.reserved_share(now, position);
         }
-        let max_wait = room.mul_f64(share);
+        let max_wait = room.mul_f64(share).min(request.time_left.saturating_sub(request.idle));
         if is_starved {
             max_wait.max(starved_room(request))
         } else if pressure == 0.0 {
@@ -246,10 +244,12 @@
     }
 }
 
-/// Longest expected wait of a request without pressure.
-fn room(request: &AdmissionRequest) -> Duration {
+/// Longest expected wait of a request without pressure that has enough time left. What is learnt of a
+/// rank does not depend on the time left, since a single request that is nearly out of time says
+/// nothing about the others.
+fn target_room(request: &AdmissionRequest) -> Duration {
     let bound = request.target.mul_f64(TARGET_FRACTION).max(request.idle.mul_f64(IDLE_FACTOR));
-    bound.min(request.time_left).saturating_sub(request.idle)
+    bound.saturating_sub(request.idle)
 }
 
 /// Longest expected wait of a request that may be a little late, since its server's queue is the
@@ -269,6 +269,6 @@
 
 /// Longest expected wait of a request of a group below its minimum share.
 fn starved_room(request: &AdmissionRequest) -> Duration {
-    let bound = request.target.mul_f64(STARVED_FRACTION).min(request.time_left);
-    bound.saturating_sub(request.idle).max(room(request))
+    let room = request.target.mul_f64(STARVED_FRACTION).saturating_sub(request.idle);
+    room.max(target_room(request)).min(request.time_left.saturating_sub(request.idle))
 }
--- a/crates/core/tests/overload/main.rs
+++ b/crates/core/tests/overload/main.rs
@@ -21,6 +21,8 @@
     burst: [1.0, 1.0],
     workspace_burst: 1.0,
     silent_servers: 0,
+    servers: 12,
+    slots: 1,
     ignores_delay: false,
     is_isolated: false,
 };
@@ -127,3 +129,37 @@
         assert!(short.on_time_share() > 0.88, "{}", setup(&isolated, &alone));
     }
 }
+
+/// Requests to a plain service, which all take the same time.
+const ORDER: RequestKind =
+    RequestKind { per_s: 74.0, work_ms: 60.0, target_ms: 300, deadline_ms: 3_000, priority: 2 };
+const READ: RequestKind = RequestKind { per_s: 52.0, ..ORDER };
+
+/// Guards against plain services that are treated in another way: refusals without overload, clients that
+/// find the same full servers again, and kinds or workspaces that go unserved.
+#[test]
+fn plain_services_are_treated_alike() {
+    let kinds = [Some(ORDER), Some(READ)];
+    let plain = LoadCase { name: "plain", kinds, servers: 4, slots: 6, ..STEADY };
+    let steady = Simulation::run(plain, SEEDS);
+    for kind in steady.kinds {
+        assert_eq!((kind.refused, kind.on_time), (0.0, kind.asked), "{}", setup(&plain, &steady));
+    }
+    let busy = LoadCase { name: "plain, busy", burst: [4.0, 2.0], ..plain };
+    let silent = LoadCase { name: "plain, silent", silent_servers: 2, burst: [1.5, 1.5], ..plain };
+    let one = LoadCase { name: "plain, one workspace", workspace_burst: 24.0, ..plain };
+    for case in [busy, silent, one] {
+        let run = Simulation::run(case, SEEDS);
+        let setup = setup(&case, &run);
+        let all: f64 = run.kinds.iter().map(|kind| kind.served).sum();
+        let all = all / run.kinds.iter().map(|kind| kind.asked).sum::<f64>();
+        assert!(all > 0.8, "{setup}");
+        for (kind, longest) in run.kinds.iter().zip(&run.longest) {
+            assert!(kind.refused_twice < kind.refused * 0.45, "{setup}");
+            assert!(longest.served_share() > kind.served_share() / 2.0, "{setup}");
+        }
+        for group in run.kinds.iter().chain(&run.workspaces) {
+            assert!(group.served_share() > all * 0.9, "{setup}: {group:?}");
+        }
+    }
+}
--- a/crates/core/tests/overload/reports.rs
+++ b/crates/core/tests/overload/reports.rs
@@ -4,8 +4,12 @@
 
 use carobvane_core::{
     clock::ClockTime,
-    overload::{FleetPressure, PressureReport, RankReport},
+    overload::{
+        AdmissionDecision, AdmissionGate, AdmissionRequest, FleetPressure, PressureReport,
+        RankReport, RequestGroups, RequestRank,
+    },
 };
+use rand::{SeedableRng, rngs::SmallRng};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -92,3 +96,32 @@
         assert_eq!(reports.last().copied(), case.last, "{}", case.name);
     }
 }
+
+/// Guards against one urgent request that is nearly out of time, after which the queues count as full and all
+/// others are refused.
+#[test]
+fn a_request_without_time_raises_no_pressure() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut gate = AdmissionGate::default();
+    let request = |priority, time_left: u32| AdmissionRequest {
+        rank: RequestRank::new(priority, priority, 35.0),
+        groups: RequestGroups::default(),
+        server_ms: 35.0,
+        expected: MS * 85,
+        idle: MS * 35,
+        target: MS * 500,
+        elapsed: Duration::ZERO,
+        time_left: MS * time_left,
+        client_time_left: MS * time_left,
+        continues: false,
+        is_return: false,
+        ticket: None,
+    };
+    let at = |ms: u64| ClockTime::from_millis(50_000 + ms);
+    for ms in 0..20 {
+        let late = gate.decide(at(ms * 10), &request(0, 40), &mut rng);
+        assert_ne!(late.decision, AdmissionDecision::Admit, "it cannot be served in time");
+    }
+    let verdict = gate.decide(at(200), &request(2, 5_000), &mut rng);
+    assert_eq!((verdict.pressure, verdict.decision), (0.0, AdmissionDecision::Admit));
+}
--- a/crates/core/tests/overload/simulation.rs
+++ b/crates/core/tests/overload/simulation.rs
@@ -1,6 +1,6 @@
 //! Several nodes that share servers, and clients that come back once.
 //!
-//! A server is a queue of work. A node sees at once what it sent itself and, after a delay, what the
+//! A server is a queue of work for one or several slots. A node sees at once what it sent itself and, after a delay, what the
 //! others sent.
 
 use std::{
@@ -23,7 +23,6 @@
 /// Time until all nodes know that a server is silent, in ms.
 const SILENCE_KNOWN_MS: u64 = 300;
 pub const WORKSPACES: usize = 8;
-const SERVERS: usize = 12;
 const NODES: usize = 5;
 
 /// A kind of request. The longest tenth takes twice the work.
@@ -47,6 +46,9 @@
     pub workspace_burst: f64,
     pub silent_servers: usize,
     /// Whether refused clients come back at once, instead of when they were told.
+    pub servers: usize,
+    /// Requests that a server runs at the same time.
+    pub slots: usize,
     pub ignores_delay: bool,
     /// Whether nodes hear nothing from each other.
     pub is_isolated: bool,
@@ -96,7 +98,8 @@
 }
 
 struct SimServer {
-    free_at: f64,
+    /// When each slot has done its work.
+    free_at: Vec<f64>,
     /// Time, node and work of what was sent lately.
     recent: Vec<(u64, usize, f64)>,
 }
@@ -119,11 +122,11 @@
     }
 
     fn run_seed(case: LoadCase, seed: u64, tally: RunTally) -> RunTally {
-        let idle_server = || SimServer { free_at: 0.0, recent: Vec::new() };
+        let idle_server = || SimServer { free_at: vec![0.0; case.slots], recent: Vec::new() };
         let mut simulation = Simulation {
             case,
             rng: SmallRng::seed_from_u64(seed),
-            servers: (0..SERVERS).map(|_| idle_server()).collect(),
+            servers: (0..case.servers).map(|_| idle_server()).collect(),
             nodes: (0..NODES).map(|_| Default::default()).collect(),
             arrivals: BinaryHeap::new(),
             reports: VecDeque::new(),
@@ -216,7 +219,8 @@
         server.recent.retain(|&(at, _, _)| at + NEWS_DELAY_MS > now);
         let unseen = server.recent.iter().filter(|(_, sender, _)| *sender != node);
         let unseen: f64 = unseen.map(|&(_, _, work)| work).sum();
-        (server.free_at - now as f64 - unseen).max(0.0)
+        let first_free = server.free_at.iter().copied().fold(f64::INFINITY, f64::min);
+        (first_free - now as f64 - unseen / server.free_at.len() as f64).max(0.0)
     }
 
     fn handle(&mut self, now: u64, request: ClientRequest) {
@@ -225,7 +229,7 @@
         let is_silent = |server: usize| server < silent;
         let is_known = now > 5_000 + SILENCE_KNOWN_MS;
         // A random half of the servers is compared, so that nodes rarely choose the same one.
-        let usable: Vec<usize> = (0..SERVERS)
+        let usable: Vec<usize> = (0..self.case.servers)
             .filter(|&server| !(is_silent(server) && is_known) && self.rng.random())
             .collect();
         let seen: Vec<f64> =
@@ -278,10 +282,12 @@
     fn send(&mut self, now: u64, request: &ClientRequest, server: usize, work: f64) {
         let spec = self.case.kinds[request.kind].expect("requests have a kind");
         let server = &mut self.servers[server];
-        server.free_at = server.free_at.max(now as f64) + work;
         server.recent.push((now, request.node, work));
-        let took = server.free_at - request.node_arrived_ms as f64;
-        let in_time = server.free_at < (request.arrived_ms + spec.deadline_ms) as f64;
+        let slot = server.free_at.iter_mut().min_by(|one, other| one.total_cmp(other));
+        let slot = slot.expect("servers have slots");
+        *slot = slot.max(now as f64) + work;
+        let took = *slot - request.node_arrived_ms as f64;
+        let in_time = *slot < (request.arrived_ms + spec.deadline_ms) as f64;
         let is_on_time = took <= spec.target_ms as f64;
         self.count(request, |tally| {
             tally.served += f64::from(in_time);
