Bound the memory that clients take from a node

Cause: bodies were collected without a bound over all of them, and frame by frame, so that a chunk of a byte held a buffer; a body announced too large was read up to the limit; whole responses left the bound of responses as soon as they were queued; the system kept received bytes without limit.

Change: if the settings name limits.memoryMb, the node divides it between itself, connections, bodies and responses (client/body_budget). Each body has a guaranteed size; beyond it, bodies share a part, those without progress are ended first, new ones wait 250 ms and are refused with 503. Socket buffers, connections of an address, queued bytes of a stream and tiny chunks are bounded, and a connection whose client takes no byte for 10 s is closed. A body announced too large is refused at the head on all nodes. Without limits.memoryMb everything else is as before.

--- a/crates/node/src/client/body.rs
+++ b/crates/node/src/client/body.rs
@@ -4,12 +4,49 @@
     convert::Infallible,
     fmt,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+
+/// Bounds the bytes of a stream that wait for its client.
+#[derive(Debug, Clone)]
+pub struct QueueBound {
+    free: Arc<Semaphore>,
+    max_bytes: usize,
+}
+
+/// Bytes that return their place in the queue once the connection has taken them.
+struct QueuedBytes {
+    bytes: Bytes,
+    _place: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for QueuedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl QueueBound {
+    /// Creates a bound of an empty queue.
+    pub fn new(max_bytes: usize) -> QueueBound {
+        QueueBound { free: Arc::new(Semaphore::new(max_bytes)), max_bytes }
+    }
+
+    /// Waits for place in the queue. Bytes that exceed the bound alone wait for the whole queue.
+    pub async fn admit(&self, bytes: Bytes) -> Bytes {
+        let wanted = u32::try_from(bytes.len().min(self.max_bytes)).unwrap_or(u32::MAX);
+        match self.free.clone().acquire_many_owned(wanted).await {
+            Ok(place) => Bytes::from_owner(QueuedBytes { bytes, _place: place }),
+            // The semaphore is never closed.
+            Err(_) => bytes,
+        }
+    }
+}
 
 /// Part of a streamed response.
 #[derive(Debug)]
--- a/crates/node/src/client/ingress.rs
+++ b/crates/node/src/client/ingress.rs
@@ -23,7 +23,15 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{client::body::ResponseBody, node::Node, tcp};
+use crate::{
+    client::{
+        body::ResponseBody,
+        connection_bounds::{ConnectionGuard, WriteProgress},
+    },
+    node::Node,
+    settings::NodeSettings,
+    tcp,
+};
 
 /// File descriptors kept free for files and for connections to backend servers, the stores and
 /// other nodes.
@@ -52,6 +60,7 @@
     idle_since: Cell<Instant>,
     /// When the first byte of the next request arrived; `None` until then.
     head_since: Cell<Option<Instant>>,
+    write_progress: WriteProgress,
 }
 
 impl ConnectionActivity {
@@ -60,6 +69,7 @@
             in_flight: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
             head_since: Cell::new(None),
+            write_progress: WriteProgress::default(),
         }
     }
 
@@ -114,9 +124,20 @@
     }
 }
 
+/// Returns the number of connections that the descriptors of a machine allow.
+pub fn max_connections(settings: &NodeSettings) -> u32 {
+    settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1)
+}
+
 /// Accepts connections until the node closes.
 pub async fn serve<H: RequestHandler>(node: Rc<Node>, listener: TcpListener, handler: Rc<H>) {
-    let max_connections = node.settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+    let max_connections =
+        node.memory_plan.map_or(max_connections(&node.settings), |plan| plan.max_connections);
+    if let Some(plan) = node.memory_plan
+        && let Err(cause) = tcp::limit_buffers(&listener, plan.socket_buffer_bytes)
+    {
+        log::warn!(cause:% = cause; "failed to limit the buffers of connections");
+    }
     loop {
         if node.connections.get() >= max_connections {
             // Further connections wait in the backlog until others have closed.
@@ -128,11 +149,12 @@
             () = node.wait_closed() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
+                let Some(guard) = ConnectionGuard::start(&node, peer) else { continue };
                 if let Err(cause) = tcp::detect_dead_peer(&stream) {
                     log::debug!(cause:% = cause; "failed to set options of a connection");
                 }
-                actix_rt::spawn(serve_connection(node.clone(), stream, handler.clone()));
+                actix_rt::spawn(serve_connection(guard, node.clone(), stream, handler.clone()));
             }
             Err(cause) => {
                 log::warn!(cause:% = cause; "failed to accept a connection");
@@ -142,26 +164,12 @@
     }
 }
 
-/// Counts an open connection.
-struct ConnectionGuard {
+async fn serve_connection<H: RequestHandler>(
+    _guard: ConnectionGuard,
     node: Rc<Node>,
-}
-
-impl ConnectionGuard {
-    fn start(node: &Rc<Node>) -> ConnectionGuard {
-        node.connections.set(node.connections.get() + 1);
-        ConnectionGuard { node: node.clone() }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.node.connections.set(self.node.connections.get() - 1);
-    }
-}
-
-async fn serve_connection<H: RequestHandler>(node: Rc<Node>, stream: TcpStream, handler: Rc<H>) {
-    let _guard = ConnectionGuard::start(&node);
+    stream: TcpStream,
+    handler: Rc<H>,
+) {
     let activity = Rc::new(ConnectionActivity::new());
     let service = service_fn(|request: Request<Incoming>| {
         let count = InFlightGuard::start(activity.clone(), node.clone());
@@ -201,6 +209,9 @@
                     log::debug!("client sent a request head too slowly");
                     return;
                 }
+                if activity.write_progress.has_stopped(&node) {
+                    return;
+                }
                 if due || (node.closing.get() && activity.in_flight.get() == 0) {
                     connection.as_mut().graceful_shutdown();
                 }
@@ -262,7 +273,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.write_progress.on_write(poll.is_ready());
+        poll
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -278,7 +291,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.write_progress.on_write(poll.is_ready());
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/client/mod.rs
+++ b/crates/node/src/client/mod.rs
@@ -1,6 +1,9 @@
 //! What clients send and receive: connections, requests, streams and responses.
 
 pub(crate) mod body;
+pub(crate) mod body_budget;
+pub(crate) mod body_memory;
+pub(crate) mod connection_bounds;
 pub(crate) mod forward;
 pub(crate) mod handlers;
 pub mod headers;
--- a/crates/node/src/client/relay.rs
+++ b/crates/node/src/client/relay.rs
@@ -21,7 +21,7 @@
 use crate::{
     adapter::PlatformAdapter,
     client::{
-        body::{ResponseBody, StreamChunk},
+        body::{QueueBound, ResponseBody, StreamChunk},
         request_context::RequestContext,
         request_log::log_end,
         stream_origin,
@@ -70,8 +70,9 @@
     let response = stream.head.client_response(ResponseBody::Stream(queue));
     let status = stream.head.status().as_u16();
     let splitter = EventSplitter::resume_after(context.info.last_event);
-    let relay =
-        StreamRelay { node, context, splitter, chunk_sender, timing: StreamTiming::default() };
+    let queue_bound = node.memory_plan.map(|plan| QueueBound::new(plan.max_queued_bytes));
+    let timing = StreamTiming::default();
+    let relay = StreamRelay { node, context, splitter, chunk_sender, queue_bound, timing };
     actix_rt::spawn(async move {
         let mut relay = relay;
         let outcome = relay.run::<A>(stream).await;
@@ -86,6 +87,8 @@
     context: RequestContext,
     splitter: EventSplitter,
     chunk_sender: mpsc::Sender<StreamChunk>,
+    /// Missing if the machine's memory is not limited.
+    queue_bound: Option<QueueBound>,
     timing: StreamTiming,
 }
 
@@ -198,10 +201,9 @@
                 self.record_events(complete.event_count, attempt);
             }
             if !complete.bytes.is_empty() {
-                let chunk = StreamChunk::Data(Bytes::from(complete.bytes));
                 tokio::select! {
-                    sent = self.chunk_sender.send(chunk) => {
-                        if sent.is_err() {
+                    is_sent = self.queue(Bytes::from(complete.bytes)) => {
+                        if !is_sent {
                             return SegmentEnd::ClientLeft;
                         }
                     }
@@ -221,6 +223,18 @@
         }
     }
 
+    /// Queues bytes for the client. Returns false if it has left.
+    async fn queue(&self, bytes: Bytes) -> bool {
+        let bytes = match &self.queue_bound {
+            Some(bound) => tokio::select! {
+                bytes = bound.admit(bytes) => bytes,
+                () = self.chunk_sender.closed() => return false,
+            },
+            None => bytes,
+        };
+        self.chunk_sender.send(StreamChunk::Data(bytes)).await.is_ok()
+    }
+
     /// Records that events have arrived; the first one shows at which software version the stream began.
     fn record_events(&mut self, count: u32, attempt: &Attempt) {
         if self.timing.events == 0 {
--- a/crates/node/src/client/request.rs
+++ b/crates/node/src/client/request.rs
@@ -153,7 +153,8 @@
     let deadline = info.deadline.unwrap_or(rule.timeout);
     let response_due = arrived_at + rule.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN));
     let left = response_due.since(clock::now());
-    let body = read_body(&id, body, limits.max_body_bytes, left).await.map_err(refused)?;
+    let body = read_body(&id, body, limits.max_body_bytes, left, node.body_memory.as_ref());
+    let body = body.await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let suspects = request_suspects(name, &head.uri, &body, &info.prompt);
     let now = clock::now();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,8 +3,9 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
+    sync::Arc,
 };
 
 use carobvane_core::{
@@ -24,7 +25,10 @@
 
 use crate::{
     adapter::{StoreItem, StoreRevision},
-    client::stream_query::StreamQuery,
+    client::{
+        body_budget::memory_plan::MemoryPlan, body_memory::BodyMemory, ingress,
+        stream_query::StreamQuery,
+    },
     clock,
     fleet::{
         members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
@@ -100,8 +104,14 @@
     pub incarnation: u64,
     /// State behind the decisions. Never borrowed across an await.
     pub state: RefCell<NodeState>,
+    /// Division of the memory that the node holds for others; `None` without a limit in the settings.
+    pub memory_plan: Option<MemoryPlan>,
+    /// Memory for the bodies of requests; `None` without a limit in the settings.
+    pub body_memory: Option<Arc<BodyMemory>>,
     /// Memory for servers' responses.
-    pub response_memory: Rc<ResponseMemory>,
+    pub response_memory: Arc<ResponseMemory>,
+    /// Open connections of each client address, if their number is limited.
+    pub address_connections: RefCell<HashMap<IpAddr, u32>>,
     /// Connections to backend servers.
     pub pool: Rc<ConnectionPool<ServerKey>>,
     /// Connections to other nodes, by their addresses.
@@ -197,11 +207,17 @@
             store_reachable: false,
             store_changed_at: clock::now(),
         };
+        let max_connections = ingress::max_connections(&settings);
+        let memory_plan =
+            settings.memory_bytes.map(|bytes| MemoryPlan::new(bytes, max_connections));
         Node {
             settings,
             incarnation: seed,
             state: RefCell::new(state),
-            response_memory: Rc::default(),
+            memory_plan,
+            body_memory: memory_plan.map(|plan| BodyMemory::new(plan.bodies)),
+            response_memory: Arc::new(ResponseMemory::with_plan(memory_plan)),
+            address_connections: RefCell::default(),
             pool: Rc::default(),
             node_pool: Rc::default(),
             in_flight: Cell::new(0),
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -248,6 +248,9 @@
         ticks.tick().await;
         let now = clock::now();
         node.state.borrow_mut().on_active(now);
+        if let Some(memory) = &node.body_memory {
+            metrics::gauge!("carobvane_body_memory_bytes").set(memory.taken() as f64);
+        }
         node.pool.close_expired(now);
         node.node_pool.close_expired(now);
         crashes::tick(&node);
--- a/crates/node/src/server/connection.rs
+++ b/crates/node/src/server/connection.rs
@@ -167,7 +167,8 @@
             }
             read.extend_from_slice(&data);
         }
-        Ok(read.freeze())
+        let read = read.freeze();
+        Ok(memory.map_or(read.clone(), |memory| memory.hold(read)))
     }
 
     fn response_error(&self, error: &hyper::Error) -> ConnectionError {
--- a/crates/node/src/server/response_memory/tests.rs
+++ b/crates/node/src/server/response_memory/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the memory that responses share.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use super::{GUARANTEED_BYTES, ResponseMemory, SHARED_BYTES};
 
@@ -8,7 +8,7 @@
 /// response that fails because large ones take all.
 #[test]
 fn responses_share_a_bounded_memory() {
-    let memory = Rc::new(ResponseMemory::default());
+    let memory = Arc::new(ResponseMemory::default());
     let part = SHARED_BYTES / 4 + GUARANTEED_BYTES;
     let mut shares: Vec<_> = (0..5).map(|_| memory.share()).collect();
     let sizes: Vec<bool> = shares.iter_mut().map(|share| share.resize(part)).collect();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -33,6 +33,8 @@
     pub link_mbps: u32,
     /// Maximum number of file descriptors of the process.
     pub max_descriptors: u32,
+    /// Memory that the process may take, in bytes; `None` if the platform names no limit.
+    pub memory_bytes: Option<usize>,
     /// Bounds that the deployment sets.
     pub bounds: NodeBounds,
 }
--- a/crates/node/src/tcp.rs
+++ b/crates/node/src/tcp.rs
@@ -39,6 +39,13 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Limits the receive and the send buffer of the connections that a listener will accept.
+pub fn limit_buffers(listener: &TcpListener, bytes: usize) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)
+}
+
 /// Disables Nagle's algorithm, and breaks the connection when the peer goes silent.
 pub fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
