Test ignored parts of bodies and pipelined requests at a limited node

Cause: that the HTTP library bounds chunk extensions, trailers and what it reads ahead was known from its source only.

Change: crowds of 128 clients with one extension or trailer without end, many of them, and 51 requests in a row on each connection. The budget needed no change.

--- a/crates/programs/tests/client_memory/crowds.rs
+++ b/crates/programs/tests/client_memory/crowds.rs
@@ -24,6 +24,9 @@
 /// Bytes of a head that is never completed; the limit is 16 KiB.
 const HALF_HEAD_BYTES: usize = 12 * 1024;
 
+/// Number of requests that a client sends without reading a response.
+const PIPELINED_REQUESTS: usize = 50;
+
 /// Only one crowd runs at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
@@ -178,3 +181,43 @@
     })
     .await;
 }
+
+/// Guards against a node that keeps what it ignores: the extensions of chunks and the trailers of a body.
+#[actix_rt::test]
+async fn ignored_parts_of_bodies_without_end() {
+    struct Case {
+        name: &'static str,
+        start: &'static str,
+        line: String,
+    }
+    let filler = "x".repeat(1_000);
+    let cases = [
+        Case { name: "one extension", start: "4;", line: filler.clone() },
+        Case { name: "extensions", start: "", line: format!("1;{filler}\r\nx\r\n") },
+        Case { name: "one trailer", start: "0\r\nX: ", line: filler.clone() },
+        Case { name: "trailers", start: "0\r\n", line: format!("X: {filler}\r\n") },
+    ];
+    for case in cases {
+        let test = CrowdTest::start(case.name).await;
+        test.run(|number| ClientScript {
+            head: post(number, "Transfer-Encoding: chunked") + case.start,
+            piece: case.line.repeat(PIECE_BYTES / case.line.len()).into_bytes(),
+            count: MAX_BODY_BYTES / PIECE_BYTES,
+            rest: Vec::new(),
+        })
+        .await;
+    }
+}
+
+/// Guards against a node that reads requests ahead without bound while it handles earlier ones.
+#[actix_rt::test]
+async fn pipelined_requests() {
+    let test = CrowdTest::start("pipelined requests").await;
+    test.run(|number| ClientScript {
+        head: request_head("GET", "read", &format!("r{number}"), "") + "\r\n",
+        piece: (request_head("GET", "read", &format!("p{number}"), "") + "\r\n").into_bytes(),
+        count: PIPELINED_REQUESTS,
+        rest: Vec::new(),
+    })
+    .await;
+}
