--- a/crates/node/src/server/connection.rs
+++ b/crates/node/src/server/connection.rs
@@ -171,7 +171,8 @@
             }
             read.extend_from_slice(&data);
         }
-        Ok(read.freeze())
+        let read = read.freeze();
+        Ok(memory.map_or(read.clone(), |memory| memory.hold(read)))
     }
 
     /// Reads a body whose parts follow each other within `part_limit`.
