--- a/crates/core/src/plans/workspace_limit/mod.rs
+++ b/crates/core/src/plans/workspace_limit/mod.rs
@@ -13,6 +13,7 @@
 mod limiter;
 mod messages;
 mod purchase;
+mod purchase_parts;
 mod slot_bucket;
 mod slot_homes;
 mod spec;
--- a/crates/core/src/plans/workspace_limit/purchase.rs
+++ b/crates/core/src/plans/workspace_limit/purchase.rs
@@ -8,10 +8,11 @@
 use rand::{Rng, RngCore};
 
 use super::{
-    ANSWER_TIMEOUT, AskOutcome, GRANT_LIFETIME, LimitMessage, NodeName, SLOTS, SlotKey, SlotShare,
-    TokenAnswer, TokenAsk, TokenReturn, WorkspaceId,
+    ANSWER_TIMEOUT, LimitMessage, NodeName, SLOTS, SlotKey, SlotShare, TokenAnswer, TokenAsk,
+    TokenReturn, WorkspaceId,
     limiter::WorkspaceLimiter,
-    messages::{from_milli, to_micros, to_milli},
+    messages::{to_micros, to_milli},
+    purchase_parts::{AskedPart, PartState, due_time, ignores_expiry, part_after, wait_for},
 };
 use crate::clock::ClockTime;
 
@@ -43,23 +44,6 @@
     pub(super) parts: Vec<(NodeName, TokenReturn)>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum PartState {
-    Pending,
-    Granted { ready_at: ClockTime, valid_until: ClockTime },
-    Short { wait: Duration, level: f64 },
-    Failed,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct AskedPart {
-    id: u64,
-    key: SlotKey,
-    home: NodeName,
-    asked_at: ClockTime,
-    state: PartState,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PurchaseStage {
     /// Nothing was asked yet.
@@ -126,18 +110,7 @@
         if part.state != PartState::Pending {
             return false;
         }
-        part.state = match answer.outcome {
-            AskOutcome::Granted(delay) => {
-                let delay = Duration::from_micros(delay);
-                let valid_until = part.asked_at + delay + GRANT_LIFETIME;
-                PartState::Granted { ready_at: now + delay, valid_until }
-            }
-            AskOutcome::Short { wait, level } => PartState::Short {
-                wait: Duration::from_micros(wait),
-                level: level as f64 / 1_000.0,
-            },
-            AskOutcome::NotHome => PartState::Failed,
-        };
+        part.apply(now, answer.outcome);
         true
     }
 
@@ -308,14 +281,8 @@
 
     /// Returns the step that follows if all parts were granted. Grants that are too old are released.
     fn granted(&mut self, now: ClockTime, limiter: &mut WorkspaceLimiter) -> Option<PurchaseStep> {
-        let mut ready = now;
-        let mut valid: Option<ClockTime> = None;
-        for part in &self.parts {
-            let PartState::Granted { ready_at, valid_until } = part.state else { return None };
-            ready = ready.max(ready_at);
-            valid = Some(valid.map_or(valid_until, |valid| valid.min(valid_until)));
-        }
-        if ready > valid? && !ignores_expiry() {
+        let (ready, valid) = due_time(now, &self.parts)?;
+        if ready > valid && !ignores_expiry() {
             self.release(limiter);
             return self.pause(now);
         }
@@ -326,8 +293,7 @@
     }
 
     fn returns(&self) -> Vec<(NodeName, TokenReturn)> {
-        let is_granted = |part: &&AskedPart| matches!(part.state, PartState::Granted { .. });
-        let granted = self.parts.iter().filter(is_granted);
+        let granted = self.parts.iter().filter(|part| part.is_granted());
         granted.map(|part| (part.home, TokenReturn { id: part.id, key: part.key })).collect()
     }
 
@@ -337,7 +303,7 @@
             limiter.send_return(home, unused);
         }
         for part in &mut self.parts {
-            if matches!(part.state, PartState::Granted { .. }) {
+            if part.is_granted() {
                 part.state = PartState::Failed;
             }
         }
@@ -408,37 +374,3 @@
         limiter.send(home, LimitMessage::Ask(ask));
     }
 }
-
-#[cfg(not(test))]
-fn ignores_expiry() -> bool {
-    false
-}
-
-#[cfg(test)]
-use super::tests::ignores_expiry;
-
-/// Tokens of a slot after some time, by those that it has now.
-fn part_after(wait: Duration, level: f64, share: &SlotShare) -> f64 {
-    // Both sides round to thousandths.
-    let there = level + share.rate * wait.as_secs_f64() - from_milli(1);
-    there.clamp(0.0, share.capacity)
-}
-
-/// Time until slots with these levels together have an amount; `None` if they never do.
-fn wait_for(amount: f64, levels: &[(u8, f64)], share: &SlotShare) -> Option<Duration> {
-    let sum = |wait: Duration| {
-        levels.iter().map(|(_, level)| part_after(wait, *level, share)).sum::<f64>()
-    };
-    if sum(Duration::ZERO) >= amount {
-        return Some(Duration::ZERO);
-    }
-    let (mut low, mut high) = (Duration::ZERO, share.window * 4);
-    if sum(high) < amount {
-        return None;
-    }
-    while high - low > Duration::from_micros(500) {
-        let middle = (low + high) / 2;
-        if sum(middle) >= amount { high = middle } else { low = middle }
-    }
-    Some(high)
-}
--- a/crates/node/src/fleet/workspace_limits/tests.rs
+++ b/crates/node/src/fleet/workspace_limits/tests.rs
@@ -73,7 +73,8 @@
         Case { name: "largest answer", notice: home_answer(60, vec![handed; 12]), bytes: 930 },
     ];
     for case in cases {
-        let segments = batch::encode_segments(LARGE, &mut || 1_000_000, &[case.notice.clone()]);
+        let segments =
+            batch::encode_segments(LARGE, &mut || 1_000_000, std::slice::from_ref(&case.notice));
         let datagrams = batch::pack_datagrams(LARGE, BatchRoute::default(), &segments);
         assert_eq!(datagrams.len(), 1, "{}", case.name);
         assert!(datagrams[0].len() <= MAX_DATAGRAM_BYTES, "{}", case.name);
