--- a/crates/core/src/plans/workspace_limit/tests/fleet_sim.rs
+++ b/crates/core/src/plans/workspace_limit/tests/fleet_sim.rs
@@ -92,7 +92,7 @@
     pub rng: SmallRng,
     pub loss: f64,
     pub store_down: bool,
-    /// Time, amount and asked amount of each admitted request.
+    /// Time and amount of each admitted request.
     pub sent: Vec<(u64, f64)>,
     pub refused: usize,
     pub unanswered: usize,
