Subtract from a server's backlog what it has prefilled

Cause: a prompt counted in full until its first event arrived. Change: the wait follows from when the engine has prefilled what was sent to it, at its learnt rate. The advantage of a prefix's home is the time of a fetch that the cost contains, so that copies of hot prefixes are equal again.

--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -120,10 +120,15 @@
         choice.fetch_from = prefix.fetch_from;
         choice.fetched_tokens = prefix.fetched_tokens;
         choice.save_to_store = prefix.save_to_store;
+        let speed = self.speed_of(now, request.service, &server.model);
         let running = busy_requests(now, server);
         let waiting = running.saturating_sub(server.listing.slots.max(1));
-        let (ahead_tokens, waiting_ahead) =
-            server.prefill_backlog.ahead(now, request.priority, waiting);
+        let (ahead_tokens, waiting_ahead) = server.prefill_backlog.ahead(
+            now,
+            request.priority,
+            waiting,
+            speed.prefill_tokens_per_ms,
+        );
         choice.kv_held_tokens = server.kv_memory.held_tokens(now, running);
         let is_full = is_full(now, server, request);
         let queued = if is_full { 1 + waiting_ahead } else { 0 };
@@ -136,7 +141,6 @@
             running,
             queued,
         };
-        let speed = self.speed_of(now, request.service, &server.model);
         let parts = engine_parts(now, server, &speed, &work);
         let prefill_ms = prefill_ms(&speed, choice.cached_tokens, prompt.prompt_tokens);
         choice.parts = parts;
@@ -154,7 +158,7 @@
         if is_separated && in_pool != context.is_long_prompt {
             choice.cost_ms += WRONG_POOL_MS;
         }
-        choice.cost_ms -= context.home_bonus_ms(choice.server, fetch_ms);
+        choice.cost_ms -= context.home_bonus_ms(choice.server, parts.fetch_ms);
     }
 
     /// Returns what the search needs of a server to spread requests.
