--- a/crates/core/src/overload/admission_gate.rs
+++ b/crates/core/src/overload/admission_gate.rs
@@ -76,7 +76,7 @@
             pressure,
             position,
             is_starved,
-            wait: request.expected.saturating_sub(request.idle),
+            wait: request.wait(),
             max_wait: self.max_wait(now, request, pressure, position, is_starved),
         };
         let ticket = request.ticket;
@@ -99,7 +99,7 @@
     }
 
     fn record(&mut self, now: ClockTime, request: &AdmissionRequest) {
-        let wait = request.expected.saturating_sub(request.idle);
+        let wait = request.wait();
         let room = target_room(request);
         self.demand.record(now, request.rank, request.server_ms, room);
         let tightest = self.demand.tightest_room(request.rank, room);
@@ -224,7 +224,8 @@
     }
 }
 
-/// A stream that continues has no other servers to go to, and its client has part of the response.
+/// Decides on a request that continues, by the time that it has left and without regard to the pressure:
+/// its client may have part of the response.
 fn decide_continued(request: &AdmissionRequest) -> AdmissionVerdict {
     let bound = request.time_left.mul_f64(TARGET_FRACTION).max(request.idle.mul_f64(IDLE_FACTOR));
     let bound = bound.min(request.time_left);
@@ -239,7 +240,7 @@
         pressure: 0.0,
         position: 0.0,
         is_starved: false,
-        wait: request.expected.saturating_sub(request.idle),
+        wait: request.wait(),
         max_wait: bound.saturating_sub(request.idle),
     }
 }
--- a/crates/core/src/overload/admission_request.rs
+++ b/crates/core/src/overload/admission_request.rs
@@ -25,7 +25,7 @@
     pub time_left: Duration,
     /// Time until the client gives up.
     pub client_time_left: Duration,
-    /// Whether it continues a stream that has begun.
+    /// Whether it continues a stream that has begun, or retries a resumable request that may have run.
     pub continues: bool,
     /// Whether its client was probably refused before.
     pub is_return: bool,
@@ -33,6 +33,13 @@
     pub ticket: Option<WaitTicket>,
 }
 
+impl AdmissionRequest {
+    /// Expected wait at the server chosen for it.
+    pub fn wait(&self) -> Duration {
+        self.expected.saturating_sub(self.idle)
+    }
+}
+
 /// What to do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
--- a/crates/core/src/overload/fair_shares.rs
+++ b/crates/core/src/overload/fair_shares.rs
@@ -53,6 +53,8 @@
 }
 
 const WORKSPACE_DIMENSION: u64 = 2;
+/// Position of the workspace's key in [`RequestGroups::keys`].
+const WORKSPACE_INDEX: usize = 1;
 
 /// Recent requests of a group. All numbers are decayed.
 #[derive(Debug, Clone, Copy, Default)]
@@ -144,14 +146,14 @@
     fn add(&mut self, now: ClockTime, groups: &RequestGroups, add: impl Fn(&mut GroupShare)) {
         self.all = self.all.decayed(now);
         add(&mut self.all);
-        for (dimension, key) in groups.keys().into_iter().enumerate() {
+        for (index, key) in groups.keys().into_iter().enumerate() {
             let Some(key) = key else { continue };
             if self.groups.len() >= MAX_GROUPS && !self.groups.contains_key(&key) {
                 continue;
             }
             let share = self.groups.entry(key).or_default();
             *share = share.decayed(now);
-            share.is_workspace = dimension == 1;
+            share.is_workspace = index == WORKSPACE_INDEX;
             add(share);
         }
     }
--- a/crates/core/src/overload/return_schedule.rs
+++ b/crates/core/src/overload/return_schedule.rs
@@ -11,7 +11,7 @@
 
 /// Length of an interval of the schedule.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Number of intervals: no client is told to wait longer.
+/// Number of intervals, including the [`LATE_INTERVALS`] past ones. No client is told to wait longer.
 const MAX_INTERVALS: usize = 64;
 /// Shortest retry delay. Load reports and notices need about this long to show a change.
 const MIN_DELAY: Duration = Duration::from_millis(100);
--- a/crates/core/src/overload/wait_queue.rs
+++ b/crates/core/src/overload/wait_queue.rs
@@ -50,8 +50,8 @@
         self.waiting.get(&ticket).copied()
     }
 
-    /// Adds a request that waits until a time. Returns whether there was room. A less urgent one has
-    /// to go for a more urgent one.
+    /// Adds a request that waits until a time. Returns whether there was room. If the queue
+    /// is full, the least urgent request is removed.
     pub fn enter(&mut self, now: ClockTime, ticket: WaitTicket, until: ClockTime) -> bool {
         self.waiting.retain(|_, until| *until >= now);
         self.waiting.insert(ticket, until);
--- a/crates/core/src/plans/workspace_limit/messages.rs
+++ b/crates/core/src/plans/workspace_limit/messages.rs
@@ -211,13 +211,13 @@
 pub enum LimitMessage {
     /// Asks for tokens.
     Ask(TokenAsk),
-    /// Answers that.
+    /// Answers [`LimitMessage::Ask`].
     Answer(TokenAnswer),
     /// Gives tokens back.
     Return(TokenReturn),
     /// Asks which nodes the receiver knows.
     Check(HomeCheck),
-    /// Answers that.
+    /// Answers [`LimitMessage::Check`].
     CheckAnswer(HomeAnswer),
 }
 
--- a/crates/core/src/plans/workspace_limit/purchase.rs
+++ b/crates/core/src/plans/workspace_limit/purchase.rs
@@ -20,7 +20,7 @@
 const MAX_SINGLE_SHARE: f64 = 0.5;
 /// Number of times that the homes are asked for parts.
 const MAX_ROUNDS: u32 = 6;
-/// Time until homes are asked again of which none granted.
+/// Time after which the homes are asked again if none of them has granted.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Parts of a request are due within this time of each other, in the time that their grants last.
 const PART_SLACK: Duration = Duration::from_millis(40);
@@ -67,7 +67,7 @@
     latest: ClockTime,
     /// Slots in the order in which they are tried.
     slots: [u8; SLOTS as usize],
-    /// Slots whose homes did not answer or are none.
+    /// Slots whose homes did not answer, or answered that they do not grant for them.
     failed: Vec<u8>,
     levels: Vec<(u8, f64)>,
     parts: Vec<AskedPart>,
@@ -199,7 +199,7 @@
         self.ask_single(now, limiter)
     }
 
-    /// Asks the homes how many tokens they have of whom that is not known.
+    /// Asks the homes whose number of tokens is not known how many they have.
     fn query(&mut self, now: ClockTime, limiter: &mut WorkspaceLimiter) -> Option<PurchaseStep> {
         self.parts.clear();
         self.stage = PurchaseStage::Query;
--- a/crates/core/src/plans/workspace_limit/purchase_parts.rs
+++ b/crates/core/src/plans/workspace_limit/purchase_parts.rs
@@ -24,7 +24,7 @@
         /// Tokens that it has.
         level: f64,
     },
-    /// The home did not answer or is none, or the part was given back.
+    /// The home did not answer or does not grant for the slot, or the part was given back.
     Failed,
 }
 
--- a/crates/core/src/traffic/kv_transfers.rs
+++ b/crates/core/src/traffic/kv_transfers.rs
@@ -61,8 +61,8 @@
         is_remote: bool,
     ) -> Option<f64> {
         let wait = self.busy_until.get(&source).map_or(Duration::ZERO, |until| until.since(now));
-        let moves_ms = self.moves_ms(service, source, tokens, is_remote);
-        (wait <= MAX_WAIT).then_some(wait.as_secs_f64() * 1_000.0 + QUERY_MS + moves_ms)
+        let transfer_ms = self.transfer_ms(service, source, tokens, is_remote);
+        (wait <= MAX_WAIT).then_some(wait.as_secs_f64() * 1_000.0 + QUERY_MS + transfer_ms)
     }
 
     /// Records that this node has a server fetch `tokens` tokens.
@@ -74,7 +74,7 @@
         tokens: u32,
         is_remote: bool,
     ) {
-        let took = self.moves_ms(service, source, tokens, is_remote).clamp(0.0, 60_000.0);
+        let took = self.transfer_ms(service, source, tokens, is_remote).clamp(0.0, 60_000.0);
         if self.busy_until.len() >= MAX_LINKS {
             self.busy_until.retain(|_, until| *until > now);
         }
@@ -85,7 +85,7 @@
     }
 
     /// Time of a transfer on the slower of its two links, in ms.
-    fn moves_ms(&self, service: &str, source: CacheSource, tokens: u32, is_remote: bool) -> f64 {
+    fn transfer_ms(&self, service: &str, source: CacheSource, tokens: u32, is_remote: bool) -> f64 {
         let links = self.engines.get(service);
         let own = links.and_then(|links| links.mbps);
         let of_source = match source {
--- a/crates/core/src/traffic/latency.rs
+++ b/crates/core/src/traffic/latency.rs
@@ -49,7 +49,7 @@
     LatencyParts {
         prefill_ms: (wait_ms + prefill_ms(speed, work.cached_tokens, work.prompt_tokens)) * pace,
         wait_ms: wait_ms * pace,
-        // Transfers that other nodes have started show in what was learnt only.
+        // The learnt time contains transfers that other nodes have started; `link_ms` those of this node.
         fetch_ms: speed.fetch_ms(work.fetched_tokens).max(work.link_ms),
         step_ms: steps * speed.first_event_ms * pace,
         pace,
--- a/crates/core/src/traffic/long_prompt_pool.rs
+++ b/crates/core/src/traffic/long_prompt_pool.rs
@@ -3,7 +3,8 @@
 //! Load pattern: bursts of long prompts beside streams of short ones. Engines prefill a prompt in chunks
 //! between the decode steps of all other streams, so long prompts lengthen each gap between events of
 //! every stream at their server by the time of a chunk. If clients accept such gaps, long and short
-//! prompts share all servers, and each goes where the fewest prompts wait for prefill. Otherwise long prompts therefore prefer a few servers, the pool, and short prompts prefer the
+//! prompts share all servers, and each goes where the fewest prompts wait for prefill. Otherwise long
+//! prompts prefer a few servers, the pool, and short prompts prefer the
 //! rest. The size of the pool follows the prefill time of the long prompts. All nodes rank the
 //! servers alike, so nodes with different estimates disagree only about the last servers of it.
 
--- a/crates/core/src/traffic/placement_spread.rs
+++ b/crates/core/src/traffic/placement_spread.rs
@@ -30,7 +30,7 @@
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 /// Smallest rise of a server's cost by a request, in ms.
 const MIN_STEP_MS: f64 = 0.2;
-/// Requests that a server without a free slot counts as taking.
+/// Number of requests that a server is assumed to take if it has no free slot.
 const MIN_ROOM: f64 = 0.1;
 
 /// Decaying count of requests.
--- a/crates/core/src/traffic/prefill_backlog.rs
+++ b/crates/core/src/traffic/prefill_backlog.rs
@@ -67,8 +67,8 @@
     }
 
     /// Tokens and requests that a request of `priority` has to wait for, if the newest `waiting`
-    /// requests are not admitted yet and the engine prefills `tokens_per_ms`. The requests are those
-    /// that are not admitted.
+    /// requests are not admitted yet and the engine prefills `tokens_per_ms`. The returned
+    /// number of requests counts only those that are not admitted.
     ///
     /// A prompt is removed when its first event arrives, which may be much later than its prefill ends, so
     /// what the engine has prefilled since is subtracted.
--- a/crates/core/src/traffic/server_model/service_model.rs
+++ b/crates/core/src/traffic/server_model/service_model.rs
@@ -7,7 +7,7 @@
 
 /// Prefill rate assumed before any was observed, in tokens per ms.
 const PREFILL_TOKENS_PER_MS: f64 = 36.0;
-/// Time of a decode step with what comes before it, assumed before any was observed, in ms.
+/// Time to the first event without any prompt to prefill, assumed before any was observed, in ms.
 const FIRST_EVENT_MS: f64 = 12.0;
 /// Time of a request to a plain service at an idle server before any was observed, in ms.
 const PLAIN_REQUEST_MS: f64 = 40.0;
--- a/crates/core/tests/silent_servers/simulation.rs
+++ b/crates/core/tests/silent_servers/simulation.rs
@@ -20,7 +20,7 @@
 
 pub const NODES: usize = 80;
 pub const SERVERS: usize = 60;
-/// Mean time between two requests of all clients, as at Urrutia.
+/// Mean time between two requests of all clients: 416 a second.
 const REQUEST_GAP_MS: f64 = 1.0 / 0.416;
 const RESPONSE_MS: u64 = 60;
 const CONNECT_TIMEOUT_MS: u64 = 300;
--- a/crates/node/src/client/body_memory.rs
+++ b/crates/node/src/client/body_memory.rs
@@ -14,8 +14,8 @@
 use super::body_budget::{BodyBudget, BodyKey, BodyLimits, GrowDecision};
 use crate::clock;
 
-/// Longest time that a body waits for memory before it is refused. A body without progress is dropped
-/// after a second, and its client is told to come back by then.
+/// Longest time that a body waits for memory before it is refused. The refused client
+/// is told to retry after a second, since bodies without progress are ended within that time.
 const WAIT_TIME: Duration = Duration::from_millis(250);
 
 /// Memory of all bodies of a node. It is shared with the bytes of bodies, which may be dropped anywhere.
--- a/crates/node/src/fleet/node_notice.rs
+++ b/crates/node/src/fleet/node_notice.rs
@@ -300,11 +300,11 @@
     #[n(22)]
     #[serde(skip)]
     TokensWanted(#[n(0)] TokenAsk),
-    /// Answers that.
+    /// Answers [`NodeNotice::TokensWanted`].
     #[n(23)]
     #[serde(skip)]
     TokensAnswered(#[n(0)] TokenAnswer),
-    /// Gives tokens back that were not used.
+    /// Gives granted tokens back to the home of a slot, since no server ran the request.
     #[n(24)]
     #[serde(skip)]
     TokensUnused(#[n(0)] TokenReturn),
@@ -322,10 +322,10 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(minicbor::Encode, minicbor::Decode)]
 pub enum HomeMessage {
-    /// A question.
+    /// Asks whether the receiver knows the sender.
     #[n(0)]
     Asked(#[n(0)] HomeCheck),
-    /// An answer.
+    /// Answers [`HomeMessage::Asked`].
     #[n(1)]
     Answered(#[n(0)] HomeAnswer),
 }
--- a/crates/node/src/server/cache_store.rs
+++ b/crates/node/src/server/cache_store.rs
@@ -88,8 +88,8 @@
     A::decode_cache_events(response.status(), response.body())
 }
 
-/// Tells all nodes whether a store responds. Nodes of earlier builds know only the first one, and take
-/// any notice of theirs for it.
+/// Tells all nodes whether a store responds. Nodes of earlier builds know only the first store, and
+/// take every `CacheStore` notice for a report of it.
 fn publish(node: &Rc<Node>, store: StoreId, up: bool, epoch: u64) {
     let is_first = node.state.borrow().planner.stores.first() == Some(store);
     let notice = match is_first {
--- a/crates/node/src/server/silent_servers.rs
+++ b/crates/node/src/server/silent_servers.rs
@@ -93,7 +93,7 @@
     is_silent && has_other() && state.has_retry(clock::now(), wait.service, &node.settings.bounds)
 }
 
-/// Reports a server that owes a response and that nobody has heard meanwhile. Returns whether it did.
+/// Reports a server whose response is overdue and that no node has heard meanwhile. Returns whether it did.
 fn report_overdue(node: &Rc<Node>, wait: &ResponseWait<'_>) -> bool {
     let since = wait.sent_at.max(clock::now() - wait.overdue_after);
     let is_heard = node
