--- a/crates/core/src/traffic/placement_score.rs
+++ b/crates/core/src/traffic/placement_score.rs
@@ -123,12 +123,8 @@
         let speed = self.speed_of(now, request.service, &server.model);
         let running = busy_requests(now, server);
         let waiting = running.saturating_sub(server.listing.slots.max(1));
-        let (ahead_tokens, waiting_ahead) = server.prefill_backlog.ahead(
-            now,
-            request.priority,
-            waiting,
-            speed.prefill_tokens_per_ms,
-        );
+        let (ahead_tokens, waiting_ahead) =
+            server.prefill_backlog.ahead(now, request.priority, waiting);
         choice.kv_held_tokens = server.kv_memory.held_tokens(now, running);
         let is_full = is_full(now, server, request);
         let queued = if is_full { 1 + waiting_ahead } else { 0 };
--- a/crates/core/src/traffic/prefill_backlog.rs
+++ b/crates/core/src/traffic/prefill_backlog.rs
@@ -67,30 +67,17 @@
     }
 
     /// Tokens and requests that a request of `priority` has to wait for, if the newest `waiting`
-    /// requests are not admitted yet and the engine prefills `tokens_per_ms`. The returned
-    /// number of requests counts only those that are not admitted.
-    ///
-    /// A prompt is removed when its first event arrives, which may be much later than its prefill ends, so
-    /// what the engine has prefilled since is subtracted.
-    pub fn ahead(
-        &self,
-        now: ClockTime,
-        priority: u8,
-        waiting: u32,
-        tokens_per_ms: f64,
-    ) -> (u64, u32) {
+    /// requests are not admitted yet. The requests are those that are not admitted.
+    pub fn ahead(&self, now: ClockTime, priority: u8, waiting: u32) -> (u64, u32) {
         let open = self.entries.iter().filter(|entry| now.since(entry.sent_at) < MAX_PREFILL_TIME);
-        let open: Vec<&PendingPrompt> = open.collect();
-        let (admitted, waiting) = open.split_at(open.len().saturating_sub(waiting as usize));
-        // When the engine will have prefilled all admitted prompts, in ms before now or after it.
-        let mut free_ms = f64::NEG_INFINITY;
-        for entry in admitted {
-            let sent_ms = -(now.since(entry.sent_at).as_secs_f64() * 1_000.0);
-            free_ms = free_ms.max(sent_ms) + f64::from(entry.tokens) / tokens_per_ms;
+        let (mut tokens, mut requests) = (0, 0);
+        for (index, entry) in open.rev().enumerate() {
+            let is_waiting = index < waiting as usize;
+            if !is_waiting || entry.priority <= priority {
+                tokens += u64::from(entry.tokens);
+                requests += u32::from(is_waiting);
+            }
         }
-        let admitted_tokens = (free_ms.max(0.0) * tokens_per_ms).round() as u64;
-        let before = waiting.iter().filter(|entry| entry.priority <= priority);
-        let tokens: u64 = before.clone().map(|entry| u64::from(entry.tokens)).sum();
-        (admitted_tokens + tokens, before.count() as u32)
+        (tokens, requests)
     }
 }
