--- a/review/standin-2/cut_watch.rs
+++ b/review/standin-2/cut_watch.rs
@@ -22,7 +22,7 @@
 /// Bound `drainMs` of the settings.
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// The server that leaves ends this much later than that.
-const EXTRA: Duration = Duration::from_millis(350);
+const EXTRA: Duration = Duration::from_millis(200);
 /// Clients, each with one request at a time.
 const CLIENTS: usize = 40;
 const MEMORY_MB: u32 = 110;
