review: a body for each prompt in the stand-in for streams

Cause: all streams had one body, so machines held them for a request that may crash servers once requesters had left, and the control of case 6 showed nothing: 3 of 24 streams went on, but also only 3 of 24 new ones began. Change: the body names the prompt.

--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -152,10 +152,13 @@
 }
 
 fn request_with(id: &str, part: u32, headers: &str) -> String {
+    // Each prompt has a body of its own.
+    let body = format!("question {part}");
     format!(
         "POST /ask/question HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {BUDGET_MS}\r\n\
          Authorization: Token {KEY}\r\nModel: {MODEL}\r\nToken-Usage: 826,58\r\n\
-         Prompt-Prefix: {part:x}:198,{:x}:628\r\n{headers}Content-Length: 2\r\n\r\nhi",
-        part + 0x1000
+         Prompt-Prefix: {part:x}:198,{:x}:628\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        part + 0x1000,
+        body.len()
     )
 }
