Share the version of every stream, whatever versions are listed

Cause: the version of a stream was sent to other nodes only if its service had several versions when the first event came. Nodes without the record took the only version that they knew, which the second one took away. Shown by the log of ("client continues a stream", software: None, after the whole 200 ms of the query) and by the test. Where these are all other nodes, it joins the notices that they get anyway. Ruled out: sharing the records once a second version is listed; a node that is frozen, cut off or gone by then never sends them (two of the test's cases). The form of the notice is unchanged, so older nodes take it as before.

--- a/crates/node/src/client/stream_origin.rs
+++ b/crates/node/src/client/stream_origin.rs
@@ -75,12 +75,20 @@
     let SoftwareRule::Only(software) = &context.software else { return };
     let first_attempt = context.info.first_attempt.as_ref();
     let stream = StreamKey::of_attempt(first_attempt.unwrap_or(&context.info.request_id));
-    let now = clock::now();
-    node.state.borrow_mut().streams.record(now, stream, software);
-    // Every node knows the version of a service that never had but one.
-    if node.state.borrow().streams.only_version(now, &context.service).is_none() {
-        let notice = NodeNotice::StreamOrigin { stream, software: Some(software.clone()) };
-        let holders = replicas(node, &node.state.borrow(), stream);
+    node.state.borrow_mut().streams.record(clock::now(), stream, software);
+    share(node, stream, software.clone());
+}
+
+/// Sends the record of a stream to its holders, whatever versions are listed: a server of another one
+/// may join, or this node end, at any moment.
+fn share(node: &Node, stream: StreamKey, software: String) {
+    let holders = replicas(node, &node.state.borrow(), stream);
+    let others = node.state.borrow().members.live().count().saturating_sub(1);
+    let notice = NodeNotice::StreamOrigin { stream, software: Some(software) };
+    if holders.len() == others {
+        // Joins other notices in their datagrams.
+        node.broadcast(notice);
+    } else {
         notice_transport::send_to(node, holders, &notice);
     }
 }
