Tell an outage of the store from a single call that fails

Cause: any failed call of the watch or the registration counted as an outage; the next answer began the time in which a removed entry counts as lapsed, and each cut began it anew. Shown by the node's log: unreachable, reachable 236 ms later, "server entry removed" with gone=false. Change: StoreOutage is told the outcomes of these calls and what watchers report. After a cut the node watches again at once. The stand-in of a link can reset its open connections once. Ruled out: a late read of the removal, and requests that waited. Records of nodes had the same fault, also right after the start; whether a listing may be outdated still follows single calls, since a late answer there joins two versions. Two core tests call the renamed functions of the registry; their checks are as before.

Tests of core, node, platform and stand-ins pass; formatter and linter clean.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -41,6 +41,7 @@
 mod server_loading;
 mod server_model;
 mod silent_servers;
+mod store_outage;
 mod stream_origins;
 mod suspension;
 mod unresolved_runs;
@@ -91,6 +92,7 @@
         HEARD_NOTICE_AGE, PROBERS, ProbeSchedule, ReportRule, ServerSilence, SilenceChange,
         overdue_after,
     },
+    store_outage::{OutageChange, StoreOutage},
     stream_origins::{SoftwareReport, SoftwareRule, StreamKey, StreamOrigins},
     suspension::SuspensionDetector,
     watch_reports::{WatchReport, WatchReports},
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -1,8 +1,8 @@
 //! The backend servers that the platform lists, and which of them may be used.
 //!
-//! While the platform's store is unreachable, listings may expire although their servers live.
-//! Such servers stay usable until shortly after the store is reachable again. A server that is
-//! not listed by then is removed.
+//! In an outage of the platform's store, listings may expire although their servers live. Such
+//! servers stay usable until shortly after the outage. A server that is not listed by then is
+//! removed.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -17,7 +17,7 @@
     suspects::ServerBuild,
 };
 
-/// Time in which live servers list themselves again after the store becomes reachable.
+/// Time in which live servers list themselves again after an outage of the store.
 const RELIST_GRACE: Duration = Duration::from_millis(2_200);
 
 /// State that a server announces in its listing.
@@ -133,7 +133,11 @@
     by_service: HashMap<String, Vec<ServerKey>>,
     /// Servers that have said that they leave, whether or not they are listed.
     leaving: LeavingNotices,
-    store_unreachable: bool,
+    /// Whether an outage of the store is on.
+    is_store_away: bool,
+    /// Whether changes of listings may not reach this node, since its calls to the store fail.
+    may_miss_listings: bool,
+    /// Until when live servers list themselves again after an outage.
     relist_deadline: Option<ClockTime>,
 }
 
@@ -232,18 +236,21 @@
         self.by_instance.keys().cloned().collect()
     }
 
-    /// Handles a store that no longer responds to this node.
-    pub fn on_store_unreachable(&mut self) {
-        self.store_unreachable = true;
+    /// Handles the beginning of an outage of the store.
+    pub fn on_store_away(&mut self) {
+        self.is_store_away = true;
         self.relist_deadline = None;
     }
 
-    /// Handles a store that responds again. Live servers now have to list themselves again.
-    pub fn on_store_reachable(&mut self, now: ClockTime) {
-        if self.store_unreachable {
-            self.store_unreachable = false;
-            self.relist_deadline = Some(now + RELIST_GRACE);
-        }
+    /// Handles the end of an outage of the store. Live servers now have to list themselves again.
+    pub fn on_store_back(&mut self, now: ClockTime) {
+        self.is_store_away = false;
+        self.relist_deadline = Some(now + RELIST_GRACE);
+    }
+
+    /// Records whether the store answered the latest call of this node.
+    pub fn on_store_call(&mut self, is_answered: bool) {
+        self.may_miss_listings = !is_answered;
     }
 
     /// Removes lapsed servers that have not listed themselves again in time, and returns them.
@@ -286,7 +293,7 @@
 
     /// Whether another incarnation of a server may have started that its listing does not name.
     pub fn may_have_restarted(&self, now: ClockTime, server: &BackendServer) -> bool {
-        server.health.may_have_restarted(now, !self.store_unreachable)
+        server.health.may_have_restarted(now, !self.may_miss_listings)
     }
 
     /// Whether a server of a service with this software may get requests.
@@ -299,7 +306,7 @@
     /// if some may run unknown software, any build may be there.
     pub fn may_have_software(&self, service: &str, build: ServerBuild) -> bool {
         let mut servers = self.usable(service).peekable();
-        let none_known = servers.peek().is_none() || !build.is_known() || self.store_unreachable;
+        let none_known = servers.peek().is_none() || !build.is_known() || self.may_miss_listings;
         none_known
             || servers.any(|(_, server)| {
                 let own = ServerBuild::new(server.listing.software.as_deref(), None);
@@ -354,7 +361,7 @@
     }
 
     fn may_have_lapsed(&self, now: ClockTime) -> bool {
-        self.store_unreachable || self.relist_deadline.is_some_and(|due| now < due)
+        self.is_store_away || self.relist_deadline.is_some_and(|due| now < due)
     }
 }
 
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -246,7 +246,7 @@
         let mut registry = ServerRegistry::default();
         registry.apply_listing(listing(Some("v1")));
         if !case.store_reachable {
-            registry.on_store_unreachable();
+            registry.on_store_call(false);
         }
         let broke_at = 10_000;
         let server = registry.get_instance_mut("a").expect("the server is listed");
--- a/crates/core/tests/traffic_fleet.rs
+++ b/crates/core/tests/traffic_fleet.rs
@@ -192,8 +192,8 @@
         for (at, step) in case.steps {
             match step {
                 Unlist => drop(registry.on_listing_removed(millis(*at), "i")),
-                StoreUnreachable => registry.on_store_unreachable(),
-                StoreReachable => registry.on_store_reachable(millis(*at)),
+                StoreUnreachable => registry.on_store_away(),
+                StoreReachable => registry.on_store_back(millis(*at)),
                 Relist => drop(registry.apply_listing(listing("i", 1, ListingState::Ready, 1))),
                 Drain => drop(registry.apply_listing(listing("i", 1, ListingState::Draining, 1))),
                 RemoveLapsed => drop(registry.remove_lapsed(millis(*at))),
--- a/crates/node/src/fleet/peer_knowledge.rs
+++ b/crates/node/src/fleet/peer_knowledge.rs
@@ -56,12 +56,12 @@
 /// Reads other nodes after the start and after the store was away, until the process ends.
 pub async fn read_peers<A: PlatformAdapter>(node: Rc<Node>) {
     let mut reads_left = PEER_READS;
-    let mut was_reachable = true;
+    let mut was_away = false;
     loop {
         sleep(PEER_READ_INTERVAL).await;
-        let reachable = node.state.borrow().is_store_reachable();
-        if reachable != was_reachable {
-            was_reachable = reachable;
+        let is_away = node.state.borrow().is_store_away();
+        if is_away != was_away {
+            was_away = is_away;
             reads_left = PEER_READS;
         }
         if reads_left == 0 {
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time between two renewals. One may fail before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 /// Longest pause after a failed call.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -57,7 +57,7 @@
             Ok(()) => RENEW_INTERVAL,
             Err(cause) => {
                 log::debug!(cause:% = cause; "failed to keep this node registered");
-                node.set_store_reachable(false);
+                node.on_store_call_failed();
                 node.state.borrow_mut().rng.random_range(MAX_RETRY_PAUSE / 3..MAX_RETRY_PAUSE)
             }
         };
@@ -91,7 +91,7 @@
 ) -> Result<(), StoreCallError> {
     let sent_at = clock::now();
     let reply = store.call(&StoreCall::Renew { lease: id }, CALL_TIMEOUT).await?;
-    node.set_store_reachable(true);
+    node.on_store_answered();
     if reply == StoreReply::NoLease {
         log::warn!(lease = id; "the lease of this node's record has expired");
         lease.lease.set(None);
@@ -146,6 +146,6 @@
             lease.lease.set(None);
         }
     }
-    node.set_store_reachable(true);
+    node.on_store_answered();
     Ok(())
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,9 +15,9 @@
     rendezvous::rendezvous_score,
     suspects::BlamedGroup,
     traffic::{
-        BudgetShare, CrashTracker, PlacementPlanner, ReportRule, RetryBudget, RolloutPlanner,
-        RolloutSettings, RouteTable, ServerLinks, ServerRegistry, StreamKey, StreamOrigins,
-        SuspensionDetector, WatchReports,
+        BudgetShare, CrashTracker, OutageChange, PlacementPlanner, ReportRule, RetryBudget,
+        RolloutPlanner, RolloutSettings, RouteTable, ServerLinks, ServerRegistry, StoreOutage,
+        StreamKey, StreamOrigins, SuspensionDetector, WatchReports,
     },
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -31,9 +31,10 @@
     },
     clock,
     fleet::{
-        members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
+        members::{LEASE_LIFETIME, MemberTable, ROLLOUT_LEASE_LIFETIME},
         node_notice::NodeNotice,
         notice_transport::NoticeRelay,
+        registration::RENEW_INTERVAL,
         workspace_limits::WorkspaceLimits,
     },
     server::{admission::AdmissionState, pool::ConnectionPool, response_memory::ResponseMemory},
@@ -46,6 +47,16 @@
 /// A node may open at least this many connections to one server.
 const MIN_SERVER_CONNECTIONS: u32 = 2;
 
+/// A server's entry lapses after three heartbeats, one of which may have passed before an outage begins.
+/// The remaining half of a heartbeat allows for late ones.
+const LAPSE_HEARTBEATS: f64 = 1.5;
+
+/// Returns the shortest outage of the store in which entries of servers or nodes may lapse.
+fn lapse_time(bounds: &NodeBounds) -> std::time::Duration {
+    let of_servers = bounds.server_heartbeat.mul_f64(LAPSE_HEARTBEATS);
+    of_servers.min(LEASE_LIFETIME - RENEW_INTERVAL)
+}
+
 /// Everything that the node's decisions are based on.
 pub struct NodeState {
     /// Routes and limits of the configuration in force.
@@ -97,9 +108,8 @@
     members_known_at: Option<ClockTime>,
     /// Time from then until this node may spend its part of the slack of the retry budget.
     slack_delay: std::time::Duration,
-    /// Whether the last call to the platform's store got a reply.
-    store_reachable: bool,
-    store_changed_at: ClockTime,
+    /// Whether the platform's store is away.
+    store_outage: StoreOutage,
 }
 
 /// A running node.
@@ -219,8 +229,7 @@
             retry_budgets: HashMap::new(),
             members_known_at: None,
             slack_delay,
-            store_reachable: false,
-            store_changed_at: clock::now(),
+            store_outage: StoreOutage::new(clock::now(), lapse_time(&bounds)),
         };
         let max_connections = ingress::max_connections(&settings);
         let memory_plan =
@@ -263,26 +272,23 @@
         }
     }
 
-    /// Records whether the platform's store replied to a call. During an outage, nodes and servers
-    /// whose entries vanish are not dropped at once.
-    pub fn set_store_reachable(&self, reachable: bool) {
+    /// Records that the platform's store answered a call of this node. Called before what the answer
+    /// brings is applied.
+    pub fn on_store_answered(&self) {
         let now = clock::now();
         let state = &mut *self.state.borrow_mut();
-        if state.store_reachable == reachable {
-            return;
-        }
-        let lasted_ms = now.since(state.store_changed_at).as_millis() as u64;
-        state.store_reachable = reachable;
-        state.store_changed_at = now;
-        if reachable {
-            log::info!(away_ms = lasted_ms; "store is reachable again");
-            state.registry.on_store_reachable(now);
-            state.members.on_store_back(now);
-        } else {
-            log::warn!(answered_ms = lasted_ms; "store is unreachable");
-            state.registry.on_store_unreachable();
-            state.members.on_store_lost();
-        }
+        let change = state.store_outage.on_answer(now);
+        state.registry.on_store_call(true);
+        state.apply_store_outage(now, change);
+    }
+
+    /// Records that a call of this node to the platform's store failed.
+    pub fn on_store_call_failed(&self) {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        let change = state.store_outage.on_failure(now);
+        state.registry.on_store_call(false);
+        state.apply_store_outage(now, change);
     }
 
     /// Closes idle connections and accepts no new ones.
@@ -330,7 +336,43 @@
 impl NodeState {
     /// Whether the last call to the platform's store got a reply.
     pub fn is_store_reachable(&self) -> bool {
-        self.store_reachable
+        self.store_outage.is_reachable()
+    }
+
+    /// Whether an outage of the platform's store is on.
+    pub fn is_store_away(&self) -> bool {
+        self.store_outage.is_away()
+    }
+
+    /// Records that the platform's store answered another node at `at`.
+    pub fn on_store_answered_other(&mut self, now: ClockTime, at: ClockTime) {
+        let change = self.store_outage.on_other_answer(now, at);
+        self.apply_store_outage(now, change);
+    }
+
+    /// Notices an outage of the platform's store that has become long enough for entries to lapse.
+    pub fn check_store_outage(&mut self, now: ClockTime) {
+        let change = self.store_outage.check(now);
+        self.apply_store_outage(now, change);
+    }
+
+    /// During an outage and shortly after it, nodes and servers whose entries vanish are not dropped
+    /// at once.
+    fn apply_store_outage(&mut self, now: ClockTime, change: Option<OutageChange>) {
+        match change {
+            None => {}
+            Some(OutageChange::Began) => {
+                log::warn!(reachable = self.is_store_reachable(); "store is away");
+                self.registry.on_store_away();
+                self.members.on_store_lost();
+            }
+            Some(OutageChange::Ended(lasted)) => {
+                let away_ms = lasted.as_millis() as u64;
+                log::info!(away_ms; "store is back");
+                self.registry.on_store_back(now);
+                self.members.on_store_back(now);
+            }
+        }
     }
 
     /// Records that this node is active, and logs a suspension that has ended.
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -268,6 +268,7 @@
         server_limits::tick(&node);
         server_signals::tick(&node);
         let state = &mut *node.state.borrow_mut();
+        state.check_store_outage(now);
         state.members.expire(now);
         stream_origin::tick(state, now);
         for (instance, server) in state.registry.remove_lapsed(now) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -63,6 +63,8 @@
     pub config_apply_time: Duration,
     /// Length of the window in which the limits of workspaces hold.
     pub limit_window: Duration,
+    /// Time between two writes of a server's entry in the store.
+    pub server_heartbeat: Duration,
     /// Shortest lifetime of a lease that the store grants.
     pub min_lease_lifetime: Duration,
 }
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -115,8 +115,7 @@
     let removed = &state.removed_entries;
     let present = &state.mirror.items;
     mirror.items.retain(|key, _| present.contains_key(key) || !removed.contains_key(key));
-    state.registry.on_store_unreachable();
-    state.registry.on_store_reachable(now);
+    state.registry.on_store_back(now);
     state.members.on_store_back(now);
     for item in state.mirror.items.values_mut() {
         item.revision = 0;
@@ -155,6 +154,7 @@
             if revision <= known {
                 return;
             }
+            state.check_store_outage(now);
             state.mirror.items.remove(&key);
             state.removals.on_removed(&key, revision);
             if MemberTable::is_member_key(&key) {
--- a/crates/node/src/store/store_sync.rs
+++ b/crates/node/src/store/store_sync.rs
@@ -57,6 +57,7 @@
 /// Keeps the copy up to date from the store until the process ends.
 pub async fn sync_with_store<A: PlatformAdapter>(node: Rc<Node>, store: Rc<StoreClient<A>>) {
     let mut complete = false;
+    let mut has_failed = false;
     loop {
         let result = match complete {
             true if is_watcher(&node) => watch_for_all(&node, &store).await,
@@ -71,15 +72,21 @@
         };
         match result {
             Ok(is_complete) => {
-                node.set_store_reachable(true);
+                has_failed = false;
+                node.on_store_answered();
                 node.state.borrow_mut().mirror_checked_at = clock::now();
                 complete = is_complete && node.state.borrow().mirror.revision.era == store.era();
             }
             Err(cause) => {
                 log::debug!(cause:% = cause; "failed to synchronise with the store");
-                node.set_store_reachable(false);
-                let pause = node.state.borrow_mut().rng.random_range(RETRY_MIN..RETRY_MAX);
-                sleep(pause).await;
+                node.on_store_call_failed();
+                // The store cuts watches in ordinary operation; the next call opens a new connection.
+                let is_cut = matches!(cause, StoreCallError::Connection(_)) && !has_failed;
+                has_failed = true;
+                if !is_cut {
+                    let pause = node.state.borrow_mut().rng.random_range(RETRY_MIN..RETRY_MAX);
+                    sleep(pause).await;
+                }
             }
         }
     }
@@ -182,6 +189,7 @@
     let state = &mut *node.state.borrow_mut();
     state.store_checked_at = state.store_checked_at.max(checked_at);
     state.mirror_checked_at = state.mirror_checked_at.max(checked_at);
+    state.on_store_answered_other(now, checked_at);
 }
 
 /// Whether this node is one of the watchers. All nodes rank the live nodes in the same way.
@@ -335,7 +343,7 @@
         StoreReply::Events { .. } if store.era() != after.era => Ok(INCOMPLETE),
         StoreReply::Events { events, revision: complete_to } => {
             // The end of an outage must be recorded before the events that follow it are applied.
-            node.set_store_reachable(true);
+            node.on_store_answered();
             // Notices may have brought later changes while the answer was under way.
             let batch = ChangeBatch { after, events: events.clone(), complete_to };
             if let Err(cause) = apply_changes::<A>(node, batch) {
--- a/crates/standin/src/platform/link.rs
+++ b/crates/standin/src/platform/link.rs
@@ -42,6 +42,8 @@
     fault: watch::Sender<LinkFault>,
     /// The fault that has taken effect on new connections.
     applied: watch::Receiver<LinkFault>,
+    /// Number of times that the open connections were reset.
+    cuts: watch::Sender<u64>,
     requests: watch::Receiver<usize>,
 }
 
@@ -52,12 +54,14 @@
     let (fault, faults) = watch::channel(LinkFault::None);
     let (applied_sender, applied) = watch::channel(LinkFault::None);
     let (request_sender, requests) = watch::channel(0);
+    let (cuts, cut_receiver) = watch::channel(0);
     actix_rt::spawn(async move {
-        let link = Link { addr, target, faults, applied: applied_sender, requests: request_sender };
+        let (applied, requests) = (applied_sender, request_sender);
+        let link = Link { addr, target, faults, cuts: cut_receiver, applied, requests };
         // Ends when all handles are dropped.
         drop(link.run(listener).await);
     });
-    Ok(LinkHandle { addr, fault, applied, requests })
+    Ok(LinkHandle { addr, fault, applied, cuts, requests })
 }
 
 impl LinkHandle {
@@ -74,6 +78,11 @@
         drop(applied.wait_for(|applied| *applied == fault).await);
     }
 
+    /// Resets the open connections once. New ones work.
+    pub fn cut(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     /// Returns the number of times that the node has sent something over the link.
     pub fn requests(&self) -> usize {
         *self.requests.borrow()
@@ -119,6 +128,7 @@
     addr: SocketAddr,
     target: SocketAddr,
     faults: watch::Receiver<LinkFault>,
+    cuts: watch::Receiver<u64>,
     applied: watch::Sender<LinkFault>,
     requests: watch::Sender<usize>,
 }
@@ -156,7 +166,9 @@
                 accepted = listener.accept() => {
                     let (stream, _) = accepted?;
                     let (faults, requests) = (self.faults.clone(), self.requests.clone());
-                    actix_rt::spawn(relay(stream, self.target, faults, requests));
+                    let mut cuts = self.cuts.clone();
+                    cuts.mark_unchanged();
+                    actix_rt::spawn(relay(stream, self.target, faults, cuts, requests));
                 }
             }
         }
@@ -179,6 +191,7 @@
     mut client: TcpStream,
     target: SocketAddr,
     mut faults: watch::Receiver<LinkFault>,
+    mut cuts: watch::Receiver<u64>,
     requests: watch::Sender<usize>,
 ) {
     let Ok(mut server) = TcpStream::connect(target).await else { return };
@@ -187,6 +200,7 @@
         match fault {
             LinkFault::None | LinkFault::RefuseNew => tokio::select! {
                 _ended = copy_both(&mut client, &mut server, &requests) => return,
+                _cut = cuts.changed() => return reset(&client, &server),
                 changed = faults.changed() => if changed.is_err() { return },
             },
             LinkFault::Hang => {
@@ -194,15 +208,17 @@
                     return;
                 }
             }
-            LinkFault::Reset => {
-                drop(client.set_zero_linger());
-                drop(server.set_zero_linger());
-                return;
-            }
+            LinkFault::Reset => return reset(&client, &server),
         }
     }
 }
 
+/// Makes both connections end with a reset when they are dropped.
+fn reset(client: &TcpStream, server: &TcpStream) {
+    drop(client.set_zero_linger());
+    drop(server.set_zero_linger());
+}
+
 /// Copies bytes both ways until one side ends.
 async fn copy_both(
     client: &mut TcpStream,
