--- a/crates/node/src/server/flight.rs
+++ b/crates/node/src/server/flight.rs
@@ -45,8 +45,10 @@
     ) -> Self {
         let prompt = &context.info.prompt;
         let tokens = prompt.prompt_tokens.saturating_sub(choice.cached_tokens);
-        let number =
-            rendezvous_score(context.info.request_id.as_bytes(), context.history.attempts.into());
+        // A stalled stream may have two attempts at the same time; only one of them is counted yet.
+        let attempt =
+            u64::from(context.history.attempts) << 32 | context.tried_servers.len() as u64;
+        let number = rendezvous_score(context.info.request_id.as_bytes(), attempt);
         let instance = instance.to_string();
         change_in_flight(node, choice.server, 1);
         {
