Keep the software versions of services in the platform's store

Cause: which versions a service had was known only in the memory of nodes. Change: carobvane/software/SERVICE in the store names the versions at which streams may have begun, and the store's era in which none was missing. It is written with a condition when the set changes. A node that starts and has read all items takes it for complete, unless the era differs or a node is registered whose build keeps none. Servers of a version that is not in it begin no streams for up to a second while others can. An unused function is gone.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -41,6 +41,7 @@
 mod server_loading;
 mod server_model;
 mod silent_servers;
+mod software_record;
 mod store_outage;
 mod stream_origins;
 mod suspension;
@@ -92,6 +93,7 @@
         HEARD_NOTICE_AGE, PROBERS, ProbeSchedule, ReportRule, ServerSilence, SilenceChange,
         overdue_after,
     },
+    software_record::SoftwareRecord,
     store_outage::{OutageChange, StoreOutage},
     stream_origins::{SoftwareReport, SoftwareRule, StreamKey, StreamOrigins},
     suspension::SuspensionDetector,
--- a/crates/core/src/traffic/registry.rs
+++ b/crates/core/src/traffic/registry.rs
@@ -231,18 +231,13 @@
         Some(key)
     }
 
-    /// Names of all known instances, for comparison with a complete read of the list.
-    pub fn instances(&self) -> Vec<String> {
-        self.by_instance.keys().cloned().collect()
-    }
-
     /// Handles the beginning of an outage of the store.
     pub fn on_store_away(&mut self) {
         self.is_store_away = true;
         self.relist_deadline = None;
     }
 
-    /// Handles the end of an outage of the store. Live servers now have to list themselves again.
+    /// Handles the end of an outage. Live servers now have to list themselves again.
     pub fn on_store_back(&mut self, now: ClockTime) {
         self.is_store_away = false;
         self.relist_deadline = Some(now + RELIST_GRACE);
--- a/crates/core/src/traffic/stream_origins.rs
+++ b/crates/core/src/traffic/stream_origins.rs
@@ -6,13 +6,13 @@
 //! version is known only if the service has had no other one while the stream can have begun.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackendServer, ServerRegistry};
+use super::{BackendServer, ServerRegistry, SoftwareRecord};
 use crate::{clock::ClockTime, rendezvous::rendezvous_score, suspects::ServerBuild};
 
 /// A client takes a stream up at most this long after its first event. Far above the time that any
@@ -20,6 +20,9 @@
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(120);
 /// Maximum number of recorded streams. When full, the oldest is dropped.
 const MAX_STREAMS: usize = 16_384;
+/// The servers of a version begin no streams for this long after it was listed first, unless the
+/// platform's store has recorded the version.
+const RECORD_WAIT: Duration = Duration::from_secs(1);
 /// Number of other nodes that get the record of a stream.
 const REPLICAS: usize = 8;
 
@@ -83,12 +86,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct SoftwareKey(usize);
 
-/// Software version of a service, and when a server of it was listed last; the version is `None` for
-/// servers that name none.
+/// Software version of a service, and when a server of it was listed first and last; the version is `None`
+/// for servers that name none.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ListedSoftware {
     service: String,
     software: Option<String>,
+    first_listed_at: ClockTime,
     listed_at: ClockTime,
 }
 
@@ -116,6 +120,8 @@
     /// From when on `listed` has all versions that were listed within the lifetime of a stream; `None`
     /// if the node has only just started and no other node has told it.
     complete_from: Option<ClockTime>,
+    /// Services of which `listed` has all those versions already, as the platform's store shows.
+    complete_services: HashSet<String>,
 }
 
 impl StreamOrigins {
@@ -134,6 +140,7 @@
             None => self.listed.push(ListedSoftware {
                 service: service.to_string(),
                 software: software.map(str::to_string),
+                first_listed_at: now,
                 listed_at: now,
             }),
         }
@@ -149,6 +156,34 @@
         }
     }
 
+    /// Adds the versions that the platform's store has recorded of a service, of which none is missing.
+    pub fn on_complete_record(&mut self, now: ClockTime, service: &str, record: &SoftwareRecord) {
+        for software in &record.versions {
+            self.on_listed(now, service, software.as_deref());
+        }
+        self.complete_services.insert(service.to_string());
+    }
+
+    /// Whether a version was listed first so long ago that streams begin at its servers although the
+    /// platform's store has not recorded it.
+    pub fn has_waited(&self, now: ClockTime, service: &str, software: Option<&str>) -> bool {
+        let mut listed = self.listed.iter();
+        let known =
+            listed.find(|known| known.service == service && known.software.as_deref() == software);
+        known.is_some_and(|known| now.since(known.first_listed_at) >= RECORD_WAIT)
+    }
+
+    /// Returns the services of which versions are known.
+    pub fn services(&self) -> BTreeSet<&str> {
+        self.listed.iter().map(|known| known.service.as_str()).collect()
+    }
+
+    /// Returns the versions of a service that were listed within the lifetime of a stream.
+    pub fn versions<'a>(&'a self, service: &str) -> impl Iterator<Item = Option<&'a str>> {
+        let listed = self.listed.iter().filter(move |known| known.service == service);
+        listed.map(|known| known.software.as_deref())
+    }
+
     /// Returns how long ago a server of a service with the software of a build was listed last; zero if
     /// this node has seen none.
     pub fn gone_for(&self, now: ClockTime, service: &str, build: ServerBuild) -> Duration {
@@ -206,12 +241,17 @@
     /// Returns the only version that a service had within the lifetime of a stream; `None` if there
     /// are several, or if there may have been some that this node does not know of.
     pub fn only_version(&self, now: ClockTime, service: &str) -> Option<&str> {
-        if !self.is_complete(now) || self.is_mixed(service) {
+        if !self.is_complete_for(now, service) || self.is_mixed(service) {
             return None;
         }
         self.listed.iter().find(|known| known.service == service)?.software.as_deref()
     }
 
+    /// Whether all versions of a service are known that were listed within the lifetime of a stream.
+    pub fn is_complete_for(&self, now: ClockTime, service: &str) -> bool {
+        self.is_complete(now) || self.complete_services.contains(service)
+    }
+
     fn is_complete(&self, now: ClockTime) -> bool {
         self.complete_from.is_some_and(|from| now >= from)
     }
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -57,6 +57,9 @@
     /// Whether the node's build grants tokens of workspaces' limits.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub grants_tokens: bool,
+    /// Whether the node's build records the software versions of services in the platform's store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub records_software: bool,
 }
 
 impl MemberRecord {
@@ -193,6 +196,11 @@
         granters.map(|member| (&member.record, member.removed_at.is_none() || member.presumed_live))
     }
 
+    /// Whether all registered nodes record the software versions of services.
+    pub fn all_record_software(&self) -> bool {
+        self.live().all(|record| record.records_software)
+    }
+
     fn live_members(&self) -> impl Iterator<Item = &KnownMember> {
         self.members.values().filter(|member| member.removed_at.is_none() || member.presumed_live)
     }
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -130,6 +130,7 @@
         region: settings.region.clone(),
         formats: READABLE_FORMATS.to_vec(),
         grants_tokens: true,
+        records_software: true,
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let write = StoreWrite { key: MemberRecord::key(&record.name), value, lease: Some(id) };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,8 +15,8 @@
     rendezvous::rendezvous_score,
     suspects::BlamedGroup,
     traffic::{
-        BudgetShare, CrashTracker, OutageChange, PlacementPlanner, ReportRule, RetryBudget,
-        RolloutPlanner, RolloutSettings, RouteTable, ServerLinks, ServerRegistry, StoreOutage,
+        BudgetShare, CrashTracker, PlacementPlanner, ReportRule, RetryBudget, RolloutPlanner,
+        RolloutSettings, RouteTable, ServerLinks, ServerRegistry, SoftwareRecord, StoreOutage,
         StreamKey, StreamOrigins, SuspensionDetector, WatchReports,
     },
 };
@@ -31,15 +31,14 @@
     },
     clock,
     fleet::{
-        members::{LEASE_LIFETIME, MemberTable, ROLLOUT_LEASE_LIFETIME},
+        members::{MemberTable, ROLLOUT_LEASE_LIFETIME},
         node_notice::NodeNotice,
         notice_transport::NoticeRelay,
-        registration::RENEW_INTERVAL,
         workspace_limits::WorkspaceLimits,
     },
     server::{admission::AdmissionState, pool::ConnectionPool, response_memory::ResponseMemory},
     settings::{NodeBounds, NodeSettings},
-    store::{removal_log::RemovalLog, store_mirror::StoreMirror},
+    store::{removal_log::RemovalLog, store_availability, store_mirror::StoreMirror},
 };
 
 /// The holder regards the lease as ended this much earlier than the store does.
@@ -47,16 +46,6 @@
 /// A node may open at least this many connections to one server.
 const MIN_SERVER_CONNECTIONS: u32 = 2;
 
-/// A server's entry lapses after three heartbeats, one of which may have passed before an outage begins.
-/// The remaining half of a heartbeat allows for late ones.
-const LAPSE_HEARTBEATS: f64 = 1.5;
-
-/// Returns the shortest outage of the store in which entries of servers or nodes may lapse.
-fn lapse_time(bounds: &NodeBounds) -> std::time::Duration {
-    let of_servers = bounds.server_heartbeat.mul_f64(LAPSE_HEARTBEATS);
-    of_servers.min(LEASE_LIFETIME - RENEW_INTERVAL)
-}
-
 /// Everything that the node's decisions are based on.
 pub struct NodeState {
     /// Routes and limits of the configuration in force.
@@ -75,6 +64,8 @@
     pub logged_blame: Vec<BlamedGroup>,
     /// Software versions at which streams began.
     pub streams: StreamOrigins,
+    /// Software versions of services, as the platform's store has them.
+    pub software_records: BTreeMap<String, SoftwareRecord>,
     /// When this node last compared its copy of the store with the store or with another node.
     pub mirror_checked_at: ClockTime,
     /// When the platform's store had nothing newer than this node's copy of it, as this node or a
@@ -109,7 +100,7 @@
     /// Time from then until this node may spend its part of the slack of the retry budget.
     slack_delay: std::time::Duration,
     /// Whether the platform's store is away.
-    store_outage: StoreOutage,
+    pub store_outage: StoreOutage,
 }
 
 /// A running node.
@@ -151,6 +142,8 @@
     pub catch_up_wake: Notify,
     /// Wakes the task that writes crash records to the store.
     pub crash_store_wake: Notify,
+    /// Wakes the task that writes the software versions of services to the store.
+    pub software_wake: Notify,
     /// Newest revision of the store that a watcher has announced.
     pub announced_revision: Cell<StoreRevision>,
     /// How long the reports of watchers are under way.
@@ -202,6 +195,7 @@
         streams.on_start(clock::now(), settings.first_start);
         let state = NodeState {
             streams,
+            software_records: BTreeMap::new(),
             links: ServerLinks::default(),
             brittle_told_at: HashMap::new(),
             suspected_servers: BTreeSet::new(),
@@ -229,7 +223,7 @@
             retry_budgets: HashMap::new(),
             members_known_at: None,
             slack_delay,
-            store_outage: StoreOutage::new(clock::now(), lapse_time(&bounds)),
+            store_outage: StoreOutage::new(clock::now(), store_availability::lapse_time(&bounds)),
         };
         let max_connections = ingress::max_connections(&settings);
         let memory_plan =
@@ -254,6 +248,7 @@
             registration_wake: Notify::new(),
             catch_up_wake: Notify::new(),
             crash_store_wake: Notify::new(),
+            software_wake: Notify::new(),
             announced_revision: Cell::default(),
             watch_reports: RefCell::default(),
             notice_socket,
@@ -272,25 +267,6 @@
         }
     }
 
-    /// Records that the platform's store answered a call of this node. Called before what the answer
-    /// brings is applied.
-    pub fn on_store_answered(&self) {
-        let now = clock::now();
-        let state = &mut *self.state.borrow_mut();
-        let change = state.store_outage.on_answer(now);
-        state.registry.on_store_call(true);
-        state.apply_store_outage(now, change);
-    }
-
-    /// Records that a call of this node to the platform's store failed.
-    pub fn on_store_call_failed(&self) {
-        let now = clock::now();
-        let state = &mut *self.state.borrow_mut();
-        let change = state.store_outage.on_failure(now);
-        state.registry.on_store_call(false);
-        state.apply_store_outage(now, change);
-    }
-
     /// Closes idle connections and accepts no new ones.
     pub fn close(&self) {
         self.closing.set(true);
@@ -334,47 +310,6 @@
 }
 
 impl NodeState {
-    /// Whether the last call to the platform's store got a reply.
-    pub fn is_store_reachable(&self) -> bool {
-        self.store_outage.is_reachable()
-    }
-
-    /// Whether an outage of the platform's store is on.
-    pub fn is_store_away(&self) -> bool {
-        self.store_outage.is_away()
-    }
-
-    /// Records that the platform's store answered another node at `at`.
-    pub fn on_store_answered_other(&mut self, now: ClockTime, at: ClockTime) {
-        let change = self.store_outage.on_other_answer(now, at);
-        self.apply_store_outage(now, change);
-    }
-
-    /// Notices an outage of the platform's store that has become long enough for entries to lapse.
-    pub fn check_store_outage(&mut self, now: ClockTime) {
-        let change = self.store_outage.check(now);
-        self.apply_store_outage(now, change);
-    }
-
-    /// During an outage and shortly after it, nodes and servers whose entries vanish are not dropped
-    /// at once.
-    fn apply_store_outage(&mut self, now: ClockTime, change: Option<OutageChange>) {
-        match change {
-            None => {}
-            Some(OutageChange::Began) => {
-                log::warn!(reachable = self.is_store_reachable(); "store is away");
-                self.registry.on_store_away();
-                self.members.on_store_lost();
-            }
-            Some(OutageChange::Ended(lasted)) => {
-                let away_ms = lasted.as_millis() as u64;
-                log::info!(away_ms; "store is back");
-                self.registry.on_store_back(now);
-                self.members.on_store_back(now);
-            }
-        }
-    }
-
     /// Records that this node is active, and logs a suspension that has ended.
     pub fn on_active(&mut self, now: ClockTime) {
         if let Some(length) = self.suspension.on_active(now) {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -31,7 +31,7 @@
     },
     settings::NodeSettings,
     sockets::NodeSockets,
-    store::{client::StoreClient, store_changes::drop_server_state, store_sync},
+    store::{client::StoreClient, software_store, store_changes::drop_server_state, store_sync},
 };
 use carobvane_core::{
     rendezvous::rendezvous_score,
@@ -147,6 +147,7 @@
         actix_rt::spawn(silent_servers::watch::<A>(node.clone()));
         actix_rt::spawn(cache_events::follow_engines::<A>(node.clone()));
         actix_rt::spawn(crash_store::write_records(node.clone(), store.clone()));
+        actix_rt::spawn(software_store::write_records(node.clone(), store.clone()));
         actix_rt::spawn(peer_knowledge::read_peers::<A>(node.clone()));
         actix_rt::spawn(legacy_nodes::find_formats(node.clone()));
         actix_rt::spawn(run_housekeeping(node.clone()));
--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -7,7 +7,7 @@
     overload::WaitTicket,
     traffic::{
         AttemptOutcome, CacheSource, CrashVerdict, PlacementChoice, PlacementRefusal,
-        PlacementRequest, ServerAvailability,
+        PlacementRequest, ServerAvailability, SoftwareRule,
     },
 };
 
@@ -22,6 +22,7 @@
         crashes,
         server_limits::{ServerCall, record_call},
     },
+    store::software_store,
 };
 
 /// Why no attempt could be opened.
@@ -85,13 +86,11 @@
         bytes: context.body.len(),
         nodes: state.members.live().count().max(1),
     };
-    let choice = state.planner.choose(
-        now,
-        &state.registry,
-        &request,
-        &context.tried_servers,
-        &mut state.rng,
-    )?;
+    let mut excluded = context.tried_servers.clone();
+    if context.is_stream() && context.software == SoftwareRule::Any {
+        excluded.extend(software_store::barred_servers(state, &context.service));
+    }
+    let choice = state.planner.choose(now, &state.registry, &request, &excluded, &mut state.rng)?;
     admission::decide(node, state, context, &choice, ticket)?;
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
     log::info!(
--- a/crates/node/src/store/store_changes.rs
+++ b/crates/node/src/store/store_changes.rs
@@ -16,7 +16,10 @@
     },
     node::{Node, NodeState},
     server::{crash_store, crashes},
-    store::store_mirror::{BatchError, ChangeBatch, StoreMirror},
+    store::{
+        software_store,
+        store_mirror::{BatchError, ChangeBatch, StoreMirror},
+    },
 };
 
 /// Items of a snapshot count as this much older, since requests wait before they begin.
@@ -165,6 +168,8 @@
                 }
             } else if let Some(fingerprint) = crash_store::decode_key(&key) {
                 state.crashes.on_stored_removed(fingerprint);
+            } else if software_store::is_software_key(&key) {
+                software_store::remove_record(node, state, &key);
             } else if key == LEASE_HOLDER_KEY {
                 node.rollout_wake.notify_one();
             } else if let Some(instance) = A::instance_of_key(&key) {
@@ -194,6 +199,10 @@
         }
         return;
     }
+    if software_store::is_software_key(&item.key) {
+        software_store::apply_record(node, state, item);
+        return;
+    }
     if !MemberTable::is_member_key(&item.key) {
         node.rollout_wake.notify_one();
         return;
@@ -280,6 +289,7 @@
         RegistryChange::Unchanged(_) => {}
     }
     node.rollout_wake.notify_one();
+    node.software_wake.notify_one();
 }
 
 fn first_weights_version(server: &BackendServer) -> u64 {
--- a/crates/node/src/store/store_sync.rs
+++ b/crates/node/src/store/store_sync.rs
@@ -22,6 +22,7 @@
     node::Node,
     store::{
         client::{CALL_TIMEOUT, StoreCallError, StoreClient},
+        software_store,
         store_changes::{apply_changes, apply_snapshot},
         store_mirror::{ChangeBatch, StoreMirror},
     },
@@ -153,7 +154,7 @@
     node: &Rc<Node>,
     store: &StoreClient<A>,
 ) -> Result<bool, StoreCallError> {
-    let is_first = watcher_rank(node) == 0;
+    let is_first = is_first_watcher(node);
     let first_wait = node.settings.bounds.config_apply_time.mul_f64(FIRST_WATCH_FRACTION);
     let wait = if is_first { WATCH_WAIT.min(first_wait) } else { WATCH_WAIT };
     let sent_at = clock::now();
@@ -197,6 +198,11 @@
     watcher_rank(node) < WATCHER_COUNT
 }
 
+/// Whether this node is the first one of the watchers.
+pub fn is_first_watcher(node: &Node) -> bool {
+    watcher_rank(node) == 0
+}
+
 /// Whether this node is the first one of those that reach servers.
 pub fn is_first_linked(node: &Node) -> bool {
     let state = node.state.borrow();
@@ -314,6 +320,7 @@
     apply_snapshot::<A>(node, mirror);
     let state = &mut *node.state.borrow_mut();
     state.on_members_read(clock::now());
+    software_store::trust_records(state);
     state.store_checked_at = state.store_checked_at.max(sent_at);
     Ok(true)
 }
