--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -31,6 +31,8 @@
 const ID_PLACEHOLDER: &str = "{id}";
 /// Beginning of a query of the server's state.
 const STATE_QUERY: &str = "GET /report ";
+/// Time between two looks whether the sender of an unread body has gone.
+const PEEK_INTERVAL: Duration = Duration::from_millis(20);
 /// Size of the send buffer of an endless response, in bytes.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -44,6 +46,14 @@
     SendAndClose(String),
     /// Sends these bytes and resets the connection.
     SendAndReset(String),
+    /// Sends these bytes once the head of the request has arrived, and does not read its body. Then resets
+    /// the connection (`resets`), or ends it without a reset while the body is still under way.
+    BeforeBody {
+        /// Sent first.
+        text: String,
+        /// Whether the connection is reset.
+        resets: bool,
+    },
     /// Sends nothing and keeps the connection open.
     NoResponse,
     /// Sends `head`, then `piece` again and again until the client closes the connection.
@@ -234,7 +244,11 @@
 
 async fn serve(shared: Arc<BackendShared>, mut stream: TcpStream) {
     let mut buffer = Vec::new();
-    while let Ok(Some(request)) = read_request(&mut stream, &mut buffer).await {
+    let answers_early = || {
+        let next = shared.queued.peek().unwrap_or_else(|| shared.default.clone());
+        matches!(next, BackendResponse::BeforeBody { .. })
+    };
+    while let Ok(Some(request)) = read_request(&mut stream, &mut buffer, answers_early).await {
         if let Some(since) = parse_events_query(&request) {
             shared.event_polls.fetch_add(1, Ordering::Relaxed);
             let may_wait = request.header("wait-ms").is_some();
@@ -266,6 +280,10 @@
             BackendResponse::SendAndClose(text) => (text, Some(false)),
             BackendResponse::SendAndReset(text) => (text, Some(true)),
             BackendResponse::NoResponse => (String::new(), None),
+            BackendResponse::BeforeBody { text, resets } => {
+                let text = with_extra_headers(&shared, &text.replace(ID_PLACEHOLDER, &id));
+                return send_before_body(stream, &text, resets).await;
+            }
             BackendResponse::Endless { head, piece } => {
                 let head = head.replace(ID_PLACEHOLDER, &id);
                 send_endless(&shared, &mut stream, &head, &piece).await;
@@ -297,6 +315,22 @@
     shared.counts.send_modify(|counts| counts.1 += 1);
 }
 
+/// Sends a response and ends the connection while the rest of the request is still under way.
+async fn send_before_body(mut stream: TcpStream, text: &str, resets: bool) {
+    // The body does not fit into the buffers, so that its sender has to wait.
+    drop(SockRef::from(&stream).set_recv_buffer_size(SEND_BUFFER_BYTES));
+    drop(stream.write_all(text.as_bytes()).await);
+    if resets {
+        drop(stream.set_zero_linger());
+        return;
+    }
+    drop(stream.shutdown().await);
+    // What arrives after the end is left unread until the sender has gone.
+    while stream.peek(&mut [0]).await.is_ok_and(|count| count > 0) {
+        tokio::time::sleep(PEEK_INTERVAL).await;
+    }
+}
+
 fn with_extra_headers(shared: &BackendShared, text: &str) -> String {
     match text.split_once("\r\n") {
         Some((status, rest)) => format!("{status}\r\n{}{rest}", lock(&shared.extra_headers)),
--- a/crates/standin/src/platform/backend/recorded.rs
+++ b/crates/standin/src/platform/backend/recorded.rs
@@ -34,15 +34,20 @@
     }
 }
 
-/// Reads one request. Returns `None` when the client has closed the connection.
+/// Reads one request. Returns `None` when the client has closed the connection. A request whose body has
+/// not arrived is returned without it if `answers_early`.
 pub async fn read_request(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
+    answers_early: impl Fn() -> bool,
 ) -> io::Result<Option<RecordedRequest>> {
     loop {
         if let Some(request) = split_request(buffer) {
             return Ok(Some(request));
         }
+        if let Some(request) = split_head(buffer).filter(|_| answers_early()) {
+            return Ok(Some(request));
+        }
         let mut chunk = vec![0; READ_BYTES];
         let count = stream.read(&mut chunk).await?;
         if count == 0 {
@@ -52,10 +57,15 @@
     }
 }
 
-fn split_request(buffer: &mut Vec<u8>) -> Option<RecordedRequest> {
+fn split_head(buffer: &[u8]) -> Option<RecordedRequest> {
     let head_end = buffer.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
-    let request = RecordedRequest { head, body: Vec::new(), received_at: Instant::now() };
+    Some(RecordedRequest { head, body: Vec::new(), received_at: Instant::now() })
+}
+
+fn split_request(buffer: &mut Vec<u8>) -> Option<RecordedRequest> {
+    let request = split_head(buffer)?;
+    let head_end = request.head.len();
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     if buffer.len() < head_end + length {
         return None;
--- a/crates/standin/src/platform/backend/script.rs
+++ b/crates/standin/src/platform/backend/script.rs
@@ -26,6 +26,11 @@
         *lock(&self.responses) = responses.into_iter().collect();
     }
 
+    /// Returns the next response; `None` if none is left.
+    pub(super) fn peek(&self) -> Option<BackendResponse> {
+        lock(&self.responses).front().cloned()
+    }
+
     /// Takes the next response; `None` if none is left.
     pub(super) fn take(&self) -> Option<BackendResponse> {
         lock(&self.responses).pop_front()
