Refuse responses whose status is none of HTTP

Callers saw: a server's status from 600 to 999 came to them as an answer (MIXED, a report of other operators; theirs was 000). Cause: the parser accepts any three digits from 100 on, and what is no success was returned as the server's failure. 000, 001, 099 and statuses without three digits were refused before. Change: CheckedHead refuses a status above 599, of a server and of another node; the outcome of the attempt is unknown.

--- a/crates/node/src/server/checked_response.rs
+++ b/crates/node/src/server/checked_response.rs
@@ -17,6 +17,9 @@
     server::attempt::Attempt,
 };
 
+/// Highest status code of HTTP. The parser accepts three digits that do not begin with zero.
+const MAX_STATUS: u16 = 599;
+
 /// Why a response does not answer the request. The request may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseError {
@@ -26,6 +29,8 @@
     Unsigned,
     /// It is a success that claims not to have run the request.
     Contradictory,
+    /// Its status is none of HTTP.
+    UnknownStatus,
 }
 
 impl fmt::Display for ResponseError {
@@ -33,6 +38,7 @@
         f.write_str(match self {
             ResponseError::OtherRequest => "response to another request",
             ResponseError::Unsigned => "successful response without a signature",
+            ResponseError::UnknownStatus => "response with a status outside of HTTP",
             ResponseError::Contradictory => "successful response to a request that did not run",
         })
     }
@@ -43,7 +49,8 @@
 /// Head of a response that answers the request that was sent.
 #[derive(Debug, Clone)]
 pub struct CheckedHead {
-    /// Invariant: not a success if the response is unsigned or says that the request did not run.
+    /// Invariant: a status of HTTP, and not a success if the response is unsigned or says that the request
+    /// did not run.
     status: StatusCode,
     headers: HeaderMap,
     /// Invariant: a server's response carries the id of the request.
@@ -71,7 +78,7 @@
         if head.info.request_id.as_deref() != Some(request_id) {
             return Err(ResponseError::OtherRequest);
         }
-        Ok((head.check_success()?, body))
+        Ok((head.check_status()?, body))
     }
 
     /// Checks the response of another node to which the request `request_id` was passed on, and
@@ -85,7 +92,7 @@
         if !is_local && head.info.request_id.as_deref() != Some(request_id) {
             return Err(ResponseError::OtherRequest);
         }
-        Ok((head.check_success()?, body))
+        Ok((head.check_status()?, body))
     }
 
     fn decode<A: ServerAdapter>(response: Response<Incoming>) -> (CheckedHead, Incoming) {
@@ -94,7 +101,10 @@
         (CheckedHead { status: parts.status, headers: parts.headers, info }, body)
     }
 
-    fn check_success(self) -> Result<CheckedHead, ResponseError> {
+    fn check_status(self) -> Result<CheckedHead, ResponseError> {
+        if self.status.as_u16() > MAX_STATUS {
+            return Err(ResponseError::UnknownStatus);
+        }
         match self.is_success() {
             true if self.info.not_run => Err(ResponseError::Contradictory),
             true if !self.info.signed => Err(ResponseError::Unsigned),
