--- a/crates/node/src/store/store_sync.rs
+++ b/crates/node/src/store/store_sync.rs
@@ -58,7 +58,6 @@
 /// Keeps the copy up to date from the store until the process ends.
 pub async fn sync_with_store<A: PlatformAdapter>(node: Rc<Node>, store: Rc<StoreClient<A>>) {
     let mut complete = false;
-    let mut has_failed = false;
     loop {
         let result = match complete {
             true if is_watcher(&node) => watch_for_all(&node, &store).await,
@@ -73,7 +72,6 @@
         };
         match result {
             Ok(is_complete) => {
-                has_failed = false;
                 node.on_store_answered();
                 node.state.borrow_mut().mirror_checked_at = clock::now();
                 complete = is_complete && node.state.borrow().mirror.revision.era == store.era();
@@ -81,13 +79,8 @@
             Err(cause) => {
                 log::debug!(cause:% = cause; "failed to synchronise with the store");
                 node.on_store_call_failed();
-                // The store cuts watches in ordinary operation; the next call opens a new connection.
-                let is_cut = matches!(cause, StoreCallError::Connection(_)) && !has_failed;
-                has_failed = true;
-                if !is_cut {
-                    let pause = node.state.borrow_mut().rng.random_range(RETRY_MIN..RETRY_MAX);
-                    sleep(pause).await;
-                }
+                let pause = node.state.borrow_mut().rng.random_range(RETRY_MIN..RETRY_MAX);
+                sleep(pause).await;
             }
         }
     }
