Refuse requests that no server has got when the node closes

Cause: whether the node closes was asked when the head of a request arrived, not after the waits for its body, for tokens and for room at a server. Change: a request that no server has got is refused at once when the node closes, wherever it waits, with a promise that it has not run. One that may have run goes on. Measured: planned_stop::request_that_is_whole_only_after_the_close_is_refused failed before ("read: 200" in place of 503) and passes for four kinds of route. Tests of node and platform pass; linter clean.

--- a/crates/node/src/client/request.rs
+++ b/crates/node/src/client/request.rs
@@ -1,6 +1,6 @@
 //! Handles one client request, from its head to the final response.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use carobvane_core::{
     clock::ClockTime,
@@ -162,7 +162,7 @@
     let response_due = arrived_at + rule.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN));
     let left = response_due.since(clock::now());
     let body = read_body(&id, body, limits.max_body_bytes, left, node.body_memory.as_ref());
-    let body = body.await.map_err(refused)?;
+    let body = unless_closed(node, body).await.map_err(refused)?;
     let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     let suspects = request_suspects(name, &head.uri, &body, &info.prompt);
     let cache_scope = {
@@ -179,7 +179,7 @@
     // The node that has passed a request on has obtained its tokens.
     let limited = workspace.as_ref().filter(|_| !is_forwarded);
     let tokens = workspace_limits::reserve(node, &info, limited, &rule, response_due);
-    let tokens = tokens.await.map_err(refused)?;
+    let tokens = unless_closed(node, tokens).await.map_err(refused)?;
     Ok(RequestContext {
         head,
         body,
@@ -201,6 +201,19 @@
     })
 }
 
+/// Waits for what a request needs before it is sent, but refuses the request once the node closes: the
+/// process may exit before the request would end.
+async fn unless_closed<T>(
+    node: &Node,
+    waiting: impl Future<Output = Result<T, LocalResponse>>,
+) -> Result<T, LocalResponse> {
+    tokio::select! {
+        biased;
+        () = node.wait_closed() => Err(LocalResponse::NotRun("node_stops", STOPPING_RETRY)),
+        done = waiting => done,
+    }
+}
+
 /// Whether a response guarantees that the request has not run and never will.
 fn is_refusal(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
@@ -245,7 +258,12 @@
                 ForwardResult::NoNode => {}
             }
         }
-        let attempt = match Attempt::open(node, context).await {
+        let opened = if context.history.may_have_run {
+            Attempt::open(node, context).await
+        } else {
+            unless_closed(node, async { Ok(Attempt::open(node, context).await) }).await?
+        };
+        let attempt = match opened {
             Ok(attempt) => attempt,
             Err(OpenError::Ended(end)) => {
                 record_end(context, end)?;
