Exit only when responses have been written to their clients

Cause: a request counted as in flight until the HTTP library had taken its response, not until it was written. Change: the process exits when no connection is open any more, within the grace as before. Tests of node and platform pass; linter clean.

--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -242,7 +242,8 @@
     while Instant::now() < latest {
         if Instant::now() >= linger {
             node.close();
-            if node.in_flight.get() == 0 {
+            // A connection ends once its response has been written.
+            if node.in_flight.get() == 0 && node.connections.get() == 0 {
                 break;
             }
         }
