Test servers that send bytes without end beside a small memory

Cause: operators of other systems report that a machine kept bytes of a faulty server that were no answer, without end, until it ran out of memory, and that the requests of other clients ended with it. No change of the product. 200 requests at once are not possible from one address: the node refuses connections above a share of its own.

--- a/crates/programs/tests/client_memory/crowds.rs
+++ b/crates/programs/tests/client_memory/crowds.rs
@@ -31,22 +31,27 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// A node that a crowd is let loose on.
-struct CrowdTest {
-    node: NodeProcess,
+pub struct CrowdTest {
+    pub node: NodeProcess,
     name: &'static str,
     _turn: MutexGuard<'static, ()>,
 }
 
 impl CrowdTest {
-    async fn start(name: &'static str) -> CrowdTest {
+    pub async fn start(name: &'static str) -> CrowdTest {
         let turn = ONE_AT_A_TIME.lock().await;
         let node = timeout(TEST_TIMEOUT, NodeProcess::start(name)).await;
         CrowdTest { node: node.expect("the node starts"), name, _turn: turn }
     }
 
     /// Runs a crowd, and checks the node while its connections are still open.
-    async fn run(mut self, script: impl Fn(usize) -> ClientScript) {
-        let crowd = run_crowd(&self.node, CLIENTS, script).await;
+    pub async fn run(self, script: impl Fn(usize) -> ClientScript) {
+        self.run_clients(CLIENTS, script).await;
+    }
+
+    /// The same with another number of clients.
+    pub async fn run_clients(mut self, clients: usize, script: impl Fn(usize) -> ClientScript) {
+        let crowd = run_crowd(&self.node, clients, script).await;
         let status = timeout(TEST_TIMEOUT, self.node.ask_ordinary()).await;
         let streams = self.node.endless.recorded_requests().len();
         let ended = timeout(TEST_TIMEOUT, self.node.endless.wait_for_closes(streams)).await;
--- a/crates/programs/tests/client_memory/node_process.rs
+++ b/crates/programs/tests/client_memory/node_process.rs
@@ -50,6 +50,8 @@
     _large: BackendHandle,
     /// Server of the route `stream`.
     pub endless: BackendHandle,
+    /// Server of the routes `faulty` and `faulty-stream`, which responds as a test tells it.
+    pub faulty: BackendHandle,
     /// Address for clients.
     pub address: SocketAddr,
     peak: Cell<MemoryPeak>,
@@ -81,7 +83,13 @@
         let head =
             response_head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
         let endless = backend(BackendResponse::Endless { head, piece: chunk }).await;
-        let servers = [("ordinary", &ordinary), ("large", &large), ("endless", &endless)];
+        let faulty = backend(BackendResponse::NoResponse).await;
+        let servers = [
+            ("ordinary", &ordinary),
+            ("large", &large),
+            ("endless", &endless),
+            ("faulty", &faulty),
+        ];
         for (service, server) in servers {
             store.put(&format!("servers/{service}"), &server_entry(service, server.addr()));
         }
@@ -99,6 +107,7 @@
             _ordinary: ordinary,
             _large: large,
             endless,
+            faulty,
             address,
             peak: Cell::default(),
             measurements: Cell::new(0),
@@ -205,6 +214,8 @@
         route("read", "idempotent", "ordinary"),
         route("large", "non_idempotent", "large"),
         route("stream", "streaming", "endless"),
+        route("faulty", "non_idempotent", "faulty"),
+        route("faulty-stream", "streaming", "faulty"),
     ];
     let limits = ClientLimitsDocument {
         max_header_bytes: 16_384,
