Let a watch of the simulated store that ends miss no change

Cause: a watch of the stand-in that timed out read the store's revision under a second lock. A change made between its last look at the changes and that lock was before asOf, but not in the events, so no node asked for it again. The two watchers of the test's fleet wait 400 ms and 600 ms, and the test writes when one of them has ended, so both fell together. A trace of one failing run shows it: the watch sent at 795.31 ends at 795.71, version 9 is written at 795.7105, and the node keeps version 3 for 20 s while the other one takes 9.

Nothing in the product changes.

--- a/crates/standin/src/platform/store/handlers.rs
+++ b/crates/standin/src/platform/store/handlers.rs
@@ -153,20 +153,21 @@
     }
     let end = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
     let mut changed = shared.changed.subscribe();
+    let mut is_over = false;
     loop {
         changed.borrow_and_update();
-        let answer = match watch_events(&lock(&shared.core), &query, &address) {
-            Ok(answer) => answer,
+        let result = read_changes(&lock(&shared.core), &query, &address);
+        let (events, revision) = match result {
+            Ok(changes) => changes,
             Err(status) => return HttpResponse::build(status).finish(),
         };
-        if let Some(answer) = answer {
+        if !events.is_empty() {
             address.wait_until_released().await;
-            return HttpResponse::Ok().json(answer);
         }
-        if timeout_at(end, changed.changed()).await.is_err() {
-            let revision = lock(&shared.core).revision;
-            return HttpResponse::Ok().json(json!({"events": [], "asOf": revision}));
+        if is_over || !events.is_empty() {
+            return HttpResponse::Ok().json(json!({"events": events, "asOf": revision}));
         }
+        is_over = timeout_at(end, changed.changed()).await.is_err();
         let fault = lock(&shared.core).fault;
         if let Some(refusal) = fault_response(fault).await {
             return refusal;
@@ -174,12 +175,13 @@
     }
 }
 
-/// Returns the answer to a watch; `None` while there are no changes. The error is the status of a refusal.
-fn watch_events(
+/// Returns the changes that a watch asks for, and the revision up to which they are complete. The error is
+/// the status of a refusal.
+fn read_changes(
     core: &StoreCore,
     query: &WatchQuery,
     address: &StoreAddress,
-) -> Result<Option<Value>, StatusCode> {
+) -> Result<(Vec<Value>, u64), StatusCode> {
     if query.after < core.compacted_revision || query.after > core.revision {
         return Err(StatusCode::GONE);
     }
@@ -191,8 +193,7 @@
         Some(item) => item_json(key, item, address),
         None => json!({"key": key, "revision": revision, "tombstone": true}),
     });
-    let events: Vec<Value> = events.collect();
-    Ok((!events.is_empty()).then(|| json!({"events": events, "asOf": core.revision})))
+    Ok((events.collect(), core.revision))
 }
 
 pub(super) async fn transact(shared: Shared, body: web::Json<TransactBody>) -> HttpResponse {
