Leave a server without a response only for another one

What callers saw: 502 outcome_unknown after four times the expected duration (at least 0.8 of the target latency) although their server was only slow, and no other one could run the request. The same after the server was found silent, if the other servers run another software version, were tried or ask for rest.

Cause: the attempt's time limit ended it whether or not another server was there, and any other server of the service counted as a replacement.

Where another server may run it, it moves as before.

--- a/crates/node/src/client/relay.rs
+++ b/crates/node/src/client/relay.rs
@@ -38,6 +38,7 @@
         response_memory::MemoryShare,
         server_choice::OpenError,
         server_outcomes::{record_lost, record_timeout, record_unusable},
+        silent_servers::LOOK_INTERVAL,
     },
 };
 
@@ -182,7 +183,7 @@
                     match self.look_elsewhere::<A>(current, &mut memory, deadline).await {
                         stalled::LookEnd::Read(read) => read,
                         stalled::LookEnd::NoServer => {
-                            stalls_at = (Instant::now() + stalled::LOOK_INTERVAL).min(deadline);
+                            stalls_at = (Instant::now() + LOOK_INTERVAL).min(deadline);
                             continue;
                         }
                     }
--- a/crates/node/src/client/relay/stalled.rs
+++ b/crates/node/src/client/relay/stalled.rs
@@ -25,8 +25,6 @@
     },
 };
 
-/// Time between two looks for another server.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// A server that has not rejected the rest of a stream within this time has taken it. The platform
 /// allows two servers to work on the same stream for 400 ms.
 const OVERLAP_TIME: Duration = Duration::from_millis(250);
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -152,11 +152,11 @@
         let request = self.build_request::<A>(context, last_event);
         let response_timeout = self.response_timeout(context);
         let wait = ResponseWait {
+            context,
             server: self.choice.server,
             sent_at: self.sent_at,
             overdue_after: self.overdue_after(context),
-            service: &context.service,
-            may_move: self.may_retry(context),
+            move_after: self.may_retry(context).then(|| self.move_after(context)),
         };
         let sending = self.connection.connection.send(request, response_timeout);
         let response = match silent_servers::wait_for_response(node, &wait, sending).await {
@@ -330,18 +330,20 @@
         overdue_after(expected, context.rule.target_latency)
     }
 
-    /// Returns how long to wait for the head of the response.
+    /// Returns how long to wait for the head of the response. A server whose weights have been replaced must
+    /// not start the request too late.
     fn response_timeout(&self, context: &RequestContext) -> Duration {
         let now = clock::now();
         let left = context.time_left(now);
-        if !self.may_retry(context) {
-            return left;
-        }
+        let start_by = self.choice.start_by.filter(|_| self.may_retry(context));
+        start_by.map_or(left, |by| left.min(by.since(now)))
+    }
+
+    /// Returns how long to wait before another server is looked for.
+    fn move_after(&self, context: &RequestContext) -> Duration {
         let expected =
             Duration::from_secs_f64(self.choice.base_latency_ms * TIMEOUT_FACTOR / 1_000.0);
-        let limit =
-            expected.max(context.rule.target_latency.mul_f64(MIN_TIMEOUT_FRACTION)).min(left);
-        self.choice.start_by.map_or(limit, |by| limit.min(by.since(now)))
+        expected.max(context.rule.target_latency.mul_f64(MIN_TIMEOUT_FRACTION))
     }
 
     fn build_request<A: PlatformAdapter>(
--- a/crates/node/src/server/silent_servers.rs
+++ b/crates/node/src/server/silent_servers.rs
@@ -12,10 +12,11 @@
 };
 use http::Response;
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{
     adapter::PlatformAdapter,
+    client::request_context::RequestContext,
     clock,
     fleet::{node_notice::NodeNotice, notice_transport::NoticeSender},
     node::{Node, NodeState},
@@ -34,26 +35,29 @@
 const PROBE_REPORT_DELAY: Duration = Duration::from_millis(300);
 /// A probe waits this much longer, since a server that was suspended answers what it got meanwhile.
 const PROBE_EXTRA_TIME: Duration = Duration::from_millis(600);
+/// Time between two looks for another server for a request whose server is silent.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of the response to a probe.
 const MAX_PROBE_BYTES: usize = 64 * 1024;
 
 /// What a request that waits for its response has to know.
 #[derive(Debug)]
 pub struct ResponseWait<'a> {
+    /// The request.
+    pub context: &'a RequestContext,
     /// Server that it was sent to.
     pub server: ServerKey,
     /// When it was sent.
     pub sent_at: ClockTime,
     /// Time without a response after which it casts doubt on the server.
     pub overdue_after: Duration,
-    /// Name of its service.
-    pub service: &'a str,
-    /// Whether it may run at another server.
-    pub may_move: bool,
+    /// Time without a response after which it moves to another server, if there is one that may run it; `None`
+    /// if it may run at this one only.
+    pub move_after: Option<Duration>,
 }
 
-/// Waits for the response to a request. Ends like a timeout if the server turns silent and the request may
-/// run elsewhere.
+/// Waits for the response to a request. Ends like a timeout if the server is silent, or takes too long, and
+/// the request may run elsewhere. Without another server, the request waits for this one.
 pub async fn wait_for_response(
     node: &Rc<Node>,
     wait: &ResponseWait<'_>,
@@ -61,36 +65,55 @@
 ) -> Result<Response<Incoming>, ConnectionError> {
     let mut sending = pin!(sending);
     let mut is_reported = false;
+    let mut overdue_at = Instant::now() + wait.overdue_after;
+    let mut next_look = wait.move_after.map(|after| Instant::now() + after);
     loop {
         let mut turned = pin!(node.silence_wake.notified());
         turned.as_mut().enable();
         if moves_away(node, wait) {
-            log::info!(server:? = node.state.borrow().instance_name(wait.server); "a request leaves a silent server");
-            metrics::counter!("carobvane_silent_server_moves_total").increment(1);
             return Err(ConnectionError::TimedOut);
         }
         tokio::select! {
             biased;
             response = &mut sending => return response,
             () = turned => {}
-            () = sleep(wait.overdue_after), if !is_reported => {
+            () = sleep_until(overdue_at), if !is_reported => {
                 is_reported = report_overdue(node, wait);
+                overdue_at = Instant::now() + wait.overdue_after;
+            }
+            () = sleep_until(next_look.unwrap_or_else(Instant::now)), if next_look.is_some() => {
+                next_look = Some(Instant::now() + LOOK_INTERVAL);
             }
         }
     }
 }
 
 fn moves_away(node: &Node, wait: &ResponseWait<'_>) -> bool {
-    if !wait.may_move {
-        return false;
-    }
+    let Some(move_after) = wait.move_after else { return false };
+    let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     let is_silent = state.registry.get(wait.server).is_some_and(|known| known.silence.is_silent());
-    let has_other = || {
-        let mut others = state.registry.usable(wait.service);
-        others.any(|(key, known)| key != wait.server && !known.silence.is_silent())
-    };
-    is_silent && has_other() && state.has_retry(clock::now(), wait.service, &node.settings.bounds)
+    let is_late = now.since(wait.sent_at) >= move_after;
+    let moves = (is_silent || is_late)
+        && has_other_server(state, wait.context, now)
+        && state.has_retry(now, &wait.context.service, &node.settings.bounds);
+    if moves && is_silent {
+        let (id, instance) = (&wait.context.info.request_id, state.instance_name(wait.server));
+        log::info!(request = id, server:? = instance; "a request leaves a silent server");
+        metrics::counter!("carobvane_silent_server_moves_total").increment(1);
+    }
+    moves
+}
+
+/// Whether a server that has not been tried may run a request now.
+fn has_other_server(state: &NodeState, context: &RequestContext, now: ClockTime) -> bool {
+    let registry = &state.registry;
+    registry.usable(&context.service).any(|(key, server)| {
+        !context.tried_servers.contains(&key)
+            && !server.silence.is_silent()
+            && !server.health.is_at_rest(now)
+            && context.software.allows_server(now, registry, server)
+    })
 }
 
 /// Reports a server whose response is overdue and that no node has heard meanwhile. Returns whether it did.
--- a/crates/standin/src/platform/backend.rs
+++ b/crates/standin/src/platform/backend.rs
@@ -290,7 +290,9 @@
                 break;
             }
             BackendResponse::Paced { head, pieces, pause, ends } => {
-                let head = head.replace(ID_PLACEHOLDER, &id);
+                let numbered = |text: &String| text.replace(ID_PLACEHOLDER, &id);
+                let (head, pieces) = (numbered(&head), pieces.iter().map(numbered));
+                let pieces: Vec<String> = pieces.collect();
                 if !send_paced(&mut stream, &head, &pieces, pause, ends).await {
                     break;
                 }
