Count a server at which no stream may begin yet as no replacement

A request for a new stream that waits for its response asks for the same servers as the choice that follows, so that it does not leave its server for one whose version the store has not recorded.

--- a/crates/node/src/server/server_choice.rs
+++ b/crates/node/src/server/server_choice.rs
@@ -16,7 +16,7 @@
 use crate::{
     client::request_context::RequestContext,
     clock,
-    node::Node,
+    node::{Node, NodeState},
     server::{
         admission::{self, AdmissionError, WaitingRequest},
         crashes,
@@ -86,10 +86,7 @@
         bytes: context.body.len(),
         nodes: state.members.live().count().max(1),
     };
-    let mut excluded = context.tried_servers.clone();
-    if context.is_stream() && context.software == SoftwareRule::Any {
-        excluded.extend(software_store::barred_servers(state, &context.service));
-    }
+    let excluded = excluded_servers(state, context);
     let choice = state.planner.choose(now, &state.registry, &request, &excluded, &mut state.rng)?;
     admission::decide(node, state, context, &choice, ticket)?;
     let server = state.registry.get(choice.server).ok_or(PlacementRefusal::NoServer)?;
@@ -122,6 +119,15 @@
     Ok((choice, instance))
 }
 
+/// Servers at which a request must not run: it was tried there, or no stream may begin there yet.
+pub fn excluded_servers(state: &NodeState, context: &RequestContext) -> Vec<ServerKey> {
+    let mut excluded = context.tried_servers.clone();
+    if context.is_stream() && context.software == SoftwareRule::Any {
+        excluded.extend(software_store::barred_servers(state, &context.service));
+    }
+    excluded
+}
+
 /// Whether a chosen server still takes requests; it may have said otherwise since it was chosen.
 pub fn is_open(node: &Node, server: ServerKey) -> bool {
     let state = node.state.borrow();
--- a/crates/node/src/server/silent_servers.rs
+++ b/crates/node/src/server/silent_servers.rs
@@ -22,7 +22,7 @@
     node::{Node, NodeState},
     server::{
         connection::{ConnectionError, HttpConnection},
-        links,
+        links, server_choice,
         server_limits::{ServerCall, record_call},
         server_signals::record_signals,
     },
@@ -66,11 +66,13 @@
     let mut sending = pin!(sending);
     let mut is_reported = false;
     let mut overdue_at = Instant::now() + wait.overdue_after;
-    let mut next_look = wait.move_after.map(|after| Instant::now() + after);
+    let late_at = wait.move_after.map(|after| Instant::now() + after);
+    let mut next_look = late_at;
     loop {
         let mut turned = pin!(node.silence_wake.notified());
         turned.as_mut().enable();
-        if moves_away(node, wait) {
+        let is_late = late_at.is_some_and(|at| Instant::now() >= at);
+        if moves_away(node, wait, is_late) {
             return Err(ConnectionError::TimedOut);
         }
         tokio::select! {
@@ -88,12 +90,13 @@
     }
 }
 
-fn moves_away(node: &Node, wait: &ResponseWait<'_>) -> bool {
-    let Some(move_after) = wait.move_after else { return false };
+fn moves_away(node: &Node, wait: &ResponseWait<'_>, is_late: bool) -> bool {
+    if wait.move_after.is_none() {
+        return false;
+    }
     let now = clock::now();
     let state = &mut *node.state.borrow_mut();
     let is_silent = state.registry.get(wait.server).is_some_and(|known| known.silence.is_silent());
-    let is_late = now.since(wait.sent_at) >= move_after;
     let moves = (is_silent || is_late)
         && has_other_server(state, wait.context, now)
         && state.has_retry(now, &wait.context.service, &node.settings.bounds);
@@ -108,8 +111,9 @@
 /// Whether a server that has not been tried may run a request now.
 fn has_other_server(state: &NodeState, context: &RequestContext, now: ClockTime) -> bool {
     let registry = &state.registry;
+    let excluded = server_choice::excluded_servers(state, context);
     registry.usable(&context.service).any(|(key, server)| {
-        !context.tried_servers.contains(&key)
+        !excluded.contains(&key)
             && !server.silence.is_silent()
             && !server.health.is_at_rest(now)
             && context.software.allows_server(now, registry, server)
