--- a/crates/node/src/client/relay.rs
+++ b/crates/node/src/client/relay.rs
@@ -38,7 +38,7 @@
         response_memory::MemoryShare,
         server_choice::OpenError,
         server_outcomes::{record_lost, record_timeout, record_unusable},
-        silent_servers::LOOK_INTERVAL,
+        silent_servers::SEARCH_INTERVAL,
     },
 };
 
@@ -180,10 +180,10 @@
                         is_reported = true;
                         self.report_stall(stream);
                     }
-                    match self.look_elsewhere::<A>(current, &mut memory, deadline).await {
-                        stalled::LookEnd::Read(read) => read,
-                        stalled::LookEnd::NoServer => {
-                            stalls_at = (Instant::now() + LOOK_INTERVAL).min(deadline);
+                    match self.search_server::<A>(current, &mut memory, deadline).await {
+                        stalled::SearchEnd::Read(read) => read,
+                        stalled::SearchEnd::NoServer => {
+                            stalls_at = (Instant::now() + SEARCH_INTERVAL).min(deadline);
                             continue;
                         }
                     }
--- a/crates/node/src/client/relay/stalled.rs
+++ b/crates/node/src/client/relay/stalled.rs
@@ -29,8 +29,8 @@
 /// allows two servers to work on the same stream for 400 ms.
 const OVERLAP_TIME: Duration = Duration::from_millis(250);
 
-/// How the look for another server ended.
-pub enum LookEnd {
+/// How the search for another server ended.
+pub enum SearchEnd {
     /// The current server went on, or the segment ended.
     Read(Result<CompleteEvents, SegmentEnd>),
     /// No other server has taken the stream; the current one is kept.
@@ -50,16 +50,16 @@
 impl StreamRelay {
     /// Looks for another server for a stream whose current one is silent. `current` is empty afterwards
     /// if its connection was closed.
-    pub async fn look_elsewhere<A: PlatformAdapter>(
+    pub async fn search_server<A: PlatformAdapter>(
         &mut self,
         current: &mut Option<ServerStream>,
         memory: &mut MemoryShare,
         deadline: Instant,
-    ) -> LookEnd {
-        let Some(stream) = current else { return LookEnd::NoServer };
+    ) -> SearchEnd {
+        let Some(stream) = current else { return SearchEnd::NoServer };
         let (service, bounds) = (&self.context.service, &self.node.settings.bounds);
         if !self.node.state.borrow_mut().has_retry(clock::now(), service, bounds) {
-            return LookEnd::NoServer;
+            return SearchEnd::NoServer;
         }
         let opened = {
             let opening = pin!(Attempt::open(&self.node, &mut self.context));
@@ -70,14 +70,14 @@
             RaceEnd::Other(Err(cause)) => {
                 let id = &self.context.info.request_id;
                 log::debug!(request = id, cause:? = cause; "no other server for a stalled stream");
-                return LookEnd::NoServer;
+                return SearchEnd::NoServer;
             }
-            RaceEnd::Read(read) => return LookEnd::Read(read),
-            RaceEnd::Elapsed => return LookEnd::Read(Err(SegmentEnd::TimedOut)),
+            RaceEnd::Read(read) => return SearchEnd::Read(read),
+            RaceEnd::Elapsed => return SearchEnd::Read(Err(SegmentEnd::TimedOut)),
         };
         let (service, bounds) = (&self.context.service, &self.node.settings.bounds);
         if !self.node.state.borrow_mut().take_retry(clock::now(), service, bounds) {
-            return LookEnd::NoServer;
+            return SearchEnd::NoServer;
         }
         self.race_other::<A>(current, memory, attempt).await
     }
@@ -88,8 +88,8 @@
         current: &mut Option<ServerStream>,
         memory: &mut MemoryShare,
         attempt: Attempt,
-    ) -> LookEnd {
-        let Some(stream) = current else { return LookEnd::NoServer };
+    ) -> SearchEnd {
+        let Some(stream) = current else { return SearchEnd::NoServer };
         let last_event = self.output.splitter.last_event_id();
         let overlap_end = Instant::now() + OVERLAP_TIME;
         let raced = {
@@ -118,29 +118,29 @@
             RaceEnd::Other(result) => self.settle(current, result),
             RaceEnd::Read(read) => {
                 self.record_end(AttemptOutcome::Unknown);
-                LookEnd::Read(read)
+                SearchEnd::Read(read)
             }
-            RaceEnd::Elapsed => LookEnd::NoServer,
+            RaceEnd::Elapsed => SearchEnd::NoServer,
         }
     }
 
     /// Decides which server goes on after the other one has answered.
-    fn settle(&mut self, current: &mut Option<ServerStream>, result: AttemptResult) -> LookEnd {
+    fn settle(&mut self, current: &mut Option<ServerStream>, result: AttemptResult) -> SearchEnd {
         let outcome = match result {
             AttemptResult::Stream(next) => {
                 self.leave(current.take());
                 self.record_end(AttemptOutcome::Unknown);
-                return LookEnd::Read(Err(SegmentEnd::Moved(Box::new(next))));
+                return SearchEnd::Read(Err(SegmentEnd::Moved(Box::new(next))));
             }
             AttemptResult::Ended(outcome) => outcome,
             AttemptResult::Failed(_) | AttemptResult::Complete(_) => AttemptOutcome::Failed,
         };
         if current.is_some() {
             self.record_end(outcome);
-            return LookEnd::NoServer;
+            return SearchEnd::NoServer;
         }
         self.record_end(AttemptOutcome::Unknown);
-        LookEnd::Read(Err(SegmentEnd::Left(outcome)))
+        SearchEnd::Read(Err(SegmentEnd::Left(outcome)))
     }
 
     /// Closes the connection to a silent server.
--- a/crates/node/src/server/silent_servers.rs
+++ b/crates/node/src/server/silent_servers.rs
@@ -35,8 +35,8 @@
 const PROBE_REPORT_DELAY: Duration = Duration::from_millis(300);
 /// A probe waits this much longer, since a server that was suspended answers what it got meanwhile.
 const PROBE_EXTRA_TIME: Duration = Duration::from_millis(600);
-/// Time between two looks for another server for a request whose server is silent.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two searches for another server for a request whose server is silent.
+pub const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of the response to a probe.
 const MAX_PROBE_BYTES: usize = 64 * 1024;
 
@@ -67,7 +67,7 @@
     let mut is_reported = false;
     let mut overdue_at = Instant::now() + wait.overdue_after;
     let late_at = wait.move_after.map(|after| Instant::now() + after);
-    let mut next_look = late_at;
+    let mut next_search = late_at;
     loop {
         let mut turned = pin!(node.silence_wake.notified());
         turned.as_mut().enable();
@@ -83,8 +83,8 @@
                 is_reported = report_overdue(node, wait);
                 overdue_at = Instant::now() + wait.overdue_after;
             }
-            () = sleep_until(next_look.unwrap_or_else(Instant::now)), if next_look.is_some() => {
-                next_look = Some(Instant::now() + LOOK_INTERVAL);
+            () = sleep_until(next_search.unwrap_or_else(Instant::now)), if next_search.is_some() => {
+                next_search = Some(Instant::now() + SEARCH_INTERVAL);
             }
         }
     }
