--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -48,6 +48,8 @@
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two rounds of closing expired connections and dropping vanished nodes and servers.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two folds of histogram values into their summaries.
+const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two reads of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -125,6 +127,7 @@
         let store = Rc::new(StoreClient::<A>::new(node.settings.store_address));
         let registration_lease = Rc::new(RegistrationLease::default());
         let rollout_lease = Rc::new(RolloutLease::default());
+        actix_rt::spawn(fold_metrics(metrics.clone()));
         sockets.serve::<A>(&node, metrics);
         actix_rt::spawn(store_sync::sync_with_store(node.clone(), store.clone()));
         actix_rt::spawn(store_sync::sync_with_peers::<A>(node.clone()));
@@ -255,6 +258,16 @@
     sleep(STOP_CHECK_INTERVAL).await;
 }
 
+/// Folds the values of histograms into their summaries, until the process ends. The recorder itself does so
+/// only when the metrics page is read, and keeps each value until then.
+async fn fold_metrics(metrics: PrometheusHandle) {
+    let mut ticks = interval(METRICS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        metrics.run_upkeep();
+    }
+}
+
 async fn run_housekeeping(node: Rc<Node>) {
     let mut ticks = interval(HOUSEKEEPING_INTERVAL);
     loop {
