Bear clients that pause while they read a response

What callers saw: a response that breaks off after a pause of more than 2.5 s. Cause: TCP_USER_TIMEOUT breaks a connection whose peer acknowledges nothing, and full buffers acknowledge nothing; the node's own limit for such clients is 10 s. Connections of clients now have 12 s.

Evidence: client_that_pauses_gets_its_whole_response gets 195,464 of 3,145,728 bytes after pauses of 4 and 7 s before, and everything after (two runs). All 12 tests of client_memory pass (one run).

--- a/crates/node/src/client/connection_bounds.rs
+++ b/crates/node/src/client/connection_bounds.rs
@@ -16,6 +16,9 @@
 /// system reports progress in steps of about a third of the send buffer, so that a client that reads a
 /// few kilobytes a second is never without it.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time in which a client acknowledges no byte. The system cannot tell a client that pauses from one
+/// that is gone, so it has to wait for longer than [`UNREAD_TIMEOUT`].
+pub const CLIENT_USER_TIMEOUT: Duration = Duration::from_secs(12);
 /// Shortest time between two log lines about connections that were refused.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
--- a/crates/node/src/client/handlers.rs
+++ b/crates/node/src/client/handlers.rs
@@ -1,6 +1,6 @@
 //! Handlers of what clients and the platform request from a node.
 
-use std::{marker::PhantomData, rc::Rc};
+use std::{marker::PhantomData, rc::Rc, time::Duration};
 
 use carobvane_core::traffic::{EntryNode, EntrySelector, LinkState};
 use http::{Request, Response, StatusCode};
@@ -9,7 +9,10 @@
 
 use crate::{
     adapter::{ClientAdapter, PlatformAdapter},
-    client::{body::ResponseBody, ingress::RequestHandler, request, responses},
+    client::{
+        body::ResponseBody, connection_bounds::CLIENT_USER_TIMEOUT, ingress::RequestHandler,
+        request, responses,
+    },
     clock,
     node::Node,
 };
@@ -24,6 +27,8 @@
 }
 
 impl<A: PlatformAdapter> RequestHandler for ClientHandler<A> {
+    const USER_TIMEOUT: Duration = CLIENT_USER_TIMEOUT;
+
     fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
--- a/crates/node/src/client/ingress.rs
+++ b/crates/node/src/client/ingress.rs
@@ -45,6 +45,9 @@
 
 /// Handles the requests of one listener.
 pub trait RequestHandler: 'static {
+    /// Longest time in which a peer acknowledges no byte of a response.
+    const USER_TIMEOUT: Duration = tcp::USER_TIMEOUT;
+
     /// Handles a request and returns the response.
     fn handle(
         self: Rc<Self>,
@@ -151,7 +154,7 @@
         match accepted {
             Ok((stream, peer)) => {
                 let Some(guard) = ConnectionGuard::start(&node, peer) else { continue };
-                if let Err(cause) = tcp::detect_dead_peer(&stream) {
+                if let Err(cause) = tcp::detect_dead_peer(&stream, H::USER_TIMEOUT) {
                     log::debug!(cause:% = cause; "failed to set options of a connection");
                 }
                 actix_rt::spawn(serve_connection(guard, node.clone(), stream, handler.clone()));
