--- a/review/standin-3/lost_answers.rs
+++ b/review/standin-3/lost_answers.rs
@@ -49,7 +49,6 @@
         again: fronts[1..].iter().chain(&fronts[..1]).copied().collect(),
         first: fronts,
         prefixes: streams::distinct_prefixes(),
-        prompt: streams::SHORT_PROMPT,
         gap: Duration::from_millis(15),
         length: Duration::from_secs(14),
     };
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,7 +9,6 @@
 mod lost_answers;
 mod node;
 mod record;
-mod restarted_servers;
 mod restored_config;
 mod restored_entries;
 mod server;
@@ -64,13 +63,11 @@
     let test = thread::spawn(move || {
         let folder = Path::new(&folder);
         match case.as_str() {
-            "restarted-servers" => {
-                restarted_servers::run(&program, folder, &ips, is_troubled, &recording)
-            }
             "restored-config" => {
                 restored_config::run(&program, folder, &ips, is_troubled, &recording)
             }
             "lost-answers" => lost_answers::run(&program, folder, &ips, is_troubled, &recording),
+            "crashing-part" => crashing_part::run(&program, folder, &ips, is_troubled, &recording),
             "restored-entries" => {
                 restored_entries::run(&program, folder, &ips, is_troubled, &recording)
             }
--- a/review/standin-3/restored_entries.rs
+++ b/review/standin-3/restored_entries.rs
@@ -45,7 +45,6 @@
         again: fronts.iter().rev().copied().collect(),
         first: fronts,
         prefixes: vec!["5c1e07a2:198".to_string()],
-        prompt: streams::SHORT_PROMPT,
         gap: Duration::from_millis(100),
         length: Duration::from_secs(6),
     };
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -18,6 +18,8 @@
     store::Store,
 };
 
+/// Part of a prompt that crashes each server which begins to answer it.
+pub const DEADLY_PART: &str = "dead0001";
 /// Time between two writes of a server's entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -64,6 +66,8 @@
     lost_percent: AtomicU64,
     /// Number of streams that it began.
     begun: AtomicU64,
+    /// Whether its streams have neither a length nor chunks.
+    is_unframed: AtomicBool,
 }
 
 impl ModelServer {
@@ -78,16 +82,27 @@
             running: AtomicUsize::new(0),
             lost_percent: AtomicU64::new(0),
             begun: AtomicU64::new(0),
+            is_unframed: AtomicBool::new(false),
         });
         server.begin(listener, software);
         server
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.boot.lock().unwrap().is_none()
+    }
+
     /// Number of streams that it sends now.
     pub fn running(&self) -> usize {
         self.running.load(Ordering::SeqCst)
     }
 
+    /// Sends streams that have neither a length nor chunks and end with their channel.
+    pub fn send_unframed(&self) {
+        self.is_unframed.store(true, Ordering::SeqCst);
+    }
+
     /// Sets how many of a hundred answers it breaks off.
     pub fn lose_answers(&self, percent: u64) {
         self.lost_percent.store(percent, Ordering::SeqCst);
@@ -224,12 +239,19 @@
             last.unwrap_or(0)
         ));
         self.plan.runs.lock().unwrap().push(Run { request: request.clone(), used });
+        let is_unframed = self.is_unframed.load(Ordering::SeqCst);
+        let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: 1.{}.{request}\r\nWeight-Versions: 1\r\n\
-             Server-Load: {},0,64\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+             Server-Load: {},0,64\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n",
             self.id,
             self.running()
         );
+        if call.header("prompt-prefix").is_some_and(|prefix| prefix.contains(DEADLY_PART)) {
+            self.plan.record.line(&format!("server {} crashes under {request}", self.id));
+            self.end();
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         channel.stream.write_all(head.as_bytes())?;
         for number in last.unwrap_or(0) + 1..=self.plan.events {
             if number > 1 {
@@ -245,7 +267,13 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             let event = format!("id: {number}\ndata: {software} {} token {number}\n\n", self.id);
-            channel.stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            let bytes =
+                if is_unframed { event } else { format!("{:x}\r\n{event}\r\n", event.len()) };
+            channel.stream.write_all(bytes.as_bytes())?;
+        }
+        if is_unframed {
+            // The end of the channel is the end of the stream.
+            return Err(io::ErrorKind::ConnectionAborted.into());
         }
         channel.stream.write_all(b"0\r\n\r\n")
     }
--- a/review/standin-3/streams.rs
+++ b/review/standin-3/streams.rs
@@ -17,11 +17,14 @@
 
 /// Time that a client gives a request.
 const TIME_BUDGET: Duration = Duration::from_millis(5_000);
+/// Tokens in and out of a request, and tokens of the part of its prompt that no other one has.
+const TOKEN_USAGE: &str = "826,58";
+const OWN_TOKENS: u32 = 628;
 /// Streams of two software versions that the rule allows.
 const ALLOWED_MIXED: usize = 2;
 
 /// A stream as its client saw it, over both of its tries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Stream {
     pub ids: Vec<u64>,
     software: BTreeSet<String>,
@@ -29,6 +32,7 @@
     pub tries: usize,
     /// Number of events that the first try has brought.
     pub first_events: usize,
+    pub begun_at: Instant,
 }
 
 impl Stream {
@@ -62,13 +66,15 @@
 }
 
 /// Sends a request, and takes its stream up once if it breaks off.
-fn client(
-    fronts: &[SocketAddr; 2],
-    (shared, prompt): (&str, Prompt),
-    number: usize,
-    record: &Record,
-) -> Stream {
-    let mut stream = Stream::default();
+fn client(fronts: &[SocketAddr; 2], shared: &str, number: usize, record: &Record) -> Stream {
+    let mut stream = Stream {
+        ids: Vec::new(),
+        software: BTreeSet::new(),
+        is_complete: false,
+        tries: 0,
+        first_events: 0,
+        begun_at: Instant::now(),
+    };
     let mut first_attempt: Option<String> = None;
     let end = Instant::now() + TIME_BUDGET;
     for attempt in 0..2 {
@@ -82,14 +88,14 @@
             continue;
         };
         let _ = channel.stream.set_read_timeout(Some(Duration::from_secs(6)));
-        let prefix = format!("{shared},{number:x}:{}", prompt.own_tokens);
+        let prefix = format!("{shared},{number:x}:{OWN_TOKENS}");
         let (left, key) = (left.to_string(), format!("Token {KEY}"));
         let body = format!("{{\"question\":{number}}}");
         let mut headers = vec![
             ("Host", "jepu9.example"),
             ("Request-Id", &id),
             ("Model", MODEL),
-            ("Token-Usage", prompt.usage),
+            ("Token-Usage", TOKEN_USAGE),
             ("Prompt-Prefix", &prefix),
             ("Deadline-Ms", &left),
             ("Authorization", &key),
@@ -126,18 +132,6 @@
     stream
 }
 
-/// Size of a prompt.
-#[derive(Clone, Copy)]
-pub struct Prompt {
-    /// Tokens in and out.
-    pub usage: &'static str,
-    /// Tokens of the part that no other prompt has.
-    pub own_tokens: u32,
-}
-
-pub const LONG_PROMPT: Prompt = Prompt { usage: "9190,10", own_tokens: 2_890 };
-pub const SHORT_PROMPT: Prompt = Prompt { usage: "826,58", own_tokens: 628 };
-
 /// What the clients send.
 #[derive(Clone)]
 pub struct Load {
@@ -148,7 +142,6 @@
     pub again: Vec<SocketAddr>,
     /// Shared parts of the prompts, in turn.
     pub prefixes: Vec<String>,
-    pub prompt: Prompt,
     pub gap: Duration,
     pub length: Duration,
 }
@@ -173,7 +166,7 @@
             let shared = load.prefixes[number % load.prefixes.len()].clone();
             let (streams, record) = (streams.clone(), record.clone());
             threads.push(thread::spawn(move || {
-                let stream = client(&fronts, (&shared, load.prompt), number, &record);
+                let stream = client(&fronts, &shared, number, &record);
                 streams.lock().unwrap().push(stream);
             }));
             number += 1;
--- a/review/standin-3/unknown_software.rs
+++ b/review/standin-3/unknown_software.rs
@@ -46,7 +46,6 @@
         again: fronts.iter().rev().copied().collect(),
         first: fronts,
         prefixes: streams::distinct_prefixes(),
-        prompt: streams::SHORT_PROMPT,
         gap: Duration::from_millis(25),
         length: Duration::from_secs(16),
     };
