Show that a crashing part stops all requests where streams have no length

Cause: LOST: a run counts as completed only if its response has a length or chunks, so no run clears the first part of all prompts from the crashes of a deadly one.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `standin CASE NODE_PROGRAM FOLDER RECORD`, with `TROUBLE=0` without the disruption. Exits with
 //! 1 if the rule was broken, 0 if it held, 2 if the test could not run.
 
+mod crashing_part;
 mod deployment;
 mod http;
 mod json;
