Keep the case of lost answers within the doses of the site file

Change: answers are lost whole, and streams are cut by crashes of three of twelve servers, twice. The control has the crashes too.

--- a/review/standin-3/lost_answers.rs
+++ b/review/standin-3/lost_answers.rs
@@ -1,24 +1,30 @@
-//! Servers of two software versions serve side by side, and some of them break off answers.
+//! Servers of two software versions serve side by side. Some answers are lost, and then servers crash.
 //!
 //! Streams that break off are taken up by their clients. They must go on half as often as new ones begin.
 
-use std::{path::Path, thread, time::Duration};
+use std::{path::Path, sync::Arc, thread, time::Duration};
 
 use crate::{
     BROKEN, HELD, UNABLE,
-    deployment::{Deployment, TENANT},
+    deployment::{Deployment, TENANT, restart},
     record::Record,
+    server::ModelServer,
     streams::{self, Load, Stream, Streams},
 };
 
 /// Servers, of both versions, and nodes.
 const SERVERS: usize = 12;
 const NODES: usize = 9;
-/// Servers that break off answers: a share of 0.6 at most.
+/// Servers whose answers are lost: a share of 0.6 at most.
 const LOSING_SERVERS: usize = 7;
-/// Of a hundred answers, how many they break off, and for how long.
+/// Of a hundred answers, how many are lost, and for how long.
 const LOST_PERCENT: u64 = 30;
 const LOSS_TIME: Duration = Duration::from_secs(6);
+/// Servers that crash at a time: a share of 0.3 at most. They are gone for a second.
+const CRASHED_SERVERS: usize = 3;
+const DOWN_TIME: Duration = Duration::from_secs(1);
+/// Time between two crashes.
+const CRASH_GAP: Duration = Duration::from_millis(3_500);
 /// Fewer streams that are taken up say nothing.
 const MIN_RESUMED: usize = 12;
 
@@ -29,7 +35,7 @@
     is_troubled: bool,
     record: &Record,
 ) -> i32 {
-    let stream = (12, Duration::from_millis(150));
+    let stream = (18, Duration::from_millis(200));
     let software = ["v1", "v2"];
     let Some(deployment) = Deployment::start(
         program,
@@ -56,14 +62,16 @@
     let clients = streams::begin(load, &streams, record);
     thread::sleep(Duration::from_secs(5));
     if is_troubled {
-        record.line("seven servers break off three in ten of their answers");
-        deployment.servers[..LOSING_SERVERS]
-            .iter()
-            .for_each(|server| server.lose_answers(LOST_PERCENT));
+        record.line("three in ten answers of seven servers are lost");
+        let losing = &deployment.servers[..LOSING_SERVERS];
+        losing.iter().for_each(|server| server.lose_answers(LOST_PERCENT));
     }
-    thread::sleep(LOSS_TIME);
-    record.line("no server breaks off answers");
+    thread::sleep(LOSS_TIME - CRASH_GAP);
+    crash(&deployment.servers[..CRASHED_SERVERS], &software);
+    thread::sleep(CRASH_GAP);
+    record.line("no answer is lost any more");
     deployment.servers.iter().for_each(|server| server.lose_answers(0));
+    crash(&deployment.servers[CRASHED_SERVERS..2 * CRASHED_SERVERS], &software);
     let _ = clients.join();
     if !deployment.is_whole(record) {
         return UNABLE;
@@ -71,6 +79,14 @@
     judge(&streams.lock().unwrap(), record)
 }
 
+/// Lets servers crash at once. They come back with the software that they had.
+fn crash(servers: &[Arc<ModelServer>], software: &[&'static str; 2]) {
+    for server in servers {
+        let place = usize::from(server.id.ends_with(['1', '3', '5', '7', '9', 'b']));
+        restart(std::slice::from_ref(server), DOWN_TIME, software[place]);
+    }
+}
+
 fn judge(streams: &[Stream], record: &Record) -> i32 {
     let begun = streams.iter().filter(|stream| stream.first_events > 0).count();
     let resumed = streams.iter().filter(|stream| stream.tries > 1 && stream.first_events > 0);
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -62,7 +62,7 @@
     plan: ServerPlan,
     boot: Mutex<Option<Boot>>,
     running: AtomicUsize,
-    /// Of a hundred answers, how many it breaks off.
+    /// Of a hundred answers, how many are lost.
     lost_percent: AtomicU64,
     /// Number of streams that it began.
     begun: AtomicU64,
@@ -103,18 +103,18 @@
         self.is_unframed.store(true, Ordering::SeqCst);
     }
 
-    /// Sets how many of a hundred answers it breaks off.
+    /// Sets how many of a hundred answers are lost.
     pub fn lose_answers(&self, percent: u64) {
         self.lost_percent.store(percent, Ordering::SeqCst);
     }
 
-    /// The event before which the answer to the next request breaks off, if it does.
-    fn break_point(&self) -> Option<u64> {
+    /// Whether the answer to the next request is lost.
+    fn loses_answer(&self) -> bool {
         let percent = self.lost_percent.load(Ordering::SeqCst);
         let number = self.begun.fetch_add(1, Ordering::SeqCst);
         // A fixed sequence without a pattern in it.
         let drawn = (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
-        (drawn % 100 < percent).then_some(2 + drawn / 100 % (self.plan.events - 2))
+        drawn % 100 < percent
     }
 
     /// Ends at once, without a word.
@@ -231,7 +231,6 @@
             return channel.answer("421 Misdirected Request", &[id, ("Not-Executed", "1")], b"");
         }
         let last = call.header("last-event-id").and_then(|text| text.trim().parse::<u64>().ok());
-        let break_point = self.break_point();
         let (salt, used) = use_cache(cache, call, &request);
         self.plan.record.line(&format!(
             "server {} ({software}) runs {request} after event {}, Cache-Salt {salt:?}, uses KV cache of {used:?}",
@@ -252,17 +251,17 @@
             self.end();
             return Err(io::ErrorKind::Interrupted.into());
         }
+        if self.loses_answer() {
+            self.plan
+                .record
+                .line(&format!("the answer of server {} to {request} is lost", self.id));
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         channel.stream.write_all(head.as_bytes())?;
         for number in last.unwrap_or(0) + 1..=self.plan.events {
             if number > 1 {
                 thread::sleep(self.plan.gap);
             }
-            if break_point.is_some_and(|event| event <= number && number > 1) {
-                self.plan
-                    .record
-                    .line(&format!("server {} breaks off its answer to {request}", self.id));
-                return Err(io::ErrorKind::ConnectionAborted.into());
-            }
             if served.is_ended() {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
